--- /dev/null
+++ b/crates/balance/src/endpoint.rs
@@ -0,0 +1,200 @@
+//! What a box knows of one endpoint.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Own counts remembered, one each [`SAMPLE_MS`].
+const SAMPLES: usize = 128;
+/// Milliseconds between two remembered counts.
+const SAMPLE_MS: u64 = 50;
+/// Failures in a row that eject an endpoint.
+const EJECT_AFTER: u32 = 3;
+/// First time that an endpoint is passed over, in milliseconds; doubles with each failure after.
+const EJECT_MS: u64 = 1_000;
+/// Longest time that an endpoint is passed over, in milliseconds.
+const EJECT_MOST_MS: u64 = 30_000;
+/// A new endpoint gets a growing share for this long, in milliseconds.
+const SLOW_START_MS: u64 = 5_000;
+/// Age at which a report counts for nothing, in milliseconds.
+const REPORT_MOST_MS: u64 = 15_000;
+
+/// A load report of an endpoint, taken at `at` on this box's clock.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// When the endpoint counted, in milliseconds.
+    pub at: u64,
+    /// Requests in its batch.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+    /// Requests that its batch takes.
+    pub slots: u32,
+}
+
+/// Why a dispatch did not end well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection, or no first byte in time.
+    Silent,
+    /// It refused before running.
+    Refused,
+    /// The stream broke.
+    Broken,
+}
+
+/// State of one endpoint on one box.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Gets no new work: by pool spec, platform list or its own report.
+    pub leaving: bool,
+    report: Option<Report>,
+    in_flight: u32,
+    samples: VecDeque<(u64, u32)>,
+    peers: Vec<(Arc<str>, u32, u64)>,
+    failures: u32,
+    ejected_until: u64,
+    new_since: Option<u64>,
+}
+
+/// What others should know of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Requests that the sender has under way there.
+    pub in_flight: u32,
+}
+
+impl Endpoint {
+    /// An endpoint first seen at `now`; `warm` if the whole pool is new.
+    pub fn new(name: Arc<str>, zone: Arc<str>, now: u64, warm: bool) -> Endpoint {
+        Endpoint {
+            name,
+            zone,
+            leaving: false,
+            report: None,
+            in_flight: 0,
+            samples: VecDeque::new(),
+            peers: Vec::new(),
+            failures: 0,
+            ejected_until: 0,
+            new_since: (!warm).then_some(now),
+        }
+    }
+
+    /// A request was dispatched.
+    pub fn start(&mut self, now: u64) {
+        self.in_flight += 1;
+        self.sample(now);
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, now: u64, failure: Option<Failure>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.sample(now);
+        match failure {
+            None => {
+                self.failures = 0;
+                self.ejected_until = 0;
+            }
+            Some(Failure::Refused) => {}
+            Some(Failure::Silent | Failure::Broken) => self.fail(now),
+        }
+    }
+
+    fn fail(&mut self, now: u64) {
+        self.failures += 1;
+        if self.failures >= EJECT_AFTER {
+            let doublings = (self.failures - EJECT_AFTER).min(10);
+            self.ejected_until = now + (EJECT_MS << doublings).min(EJECT_MOST_MS);
+        }
+    }
+
+    fn sample(&mut self, now: u64) {
+        match self.samples.back_mut() {
+            Some((at, count)) if now < *at + SAMPLE_MS => *count = self.in_flight,
+            _ => self.samples.push_back((now, self.in_flight)),
+        }
+        if self.samples.len() > SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// A report came in; an older one than known is dropped.
+    pub fn report(&mut self, report: Report) {
+        let newer = self.report.is_none_or(|known| known.at <= report.at);
+        if newer {
+            self.report = Some(report);
+        }
+    }
+
+    /// A peer told what it has under way there.
+    pub fn peer(&mut self, peer: &Arc<str>, in_flight: u32, now: u64) {
+        match self.peers.iter_mut().find(|(name, ..)| name == peer) {
+            Some(known) => (known.1, known.2) = (in_flight, now),
+            None => self.peers.push((peer.clone(), in_flight, now)),
+        }
+        self.peers.retain(|(_, _, at)| at + REPORT_MOST_MS > now);
+    }
+
+    fn own_at(&self, at: u64) -> u32 {
+        let known = self.samples.iter().rev().find(|(sampled, _)| *sampled <= at);
+        known.map_or(0, |(_, count)| *count)
+    }
+
+    /// Requests that this box has under way there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Estimated requests at the endpoint now, over all boxes.
+    pub fn load(&self, now: u64) -> f64 {
+        let told: u32 = self.peers.iter().map(|(_, count, _)| count).sum();
+        let known = f64::from(self.in_flight) + f64::from(told);
+        let fresh = self.report.filter(|report| report.at + REPORT_MOST_MS > now);
+        let Some(report) = fresh else { return known };
+        let reported = f64::from(report.running + report.waiting);
+        let change = f64::from(self.in_flight) - f64::from(self.own_at(report.at));
+        let corrected = (reported + change).max(f64::from(self.in_flight));
+        // A fresh report outweighs what peers told; a late one does not.
+        let age = now.saturating_sub(report.at) as f64;
+        let trust = 1.0 / (1.0 + age / 500.0);
+        match self.peers.is_empty() {
+            true => corrected,
+            false => corrected * trust + known * (1.0 - trust),
+        }
+    }
+
+    /// Requests that the batch takes, if reported.
+    pub fn slots(&self) -> Option<u32> {
+        self.report.map(|report| report.slots)
+    }
+
+    /// Whether failures put it aside at `now`.
+    pub fn is_ejected(&self, now: u64) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Whether it was ejected, and the time is over: the next request is its probe.
+    pub fn wants_probe(&self, now: u64) -> bool {
+        self.failures >= EJECT_AFTER && !self.is_ejected(now) && self.in_flight == 0
+    }
+
+    /// Whether it was ejected and a probe is under way.
+    pub fn is_probed(&self, now: u64) -> bool {
+        self.failures >= EJECT_AFTER && !self.is_ejected(now) && self.in_flight > 0
+    }
+
+    /// Load is multiplied by this while the endpoint is new.
+    pub fn slow_start(&self, now: u64) -> f64 {
+        match self.new_since.map(|since| now.saturating_sub(since)) {
+            Some(age) if age < SLOW_START_MS => 4.0 - 3.0 * age as f64 / SLOW_START_MS as f64,
+            _ => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,14 @@
+//! Which endpoint gets a request.
+//!
+//! Load reports are late, so each box corrects them by what it dispatched and finished itself
+//! since the report was taken, and by what its peers told. [`Pool::choose`] compares a few
+//! candidates by estimated cost: two drawn at random, and the ones that probably hold the
+//! longest part of the prompt in their cache. All times are milliseconds of a monotonic clock.
+
+mod endpoint;
+mod pool;
+mod prefix;
+
+pub use endpoint::{Endpoint, Failure, Report, Snapshot};
+pub use pool::{Choice, Pool, Weights};
+pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
--- /dev/null
+++ b/crates/balance/src/pool.rs
@@ -0,0 +1,168 @@
+//! The endpoints of one pool, and the choice among them.
+
+use std::sync::Arc;
+
+use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
+
+use crate::{Endpoint, Failure, Prefix, Prefixes, Report, Snapshot, prefix::BLOCK_BYTES};
+
+/// What weighs how much in a choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Weights {
+    /// Bytes of prompt to prefill that weigh as much as one request under way.
+    pub bytes_per_request: f64,
+    /// Requests under way that another availability zone weighs.
+    pub other_zone: f64,
+    /// Load above the pool's mean at which a cached prompt no longer counts, as a factor.
+    pub bounded_load: f64,
+    /// Endpoints drawn at random to compare.
+    pub draws: usize,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights { bytes_per_request: 1_024.0, other_zone: 1.0, bounded_load: 1.5, draws: 2 }
+    }
+}
+
+/// A chosen endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Leading blocks of the prompt that it probably holds.
+    pub held: usize,
+    /// Estimated requests there.
+    pub load: f64,
+}
+
+/// The endpoints of a pool as one box sees them.
+#[derive(Debug)]
+pub struct Pool {
+    endpoints: Vec<Endpoint>,
+    prefixes: Prefixes,
+    weights: Weights,
+    zone: Arc<str>,
+}
+
+/// Prompt blocks remembered by pool.
+const PREFIX_BLOCKS: usize = 65_536;
+
+impl Pool {
+    /// An empty pool seen from a box in `zone`.
+    pub fn new(zone: Arc<str>, weights: Weights) -> Pool {
+        Pool { endpoints: Vec::new(), prefixes: Prefixes::new(PREFIX_BLOCKS), weights, zone }
+    }
+
+    /// Takes over the pool's list; known endpoints keep their state.
+    pub fn update(&mut self, list: impl IntoIterator<Item = (Arc<str>, Arc<str>)>, now: u64) {
+        let warm = self.endpoints.is_empty();
+        let mut known = std::mem::take(&mut self.endpoints);
+        for (name, zone) in list {
+            let at = known.iter().position(|endpoint| endpoint.name == name);
+            let endpoint = match at {
+                Some(at) => known.swap_remove(at),
+                None => Endpoint::new(name, zone, now, warm),
+            };
+            self.endpoints.push(endpoint);
+        }
+    }
+
+    /// The endpoint of a name.
+    pub fn get(&self, name: &str) -> Option<&Endpoint> {
+        self.endpoints.iter().find(|endpoint| &*endpoint.name == name)
+    }
+
+    /// The endpoint of a name.
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut Endpoint> {
+        self.endpoints.iter_mut().find(|endpoint| &*endpoint.name == name)
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Which blocks are held where.
+    pub fn prefixes_mut(&mut self) -> &mut Prefixes {
+        &mut self.prefixes
+    }
+
+    /// Chooses an endpoint for a prompt, passing over those in `tried`.
+    ///
+    /// Never one that is leaving. One that failed is chosen only as its own probe, or when at
+    /// least half of the pool is put aside: then failures say more about the box than about them.
+    pub fn choose(
+        &self,
+        prefix: &Prefix,
+        tried: &[Arc<str>],
+        now: u64,
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let offered: Vec<&Endpoint> =
+            self.endpoints.iter().filter(|e| !e.leaving && !tried.contains(&e.name)).collect();
+        if let Some(probe) = offered.iter().find(|endpoint| endpoint.wants_probe(now)) {
+            return Some(self.judge(probe, prefix, now).1);
+        }
+        let aside = |e: &&&Endpoint| e.is_ejected(now) || e.is_probed(now);
+        let most_aside = offered.iter().filter(aside).count() * 2 >= offered.len().max(1);
+        let usable = offered.iter().filter(|e| most_aside || !aside(e)).copied();
+        let mut candidates = usable.clone().choose_multiple(random, self.weights.draws);
+        // The draw keeps its candidates in the pool's order, which would decide every tie.
+        candidates.shuffle(random);
+        let mean = usable.clone().map(|e| e.load(now)).sum::<f64>() / usable.clone().count() as f64;
+        let bound = mean * self.weights.bounded_load + 2.0;
+        for name in self.prefixes.best(prefix, 2) {
+            candidates.extend(usable.clone().find(|e| e.name == name && e.load(now) <= bound));
+        }
+        let judged = candidates.into_iter().map(|endpoint| self.judge(endpoint, prefix, now));
+        judged.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
+    }
+
+    fn judge(&self, endpoint: &Endpoint, prefix: &Prefix, now: u64) -> (f64, Choice) {
+        let load = endpoint.load(now);
+        let held = self.prefixes.held(prefix, &endpoint.name);
+        let missing = (prefix.blocks() - held) * BLOCK_BYTES;
+        let away = if endpoint.zone == self.zone { 0.0 } else { self.weights.other_zone };
+        let cost = (load + 1.0) * endpoint.slow_start(now)
+            + missing as f64 / self.weights.bytes_per_request
+            + away;
+        (cost, Choice { name: endpoint.name.clone(), held, load })
+    }
+
+    /// A request goes to an endpoint.
+    pub fn start(&mut self, name: &Arc<str>, prefix: &Prefix, now: u64) {
+        self.prefixes.sent(prefix, name);
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.start(now);
+        }
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, name: &str, failure: Option<Failure>, now: u64) {
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.end(now, failure);
+        }
+    }
+
+    /// An endpoint reported its load.
+    pub fn report(&mut self, name: &str, report: Report) {
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.report(report);
+        }
+    }
+
+    /// A peer told what it has under way.
+    pub fn peer(&mut self, peer: &Arc<str>, told: &[Snapshot], now: u64) {
+        for endpoint in &mut self.endpoints {
+            let count = told.iter().find(|snapshot| snapshot.name == endpoint.name);
+            endpoint.peer(peer, count.map_or(0, |snapshot| snapshot.in_flight), now);
+        }
+    }
+
+    /// What peers should know.
+    pub fn snapshot(&self) -> Vec<Snapshot> {
+        let busy = self.endpoints.iter().filter(|endpoint| endpoint.in_flight() > 0);
+        busy.map(|e| Snapshot { name: e.name.clone(), in_flight: e.in_flight() }).collect()
+    }
+}
--- /dev/null
+++ b/crates/balance/tests/choose.rs
@@ -0,0 +1,103 @@
+//! Choices under leaving, failing, cached and loaded endpoints.
+
+use std::sync::Arc;
+
+use balance::{Failure, Pool, Prefix, Report, Weights};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::new("z1".into(), Weights::default());
+    pool.update((0..count).map(|i| (Arc::from(format!("e{i}")), Arc::from("z1"))), 0);
+    pool
+}
+
+fn random() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+#[test]
+fn a_cached_prompt_goes_back_unless_its_endpoint_is_overloaded() {
+    let mut pool = pool(8);
+    let text = "the whole chair calendar ".repeat(200);
+    let prefix = Prefix::of([text.as_str()]);
+    pool.start(&"e5".into(), &prefix, 10);
+    let choice = pool.choose(&prefix, &[], 20, &mut random()).unwrap();
+    assert_eq!((&*choice.name, choice.held), ("e5", prefix.blocks()));
+    pool.report("e5", Report { at: 20, running: 32, waiting: 30, slots: 32 });
+    let choice = pool.choose(&prefix, &[], 30, &mut random()).unwrap();
+    assert_ne!(&*choice.name, "e5");
+}
+
+#[test]
+fn a_failing_endpoint_is_put_aside_and_probed_once() {
+    let mut pool = pool(4);
+    let none = Prefix::default();
+    for now in 0..3 {
+        pool.start(&"e1".into(), &none, now);
+        pool.end("e1", Some(Failure::Silent), now);
+    }
+    let mut random = random();
+    let picks = |pool: &Pool, now, random: &mut ChaCha8Rng| {
+        (0..50).filter(|_| &*pool.choose(&none, &[], now, random).unwrap().name == "e1").count()
+    };
+    assert_eq!(picks(&pool, 100, &mut random), 0);
+    assert_eq!(picks(&pool, 1_100, &mut random), 50, "its probe is due");
+    pool.start(&"e1".into(), &none, 1_100);
+    assert_eq!(picks(&pool, 1_100, &mut random), 0, "one probe at a time");
+    pool.end("e1", None, 1_200);
+    assert!(picks(&pool, 1_300, &mut random) > 0);
+}
+
+#[test]
+fn when_most_fail_none_is_put_aside() {
+    let mut pool = pool(2);
+    for name in ["e0", "e1"] {
+        for now in 0..3 {
+            pool.start(&name.into(), &Prefix::default(), now);
+            pool.end(name, Some(Failure::Silent), now);
+        }
+    }
+    assert!(pool.choose(&Prefix::default(), &[], 10, &mut random()).is_some());
+}
+
+proptest! {
+    #[test]
+    fn never_a_leaving_or_tried_endpoint(
+        leaving in prop::collection::vec(any::<bool>(), 1..9),
+        tried in prop::collection::vec(0usize..9, 0..4),
+        seed in any::<u64>(),
+    ) {
+        let mut pool = pool(leaving.len());
+        for (index, leaves) in leaving.iter().enumerate() {
+            pool.get_mut(&format!("e{index}")).unwrap().leaving = *leaves;
+        }
+        let tried: Vec<Arc<str>> = tried.iter().map(|i| format!("e{i}").into()).collect();
+        let open = |i: &usize| !leaving[*i] && !tried.contains(&format!("e{i}").into());
+        let any_open = (0..leaving.len()).any(|i| open(&i));
+        let choice = pool.choose(
+            &Prefix::default(), &tried, 10, &mut ChaCha8Rng::seed_from_u64(seed),
+        );
+        prop_assert_eq!(choice.is_some(), any_open);
+        if let Some(choice) = choice {
+            let index: usize = choice.name[1..].parse().unwrap();
+            prop_assert!(open(&index));
+        }
+    }
+
+    #[test]
+    fn own_dispatches_correct_a_late_report(before in 0u32..20, after in 0u32..20) {
+        let mut pool = pool(1);
+        let name: Arc<str> = "e0".into();
+        for _ in 0..before {
+            pool.start(&name, &Prefix::default(), 100);
+        }
+        for _ in 0..after {
+            pool.start(&name, &Prefix::default(), 900);
+        }
+        pool.report("e0", Report { at: 500, running: before + 3, waiting: 0, slots: 32 });
+        let load = pool.get("e0").unwrap().load(1_000);
+        prop_assert_eq!(load, f64::from(before + 3 + after));
+    }
+}
--- /dev/null
+++ b/crates/flintstall/src/read.rs
@@ -0,0 +1,153 @@
+//! Listing and describing resources.
+
+use config::{Accepted, object_name};
+use member::Member;
+use platform::{Client, Object, Store};
+use resource::Kind;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+
+use crate::{
+    cli::{Describe, Get},
+    exit::Code,
+    output::Form,
+    paint::{Tone, paint},
+    run::{Error, MissingSnafu, PlatformSnafu},
+    table::Table,
+};
+
+/// The kind of a word.
+pub fn kind(word: &str) -> Result<Kind, Error> {
+    word.parse().map_err(|reason| Error::Word { reason })
+}
+
+/// Lists the resources of a kind, or shows one.
+pub async fn get(client: &Client, get: &Get, form: Form) -> Result<Code, Error> {
+    let kind = kind(&get.kind)?;
+    let objects = match &get.name {
+        None => client.list(kind.as_str(), "").await.context(PlatformSnafu)?,
+        Some(name) => {
+            let found = client.get(kind.as_str(), name).await.context(PlatformSnafu)?;
+            let missing = MissingSnafu { kind: kind.as_str(), name };
+            vec![found.ok_or_else(|| missing.build())?]
+        }
+    };
+    match form {
+        Form::Json => {
+            let items: Vec<Value> = objects.iter().map(as_json).collect();
+            println!("{}", Value::Array(items));
+        }
+        Form::Table => {
+            let mut table = Table::new(&["NAME", "VERSION", "SPEC"]);
+            for object in &objects {
+                let cells = [object.name.to_string(), object.version.to_string()];
+                table.row(cells.into_iter().chain([object.value.to_string()]));
+            }
+            print!("{}", table.render());
+        }
+    }
+    Ok(Code::Success)
+}
+
+fn value_of(object: &Object) -> Value {
+    serde_json::from_str(&object.value).unwrap_or_default()
+}
+
+fn as_json(object: &Object) -> Value {
+    json!({
+        "kind": object.kind, "name": object.name, "version": object.version,
+        "spec": value_of(object),
+    })
+}
+
+/// Shows a resource, what is accepted of it and where it is in force.
+pub async fn describe(client: &Client, describe: &Describe, form: Form) -> Result<Code, Error> {
+    let kind = kind(&describe.kind)?;
+    let name = &describe.name;
+    let id = object_name(kind, name);
+    let source = client.get(kind.as_str(), name).await.context(PlatformSnafu)?;
+    let accepted = client.get("accepted", &id).await.context(PlatformSnafu)?;
+    let status = client.get("status", &id).await.context(PlatformSnafu)?;
+    let members = client.list("member", "").await.context(PlatformSnafu)?;
+    if source.is_none() && accepted.is_none() {
+        return MissingSnafu { kind: kind.as_str(), name }.fail();
+    }
+    let report = Report::of(source.as_ref(), accepted.as_ref(), status.as_ref(), &members);
+    match form {
+        Form::Json => println!("{}", report.as_json(source.as_ref())),
+        Form::Table => report.print(kind, name, source.as_ref()),
+    }
+    Ok(Code::Success)
+}
+
+struct Report {
+    source: u64,
+    accepted: u64,
+    invalid: Option<String>,
+    in_force: Vec<String>,
+    not_heard: Vec<String>,
+}
+
+impl Report {
+    fn of(
+        source: Option<&Object>,
+        accepted: Option<&Object>,
+        status: Option<&Object>,
+        members: &[Object],
+    ) -> Report {
+        let version = source.map_or(0, |object| object.version);
+        let from = accepted
+            .and_then(|object| serde_json::from_str::<Accepted>(&object.value).ok())
+            .map_or(0, |accepted| accepted.source);
+        let status = status.map(value_of).unwrap_or_default();
+        let current = status["source"].as_u64() == Some(version);
+        let invalid = status["invalid"].as_str().filter(|_| current).map(str::to_owned);
+        let needed = accepted.map_or(u64::MAX, |object| object.version);
+        let known: Vec<Member> =
+            members.iter().filter_map(|object| serde_json::from_str(&object.value).ok()).collect();
+        let (there, missing): (Vec<_>, Vec<_>) =
+            known.into_iter().partition(|member| member.watched >= needed);
+        let names = |members: Vec<Member>| -> Vec<String> {
+            members.into_iter().map(|member| member.incarnation.to_string()).collect()
+        };
+        Report {
+            source: version,
+            accepted: from,
+            invalid,
+            in_force: names(there),
+            not_heard: names(missing),
+        }
+    }
+
+    fn as_json(&self, source: Option<&Object>) -> Value {
+        json!({
+            "version": self.source, "accepted": self.accepted, "invalid": self.invalid,
+            "in_force": self.in_force, "not_heard": self.not_heard,
+            "spec": source.map(value_of),
+        })
+    }
+
+    fn print(&self, kind: Kind, name: &str, source: Option<&Object>) {
+        println!("{kind} {name}");
+        println!("  written as version  {}", self.source);
+        let accepted = format!("  accepted version    {}", self.accepted);
+        let tone = if self.accepted >= self.source { Tone::Good } else { Tone::Bad };
+        println!("{}", paint(tone, &accepted));
+        if let Some(reason) = &self.invalid {
+            println!("{}", paint(Tone::Bad, &format!("  not accepted        {reason}")));
+        }
+        println!(
+            "  in force on         {} boxes: {}",
+            self.in_force.len(),
+            self.in_force.join(", ")
+        );
+        if !self.not_heard.is_empty() {
+            let line = format!("  not heard from      {}", self.not_heard.join(", "));
+            println!("{}", paint(Tone::Bad, &line));
+        }
+        if let Some(object) = source {
+            let pretty = serde_json::to_string_pretty(&value_of(object)).unwrap_or_default();
+            println!("{}", paint(Tone::Faint, &pretty));
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintstall/src/statement.rs
@@ -0,0 +1,105 @@
+//! The balance and the bills of a budget.
+
+use ledger::{Bill, Ledger, Page, page_name};
+use platform::{Client, Store};
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::{
+    cli::Statement,
+    exit::Code,
+    output::Form,
+    paint::{Tone, paint},
+    run::{Error, MissingSnafu, PlatformSnafu},
+    table::Table,
+};
+
+/// Prints the statement of a budget.
+pub async fn statement(client: &Client, wanted: &Statement, form: Form) -> Result<Code, Error> {
+    let name = &*wanted.budget;
+    let found = client.get("ledger", name).await.context(PlatformSnafu)?;
+    let Some(object) = found else { return MissingSnafu { kind: "ledger", name }.fail() };
+    let ledger: Ledger = decode(&object.value)?;
+    let bills = newest(client, name, &ledger, wanted.bills).await?;
+    match form {
+        Form::Json => {
+            let value = json!({
+                "budget": name, "paid": ledger.paid, "paid_wanted": ledger.paid_wanted,
+                "spent": ledger.spent, "absorbed": ledger.absorbed,
+                "granted": ledger.granted(), "left": ledger.left(),
+                "stranded": ledger.stranded().values().sum::<u64>(),
+                "bills": bills, "bill_count": ledger.statement.count,
+                "bill_tokens": ledger.statement.tokens, "grants": ledger.grants,
+            });
+            println!("{value}");
+        }
+        Form::Table => print(name, &ledger, &bills),
+    }
+    Ok(Code::Success)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Error> {
+    serde_json::from_str(text).map_err(|error| Error::Stored { reason: error.to_string() })
+}
+
+/// The newest bills first, from the ledger and then from its pages.
+async fn newest(
+    client: &Client,
+    name: &str,
+    ledger: &Ledger,
+    most: usize,
+) -> Result<Vec<Bill>, Error> {
+    let mut bills: Vec<Bill> = ledger.statement.recent.iter().rev().cloned().collect();
+    let mut page = ledger.statement.pages;
+    while bills.len() < most && page > 0 {
+        page -= 1;
+        let found = client.get("bills", &page_name(name, page)).await.context(PlatformSnafu)?;
+        let Some(object) = found else { break };
+        let older: Page = decode(&object.value)?;
+        bills.extend(older.bills.into_iter().rev());
+    }
+    bills.truncate(most);
+    Ok(bills)
+}
+
+/// Prints balance, grants and bills for people.
+pub fn print(name: &str, ledger: &Ledger, bills: &[Bill]) {
+    println!("budget {name}, in tokens");
+    println!("  paid      {:>12}", ledger.paid);
+    if ledger.paid_wanted < ledger.paid {
+        let waiting = format!("  lowered to{:>12} as boxes return tokens", ledger.paid_wanted);
+        println!("{}", paint(Tone::Bad, &waiting));
+    }
+    println!("  spent     {:>12}  on {} bills", ledger.spent, ledger.statement.count);
+    println!("  held      {:>12}  by {} incarnations", ledger.granted(), ledger.grants.len());
+    println!("  left      {:>12}", ledger.left());
+    let stranded: u64 = ledger.stranded().values().sum();
+    if stranded > 0 {
+        println!("{}", paint(Tone::Bad, &format!("  stranded  {stranded:>12}")));
+    }
+    let mut grants = Table::new(&["  HOLDER", "ONLINE", "OFFLINE", "SEALED"]);
+    for (holder, grant) in &ledger.grants {
+        let sealed = if grant.sealed { "yes" } else { "" };
+        let numbers = [grant.online.to_string(), grant.offline.to_string(), sealed.to_owned()];
+        grants.row([format!("  {holder}")].into_iter().chain(numbers));
+    }
+    print!("{}", grants.render());
+    let mut table = Table::new(&["  REQUEST", "TOKENS", "PART", "ENDED", "EVIDENCE", "BOX"]);
+    for bill in bills {
+        let words = [
+            format!("  {}", bill.key),
+            bill.tokens.to_string(),
+            word(&bill.part),
+            word(&bill.ended),
+            word(&bill.evidence),
+            bill.by.box_name().to_owned(),
+        ];
+        table.row(words);
+    }
+    print!("{}", table.render());
+}
+
+fn word<T: serde::Serialize>(value: &T) -> String {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/flintstall/src/table.rs
@@ -0,0 +1,49 @@
+//! Plain tables with aligned columns.
+
+/// Rows under a head.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with a head.
+    pub fn new(head: &[&str]) -> Table {
+        Table { rows: vec![head.iter().map(|cell| (*cell).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(cells.into_iter().collect());
+    }
+
+    /// The table as lines, each column as wide as its widest cell.
+    pub fn render(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        let mut text = String::new();
+        for row in &self.rows {
+            let padded = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            let line = padded.collect::<Vec<_>>().join("  ");
+            text.push_str(line.trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn columns_are_as_wide_as_their_widest_cell() {
+        let mut table = Table::new(&["NAME", "PAID"]);
+        table.row(["bornova".into(), "1".into()]);
+        assert_eq!(table.render(), "NAME     PAID\nbornova  1\n");
+    }
+}
--- /dev/null
+++ b/crates/flintstall/src/watch.rs
@@ -0,0 +1,66 @@
+//! Printing changes as they happen.
+
+use std::time::Duration;
+
+use platform::{Change, Client, Store};
+use resource::Kind;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use crate::{
+    cli::Watch,
+    exit::Code,
+    output::Form,
+    read::kind,
+    run::{Error, PlatformSnafu},
+};
+
+/// Prints changes until the time is over.
+pub async fn watch(client: &Client, watch: &Watch, form: Form) -> Result<Code, Error> {
+    let mut kinds = match &watch.kind {
+        Some(word) => vec![kind(word)?.as_str()],
+        None => Kind::ALL.map(Kind::as_str).to_vec(),
+    };
+    kinds.extend(["accepted", "status"]);
+    let end = (watch.seconds > 0).then(|| Instant::now() + Duration::from_secs(watch.seconds));
+    let mut from = newest(client, &kinds).await?;
+    while end.is_none_or(|end| Instant::now() < end) {
+        let next = client.watch(&kinds, from);
+        let limit = end.unwrap_or_else(|| Instant::now() + Duration::from_secs(3_600));
+        let Ok(seen) = tokio::time::timeout_at(limit, next).await else { break };
+        let seen = seen.context(PlatformSnafu)?;
+        for change in &seen.changes {
+            print(change, form);
+        }
+        from = seen.next;
+    }
+    Ok(Code::Success)
+}
+
+async fn newest(client: &Client, kinds: &[&str]) -> Result<u64, Error> {
+    let mut newest = 0;
+    for kind in kinds {
+        let objects = client.list(kind, "").await.context(PlatformSnafu)?;
+        newest = objects.iter().map(|object| object.version).fold(newest, u64::max);
+    }
+    Ok(newest)
+}
+
+fn print(change: &Change, form: Form) {
+    let value = change.value.as_deref();
+    match form {
+        Form::Json => {
+            let value: Option<Value> = value.and_then(|text| serde_json::from_str(text).ok());
+            let line = json!({
+                "kind": change.kind, "name": change.name, "version": change.version,
+                "value": value,
+            });
+            println!("{line}");
+        }
+        Form::Table => {
+            let text = value.unwrap_or("deleted");
+            println!("{:>8}  {:<10} {:<24} {text}", change.version, change.kind, change.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintstalld/src/main.rs
@@ -0,0 +1,19 @@
+//! The router daemon: reads its settings, runs a router, stops it by plan on SIGTERM.
+
+mod cli;
+mod exit;
+mod logs;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::parse();
+    match run::run(&options) {
+        Ok(()) => exit::Code::Success.into(),
+        Err(error) => {
+            eprintln!("[flintstall error]: {error}");
+            error.code().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintstalld/src/run.rs
@@ -0,0 +1,74 @@
+//! From options to a running router and its planned stop.
+
+use std::path::PathBuf;
+
+use router::{Router, Settings};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{cli::Options, exit::Code, logs};
+
+/// Why the daemon ended.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The flag is missing.
+    #[snafu(display("`--settings FILE` is needed; `--help` says more"))]
+    NoSettings,
+    /// The settings file cannot be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read { path: PathBuf, source: std::io::Error },
+    /// The settings are wrong.
+    #[snafu(display("{}: {source}", path.display()))]
+    Settings { path: PathBuf, source: jsonc::Error },
+    /// The router did not start.
+    #[snafu(display("{source}"))]
+    Start { source: router::Error },
+    /// The operating system refused something.
+    #[snafu(display("{what}: {source}"))]
+    System { what: &'static str, source: std::io::Error },
+}
+
+impl Error {
+    /// The exit code for this error.
+    pub fn code(&self) -> Code {
+        match self {
+            Error::NoSettings | Error::Read { .. } | Error::Settings { .. } => Code::Usage,
+            Error::Start { .. } | Error::System { .. } => Code::Failure,
+        }
+    }
+}
+
+/// Runs the daemon until it is told to stop.
+pub fn run(options: &Options) -> Result<(), Error> {
+    if options.version {
+        println!("flintstalld {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let path = options.settings.clone().context(NoSettingsSnafu)?;
+    let text = std::fs::read_to_string(&path).context(ReadSnafu { path: path.clone() })?;
+    let settings = Settings::read(&text).context(SettingsSnafu { path: path.clone() })?;
+    if options.check {
+        println!("{}: the settings of box `{}` are valid", path.display(), settings.box_name);
+        return Ok(());
+    }
+    logs::open(&settings.log);
+    let runtime =
+        tokio::runtime::Runtime::new().context(SystemSnafu { what: "cannot start the runtime" })?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let router = Router::spawn(settings, rand::random()).await.context(StartSnafu)?;
+    tracing::info!(callers = %router.callers(), operators = %router.operators(), "listening");
+    let failed = SystemSnafu { what: "cannot listen for signals" };
+    let mut terminate = signal(SignalKind::terminate()).context(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(failed)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!("stopping by plan");
+    router.stop().await;
+    tracing::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/jsonc/src/lib.rs
@@ -0,0 +1,60 @@
+//! JSON with comments, read into typed values with errors that name the key and its line.
+
+mod error;
+mod lines;
+
+pub use error::{Error, Violation};
+pub use lines::Lines;
+
+use serde::de::DeserializeOwned;
+
+/// Largest file read, in bytes.
+pub const MAX_BYTES: usize = 4 << 20;
+
+/// Reads a value of type `T` from JSON with comments.
+pub fn read<T: DeserializeOwned>(text: &str) -> Result<(T, Lines), Error> {
+    let (value, lines) = parse(text)?;
+    let typed = decode(value, &lines, "")?;
+    Ok((typed, lines))
+}
+
+/// Parses JSON with comments into a plain value and the lines of its keys.
+pub fn parse(text: &str) -> Result<(serde_json::Value, Lines), Error> {
+    if text.len() > MAX_BYTES {
+        return Err(Error::TooLarge { bytes: text.len() });
+    }
+    let lines = Lines::of(text)?;
+    let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &options())
+        .map_err(|error| Error::Syntax { line: error.line_display(), reason: error.to_string() })?;
+    Ok((value, lines))
+}
+
+/// Decodes a part of a parsed file that stands at `path`.
+pub fn decode<T: DeserializeOwned>(
+    value: serde_json::Value,
+    lines: &Lines,
+    path: &str,
+) -> Result<T, Error> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let inner = error.path().to_string();
+        let at = join(path, if inner == "." { "" } else { &inner });
+        Error::Key { line: lines.line(&at), reason: error.inner().to_string(), path: at }
+    })
+}
+
+/// Joins two key paths.
+pub fn join(path: &str, inner: &str) -> String {
+    match (path.is_empty(), inner.is_empty()) {
+        (true, _) => inner.to_owned(),
+        (_, true) => path.to_owned(),
+        (false, false) => format!("{path}.{inner}"),
+    }
+}
+
+pub(crate) fn options() -> jsonc_parser::ParseOptions {
+    jsonc_parser::ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        ..Default::default()
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,30 @@
+//! Money decisions: grants, journals and bills, all without I/O, tasks or clocks.
+//!
+//! [`Ledger`] is the fleet's object for one budget, [`Journal`] the object of one incarnation, and
+//! [`Account`] what a box itself knows of its part of a budget. Every transition is a method that
+//! takes values and returns a value; the daemon turns them into conditional updates, so the order
+//! in which the platform accepts them decides, not any clock.
+//!
+//! What keeps a customer from overspending is one inequality that every transition of [`Ledger`]
+//! keeps, `spent + sum of grants <= paid`, and one that [`Account`] keeps,
+//! `reserved + charged <= given`, where what an account is given has landed in the ledger first.
+
+mod account;
+mod bill;
+mod budget;
+mod grant;
+mod incarnation;
+mod journal;
+mod number;
+mod record;
+mod sizing;
+
+pub use account::{Account, Need, Part, Reservation, Tokens};
+pub use bill::{Bill, Evidence, Page, Statement};
+pub use budget::{Closing, Draw, Error, Ledger, PAGE_BILLS, page_name};
+pub use grant::{Grant, Transfer};
+pub use incarnation::Incarnation;
+pub use journal::{Journal, Refusal, State};
+pub use number::Numbers;
+pub use record::{Ended, Outcome, Record};
+pub use sizing::{Observed, Policy, Prefer, Target, target};
--- /dev/null
+++ b/crates/ledger/src/number.rs
@@ -0,0 +1,66 @@
+//! A set of record numbers, kept as merged ranges: numbers are given densely, so few are needed.
+
+use serde::{Deserialize, Serialize};
+
+/// Numbers of records that a journal no longer holds, as sorted inclusive ranges.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Numbers(Vec<(u64, u64)>);
+
+impl Numbers {
+    /// Whether `n` is in the set.
+    pub fn contains(&self, n: u64) -> bool {
+        let at = self.0.partition_point(|range| range.1 < n);
+        self.0.get(at).is_some_and(|range| range.0 <= n)
+    }
+
+    /// Adds `n`, joining it to its neighbours.
+    pub fn insert(&mut self, n: u64) {
+        if self.contains(n) {
+            return;
+        }
+        let at = self.0.partition_point(|range| range.1 < n);
+        let joins_left = at > 0 && self.0[at - 1].1 + 1 == n;
+        let joins_right = self.0.get(at).is_some_and(|range| range.0 == n + 1);
+        match (joins_left, joins_right) {
+            (true, true) => {
+                self.0[at - 1].1 = self.0[at].1;
+                self.0.remove(at);
+            }
+            (true, false) => self.0[at - 1].1 = n,
+            (false, true) => self.0[at].0 = n,
+            (false, false) => self.0.insert(at, (n, n)),
+        }
+    }
+
+    /// Number of ranges kept.
+    pub fn ranges(&self) -> usize {
+        self.0.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeSet;
+
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        #[test]
+        fn holds_what_a_plain_set_holds(numbers in prop::collection::vec(0u64..60, 0..80)) {
+            let mut set = Numbers::default();
+            let mut model = BTreeSet::new();
+            for n in numbers {
+                set.insert(n);
+                model.insert(n);
+            }
+            for n in 0..62 {
+                prop_assert_eq!(set.contains(n), model.contains(&n));
+            }
+            let starts = model.iter().filter(|n| **n == 0 || !model.contains(&(**n - 1)));
+            prop_assert_eq!(set.ranges(), starts.count());
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/sizing.rs
@@ -0,0 +1,108 @@
+//! How much of a budget a box should hold, online and offline.
+//!
+//! The online part follows the draw rate over a short horizon: it is reclaimed exactly when its
+//! holder dies, so only the number of ledger writes speaks for holding more. The offline part is
+//! what a partition is served from and what a crash strands; its size is the operator's choice.
+
+use serde::{Deserialize, Serialize};
+
+/// What an operator prefers when the platform is out of reach.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Prefer {
+    /// Hold much offline: few refusals in a partition, more stranded after a crash.
+    Serve,
+    /// Hold a little offline.
+    #[default]
+    Balance,
+    /// Hold next to nothing offline: refuse rather than strand.
+    Conserve,
+}
+
+impl Prefer {
+    /// Share of what is left of a budget that the whole fleet holds offline, in thousandths.
+    pub fn offline_share(self) -> u64 {
+        match self {
+            Prefer::Serve => 400,
+            Prefer::Balance => 70,
+            Prefer::Conserve => 10,
+        }
+    }
+}
+
+/// Bounds on what a box holds of one budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Share that the fleet holds offline, in thousandths of what is left.
+    pub offline_share: u64,
+    /// Seconds of use the online part covers.
+    pub online_horizon: u64,
+    /// Seconds of use the offline part covers at most.
+    pub offline_horizon: u64,
+    /// Boxes that may hold a part.
+    pub boxes: u64,
+}
+
+/// What a box saw of one budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Observed {
+    /// Tokens that requests reserved or charged per second lately.
+    pub rate: u64,
+    /// Largest worst case of one request lately, in tokens.
+    pub largest: u64,
+    /// Largest worst case of one request ever, in tokens.
+    pub peak: u64,
+    /// Tokens paid and not spent, whoever holds them.
+    pub unspent: u64,
+}
+
+/// What a box should hold free.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Free tokens of the online part.
+    pub online: u64,
+    /// Free tokens of the offline part.
+    pub offline: u64,
+}
+
+/// Sizes both parts from what was observed.
+///
+/// Near the end of a budget both shrink with what is left, so that no box hoards the last tokens.
+pub fn target(policy: Policy, observed: Observed) -> Target {
+    let boxes = policy.boxes.max(1);
+    let fair = observed.unspent / (boxes * 2);
+    let wish = observed.rate * policy.online_horizon;
+    let online = wish.max(observed.largest * 4).min(fair);
+    let share = observed.unspent * policy.offline_share / 1_000 / boxes;
+    let use_offline = (observed.rate * policy.offline_horizon).max(observed.peak * 8);
+    Target { online, offline: share.min(use_offline) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn offline_parts_of_all_boxes_stay_within_the_share() {
+        for (prefer, boxes) in [(Prefer::Serve, 3), (Prefer::Balance, 8), (Prefer::Conserve, 390)] {
+            let policy = Policy {
+                offline_share: prefer.offline_share(),
+                online_horizon: 10,
+                offline_horizon: 7_200,
+                boxes,
+            };
+            let observed =
+                Observed { rate: 1_000_000, largest: 5_000, peak: 5_000, unspent: 1_000_000 };
+            let held = target(policy, observed).offline * boxes;
+            assert!(held <= 1_000 * prefer.offline_share(), "{prefer:?} holds {held}");
+        }
+    }
+
+    #[test]
+    fn the_last_tokens_are_not_hoarded() {
+        let policy =
+            Policy { offline_share: 0, online_horizon: 10, offline_horizon: 7_200, boxes: 8 };
+        let observed = Observed { rate: 100, largest: 500, peak: 500, unspent: 800 };
+        assert_eq!(target(policy, observed).online, 50);
+    }
+}
--- /dev/null
+++ b/crates/resource/src/destroyed.rs
@@ -0,0 +1,31 @@
+//! An operator's word that an incarnation is gone for good.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Violation;
+
+/// Declares that an incarnation will never spend its offline tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Destroyed {
+    /// Whole name of the incarnation, as `flintstall statement` shows it.
+    pub incarnation: Arc<str>,
+    /// Who says so and why, for the record.
+    pub reason: String,
+}
+
+impl Destroyed {
+    /// Values out of range.
+    pub fn check(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        if !self.incarnation.contains('.') || self.incarnation.len() > 128 {
+            found.push(Violation::new("incarnation", "a box name, a dot and a suffix"));
+        }
+        if self.reason.trim().is_empty() {
+            found.push(Violation::new("reason", "a few words"));
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/resource/src/file.rs
@@ -0,0 +1,68 @@
+//! Files of resources: JSON with comments, one resource or an array of them.
+
+use std::sync::Arc;
+
+use snafu::{ResultExt, Snafu};
+
+use crate::{Kind, Spec, Violation, check_name};
+
+/// One resource of a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// Kind of the resource.
+    pub kind: Kind,
+    /// Name within the kind.
+    pub name: Arc<str>,
+    /// What it says.
+    pub spec: Spec,
+}
+
+/// Why a file was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// A syntax error, an unknown or missing key, a wrong type, a value out of range.
+    #[snafu(display("{source}"))]
+    File { source: jsonc::Error },
+    /// Neither an object nor an array of objects.
+    #[snafu(display("line 1: a resource or an array of resources is expected"))]
+    Shape,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Envelope {
+    kind: String,
+    name: String,
+    spec: serde_json::Value,
+}
+
+/// Reads all resources of a file; the first fault refuses the whole file.
+pub fn read(text: &str) -> Result<Vec<Document>, Error> {
+    let (value, lines) = jsonc::parse(text).context(FileSnafu)?;
+    match value {
+        serde_json::Value::Array(items) => items
+            .into_iter()
+            .enumerate()
+            .map(|(index, item)| document(item, &lines, &format!("[{index}]")))
+            .collect(),
+        object @ serde_json::Value::Object(_) => Ok(vec![document(object, &lines, "")?]),
+        _ => Err(Error::Shape),
+    }
+}
+
+fn document(item: serde_json::Value, lines: &jsonc::Lines, path: &str) -> Result<Document, Error> {
+    let envelope: Envelope = jsonc::decode(item, lines, path).context(FileSnafu)?;
+    let fault = |key: &str, reason: String| {
+        let path = jsonc::join(path, key);
+        Error::File { source: jsonc::Error::Key { line: lines.line(&path), path, reason } }
+    };
+    let kind: Kind = envelope.kind.parse().map_err(|reason| fault("kind", reason))?;
+    check_name(&envelope.name).map_err(|reason| fault("name", reason))?;
+    let at = jsonc::join(path, "spec");
+    let spec = Spec::decode(kind, envelope.spec, lines, &at).context(FileSnafu)?;
+    if let Some(violation) = spec.check().into_iter().next() {
+        let placed = Violation { path: jsonc::join(&at, &violation.path), ..violation };
+        return Err(Error::File { source: placed.error(lines) });
+    }
+    Ok(Document { kind, name: envelope.name.into(), spec })
+}
--- /dev/null
+++ b/crates/resource/src/name.rs
@@ -0,0 +1,45 @@
+//! Names of resources.
+
+/// Longest name, in bytes.
+pub const MAX_NAME: usize = 63;
+
+/// Whether `text` is a name: lower-case letters, digits and inner hyphens.
+pub fn is_name(text: &str) -> bool {
+    let bytes = text.as_bytes();
+    let inner = |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+    let ends = bytes.first().is_some_and(inner) && bytes.last().is_some_and(inner);
+    ends && bytes.len() <= MAX_NAME && bytes.iter().all(|byte| inner(byte) || *byte == b'-')
+}
+
+/// Refuses what is not a name, saying what one looks like.
+pub fn check_name(text: &str) -> Result<(), String> {
+    match is_name(text) {
+        true => Ok(()),
+        false => Err(format!(
+            "`{text}` is not a name: up to {MAX_NAME} of a-z, 0-9 and inner hyphens are allowed"
+        )),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names() {
+        let cases = [
+            ("bornova-1", true),
+            ("a", true),
+            ("", false),
+            ("-a", false),
+            ("a-", false),
+            ("A", false),
+            ("a.b", false),
+            ("çiğli", false),
+        ];
+        for (text, want) in cases {
+            assert_eq!(is_name(text), want, "{text}");
+        }
+        assert!(!is_name(&"a".repeat(MAX_NAME + 1)));
+    }
+}
--- /dev/null
+++ b/crates/resource/tests/file.rs
@@ -0,0 +1,65 @@
+//! Resource files: faults are named with key and line, and nothing makes the reader panic.
+
+use proptest::prelude::*;
+use resource::{Kind, Secret, hash_secret, read};
+
+const GOOD: &str = r#"[
+  // A budget with a comment.
+  {"kind": "budget", "name": "bornova", "spec": {"customer": "dis", "paid": 1000}},
+  {"kind": "pool", "name": "models", "spec": {
+    "serves": {"model": {"bytes_per_token": 4}},
+    "endpoints": [{"name": "e1", "address": "127.0.0.1:1", "zone": "bornova"}],
+  }},
+]"#;
+
+#[test]
+fn a_good_file_is_read_whole() {
+    let documents = read(GOOD).unwrap();
+    let kinds: Vec<Kind> = documents.iter().map(|document| document.kind).collect();
+    assert_eq!(kinds, [Kind::Budget, Kind::Pool]);
+    let text = documents[0].spec.to_json();
+    assert_eq!(resource::Spec::from_json(Kind::Budget, &text).unwrap(), documents[0].spec);
+}
+
+#[test]
+fn faults_name_key_and_line() {
+    let cases = [
+        ("\"paid\": 1000", "\"paid\": -1", "line 3: `[0].spec.paid`"),
+        ("\"paid\"", "\"payed\"", "line 3: `[0].spec.payed`: unknown field"),
+        ("\"budget\"", "\"budgets\"", "line 3: `[0].kind`: `budgets` is not a kind"),
+        ("\"bornova\", \"spec\"", "\"Bornova\", \"spec\"", "line 3: `[0].name`"),
+        ("127.0.0.1:1", "localhost", "line 6: `[1].spec.endpoints[0].address`: must be an IP"),
+        ("\"bytes_per_token\": 4", "\"bytes_per_token\": 0", "line 5: `[1].spec.serves.model"),
+    ];
+    for (from, to, want) in cases {
+        let error = read(&GOOD.replacen(from, to, 1)).unwrap_err().to_string();
+        assert!(error.starts_with(want), "{error} does not start with {want}");
+    }
+}
+
+#[test]
+fn keys_match_only_their_own_hash() {
+    let stored = resource::Key { sha256: hash_secret("correct-horse"), budget: "bornova".into() };
+    let cases = [
+        ("dis.desk.correct-horse", Some(true)),
+        ("dis.desk.correct-horsf", Some(false)),
+        ("dis.desk.short", None),
+        ("dis", None),
+        ("DIS.desk.correct-horse", None),
+    ];
+    for (text, want) in cases {
+        let got = Secret::parse(text).map(|secret| secret.matches(&stored));
+        assert_eq!(got, want, "{text}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_mutation_is_read_or_refused(at in 0..GOOD.len(), with in "[ -~]{0,6}") {
+        let mut text = GOOD.to_owned();
+        text.replace_range(at..at + 1, &with);
+        if let Err(error) = read(&text) {
+            prop_assert!(error.to_string().starts_with("line "));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/claims.rs
@@ -0,0 +1,148 @@
+//! Taking and settling claims of unrepeatable requests.
+
+use std::{sync::Arc, time::Duration};
+
+use claim::{Claim, Decision, State, object_name};
+use platform::{Expect, Write};
+
+use crate::shared::Shared;
+
+/// Waits between attempts to settle a claim.
+const AGAIN: Duration = Duration::from_millis(100);
+/// Longest wait between attempts.
+const AGAIN_MOST: Duration = Duration::from_secs(5);
+/// Attempts to take a claim before the platform counts as unreachable.
+const TRIES: u32 = 6;
+
+/// A claim that this box holds: it may run the request.
+pub struct Held {
+    shared: Arc<Shared>,
+    claim: Claim,
+    settled: bool,
+}
+
+/// Why a claim was not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Miss {
+    /// The request ran before; this was the answer.
+    Replay(claim::Answer),
+    /// It may have run.
+    Unknown,
+    /// The key belongs to another request.
+    Mismatch,
+    /// The platform did not answer in time; this attempt never runs.
+    Unreachable,
+}
+
+/// Takes the claim; the write lands before this returns.
+pub async fn take(shared: &Arc<Shared>, claim: Claim, within: Duration) -> Result<Held, Miss> {
+    // Whatever happens to the caller, a claim that may have landed is settled by own word.
+    let held = Held { shared: shared.clone(), claim: claim.clone(), settled: false };
+    match tokio::time::timeout(within, attempt(shared, &claim)).await {
+        Ok(Ok(())) => Ok(held),
+        Ok(Err(Miss::Unreachable)) | Err(_) => Err(Miss::Unreachable),
+        Ok(Err(miss)) => {
+            held.abandon();
+            Err(miss)
+        }
+    }
+}
+
+async fn attempt(shared: &Shared, mine: &Claim) -> Result<(), Miss> {
+    let name = object_name(&mine.customer, &mine.key);
+    let mut expect = Expect::Absent;
+    for _ in 0..TRIES {
+        let write = shared.store.put("claim", &name, mine.to_json(), expect).await;
+        if let Write::Landed(_) = write {
+            shared.health.answered();
+            return Ok(());
+        }
+        let read = shared.store.get("claim", &name).await;
+        let found = read.map_err(|_| {
+            shared.health.failed();
+            Miss::Unreachable
+        })?;
+        expect = match found {
+            None => Expect::Absent,
+            Some(object) => {
+                let claim: Claim =
+                    serde_json::from_str(&object.value).map_err(|_| Miss::Unknown)?;
+                match claim.decide(mine) {
+                    Decision::Own => return Ok(()),
+                    Decision::Take => Expect::Version(object.version),
+                    Decision::Replay(answer) => return Err(Miss::Replay(answer)),
+                    Decision::Unknown => return Err(Miss::Unknown),
+                    Decision::Mismatch => return Err(Miss::Mismatch),
+                }
+            }
+        };
+    }
+    Err(Miss::Unreachable)
+}
+
+impl Held {
+    /// The claim was never ours: nothing to settle.
+    fn abandon(mut self) {
+        self.settled = true;
+    }
+
+    /// The request ran: the claim keeps its answer.
+    pub fn answered(self, answer: claim::Answer) {
+        self.settle(State::Done(answer));
+    }
+
+    /// The request was dispatched and nobody knows how it ended: the claim stays open.
+    pub fn leave_open(mut self) {
+        self.settled = true;
+    }
+
+    fn settle(mut self, state: State) {
+        self.settled = true;
+        self.shared.tasks.spawn(settle(self.shared.clone(), self.claim.clone(), state));
+    }
+}
+
+impl Drop for Held {
+    /// Dropped without an outcome, the request was not dispatched: own word.
+    fn drop(&mut self) {
+        if !self.settled {
+            let (shared, claim) = (self.shared.clone(), self.claim.clone());
+            self.shared.tasks.spawn(settle(shared, claim, State::NotRun));
+        }
+    }
+}
+
+async fn settle(shared: Arc<Shared>, claim: Claim, state: State) {
+    let name = object_name(&claim.customer, &claim.key);
+    let text = claim.with(state.clone()).to_json();
+    let mut wait = AGAIN;
+    loop {
+        match shared.store.get("claim", &name).await {
+            Ok(Some(object)) => {
+                let found: Option<Claim> = serde_json::from_str(&object.value).ok();
+                let open = found.is_some_and(|found| found == claim);
+                if !open {
+                    return;
+                }
+                let expect = Expect::Version(object.version);
+                let write = shared.store.put("claim", &name, text.clone(), expect).await;
+                if let Write::Landed(_) = write {
+                    return;
+                }
+            }
+            // A create that was never answered may still land: fence it off with own word.
+            Ok(None) => {
+                let write = shared.store.put("claim", &name, text.clone(), Expect::Absent).await;
+                if let Write::Landed(_) = write {
+                    return;
+                }
+            }
+            Err(_) => shared.health.failed(),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(wait + shared.jitter(wait)) => {}
+            () = shared.ended.cancelled() => return,
+        }
+        wait = (wait * 2).min(AGAIN_MOST);
+    }
+}
--- /dev/null
+++ b/crates/router/src/drive.rs
@@ -0,0 +1,217 @@
+//! Taking one call through claim, money and dispatch.
+
+use std::{sync::Arc, time::Duration};
+
+use balance::Failure as EndpointFailure;
+use claim::Claim;
+use ledger::{Part, Record};
+use session::{Denial, Failure, Hold, HoldError};
+use timeline::What;
+
+use crate::{
+    call::{Call, Payload},
+    claims::{self, Held, Miss},
+    endpoints::Target,
+    metrics::Finished,
+    outcome::{Reason, Refusal, Unknown},
+    relay,
+    requests::{Answer, Driver, Progress},
+    shared::Shared,
+};
+
+/// Sessions tried when the box finds its journal sealed.
+const SESSIONS: u32 = 3;
+/// When to come back after a refusal that a moment may cure.
+pub const SOON: Duration = Duration::from_secs(1);
+
+/// Everything a call needs to be dispatched.
+pub struct Secured {
+    /// Tokens held and, online, the intent landed.
+    pub hold: Hold,
+    /// The claim, if the call may not run twice.
+    pub claim: Option<Held>,
+}
+
+/// A request counted at an endpoint until it is dropped.
+pub struct Flight {
+    shared: Arc<Shared>,
+    pool: Arc<str>,
+    /// Where it goes.
+    pub target: Target,
+    /// How it went wrong, if it did.
+    pub failure: Option<EndpointFailure>,
+}
+
+impl Flight {
+    /// Chooses an endpoint other than those tried.
+    pub fn start(shared: &Arc<Shared>, call: &Call, tried: &[Arc<str>]) -> Option<Flight> {
+        let pool = call.route.pool.clone();
+        let target = shared.endpoints.start(&pool, &call.prefix, tried, shared.now())?;
+        Some(Flight { shared: shared.clone(), pool, target, failure: None })
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        self.shared.endpoints.end(&self.pool, &self.target.name, self.failure, now);
+    }
+}
+
+/// Drives a call to its end and tells its followers.
+pub async fn drive(shared: Arc<Shared>, call: Call, driver: Driver) {
+    shared.metrics.under_way.inc();
+    let progress = run(&shared, &call, &driver).await;
+    note(&shared, &call, &progress);
+    driver.end(progress);
+    shared.metrics.under_way.dec();
+}
+
+async fn run(shared: &Arc<Shared>, call: &Call, driver: &Driver) -> Progress {
+    shared.log.request(&call.key, &call.caller.budget, What::Received);
+    let Some(flight) = Flight::start(shared, call, &[]) else {
+        return Progress::Refused(no_endpoint());
+    };
+    let secured = match secure(shared, call, &flight.target).await {
+        Ok(secured) => secured,
+        Err(progress) => return progress,
+    };
+    match &call.payload {
+        Payload::Chat { .. } => relay::chat(shared, call, driver, secured, flight).await,
+        Payload::Service { .. } => relay::service(shared, call, secured, flight).await,
+    }
+}
+
+/// The refusal when no endpoint can take a call.
+pub fn no_endpoint() -> Refusal {
+    Reason::NoEndpoint.after("no endpoint can take the request", SOON)
+}
+
+async fn secure(shared: &Arc<Shared>, call: &Call, target: &Target) -> Result<Secured, Progress> {
+    if call.route.repeatable {
+        let hold = hold(shared, call, target).await.map_err(Progress::Refused)?;
+        return Ok(Secured { hold, claim: None });
+    }
+    if !shared.health.is_up() {
+        return Err(Progress::Refused(claim_unreachable()));
+    }
+    let claim = Claim {
+        customer: call.caller.customer.clone(),
+        key: call.key.clone(),
+        by: shared.me(),
+        attempt: shared.fresh(),
+        fingerprint: call.fingerprint,
+        state: claim::State::Open,
+    };
+    let patience = patience(shared, call);
+    let (held, hold) =
+        tokio::join!(claims::take(shared, claim, patience), hold(shared, call, target));
+    // Whichever is dropped here says "not run" by itself.
+    let held = held.map_err(missed)?;
+    let hold = hold.map_err(Progress::Refused)?;
+    Ok(Secured { hold, claim: Some(held) })
+}
+
+fn claim_unreachable() -> Refusal {
+    let message = "the platform is out of reach, and this call must not run twice";
+    Reason::ClaimUnreachable.after(message, SOON)
+}
+
+fn missed(miss: Miss) -> Progress {
+    match miss {
+        Miss::Unknown => Progress::Unknown(Unknown::Claimed),
+        Miss::Mismatch => {
+            Progress::Refused(Reason::KeyReused.with("the key was used for another request"))
+        }
+        Miss::Unreachable => Progress::Refused(claim_unreachable()),
+        Miss::Replay(claim::Answer { body: None, .. }) => Progress::Unknown(Unknown::NotKept),
+        Miss::Replay(answer) => {
+            let mut headers = http::HeaderMap::new();
+            if let Ok(value) = answer.content_type.parse() {
+                headers.insert(http::header::CONTENT_TYPE, value);
+            }
+            let body = answer.body.unwrap_or_default().as_bytes().to_vec().into();
+            Progress::Answered(Arc::new(Answer { status: answer.status, headers, body }))
+        }
+    }
+}
+
+fn patience(shared: &Shared, call: &Call) -> Duration {
+    Duration::from_millis(shared.settings.money.patience_ms).min(call.left())
+}
+
+async fn hold(shared: &Arc<Shared>, call: &Call, target: &Target) -> Result<Hold, Refusal> {
+    let record = Record {
+        n: 0,
+        budget: call.caller.budget.clone(),
+        customer: call.caller.customer.clone(),
+        key: call.key.clone(),
+        part: Part::Online,
+        reserved: call.worst,
+        endpoint: target.name.clone(),
+        outcome: None,
+    };
+    for _ in 0..SESSIONS {
+        let session = shared.session();
+        if !shared.health.is_up() {
+            return offline(shared, call, record);
+        }
+        match session.hold_online(record.clone(), patience(shared, call)).await {
+            Ok(hold) => {
+                note_held(shared, call, &hold);
+                return Ok(hold);
+            }
+            Err(HoldError::Denied(Denial::Exhausted)) => return Err(exhausted()),
+            Err(HoldError::Denied(Denial::Missing)) => {
+                return Err(Reason::BudgetExhausted.with("the budget of this key does not exist"));
+            }
+            Err(HoldError::Denied(Denial::Sealed) | HoldError::Failed(Failure::Sealed)) => {
+                shared.renew(session.incarnation());
+            }
+            Err(HoldError::Denied(Denial::Unreachable) | HoldError::Failed(Failure::InDoubt)) => {
+                return offline(shared, call, record);
+            }
+        }
+    }
+    Err(Reason::Replaced.after("this box was taken for gone and is starting anew", SOON))
+}
+
+fn exhausted() -> Refusal {
+    Reason::BudgetExhausted.with("the budget has not enough tokens left for the worst case")
+}
+
+/// Pays from the offline part: the platform is out of reach, or too slow for this caller.
+fn offline(shared: &Shared, call: &Call, record: Record) -> Result<Hold, Refusal> {
+    let hold = shared.session().hold_offline(record).ok_or_else(|| {
+        let message = "the platform is out of reach and this box's offline part is used up";
+        Reason::OfflineExhausted.after(message, SOON)
+    })?;
+    shared.metrics.offline.inc();
+    note_held(shared, call, &hold);
+    Ok(hold)
+}
+
+fn note_held(shared: &Shared, call: &Call, hold: &Hold) {
+    let (tokens, offline) = (hold.record().reserved, hold.is_offline());
+    let budget = &call.caller.budget;
+    shared.log.request(&call.key, budget, What::Reserved { tokens, offline });
+    if !offline {
+        shared.log.request(&call.key, budget, What::Recorded);
+    }
+}
+
+fn note(shared: &Shared, call: &Call, progress: &Progress) {
+    let (outcome, reason) = match progress {
+        Progress::Refused(refusal) => ("not-run", refusal.reason.as_str()),
+        Progress::Unknown(unknown) => ("unknown", unknown.as_str()),
+        Progress::Waiting | Progress::Streaming(_) | Progress::Answered(_) => ("answered", ""),
+    };
+    let class = call.class().as_str();
+    shared.metrics.requests.get_or_create(&Finished { class, outcome, reason }).inc();
+    let what = match progress {
+        Progress::Refused(_) => What::Refused { reason: reason.into() },
+        Progress::Unknown(_) => What::Unknown { reason: reason.into() },
+        Progress::Waiting | Progress::Streaming(_) | Progress::Answered(_) => return,
+    };
+    shared.log.request(&call.key, &call.caller.budget, what);
+}
--- /dev/null
+++ b/crates/router/src/endpoints.rs
@@ -0,0 +1,231 @@
+//! All endpoints of all pools, as this box sees them.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use balance::{Failure, Pool, Prefix, Report, Weights};
+use config::Snapshot;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use resource::Serves;
+use serde::Deserialize;
+use timeline::What;
+
+use crate::shared::Shared;
+
+/// Why an endpoint gets no new work; any one suffices.
+#[derive(Debug, Clone, Copy, Default)]
+struct Leaving {
+    by_spec: bool,
+    by_host: bool,
+    by_report: bool,
+}
+
+impl Leaving {
+    fn any(self) -> bool {
+        self.by_spec || self.by_host || self.by_report
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Place {
+    pool: Arc<str>,
+    address: Arc<str>,
+    model: bool,
+    leaving: Leaving,
+}
+
+struct State {
+    pools: HashMap<Arc<str>, Pool>,
+    places: HashMap<Arc<str>, Place>,
+    random: ChaCha8Rng,
+}
+
+/// Handle on the endpoints.
+pub struct Endpoints {
+    state: Mutex<State>,
+    zone: Arc<str>,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Its address with port.
+    pub address: Arc<str>,
+}
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    slots: u32,
+    age_ms: u64,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl Endpoints {
+    /// No endpoints yet, seen from `zone`.
+    pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        let state = State { pools: HashMap::new(), places: HashMap::new(), random };
+        Endpoints { state: Mutex::new(state), zone }
+    }
+
+    /// Takes over the pools in force; returns endpoints that are leaving since.
+    pub fn update(&self, snapshot: &Snapshot, now: u64) -> Vec<Arc<str>> {
+        let mut state = self.state.lock();
+        let mut known = std::mem::take(&mut state.places);
+        for (name, spec) in &snapshot.pools {
+            let list = spec.endpoints.iter().map(|e| (e.name.clone(), e.zone.clone()));
+            let fresh = || Pool::new(self.zone.clone(), Weights::default());
+            state.pools.entry(name.clone()).or_insert_with(fresh).update(list, now);
+            for endpoint in &spec.endpoints {
+                let before = known.remove(&endpoint.name);
+                let mut leaving = before.map_or(Leaving::default(), |place| place.leaving);
+                leaving.by_spec = endpoint.leaving;
+                let place = Place {
+                    pool: name.clone(),
+                    address: endpoint.address.clone(),
+                    model: matches!(spec.serves, Serves::Model(_)),
+                    leaving,
+                };
+                state.places.insert(endpoint.name.clone(), place);
+            }
+        }
+        state.pools.retain(|name, _| snapshot.pools.contains_key(name));
+        state.refresh()
+    }
+
+    /// Takes over the platform's list of leaving boxes, by endpoint name.
+    pub fn hosts(&self, hosts: &[platform::Host]) -> Vec<Arc<str>> {
+        let mut state = self.state.lock();
+        for host in hosts {
+            if let Some(place) = state.places.get_mut(&host.name) {
+                place.leaving.by_host = host.leaving;
+            }
+        }
+        state.refresh()
+    }
+
+    /// Chooses an endpoint and counts the request there.
+    pub fn start(
+        &self,
+        pool: &str,
+        prefix: &Prefix,
+        tried: &[Arc<str>],
+        now: u64,
+    ) -> Option<Target> {
+        let mut state = self.state.lock();
+        let State { pools, places, random } = &mut *state;
+        let pool = pools.get_mut(pool)?;
+        let choice = pool.choose(prefix, tried, now, random)?;
+        pool.start(&choice.name, prefix, now);
+        let address = places.get(&choice.name)?.address.clone();
+        Some(Target { name: choice.name, address })
+    }
+
+    /// A request counted by [`Endpoints::start`] ended.
+    pub fn end(&self, pool: &str, endpoint: &str, failure: Option<Failure>, now: u64) {
+        if let Some(pool) = self.state.lock().pools.get_mut(pool) {
+            pool.end(endpoint, failure, now);
+        }
+    }
+
+    /// Addresses of all endpoints, those of `first` before others.
+    pub fn addresses(&self, first: &str) -> Vec<Arc<str>> {
+        let state = self.state.lock();
+        let mut found: Vec<(bool, Arc<str>)> = state
+            .places
+            .iter()
+            .map(|(name, place)| (&**name != first, place.address.clone()))
+            .collect();
+        found.sort();
+        found.into_iter().map(|(_, address)| address).collect()
+    }
+
+    fn models(&self) -> Vec<Target> {
+        let state = self.state.lock();
+        let models = state.places.iter().filter(|(_, place)| place.model);
+        models
+            .map(|(name, place)| Target { name: name.clone(), address: place.address.clone() })
+            .collect()
+    }
+
+    fn report(&self, endpoint: &Arc<str>, load: &Load, now: u64) -> Vec<Arc<str>> {
+        let mut state = self.state.lock();
+        let State { pools, places, .. } = &mut *state;
+        let Some(place) = places.get_mut(endpoint) else { return Vec::new() };
+        place.leaving.by_report = load.leaving;
+        let at = now.saturating_sub(load.age_ms);
+        let (running, waiting, slots) = (load.running, load.waiting, load.slots);
+        if let Some(pool) = pools.get_mut(&place.pool) {
+            pool.report(endpoint, Report { at, running, waiting, slots });
+        }
+        state.refresh()
+    }
+}
+
+impl State {
+    /// Carries the leaving marks over to the pools; returns those that are new.
+    fn refresh(&mut self) -> Vec<Arc<str>> {
+        let mut fresh = Vec::new();
+        for (name, place) in &self.places {
+            let endpoint = self.pools.get_mut(&place.pool).and_then(|pool| pool.get_mut(name));
+            let Some(endpoint) = endpoint else { continue };
+            if place.leaving.any() && !endpoint.leaving {
+                fresh.push(name.clone());
+            }
+            endpoint.leaving = place.leaving.any();
+        }
+        fresh
+    }
+}
+
+/// Asks all engines for their load, for as long as the router runs.
+pub async fn poll_reports(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.money.report_ms);
+    loop {
+        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
+        let asked = shared.endpoints.models().into_iter().map(|target| ask(&shared, target));
+        let left = futures_util::future::join_all(asked).await;
+        note_leaving(&shared, left.into_iter().flatten());
+    }
+}
+
+async fn ask(shared: &Shared, target: Target) -> Vec<Arc<str>> {
+    let url = format!("http://{}/load", target.address);
+    let limit = Duration::from_millis(shared.settings.limits.connect_ms);
+    let sent = shared.http.get(url).timeout(limit).send().await;
+    let Ok(answer) = sent.and_then(reqwest::Response::error_for_status) else {
+        return Vec::new();
+    };
+    match answer.json::<Load>().await {
+        Ok(load) => shared.endpoints.report(&target.name, &load, shared.now()),
+        Err(_) => Vec::new(),
+    }
+}
+
+/// Reads the platform's list of boxes, for as long as the router runs.
+pub async fn poll_hosts(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.money.beat_ms);
+    loop {
+        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
+        if !shared.health.is_up() {
+            continue;
+        }
+        match shared.store.hosts().await {
+            Ok(hosts) => note_leaving(&shared, shared.endpoints.hosts(&hosts)),
+            Err(_) => shared.health.failed(),
+        }
+    }
+}
+
+/// Notes endpoints that are leaving on the time line.
+pub fn note_leaving(shared: &Shared, endpoints: impl IntoIterator<Item = Arc<str>>) {
+    for endpoint in endpoints {
+        shared.log.add(What::Leaving { endpoint });
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,30 @@
+//! The router daemon as a library: everything between a caller and an endpoint.
+//!
+//! [`Router::spawn`] starts one; [`Router::stop`] is the planned stop. The way of a request:
+//! [`http`](self) reads it, `requests` joins retries, `drive` takes it through claim, money and
+//! dispatch, `relay` passes the answer on, and a `transcript` keeps it for whoever asks again.
+
+mod api;
+mod call;
+mod chat;
+mod claims;
+mod drive;
+mod endpoints;
+mod follow;
+mod keeper;
+mod metrics;
+mod outcome;
+mod relay;
+mod render;
+mod requests;
+mod router;
+mod sealer;
+mod service;
+mod settings;
+mod shared;
+mod sse;
+mod transcript;
+
+pub use outcome::{Reason, Refusal, Unknown};
+pub use router::{Error, Router};
+pub use settings::{Limits, Listen, LogFormat, LogSettings, Money, PlatformSettings, Settings};
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,113 @@
+//! Metrics of a router, in the Prometheus text format.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Labels of a finished request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Finished {
+    /// Class of the route.
+    pub class: &'static str,
+    /// `answered`, `not-run` or `unknown`.
+    pub outcome: &'static str,
+    /// Reason, where there is one.
+    pub reason: &'static str,
+}
+
+/// Labels of platform calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Purpose {
+    /// Operation.
+    pub operation: String,
+    /// Kind of object.
+    pub kind: String,
+}
+
+/// Labels of a time measured.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Stage {
+    /// Class of the route.
+    pub class: &'static str,
+}
+
+/// All metrics of one router.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Requests by how they ended.
+    pub requests: Family<Finished, Counter>,
+    /// Tokens charged.
+    pub tokens: Counter,
+    /// Requests under way.
+    pub under_way: Gauge,
+    /// Platform calls by purpose.
+    pub platform: Family<Purpose, Gauge>,
+    /// Whether the platform answers.
+    pub platform_up: Gauge,
+    /// Requests paid from the offline part.
+    pub offline: Counter,
+    /// Journals that this box sealed.
+    pub sealed: Counter,
+    /// Times that this box found its own journal sealed.
+    pub renewed: Counter,
+    /// Seconds to the first byte.
+    pub first_byte: Family<Stage, Histogram>,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new([0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1.0, 2.5, 5.0, 10.0])
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn open() -> Metrics {
+        let metrics = Metrics {
+            registry: Arc::new(Mutex::new(Registry::with_prefix("flintstall"))),
+            requests: Family::default(),
+            tokens: Counter::default(),
+            under_way: Gauge::default(),
+            platform: Family::default(),
+            platform_up: Gauge::default(),
+            offline: Counter::default(),
+            sealed: Counter::default(),
+            renewed: Counter::default(),
+            first_byte: Family::new_with_constructor(histogram),
+        };
+        let mut registry = metrics.registry.lock();
+        registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register("tokens", "Tokens charged", metrics.tokens.clone());
+        registry.register("requests_under_way", "Requests now", metrics.under_way.clone());
+        registry.register("platform_calls", "Platform calls so far", metrics.platform.clone());
+        registry.register("platform_up", "Platform reachable", metrics.platform_up.clone());
+        registry.register("offline_requests", "Paid offline", metrics.offline.clone());
+        registry.register("journals_sealed", "Journals sealed here", metrics.sealed.clone());
+        registry.register("renewals", "Own journal found sealed", metrics.renewed.clone());
+        registry.register("first_byte_seconds", "First byte", metrics.first_byte.clone());
+        drop(registry);
+        metrics
+    }
+
+    /// The text that a scraper reads.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let written = encode(&mut text, &self.registry.lock());
+        written.map(|()| text).unwrap_or_default()
+    }
+}
+
+/// Takes over figures that are kept elsewhere.
+pub fn refresh(shared: &crate::shared::Shared) {
+    let metrics = &shared.metrics;
+    metrics.platform_up.set(i64::from(shared.health.is_up()));
+    for ((operation, kind), count) in shared.calls.snapshot() {
+        let operation = format!("{operation:?}").to_lowercase();
+        let purpose = Purpose { operation, kind: kind.to_string() };
+        metrics.platform.get_or_create(&purpose).set(count.calls as i64);
+    }
+}
--- /dev/null
+++ b/crates/router/src/requests.rs
@@ -0,0 +1,202 @@
+//! Requests by key: retries join the running one or get the recorded answer.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    outcome::{Refusal, Unknown},
+    transcript::Transcript,
+};
+
+/// A whole answer that is not a stream.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers passed on.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How far a request has come, as its callers see it.
+#[derive(Debug, Clone)]
+pub enum Progress {
+    /// No byte of an answer yet.
+    Waiting,
+    /// The answer is growing.
+    Streaming(Arc<Transcript>),
+    /// The whole answer.
+    Answered(Arc<Answer>),
+    /// It did not run.
+    Refused(Refusal),
+    /// It was dispatched, but no answer came.
+    Unknown(Unknown),
+}
+
+impl Progress {
+    fn bytes(&self) -> usize {
+        match self {
+            Progress::Streaming(transcript) => transcript.bytes(),
+            Progress::Answered(answer) => answer.body.len(),
+            Progress::Waiting | Progress::Refused(_) | Progress::Unknown(_) => 0,
+        }
+    }
+}
+
+type Id = (Arc<str>, Arc<str>);
+
+struct Entry {
+    fingerprint: u64,
+    progress: watch::Sender<Progress>,
+    interest: Arc<()>,
+}
+
+#[derive(Default)]
+struct State {
+    entries: HashMap<Id, Entry>,
+    ended: VecDeque<(Instant, Id, usize)>,
+    kept: usize,
+}
+
+/// All requests under way or answered lately on this box.
+pub struct Requests {
+    state: Mutex<State>,
+    keep_bytes: usize,
+    keep_for: Duration,
+}
+
+/// What a caller found under its key.
+pub enum Entered {
+    /// Nothing: this caller's request is to be driven.
+    New(Driver, Follower),
+    /// The same request: its progress.
+    Joined(Follower),
+    /// Another request under the same key.
+    Mismatch,
+}
+
+/// A caller's view; while one exists, somebody wants the answer.
+pub struct Follower {
+    /// Progress of the request.
+    pub progress: watch::Receiver<Progress>,
+    _interest: Arc<()>,
+}
+
+/// The side that runs the request and reports its progress.
+pub struct Driver {
+    requests: Arc<Requests>,
+    id: Id,
+    interest: std::sync::Weak<()>,
+    done: bool,
+}
+
+impl Requests {
+    /// Keeps up to `keep_bytes` of answers for up to `keep_for`.
+    pub fn new(keep_bytes: usize, keep_for: Duration) -> Requests {
+        Requests { state: Mutex::default(), keep_bytes, keep_for }
+    }
+
+    /// Enters a request by customer and key.
+    pub fn enter(
+        self: &Arc<Self>,
+        customer: &Arc<str>,
+        key: &Arc<str>,
+        fingerprint: u64,
+    ) -> Entered {
+        let id = (customer.clone(), key.clone());
+        let mut state = self.state.lock();
+        if let Some(entry) = state.entries.get(&id) {
+            return match entry.fingerprint == fingerprint {
+                true => Entered::Joined(entry.follower()),
+                false => Entered::Mismatch,
+            };
+        }
+        let interest = Arc::new(());
+        let entry = Entry {
+            fingerprint,
+            progress: watch::channel(Progress::Waiting).0,
+            interest: interest.clone(),
+        };
+        let follower = entry.follower();
+        let weak = Arc::downgrade(&interest);
+        state.entries.insert(id.clone(), entry);
+        drop(state);
+        let driver = Driver { requests: self.clone(), id, interest: weak, done: false };
+        Entered::New(driver, follower)
+    }
+
+    /// Requests that have not ended.
+    pub fn under_way(&self) -> usize {
+        let state = self.state.lock();
+        state.entries.len() - state.ended.len()
+    }
+
+    fn end(&self, id: &Id, progress: Progress) {
+        let mut state = self.state.lock();
+        let ran = !matches!(progress, Progress::Refused(_));
+        let bytes = progress.bytes();
+        let Some(entry) = state.entries.get(id) else { return };
+        entry.progress.send_replace(progress);
+        match ran {
+            true => {
+                state.kept += bytes;
+                state.ended.push_back((Instant::now(), id.clone(), bytes));
+            }
+            // A refused request did not run: its retry starts afresh.
+            false => drop(state.entries.remove(id)),
+        }
+        while let Some((at, _, _)) = state.ended.front() {
+            if state.kept <= self.keep_bytes && at.elapsed() < self.keep_for {
+                break;
+            }
+            if let Some((_, oldest, bytes)) = state.ended.pop_front() {
+                state.kept -= bytes;
+                state.entries.remove(&oldest);
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn follower(&self) -> Follower {
+        Follower { progress: self.progress.subscribe(), _interest: self.interest.clone() }
+    }
+}
+
+impl Driver {
+    /// The answer starts to grow.
+    pub fn streaming(&self, transcript: Arc<Transcript>) {
+        let state = self.requests.state.lock();
+        if let Some(entry) = state.entries.get(&self.id) {
+            entry.progress.send_replace(Progress::Streaming(transcript));
+        }
+    }
+
+    /// Whether a caller still follows.
+    pub fn is_wanted(&self) -> bool {
+        // The entry itself holds one.
+        self.interest.strong_count() > 1
+    }
+
+    /// The request ended.
+    pub fn end(mut self, progress: Progress) {
+        self.done = true;
+        self.requests.end(&self.id, progress);
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        if !self.done {
+            self.requests.end(&self.id, Progress::Unknown(Unknown::Broken));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/transcript.rs
@@ -0,0 +1,147 @@
+//! The answer of one request as it grows, read by its caller and by retries of the same key.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::outcome::Unknown;
+
+/// Bytes that the writer may be ahead of the fastest reader before it pauses.
+const AHEAD: usize = 256 << 10;
+
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Whole.
+    Whole,
+    /// Broken off.
+    Broken(Unknown),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    parts: Vec<Bytes>,
+    bytes: usize,
+    read: usize,
+    end: Option<End>,
+}
+
+/// An answer's bytes, growing until it has an end.
+#[derive(Debug, Default)]
+pub struct Transcript {
+    state: Mutex<State>,
+    changed: Notify,
+    drained: Notify,
+    readers: AtomicUsize,
+}
+
+impl Transcript {
+    /// Adds bytes.
+    pub fn push(&self, part: Bytes) {
+        let mut state = self.state.lock();
+        state.bytes += part.len();
+        state.parts.push(part);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Ends the answer.
+    pub fn end(&self, end: End) {
+        self.state.lock().end.get_or_insert(end);
+        self.changed.notify_waiters();
+    }
+
+    /// Bytes so far.
+    pub fn bytes(&self) -> usize {
+        self.state.lock().bytes
+    }
+
+    /// Number of callers reading it.
+    pub fn readers(&self) -> usize {
+        self.readers.load(Ordering::Relaxed)
+    }
+
+    /// Waits while the fastest reader is far behind, so that the engine feels a slow caller.
+    pub async fn wait_drained(&self) {
+        loop {
+            let drained = self.drained.notified();
+            {
+                let state = self.state.lock();
+                if state.bytes.saturating_sub(state.read) <= AHEAD || self.readers() == 0 {
+                    return;
+                }
+            }
+            drained.await;
+        }
+    }
+
+    /// Reads from the start; a broken answer ends with an error event, never a clean end.
+    pub fn stream(self: &Arc<Self>) -> impl Stream<Item = Result<Bytes, std::io::Error>> + use<> {
+        let reader = Reader::open(self.clone());
+        stream::unfold(reader, |mut reader| async move {
+            let part = reader.next().await?;
+            Some((Ok(part), reader))
+        })
+    }
+}
+
+struct Reader {
+    transcript: Arc<Transcript>,
+    at: usize,
+    bytes: usize,
+    ended: bool,
+}
+
+impl Reader {
+    fn open(transcript: Arc<Transcript>) -> Reader {
+        transcript.readers.fetch_add(1, Ordering::Relaxed);
+        Reader { transcript, at: 0, bytes: 0, ended: false }
+    }
+
+    async fn next(&mut self) -> Option<Bytes> {
+        loop {
+            if self.ended {
+                return None;
+            }
+            let transcript = self.transcript.clone();
+            let changed = transcript.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let (part, end) = {
+                let mut state = transcript.state.lock();
+                let part = state.parts.get(self.at).cloned();
+                if let Some(part) = &part {
+                    self.bytes += part.len();
+                    state.read = state.read.max(self.bytes);
+                }
+                (part, state.end)
+            };
+            match (part, end) {
+                (Some(part), _) => {
+                    self.at += 1;
+                    transcript.drained.notify_waiters();
+                    return Some(part);
+                }
+                (None, Some(End::Whole)) => return None,
+                (None, Some(End::Broken(unknown))) => {
+                    self.ended = true;
+                    return Some(crate::render::error_event(unknown));
+                }
+                (None, None) => changed.await,
+            }
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.transcript.readers.fetch_sub(1, Ordering::Relaxed);
+        self.transcript.drained.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/session/src/account.rs
@@ -0,0 +1,58 @@
+//! One box's handle on one budget.
+
+use std::sync::Arc;
+
+use ledger::{Account, Draw, Ledger, Need, Part, Reservation};
+use parking_lot::Mutex;
+use tokio::{sync::Mutex as Turn, time::Instant};
+
+use crate::usage::Usage;
+
+/// A ledger write whose answer was lost.
+#[derive(Debug, Clone)]
+pub struct Pending {
+    pub expected: u64,
+    pub next: Ledger,
+    pub draw: Draw,
+    pub write: u64,
+}
+
+/// What is known of the ledger object.
+#[derive(Debug, Default)]
+pub struct Book {
+    pub version: u64,
+    pub ledger: Option<Ledger>,
+    pub pending: Option<Pending>,
+    pub writes: u64,
+    pub listed: bool,
+    pub read_at: Option<Instant>,
+}
+
+/// Account, usage and ledger of one budget; one ledger write at a time.
+pub struct Entry {
+    pub budget: Arc<str>,
+    pub account: Mutex<Account>,
+    pub usage: Mutex<Usage>,
+    pub book: Turn<Book>,
+}
+
+impl Entry {
+    pub fn new(budget: Arc<str>) -> Entry {
+        Entry { budget, account: Mutex::default(), usage: Mutex::default(), book: Turn::default() }
+    }
+
+    pub fn reserve(&self, part: Part, tokens: u64) -> Result<Reservation, Need> {
+        self.usage.lock().reserved(tokens);
+        self.account.lock().reserve(part, tokens)
+    }
+
+    pub fn settle(&self, reservation: Reservation, charged: u64) -> u64 {
+        let charged = self.account.lock().settle(reservation, charged);
+        self.usage.lock().charged(charged);
+        charged
+    }
+
+    pub fn free(&self, part: Part) -> u64 {
+        self.account.lock().tokens(part).free()
+    }
+}
--- /dev/null
+++ b/crates/session/src/draw.rs
@@ -0,0 +1,85 @@
+//! What a box draws from and returns to a ledger in its next write.
+
+use ledger::{Draw, Ledger, Target};
+
+/// What a box has free, and what it needs at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Free {
+    /// Free online tokens.
+    pub online: u64,
+    /// Free offline tokens.
+    pub offline: u64,
+    /// Tokens that a waiting request needs online.
+    pub need: u64,
+}
+
+/// What to draw, given what the ledger has left.
+///
+/// A need comes first; then the online part is filled, then the offline part. A box that cannot
+/// meet its need says what it lacks, so that others return their surplus.
+pub fn wish(ledger: &Ledger, target: Target, free: Free) -> Draw {
+    let left = ledger.left();
+    let missing = free.need.saturating_sub(free.online);
+    if missing > left {
+        return Draw { wanted: missing - left, ..Draw::default() };
+    }
+    let online = target.online.saturating_sub(free.online).max(missing).min(left);
+    let offline = target.offline.saturating_sub(free.offline).min(left - online);
+    // Small top-ups wait until they are worth a write.
+    let worth = |wish: u64, target: u64| if wish * 2 >= target { wish } else { 0 };
+    Draw {
+        online: if missing > 0 { online } else { worth(online, target.online) },
+        offline: worth(offline, target.offline),
+        ..Draw::default()
+    }
+}
+
+/// What a box holds beyond twice its target, or beyond its target while others lack tokens.
+pub fn surplus(target: Target, free: Free, wanted_by_others: u64) -> Draw {
+    let over = |free: u64, target: u64| match wanted_by_others > 0 {
+        true => free.saturating_sub(target),
+        false if free > target * 2 => free - target,
+        false => 0,
+    };
+    Draw {
+        return_online: over(free.online, target.online),
+        return_offline: over(free.offline, target.offline),
+        ..Draw::default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn needs_come_first_and_shortage_is_told() {
+        let ledger = Ledger { paid: 100, ..Ledger::default() };
+        let target = Target { online: 50, offline: 20 };
+        let cases = [
+            (
+                Free { need: 10, ..Free::default() },
+                Draw { online: 50, offline: 20, ..Draw::default() },
+            ),
+            (
+                Free { need: 90, ..Free::default() },
+                Draw { online: 90, offline: 10, ..Draw::default() },
+            ),
+            (Free { need: 130, ..Free::default() }, Draw { wanted: 30, ..Draw::default() }),
+            (Free { online: 40, offline: 15, need: 0 }, Draw::default()),
+        ];
+        for (free, want) in cases {
+            assert_eq!(wish(&ledger, target, free), want, "{free:?}");
+        }
+    }
+
+    #[test]
+    fn surplus_returns_sooner_when_others_lack() {
+        let target = Target { online: 50, offline: 20 };
+        let free = Free { online: 90, offline: 50, need: 0 };
+        let calm = surplus(target, free, 0);
+        assert_eq!((calm.return_online, calm.return_offline), (0, 30));
+        let wanted = surplus(target, free, 1);
+        assert_eq!((wanted.return_online, wanted.return_offline), (40, 30));
+    }
+}
--- /dev/null
+++ b/crates/session/src/session.rs
@@ -0,0 +1,169 @@
+//! One incarnation of a box: its journal and what it holds of each budget.
+
+use std::{sync::Arc, time::Duration};
+
+use config::Snapshot;
+use ledger::{Ended, Evidence, Incarnation, Part, Record, Reservation};
+use platform::Store;
+use tokio::sync::watch;
+
+use crate::{Denial, Failure, Funds, Health, Options, Recorder, Work, account::Entry};
+
+/// What a session needs to open.
+#[derive(Clone)]
+pub struct Session {
+    /// Its journal.
+    pub recorder: Recorder,
+    /// What it holds of each budget.
+    pub funds: Arc<Funds>,
+}
+
+impl Session {
+    /// Opens a session for a new incarnation.
+    pub fn open(
+        incarnation: Incarnation,
+        store: Arc<dyn Store>,
+        health: Health,
+        config: watch::Receiver<Arc<Snapshot>>,
+        options: Options,
+        spacing: Duration,
+        log: timeline::Log,
+    ) -> Session {
+        let recorder = Recorder::spawn(incarnation, store.clone(), health.clone(), spacing);
+        let funds = Funds::new(recorder.clone(), store, health, config, options, log);
+        Session { recorder, funds: Arc::new(funds) }
+    }
+
+    /// Whose session this is.
+    pub fn incarnation(&self) -> &Incarnation {
+        self.recorder.incarnation()
+    }
+
+    /// Reserves the worst case online and records the intent; after this it may be dispatched.
+    pub async fn hold_online(
+        &self,
+        mut record: Record,
+        within: Duration,
+    ) -> Result<Hold, HoldError> {
+        let (budget, tokens) = (record.budget.clone(), record.reserved);
+        let reserved = self.funds.reserve_online(&budget, tokens, within).await;
+        let reservation = reserved.map_err(HoldError::Denied)?;
+        record.n = self.recorder.number();
+        record.part = Part::Online;
+        let entry = self.funds.entry(&budget);
+        let guard = Guard { entry: entry.clone(), reservation: Some(reservation) };
+        self.recorder.intend(record.clone(), within).await.map_err(HoldError::Failed)?;
+        Ok(Hold::new(self.clone(), entry, guard.keep(), record))
+    }
+
+    /// Reserves the worst case of the offline part; nothing is recorded before it ends.
+    pub fn hold_offline(&self, mut record: Record) -> Option<Hold> {
+        let budget = record.budget.clone();
+        let reservation = self.funds.reserve_offline(&budget, record.reserved)?;
+        record.n = self.recorder.number();
+        record.part = Part::Offline;
+        Some(Hold::new(self.clone(), self.funds.entry(&budget), reservation, record))
+    }
+
+    /// Ends a sealed session by its own word, once none of its requests is under way.
+    pub async fn surrender(&self) -> Result<(), Denial> {
+        self.recorder.flush().await;
+        for budget in self.funds.budgets() {
+            self.funds.surrender(&budget).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Why tokens could not be held online.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldError {
+    /// No reservation.
+    Denied(Denial),
+    /// No intent.
+    Failed(Failure),
+}
+
+/// Frees a reservation whose intent did not land, also when its waiter is dropped.
+struct Guard {
+    entry: Arc<Entry>,
+    reservation: Option<Reservation>,
+}
+
+impl Guard {
+    fn keep(mut self) -> Reservation {
+        self.reservation.take().expect("kept once")
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            self.entry.settle(reservation, 0);
+        }
+    }
+}
+
+/// Tokens held for one request that may be dispatched.
+///
+/// Dropped without an outcome it says "not run", so whoever dispatches must finish it.
+pub struct Hold {
+    session: Session,
+    entry: Arc<Entry>,
+    reservation: Option<Reservation>,
+    record: Record,
+}
+
+impl Hold {
+    fn new(session: Session, entry: Arc<Entry>, reservation: Reservation, record: Record) -> Hold {
+        Hold { session, entry, reservation: Some(reservation), record }
+    }
+
+    /// The record of this request.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Unique id of this attempt, sent to the endpoint.
+    pub fn dispatch(&self) -> String {
+        format!("{}-{}", self.session.incarnation(), self.record.n)
+    }
+
+    /// Whether the tokens are of the offline part.
+    pub fn is_offline(&self) -> bool {
+        self.record.part == Part::Offline
+    }
+
+    /// Whether the journal is known to be sealed: then nothing more is dispatched from it.
+    pub fn is_sealed(&self) -> bool {
+        !self.is_offline() && self.session.recorder.is_sealed()
+    }
+
+    /// Ends the request; returns the tokens charged, at most those held.
+    pub fn finish(mut self, charged: u64, ended: Ended) -> u64 {
+        self.end(charged, ended)
+    }
+
+    fn end(&mut self, charged: u64, ended: Ended) -> u64 {
+        let Some(reservation) = self.reservation.take() else { return 0 };
+        let charged = self.entry.settle(reservation, charged);
+        let recorder = &self.session.recorder;
+        match self.record.part {
+            Part::Online => recorder.finish(self.record.n, charged, ended),
+            Part::Offline if ended == Ended::NotRun => {}
+            Part::Offline => {
+                let outcome =
+                    ledger::Outcome { position: 0, charged, ended, evidence: Evidence::Recorded };
+                let record = Record { outcome: Some(outcome), ..self.record.clone() };
+                recorder.add(Work::HandIn(record, Evidence::Recorded));
+            }
+        }
+        charged
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.end(0, Ended::NotRun);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/cache.rs
@@ -0,0 +1,63 @@
+//! A bounded prefix cache: blocks of prompt text, the least recently used dropped first.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of prompt in one block.
+pub const BLOCK_BYTES: usize = 64;
+
+/// Hashes of the blocks of a prompt; each covers everything up to its end.
+pub fn blocks(prompt: &[u8]) -> Vec<u64> {
+    let mut seed = 0;
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            seed = xxh3_64_with_seed(block, seed);
+            seed
+        })
+        .collect()
+}
+
+/// Which prompt blocks an engine holds.
+#[derive(Debug, Default)]
+pub struct Cache {
+    capacity: usize,
+    used: u64,
+    blocks: BTreeMap<u64, u64>,
+}
+
+impl Cache {
+    /// A cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> Cache {
+        Cache { capacity, ..Cache::default() }
+    }
+
+    /// Number of leading blocks of a prompt that are held.
+    pub fn hits(&self, prompt: &[u64]) -> usize {
+        prompt.iter().take_while(|block| self.blocks.contains_key(block)).count()
+    }
+
+    /// Holds a prompt's blocks; returns those added and those dropped.
+    pub fn insert(&mut self, prompt: &[u64]) -> (Vec<u64>, Vec<u64>) {
+        self.used += 1;
+        let mut added = Vec::new();
+        for block in prompt {
+            if self.blocks.insert(*block, self.used).is_none() {
+                added.push(*block);
+            }
+        }
+        let mut dropped = Vec::new();
+        if self.blocks.len() > self.capacity {
+            let mut by_age: Vec<(u64, u64)> =
+                self.blocks.iter().map(|(block, used)| (*used, *block)).collect();
+            by_age.sort_unstable();
+            let spare = self.blocks.len() - self.capacity * 9 / 10;
+            dropped = by_age.into_iter().take(spare).map(|(_, block)| block).collect();
+            for block in &dropped {
+                self.blocks.remove(block);
+            }
+        }
+        (added, dropped)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,558 @@
+//! A model engine: continuous batching, prefix cache, priorities, resume, cancel, orders.
+//!
+//! The length of an answer is set by the prompt (`tokens=40` asks for 40), so that experiments
+//! are repeatable. Runs go on by themselves; streams read from them and may be resumed.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use parking_lot::Mutex;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::StatusCode};
+use serde_json::{Value, json};
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{
+    Server, Speed,
+    batch::{Batch, Job},
+    cache::{Cache, blocks},
+};
+
+/// Output tokens where the prompt does not say.
+const DEFAULT_OUTPUT: u64 = 16;
+/// Bytes of prompt that one token stands for.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Samples of the load kept for lagged reports.
+const SAMPLES: usize = 1_024;
+
+/// How an engine behaves.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Time model.
+    pub speed: Speed,
+    /// Prompt blocks cached.
+    pub cache_blocks: usize,
+    /// How old load reports and cache events are.
+    pub report_lag: Duration,
+    /// Whether older fences are refused.
+    pub checks_orders: bool,
+    /// How long a run whose stream broke goes on, waiting to be resumed.
+    pub resume_for: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            speed: Speed::default(),
+            cache_blocks: 4_096,
+            report_lag: Duration::from_millis(500),
+            checks_orders: true,
+            resume_for: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Fault switches of an engine.
+#[derive(Debug, Clone, Default)]
+pub struct Fault {
+    /// Answers nothing.
+    pub hang: bool,
+    /// Refuses every request before running it.
+    pub refuse: bool,
+    /// Takes this much longer for every step.
+    pub slow: Duration,
+    /// Ignores the output limit by this many tokens.
+    pub overshoot: u64,
+    /// Answers with another request's id.
+    pub cross: bool,
+    /// Closes streams after this many tokens.
+    pub break_after: Option<u64>,
+    /// Publishes no load report.
+    pub no_report: bool,
+    /// Reports that it is leaving.
+    pub leaving: bool,
+}
+
+/// One run, as the engine saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Dispatch id given by the router.
+    pub id: String,
+    /// Request key given by the router.
+    pub key: String,
+    /// Budget given by the router.
+    pub budget: String,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens produced so far.
+    pub output: u64,
+    /// Whether it has ended.
+    pub ended: bool,
+    /// Whether it was cancelled before its end.
+    pub cancelled: bool,
+    /// Leading prompt tokens found in the cache.
+    pub cached: u64,
+    /// When it was accepted.
+    pub at: Instant,
+}
+
+/// What an engine counted.
+#[derive(Debug, Clone, Default)]
+pub struct Truth {
+    /// All runs in order of arrival.
+    pub runs: Vec<Run>,
+    /// Orders that took effect, as fence and body.
+    pub orders: Vec<(u64, Value)>,
+}
+
+struct Live {
+    run: Run,
+    limit: u64,
+    mark: String,
+    stream_gone: Option<Instant>,
+    streams: u32,
+}
+
+struct State {
+    batch: Batch,
+    cache: Cache,
+    runs: Vec<Live>,
+    by_id: BTreeMap<String, usize>,
+    samples: VecDeque<(Instant, usize, usize)>,
+    cache_events: Vec<(Instant, bool, u64)>,
+    fence: u64,
+    orders: Vec<(u64, Value)>,
+    fault: Fault,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    progress: Notify,
+    work: Notify,
+    settings: Settings,
+}
+
+/// A model engine on loopback.
+#[derive(Clone)]
+pub struct Engine {
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+    task: Arc<Task>,
+}
+
+struct Task(tokio::task::JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub async fn spawn(settings: Settings) -> Engine {
+        let state = State {
+            batch: Batch::default(),
+            cache: Cache::new(settings.cache_blocks),
+            runs: Vec::new(),
+            by_id: BTreeMap::new(),
+            samples: VecDeque::new(),
+            cache_events: Vec::new(),
+            fence: 0,
+            orders: Vec::new(),
+            fault: Fault::default(),
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            progress: Notify::new(),
+            work: Notify::new(),
+            settings,
+        });
+        let server = Server::spawn(Router::with_path("{**rest}").goal(Api(shared.clone()))).await;
+        let task = Task(tokio::spawn(steps(shared.clone())));
+        Engine { shared, server: Arc::new(server), task: Arc::new(task) }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the fault switches.
+    pub fn set(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.shared.state.lock().fault);
+    }
+
+    /// What it counted so far.
+    pub fn truth(&self) -> Truth {
+        let state = self.shared.state.lock();
+        let runs = state.runs.iter().map(|live| live.run.clone()).collect();
+        Truth { runs, orders: state.orders.clone() }
+    }
+
+    /// Ends its work for good, as a crash would.
+    pub fn kill(&self) {
+        self.task.0.abort();
+        self.shared.state.lock().fault.hang = true;
+    }
+}
+
+async fn steps(shared: Arc<Shared>) {
+    loop {
+        let (step, slow) = {
+            let mut state = shared.state.lock();
+            cancel_abandoned(&mut state, shared.settings.resume_for);
+            sample(&mut state);
+            (state.batch.step(&shared.settings.speed), state.fault.slow)
+        };
+        let Some(step) = step else {
+            let idle = Duration::from_millis(100);
+            let _ = tokio::time::timeout(idle, shared.work.notified()).await;
+            continue;
+        };
+        tokio::time::sleep(step.time + slow).await;
+        let mut state = shared.state.lock();
+        for number in step.produced {
+            let live = &mut state.runs[number as usize];
+            if !live.run.ended {
+                live.run.output += 1;
+            }
+        }
+        for number in step.done {
+            state.runs[number as usize].run.ended = true;
+        }
+        drop(state);
+        shared.progress.notify_waiters();
+    }
+}
+
+fn cancel_abandoned(state: &mut State, resume_for: Duration) {
+    let State { runs, batch, .. } = state;
+    let recent = runs.len().saturating_sub(4_096);
+    for (number, live) in runs.iter_mut().enumerate().skip(recent) {
+        let gone = live.stream_gone.is_some_and(|at| at.elapsed() >= resume_for);
+        if gone && live.streams == 0 && !live.run.ended {
+            cancel(live, batch, number);
+        }
+    }
+}
+
+fn cancel(live: &mut Live, batch: &mut Batch, number: usize) {
+    live.run.ended = true;
+    live.run.cancelled = true;
+    batch.cancel(number as u64);
+}
+
+fn sample(state: &mut State) {
+    let (running, waiting) = state.batch.load();
+    let due = state.samples.back().is_none_or(|(at, ..)| at.elapsed().as_millis() >= 20);
+    if due {
+        if state.samples.len() == SAMPLES {
+            state.samples.pop_front();
+        }
+        state.samples.push_back((Instant::now(), running, waiting));
+    }
+}
+
+struct Api(Arc<Shared>);
+
+#[async_trait::async_trait]
+impl Handler for Api {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        if self.0.state.lock().fault.hang {
+            std::future::pending::<()>().await;
+        }
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match parts.as_slice() {
+            ["v1", "chat", "completions"] => self.complete(request, response).await,
+            ["runs", id] => self.describe(id, response),
+            ["runs", id, "stream"] => self.resume(id, request, response),
+            ["runs", id, "cancel"] => self.cancel(id, response),
+            ["load"] => self.load(response),
+            ["cache-events"] => self.cache_events(request, response),
+            ["orders"] => self.order(request, response).await,
+            _ => drop(response.status_code(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl Api {
+    async fn complete(&self, request: &mut Request, response: &mut Response) {
+        let header = |name: &str| {
+            let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let (id, key, budget) =
+            (header("x-request-id"), header("idempotency-key"), header("x-budget"));
+        let priority = header("x-priority").parse().unwrap_or(1);
+        let body = match request.payload_with_max_size(64 << 20).await {
+            Ok(body) => serde_json::from_slice::<Value>(body).unwrap_or_default(),
+            Err(_) => Value::Null,
+        };
+        if self.0.state.lock().fault.refuse || !body["messages"].is_array() {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            json_body(response, &json!({"error": {"message": "not accepted", "ran": false}}));
+            return;
+        }
+        let prompt = prompt_of(&body);
+        let limit = body["max_tokens"].as_u64().unwrap_or(DEFAULT_OUTPUT);
+        let run = Run {
+            id: id.clone(),
+            key,
+            budget,
+            prompt: (prompt.len() as u64).div_ceil(BYTES_PER_TOKEN),
+            output: 0,
+            ended: false,
+            cancelled: false,
+            cached: 0,
+            at: Instant::now(),
+        };
+        let number = self.admit(run, &prompt, limit, priority);
+        self.stream(number, 0, response);
+    }
+
+    fn admit(&self, mut run: Run, prompt: &str, limit: u64, priority: u8) -> usize {
+        let mut state = self.0.state.lock();
+        let blocks = blocks(prompt.as_bytes());
+        let hits = state.cache.hits(&blocks) as u64;
+        run.cached = hits * crate::cache::BLOCK_BYTES as u64 / BYTES_PER_TOKEN;
+        let (added, dropped) = state.cache.insert(&blocks);
+        let now = Instant::now();
+        let events = added.into_iter().map(|block| (now, true, block));
+        let events = events.chain(dropped.into_iter().map(|block| (now, false, block)));
+        state.cache_events.extend(events);
+        let number = state.runs.len();
+        let output = wanted(prompt).min(limit) + state.fault.overshoot;
+        let prefill = run.prompt.saturating_sub(run.cached);
+        state.batch.push(Job { number: number as u64, priority, prefill, output });
+        state.by_id.insert(run.id.clone(), number);
+        let mark = mark_of(prompt);
+        state.runs.push(Live { run, limit, mark, stream_gone: None, streams: 0 });
+        drop(state);
+        self.0.work.notify_one();
+        number
+    }
+
+    fn stream(&self, number: usize, from: u64, response: &mut Response) {
+        let (id, cross) = {
+            let state = self.0.state.lock();
+            (state.runs[number].run.id.clone(), state.fault.cross)
+        };
+        let echoed = if cross { "someone-else".to_owned() } else { id };
+        let _ = response.add_header("x-request-id", echoed, true);
+        let _ = response.add_header("content-type", "text/event-stream", true);
+        response.stream(tokens(Reader::open(self.0.clone(), number, from)));
+    }
+
+    fn describe(&self, id: &str, response: &mut Response) {
+        let state = self.0.state.lock();
+        let Some(number) = state.by_id.get(id) else {
+            json_body(response, &json!({"state": "unknown"}));
+            return;
+        };
+        let run = &state.runs[*number].run;
+        let word = if run.ended { "ended" } else { "running" };
+        let answer = json!({
+            "state": word, "prompt_tokens": run.prompt, "output_tokens": run.output,
+            "cancelled": run.cancelled,
+        });
+        json_body(response, &answer);
+    }
+
+    fn resume(&self, id: &str, request: &mut Request, response: &mut Response) {
+        let from = request.query("from").unwrap_or(0);
+        let number = self.0.state.lock().by_id.get(id).copied();
+        match number {
+            None => drop(response.status_code(StatusCode::NOT_FOUND)),
+            Some(number) => self.stream(number, from, response),
+        }
+    }
+
+    fn cancel(&self, id: &str, response: &mut Response) {
+        let mut state = self.0.state.lock();
+        let State { by_id, runs, batch, .. } = &mut *state;
+        match by_id.get(id) {
+            None => drop(response.status_code(StatusCode::NOT_FOUND)),
+            Some(number) if !runs[*number].run.ended => {
+                cancel(&mut runs[*number], batch, *number);
+                self.0.progress.notify_waiters();
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn load(&self, response: &mut Response) {
+        let state = self.0.state.lock();
+        if state.fault.no_report {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        }
+        let lag = self.0.settings.report_lag;
+        let old = state.samples.iter().rev().find(|(at, ..)| at.elapsed() >= lag);
+        let (age, running, waiting) =
+            old.map_or((lag, 0, 0), |(at, running, waiting)| (at.elapsed(), *running, *waiting));
+        let report = json!({
+            "running": running, "waiting": waiting, "slots": self.0.settings.speed.slots,
+            "age_ms": age.as_millis() as u64, "leaving": state.fault.leaving,
+        });
+        json_body(response, &report);
+    }
+
+    fn cache_events(&self, request: &mut Request, response: &mut Response) {
+        let from: usize = request.query("from").unwrap_or(0);
+        let state = self.0.state.lock();
+        let lag = self.0.settings.report_lag;
+        let old = state.cache_events.partition_point(|(at, ..)| at.elapsed() >= lag);
+        let end = old.min(from + 1_000);
+        let fresh = state.cache_events.get(from..end).unwrap_or_default();
+        // Every seventh event is lost, as on a channel with gaps.
+        let kept = fresh.iter().enumerate().filter(|(index, _)| (from + index) % 7 != 6);
+        let events: Vec<Value> =
+            kept.map(|(_, (_, added, block))| json!({"added": added, "block": block})).collect();
+        json_body(response, &json!({"events": events, "next": end.max(from)}));
+    }
+
+    async fn order(&self, request: &mut Request, response: &mut Response) {
+        if request.method() == salvo::http::Method::GET {
+            let state = self.0.state.lock();
+            let newest = state.orders.last().map(|(_, order)| order.clone());
+            json_body(response, &json!({"fence": state.fence, "order": newest}));
+            return;
+        }
+        let body = request.payload().await.map(|body| body.to_vec()).unwrap_or_default();
+        let order: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        let mut state = self.0.state.lock();
+        if self.0.settings.checks_orders && fence < state.fence {
+            response.status_code(StatusCode::CONFLICT);
+            json_body(response, &json!({"fence": state.fence}));
+            return;
+        }
+        state.fence = fence;
+        state.orders.push((fence, order));
+    }
+}
+
+/// A stream's view of a run; tells the run when it goes away.
+struct Reader {
+    shared: Arc<Shared>,
+    number: usize,
+    sent: u64,
+    finished: bool,
+}
+
+impl Reader {
+    fn open(shared: Arc<Shared>, number: usize, from: u64) -> Reader {
+        shared.state.lock().runs[number].streams += 1;
+        Reader { shared, number, sent: from, finished: false }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock();
+        let live = &mut state.runs[self.number];
+        live.streams -= 1;
+        if live.streams == 0 {
+            live.stream_gone = Some(Instant::now());
+        }
+    }
+}
+
+fn tokens(reader: Reader) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
+    stream::unfold(reader, |mut reader| async move {
+        if reader.finished {
+            return None;
+        }
+        let chunk = next(&mut reader).await;
+        Some((chunk, reader))
+    })
+}
+
+async fn next(reader: &mut Reader) -> Result<Bytes, std::io::Error> {
+    loop {
+        let shared = reader.shared.clone();
+        let progress = shared.progress.notified();
+        tokio::pin!(progress);
+        progress.as_mut().enable();
+        {
+            let state = shared.state.lock();
+            let live = &state.runs[reader.number];
+            let broken = state.fault.break_after.is_some_and(|after| reader.sent >= after);
+            if broken || live.run.cancelled {
+                reader.finished = true;
+                return Err(std::io::Error::other("the stream broke"));
+            }
+            if live.run.output > reader.sent {
+                let text = chunk(live, reader.sent);
+                reader.sent = live.run.output;
+                return Ok(text);
+            }
+            if live.run.ended {
+                reader.finished = true;
+                return Ok(last(&live.run, live.limit));
+            }
+        }
+        progress.await;
+    }
+}
+
+fn chunk(live: &Live, from: u64) -> Bytes {
+    let (run, mark) = (&live.run, &live.mark);
+    let mut text = String::new();
+    for token in from..run.output {
+        text.push_str(&format!(
+            "data: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"choices\":\
+             [{{\"index\":0,\"delta\":{{\"content\":\"{mark}.{token} \"}},\"finish_reason\":null}}]}}\n\n",
+            run.id
+        ));
+    }
+    text.into()
+}
+
+fn last(run: &Run, limit: u64) -> Bytes {
+    let reason = if run.output >= limit { "length" } else { "stop" };
+    let end = json!({
+        "id": run.id, "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {}, "finish_reason": reason}],
+        "usage": {
+            "prompt_tokens": run.prompt, "completion_tokens": run.output,
+            "total_tokens": run.prompt + run.output,
+            "prompt_tokens_details": {"cached_tokens": run.cached},
+        },
+    });
+    format!("data: {end}\n\ndata: [DONE]\n\n").into()
+}
+
+fn prompt_of(body: &Value) -> String {
+    let messages = body["messages"].as_array().cloned().unwrap_or_default();
+    messages.iter().filter_map(|message| message["content"].as_str()).collect()
+}
+
+/// What the answer's tokens carry, so that a caller knows its own (`mark=` in the prompt).
+fn mark_of(prompt: &str) -> String {
+    let after = prompt.rsplit_once("mark=").map_or("t", |(_, after)| after);
+    after.chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '-').collect()
+}
+
+fn wanted(prompt: &str) -> u64 {
+    let after = prompt.rsplit_once("tokens=").map(|(_, after)| after);
+    let digits = after.map(|text| text.chars().take_while(char::is_ascii_digit));
+    digits.and_then(|digits| digits.collect::<String>().parse().ok()).unwrap_or(DEFAULT_OUTPUT)
+}
+
+fn json_body(response: &mut Response, value: &Value) {
+    let _ = response.add_header("content-type", "application/json", true);
+    let _ = response.write_body(value.to_string());
+}
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,40 @@
+//! Serving a router on a loopback port until dropped.
+
+use std::net::SocketAddr;
+
+use salvo::{Listener, Router, conn::TcpListener, conn::tcp::TcpAcceptor};
+use tokio::task::JoinHandle;
+
+/// A running HTTP server on loopback; it ends when dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds a free loopback port and serves `router` on it.
+    pub async fn spawn(router: Router) -> Server {
+        Server::spawn_at(router, "127.0.0.1:0").await
+    }
+
+    /// Binds `address` and serves `router` on it.
+    pub async fn spawn_at(router: Router, address: &str) -> Server {
+        let acceptor: TcpAcceptor = TcpListener::new(address.to_owned()).bind().await;
+        let address = acceptor.local_addr().expect("a bound socket has an address");
+        let server = salvo::Server::new(acceptor).disable_fuse();
+        let task = tokio::spawn(async move { server.serve(router).await });
+        Server { address, task }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,198 @@
+//! The state behind the platform stand-in: objects, versions, a log of changes.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use platform::{Change, Error, Expect, Host, Object, Store, Watch, Write};
+use tokio::sync::Notify;
+
+/// Changes remembered for watches.
+const LOG: usize = 200_000;
+/// Largest value, in bytes.
+const MAX_VALUE: usize = 1 << 20;
+
+/// Calls that reached the platform.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Gets, lists and waiting watches.
+    pub reads: u64,
+    /// Writes, landed or refused.
+    pub writes: u64,
+    /// Writes refused by version.
+    pub refused: u64,
+    /// Bytes of values written.
+    pub bytes: u64,
+}
+
+/// Kind and name of an object.
+type Id = (Arc<str>, Arc<str>);
+/// Version and JSON text of an object.
+type Stored = (u64, Arc<str>);
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<Id, Stored>,
+    version: u64,
+    log: VecDeque<Change>,
+    usage: Usage,
+    by_kind: BTreeMap<Arc<str>, u64>,
+    hosts: Vec<Host>,
+}
+
+/// Objects in memory, with the semantics of the platform's API and no faults.
+#[derive(Clone, Default)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    wait: Option<Duration>,
+}
+
+impl Memory {
+    /// An empty store whose watches wait for `wait` at most.
+    pub fn new(wait: Duration) -> Memory {
+        Memory { wait: Some(wait), ..Memory::default() }
+    }
+
+    /// Calls so far.
+    pub fn usage(&self) -> Usage {
+        self.state.lock().usage
+    }
+
+    /// Writes so far, by kind of object.
+    pub fn writes_by_kind(&self) -> BTreeMap<Arc<str>, u64> {
+        self.state.lock().by_kind.clone()
+    }
+
+    /// Sets the list of boxes.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.state.lock().hosts = hosts;
+    }
+
+    pub(crate) fn read(&self, kind: &str, name: &str) -> Option<Object> {
+        let mut state = self.state.lock();
+        state.usage.reads += 1;
+        let (version, value) = state.objects.get(&(kind.into(), name.into()))?.clone();
+        Some(Object { kind: kind.into(), name: name.into(), version, value })
+    }
+
+    pub(crate) fn read_all(&self, kind: &str, prefix: &str) -> (Vec<Object>, u64) {
+        let mut state = self.state.lock();
+        state.usage.reads += 1;
+        let start = (Arc::from(kind), Arc::from(prefix));
+        let found = state.objects.range(start..);
+        let found = found.take_while(|((k, n), _)| &**k == kind && n.starts_with(prefix));
+        let objects = found
+            .map(|((kind, name), (version, value))| Object {
+                kind: kind.clone(),
+                name: name.clone(),
+                version: *version,
+                value: value.clone(),
+            })
+            .collect();
+        (objects, state.version)
+    }
+
+    /// Applies a write if the object is as expected; `None` deletes.
+    pub(crate) fn apply(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Option<Arc<str>>,
+        expect: Expect,
+    ) -> Write {
+        if value.as_ref().is_some_and(|value| value.len() > MAX_VALUE) {
+            return Write::Failed;
+        }
+        let id: Id = (kind.into(), name.into());
+        let mut state = self.state.lock();
+        state.usage.writes += 1;
+        *state.by_kind.entry(id.0.clone()).or_default() += 1;
+        let current = state.objects.get(&id).map(|(version, _)| *version);
+        let fits = match expect {
+            Expect::Absent => current.is_none(),
+            Expect::Version(version) => current == Some(version),
+        };
+        if !fits {
+            state.usage.refused += 1;
+            return Write::Refused;
+        }
+        state.version += 1;
+        let version = state.version;
+        match &value {
+            Some(value) => {
+                state.usage.bytes += value.len() as u64;
+                state.objects.insert(id.clone(), (version, value.clone()));
+            }
+            None => drop(state.objects.remove(&id)),
+        }
+        if state.log.len() == LOG {
+            state.log.pop_front();
+        }
+        state.log.push_back(Change { kind: id.0, name: id.1, version, value });
+        drop(state);
+        self.changed.notify_waiters();
+        Write::Landed(version)
+    }
+
+    fn changes(&self, kinds: &[&str], from: u64) -> Watch {
+        let state = self.state.lock();
+        let oldest = state.log.front().map_or(state.version + 1, |change| change.version);
+        let start = state.log.partition_point(|change| change.version <= from);
+        let fresh = state.log.range(start..);
+        let changes = fresh.filter(|change| kinds.contains(&&*change.kind)).cloned().collect();
+        Watch { changes, next: state.version.max(from), gap: from + 1 < oldest }
+    }
+
+    pub(crate) async fn wait(&self, kinds: &[&str], from: u64, wait: Duration) -> Watch {
+        self.state.lock().usage.reads += 1;
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let notified = self.changed.notified();
+            let watch = self.changes(kinds, from);
+            if !watch.changes.is_empty() || watch.gap {
+                return watch;
+            }
+            if tokio::time::timeout_at(end, notified).await.is_err() {
+                return watch;
+            }
+        }
+    }
+
+    pub(crate) fn host_list(&self) -> Vec<Host> {
+        let mut state = self.state.lock();
+        state.usage.reads += 1;
+        state.hosts.clone()
+    }
+}
+
+#[async_trait::async_trait]
+impl Store for Memory {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, Error> {
+        Ok(self.read(kind, name))
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<Vec<Object>, Error> {
+        Ok(self.read_all(kind, prefix).0)
+    }
+
+    async fn put(&self, kind: &str, name: &str, value: String, expect: Expect) -> Write {
+        self.apply(kind, name, Some(value.into()), expect)
+    }
+
+    async fn delete(&self, kind: &str, name: &str, version: u64) -> Write {
+        self.apply(kind, name, None, Expect::Version(version))
+    }
+
+    async fn watch(&self, kinds: &[&str], from: u64) -> Result<Watch, Error> {
+        let wait = self.wait.unwrap_or(Duration::from_secs(10));
+        Ok(self.wait(kinds, from, wait).await)
+    }
+
+    async fn hosts(&self) -> Result<Vec<Host>, Error> {
+        Ok(self.host_list())
+    }
+}
--- /dev/null
+++ b/crates/trial/src/fleet.rs
@@ -0,0 +1,288 @@
+//! Platform, endpoints and routers, started together.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ledger::Ledger;
+use platform::{Expect, Store, Write};
+use router::{Limits, Listen, LogSettings, Money, PlatformSettings, Settings};
+use serde_json::Value;
+use standin::{Engine, Link, Platform, Service};
+
+use crate::{Audit, Caller, Figures, Node, Sample, resources};
+
+/// What to start.
+#[derive(Clone)]
+pub struct Plan {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Routers.
+    pub boxes: usize,
+    /// Zones that boxes and endpoints are spread over.
+    pub zones: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// How engines behave.
+    pub engine: standin::Settings,
+    /// How long a service call takes.
+    pub service_time: Duration,
+    /// Delay of each platform call.
+    pub platform_delay: Duration,
+    /// Money settings of the routers.
+    pub money: Money,
+    /// Bound on platform calls, in milliseconds.
+    pub timeout_ms: u64,
+    /// Customers with budgets and what was paid.
+    pub customers: Vec<(String, Vec<(String, u64)>)>,
+    /// Offline share in thousandths, if not the default.
+    pub offline_share: Option<u64>,
+    /// Most output tokens of one answer.
+    pub max_output: u64,
+    /// How long callers wait.
+    pub patience: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        let money = Money {
+            fold_ms: 200,
+            beat_ms: 200,
+            seal_after_ms: 1_000,
+            resolve_after_ms: 3_000,
+            report_ms: 100,
+            ..Money::default()
+        };
+        Plan {
+            seed: 1,
+            boxes: 3,
+            zones: 2,
+            engines: 2,
+            services: 1,
+            engine: standin::Settings::default(),
+            service_time: Duration::from_millis(2),
+            platform_delay: Duration::from_millis(1),
+            money,
+            timeout_ms: 500,
+            customers: vec![("dis".into(), vec![("bornova".into(), 100_000)])],
+            offline_share: None,
+            max_output: 512,
+            patience: Duration::from_secs(20),
+        }
+    }
+}
+
+/// A fleet on loopback.
+pub struct Fleet {
+    /// The plan it was started by.
+    pub plan: Plan,
+    /// The platform.
+    pub platform: Platform,
+    /// Model engines.
+    pub engines: Vec<Engine>,
+    /// Plain services.
+    pub services: Vec<Service>,
+    /// Routers.
+    pub nodes: Vec<Node>,
+    /// The link of each router to the platform.
+    pub links: Vec<Link>,
+    /// The caller.
+    pub caller: Caller,
+    starts: u64,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the sample resources are in force on all routers.
+    pub async fn spawn(plan: Plan) -> Fleet {
+        let platform = Platform::spawn(plan.seed).await;
+        platform.set(|faults| faults.delay = plan.platform_delay);
+        let mut engines = Vec::new();
+        for _ in 0..plan.engines {
+            engines.push(Engine::spawn(plan.engine.clone()).await);
+        }
+        let mut services = Vec::new();
+        for _ in 0..plan.services {
+            services.push(Service::spawn(plan.service_time).await);
+        }
+        let caller = Caller::new(plan.patience);
+        let mut fleet = Fleet {
+            plan,
+            platform,
+            engines,
+            services,
+            nodes: Vec::new(),
+            links: Vec::new(),
+            caller,
+            starts: 0,
+        };
+        fleet.declare_samples().await;
+        for index in 0..fleet.plan.boxes {
+            let socket = fleet.platform.socket();
+            let link = Link::bind(socket, Duration::ZERO).await.expect("loopback has free ports");
+            fleet.links.push(link);
+            let node = fleet.start(index).await;
+            fleet.nodes.push(node);
+        }
+        fleet.wait_in_force().await;
+        fleet
+    }
+
+    /// The zone of the box or endpoint number `index`.
+    pub fn zone(&self, index: usize) -> String {
+        format!("zone-{}", index % self.plan.zones.max(1))
+    }
+
+    async fn start(&mut self, index: usize) -> Node {
+        self.starts += 1;
+        let seed = self.plan.seed.wrapping_mul(1_000_003) + self.starts;
+        Node::spawn(self.settings(index), seed).await
+    }
+
+    fn settings(&self, index: usize) -> Settings {
+        let loopback: SocketAddr = ([127, 0, 0, 1], 0).into();
+        Settings {
+            box_name: format!("box-{index}").into(),
+            zone: self.zone(index).into(),
+            region: "trial".into(),
+            listen: Listen { callers: loopback, operators: loopback },
+            platform: PlatformSettings {
+                address: format!("http://{}", self.links[index].address()),
+                timeout_ms: self.plan.timeout_ms,
+                watch_ms: 2_000,
+            },
+            limits: Limits::default(),
+            money: self.plan.money.clone(),
+            log: LogSettings::default(),
+        }
+    }
+
+    /// Starts the router of a box again, as a new incarnation.
+    pub async fn restart(&mut self, index: usize) {
+        let node = self.start(index).await;
+        self.nodes[index] = node;
+        self.wait_in_force().await;
+    }
+
+    async fn declare_samples(&self) {
+        let address = |engine: SocketAddr, index| (engine, self.zone(index));
+        let sample = Sample {
+            customers: self.plan.customers.clone(),
+            engines: self
+                .engines
+                .iter()
+                .enumerate()
+                .map(|(i, e)| address(e.address(), i))
+                .collect(),
+            services: self
+                .services
+                .iter()
+                .enumerate()
+                .map(|(i, s)| address(s.address(), i))
+                .collect(),
+            offline_share: self.plan.offline_share,
+            cost: 5,
+            max_output: self.plan.max_output,
+        };
+        for (kind, name, spec) in resources(&sample) {
+            self.declare(kind, &name, &spec).await;
+        }
+    }
+
+    /// Writes an operator's resource, whatever version it has; returns the version written.
+    pub async fn declare(&self, kind: &str, name: &str, spec: &Value) -> u64 {
+        let memory = self.platform.memory();
+        loop {
+            let found = memory.get(kind, name).await.expect("memory always answers");
+            let expect = found.map_or(Expect::Absent, |object| Expect::Version(object.version));
+            if let Write::Landed(version) = memory.put(kind, name, spec.to_string(), expect).await {
+                return version;
+            }
+        }
+    }
+
+    /// The spec of an operator's resource.
+    pub async fn spec(&self, kind: &str, name: &str) -> Value {
+        let found = self.platform.memory().get(kind, name).await;
+        let object = found.expect("memory always answers").expect("the resource exists");
+        serde_json::from_str(&object.value).expect("specs are JSON")
+    }
+
+    /// Waits until every resource is accepted and in force on every router that runs.
+    pub async fn wait_in_force(&self) {
+        let memory = self.platform.memory();
+        let mut sources = 0;
+        for kind in resource::Kind::ALL {
+            sources += memory.list(kind.as_str(), "").await.expect("memory answers").len();
+        }
+        loop {
+            let accepted = memory.list("accepted", "").await.expect("memory answers");
+            if accepted.len() >= sources {
+                let newest = accepted.iter().map(|object| object.version).max().unwrap_or(0);
+                for node in self.nodes.iter().filter(|node| !node.is_down()) {
+                    node.wait_watched(newest).await;
+                }
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// The address of a router for callers.
+    pub fn to(&self, index: usize) -> SocketAddr {
+        self.nodes[index].callers()
+    }
+
+    /// The ledger of a budget.
+    pub async fn ledger(&self, budget: &str) -> Ledger {
+        let found = self.platform.memory().get("ledger", budget).await;
+        let object = found.expect("memory always answers");
+        object.and_then(|object| serde_json::from_str(&object.value).ok()).unwrap_or_default()
+    }
+
+    /// Waits until no journal holds anything unfolded, or until `most` has passed.
+    pub async fn settle(&self, most: Duration) -> bool {
+        let end = tokio::time::Instant::now() + most;
+        while tokio::time::Instant::now() < end {
+            if self.is_settled().await {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    async fn is_settled(&self) -> bool {
+        let journals = self.platform.memory().list("journal", "").await.expect("memory answers");
+        for object in journals {
+            let Ok(journal) = serde_json::from_str::<ledger::Journal>(&object.value) else {
+                return false;
+            };
+            for budget in journal.records.iter().map(|record| &record.budget) {
+                let ledger = self.ledger(budget).await;
+                let folded =
+                    ledger.grants.get(&journal.incarnation).map_or(0, |grant| grant.folded);
+                let open = journal.open_records().next().is_some();
+                if open || !journal.outcomes_after(budget, folded).is_empty() {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Compares truth, what callers were told, and what was billed.
+    pub async fn audit(&self) -> Figures {
+        Audit::of(self).await.figures()
+    }
+
+    /// Everything that all routers logged, merged.
+    pub fn events(&self) -> Vec<timeline::Event> {
+        let all = self.nodes.iter().flat_map(Node::events);
+        timeline::merge(all, &timeline::Filter::default())
+    }
+
+    /// Handles to the platform as an operator has it.
+    pub fn store(&self) -> Arc<dyn Store> {
+        Arc::new(self.platform.memory().clone())
+    }
+}
--- /dev/null
+++ b/crates/trial/src/node.rs
@@ -0,0 +1,201 @@
+//! One router on a thread of its own.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    thread::JoinHandle,
+};
+
+use ledger::Incarnation;
+use router::{Router, Settings};
+use timeline::{Event, Log};
+use tokio::sync::oneshot;
+
+enum Command {
+    Stop(oneshot::Sender<()>),
+    Kill,
+    Pause(mpsc::Receiver<()>),
+    Incarnation(oneshot::Sender<Incarnation>),
+    Watched(u64, oneshot::Sender<()>),
+}
+
+/// A router that can be stopped, killed or frozen.
+pub struct Node {
+    name: Arc<str>,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    log: Log,
+    calls: platform::Calls,
+    commands: tokio::sync::mpsc::UnboundedSender<Command>,
+    thread: Option<JoinHandle<()>>,
+    resume: Option<mpsc::Sender<()>>,
+}
+
+struct Up {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    log: Log,
+    calls: platform::Calls,
+}
+
+impl Node {
+    /// Starts a router on a fresh thread.
+    pub async fn spawn(settings: Settings, seed: u64) -> Node {
+        let name = settings.box_name.clone();
+        let (commands, receiver) = tokio::sync::mpsc::unbounded_channel();
+        let (ready, up) = oneshot::channel();
+        let thread = std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || run(settings, seed, ready, receiver))
+            .expect("a thread can be started");
+        let up = up.await.expect("the router starts on loopback");
+        Node {
+            name,
+            callers: up.callers,
+            operators: up.operators,
+            log: up.log,
+            calls: up.calls,
+            commands,
+            thread: Some(thread),
+            resume: None,
+        }
+    }
+
+    /// Name of the box.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where metrics and health are read.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Its newest events.
+    pub fn events(&self) -> Vec<Event> {
+        self.log.events()
+    }
+
+    /// The counters of its platform calls.
+    pub fn calls(&self) -> &platform::Calls {
+        &self.calls
+    }
+
+    /// Its current incarnation.
+    pub async fn incarnation(&self) -> Option<Incarnation> {
+        let (sender, receiver) = oneshot::channel();
+        self.commands.send(Command::Incarnation(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Waits until configuration up to a platform version is in force.
+    pub async fn wait_watched(&self, version: u64) {
+        let (sender, receiver) = oneshot::channel();
+        if self.commands.send(Command::Watched(version, sender)).is_ok() {
+            let _ = receiver.await;
+        }
+    }
+
+    /// The planned stop, to its end.
+    pub async fn stop(&mut self) {
+        let (sender, receiver) = oneshot::channel();
+        if self.commands.send(Command::Stop(sender)).is_ok() {
+            let _ = receiver.await;
+        }
+        self.join();
+    }
+
+    /// Ends it at once, as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.commands.send(Command::Kill);
+        self.join();
+    }
+
+    /// Freezes its thread: no timer, no task, no byte moves.
+    pub fn pause(&mut self) {
+        let (resume, paused) = mpsc::channel();
+        let _ = self.commands.send(Command::Pause(paused));
+        self.resume = Some(resume);
+    }
+
+    /// Lets a frozen node go on.
+    pub fn resume(&mut self) {
+        self.resume = None;
+    }
+
+    /// Whether it was stopped or killed.
+    pub fn is_down(&self) -> bool {
+        self.thread.is_none()
+    }
+
+    fn join(&mut self) {
+        self.resume = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn run(
+    settings: Settings,
+    seed: u64,
+    ready: oneshot::Sender<Up>,
+    commands: tokio::sync::mpsc::UnboundedReceiver<Command>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    runtime.block_on(serve(settings, seed, ready, commands));
+    // Whatever is still running ends here, wherever it stands.
+    runtime.shutdown_background();
+}
+
+async fn serve(
+    settings: Settings,
+    seed: u64,
+    ready: oneshot::Sender<Up>,
+    mut commands: tokio::sync::mpsc::UnboundedReceiver<Command>,
+) {
+    let router = match Router::spawn(settings, seed).await {
+        Ok(router) => router,
+        Err(error) => {
+            eprintln!("{error}");
+            return;
+        }
+    };
+    let _ = ready.send(Up {
+        callers: router.callers(),
+        operators: router.operators(),
+        log: router.log(),
+        calls: router.calls(),
+    });
+    while let Some(command) = commands.recv().await {
+        match command {
+            Command::Stop(done) => {
+                router.stop().await;
+                let _ = done.send(());
+                return;
+            }
+            Command::Kill => return,
+            // Blocking here is the point: this thread is the whole box.
+            Command::Pause(paused) => drop(paused.recv()),
+            Command::Incarnation(answer) => drop(answer.send(router.incarnation())),
+            Command::Watched(version, done) => {
+                router.wait_watched(version).await;
+                let _ = done.send(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/tests/path.rs
@@ -0,0 +1,78 @@
+//! The whole path: from a declared budget to a billed answer.
+
+use std::time::Duration;
+
+use trial::{Ask, Fleet, Outcome, Plan};
+
+/// Longest wait for the books to settle.
+const SETTLE: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn answers_are_whole_and_billed_once() {
+    let fleet = Fleet::spawn(Plan::default()).await;
+    let streamed = fleet.caller.ask(fleet.to(0), &Ask::chat("dis", "bornova", "a")).await;
+    assert_eq!((streamed.outcome, streamed.tokens), (Outcome::Answered, 8), "{streamed:?}");
+    let plain = Ask { stream: false, ..Ask::chat("dis", "bornova", "b") };
+    let plain = fleet.caller.ask(fleet.to(1), &plain).await;
+    assert_eq!((plain.outcome, plain.tokens), (Outcome::Answered, 8), "{plain:?}");
+    let service = Ask::service("dis", "bornova", "lookup", "c");
+    let service = fleet.caller.ask(fleet.to(2), &service).await;
+    assert_eq!(service.outcome, Outcome::Answered, "{service:?}");
+    assert!(fleet.settle(SETTLE).await);
+    let figures = fleet.audit().await;
+    assert!(figures.is_sound(), "{figures:?}");
+    assert_eq!((figures.answered, figures.served_tokens), (3, figures.billed_tokens));
+}
+
+#[tokio::test]
+async fn an_unrepeatable_call_runs_once_whichever_box_gets_the_retry() {
+    let fleet = Fleet::spawn(Plan::default()).await;
+    let ask = Ask::service("dis", "bornova", "cancel", "chair-7");
+    let first = fleet.caller.ask(fleet.to(0), &ask).await;
+    assert_eq!(first.outcome, Outcome::Answered);
+    let same_box = fleet.caller.ask(fleet.to(0), &ask).await;
+    assert_eq!((same_box.outcome, &same_box.body), (Outcome::Answered, &first.body));
+    // The claim gets its answer a moment after the caller did; until then a retry is "unknown".
+    let retried = loop {
+        let other_box = fleet.caller.ask(fleet.to(1), &ask).await;
+        if other_box.outcome != Outcome::Unknown {
+            break other_box;
+        }
+    };
+    assert_eq!((retried.outcome, &retried.body), (Outcome::Answered, &first.body));
+    assert_eq!(fleet.services[0].executions().len(), 1);
+}
+
+#[tokio::test]
+async fn a_request_past_its_budget_is_refused_and_did_not_run() {
+    let customers = vec![("dis".into(), vec![("bornova".into(), 60)])];
+    let fleet = Fleet::spawn(Plan { customers, ..Plan::default() }).await;
+    let ask = Ask { output: 30, max_tokens: 30, ..Ask::chat("dis", "bornova", "a") };
+    let first = fleet.caller.ask(fleet.to(0), &ask).await;
+    assert_eq!(first.outcome, Outcome::Answered, "{first:?}");
+    let second = fleet.caller.ask(fleet.to(1), &Ask { key: "b".into(), ..ask }).await;
+    assert_eq!((second.outcome, second.reason.as_str()), (Outcome::NotRun, "budget_exhausted"));
+    assert_eq!(second.status, 402);
+    assert!(fleet.settle(SETTLE).await);
+    let figures = fleet.audit().await;
+    assert!(figures.is_sound(), "{figures:?}");
+    assert_eq!(fleet.engines.iter().map(|e| e.truth().runs.len()).sum::<usize>(), 1);
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_off_nothing_and_returns_everything() {
+    let mut fleet = Fleet::spawn(Plan::default()).await;
+    let long = Ask { output: 120, max_tokens: 150, ..Ask::chat("dis", "bornova", "long") };
+    let (to, caller) = (fleet.to(0), fleet.caller.clone());
+    let answer = tokio::spawn(async move { caller.ask(to, &long).await });
+    while fleet.engines.iter().all(|engine| engine.truth().runs.is_empty()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.nodes[0].stop().await;
+    let got = answer.await.unwrap();
+    assert_eq!((got.outcome, got.tokens), (Outcome::Answered, 120), "{got:?}");
+    let ledger = fleet.ledger("bornova").await;
+    let of_box = ledger.grants.keys().filter(|holder| holder.box_name() == "box-0").count();
+    assert_eq!(of_box, 0, "{ledger:?}");
+    assert_eq!(ledger.statement.count, 1);
+}
