Money under failure: sessions, carriers and the checks that can fail

Cause: the money decisions had only path tests. Random interleavings of crashes, freezes, cuts, lost and late answers, seals, top-ups and reductions against the real sessions found three faults: a sealed session that only a background loop would renew never folded its last outcome; a request could reserve from a former session while its grant was being returned; offline work of a box that died was billed to nobody. Winding up moved to the session library, one step a function.

--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -118,11 +118,10 @@
         Ok(true)
     }
 
-    /// Adds offline work that ended, which no intent announced. Adding it again changes nothing.
+    /// Adds offline work that no intent announced, with its outcome if there is one. Adding it
+    /// again changes nothing.
     pub fn hand_in(&mut self, record: Record, evidence: Evidence) -> Result<bool, Refusal> {
-        let (n, Some(outcome)) = (record.n, record.outcome.clone()) else {
-            return Err(Refusal::Missing { n: record.n });
-        };
+        let (n, outcome) = (record.n, record.outcome.clone());
         let known = self.record(n).is_some();
         match (known, record.part) {
             (false, _) if self.dropped.contains(n) => return Ok(false),
@@ -130,7 +129,10 @@
             (false, Part::Online) => return Err(Refusal::Missing { n }),
             (true, _) => {}
         }
-        self.finish(n, outcome.charged, outcome.ended, evidence)
+        match outcome {
+            Some(outcome) => self.finish(n, outcome.charged, outcome.ended, evidence),
+            None => Ok(!known),
+        }
     }
 
     /// Ends the journal for its incarnation. The first sealer stands.
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -5,7 +5,7 @@
 use balance::Failure as EndpointFailure;
 use claim::Claim;
 use ledger::{Part, Record};
-use session::{Denial, Failure, Hold, HoldError};
+use session::{Denied, Hold};
 use timeline::What;
 
 use crate::{
@@ -19,8 +19,6 @@
     shared::Shared,
 };
 
-/// Sessions tried when the box finds its journal sealed.
-const SESSIONS: u32 = 3;
 /// When to come back after a refusal that a moment may cure.
 pub const SOON: Duration = Duration::from_secs(1);
 
@@ -151,52 +149,27 @@
         endpoint: target.name.clone(),
         outcome: None,
     };
-    for _ in 0..SESSIONS {
-        let session = shared.session();
-        if !shared.health.is_up() {
-            return offline(shared, call, record);
-        }
-        match session.hold_online(record.clone(), patience(shared, call)).await {
-            Ok(hold) => {
-                note_held(shared, call, &hold);
-                return Ok(hold);
-            }
-            Err(HoldError::Denied(Denial::Exhausted)) => return Err(exhausted()),
-            Err(HoldError::Denied(Denial::Missing)) => {
-                return Err(Reason::BudgetExhausted.with("the budget of this key does not exist"));
-            }
-            Err(HoldError::Denied(Denial::Sealed) | HoldError::Failed(Failure::Sealed)) => {
-                shared.renew(session.incarnation());
-            }
-            Err(HoldError::Denied(Denial::Unreachable) | HoldError::Failed(Failure::InDoubt)) => {
-                return offline(shared, call, record);
-            }
-        }
-    }
-    Err(Reason::Replaced.after("this box was taken for gone and is starting anew", SOON))
-}
-
-fn exhausted() -> Refusal {
-    Reason::BudgetExhausted.with("the budget has not enough tokens left for the worst case")
-}
-
-/// Pays from the offline part: the platform is out of reach, or too slow for this caller.
-fn offline(shared: &Shared, call: &Call, record: Record) -> Result<Hold, Refusal> {
-    let hold = shared.session().hold_offline(record).ok_or_else(|| {
-        let message = "the platform is out of reach and this box's offline part is used up";
-        Reason::OfflineExhausted.after(message, SOON)
-    })?;
-    shared.metrics.offline.inc();
+    let hold = shared.sessions.hold(record, patience(shared, call)).await.map_err(refused)?;
     note_held(shared, call, &hold);
     Ok(hold)
 }
 
+fn refused(denied: Denied) -> Refusal {
+    let message = denied.to_string();
+    match denied {
+        Denied::Exhausted | Denied::Missing => Reason::BudgetExhausted.with(message),
+        Denied::OfflineExhausted => Reason::OfflineExhausted.after(message, SOON),
+        Denied::Replaced => Reason::Replaced.after(message, SOON),
+    }
+}
+
 fn note_held(shared: &Shared, call: &Call, hold: &Hold) {
     let (tokens, offline) = (hold.record().reserved, hold.is_offline());
     let budget = &call.caller.budget;
     shared.log.request(&call.key, budget, What::Reserved { tokens, offline });
-    if !offline {
-        shared.log.request(&call.key, budget, What::Recorded);
+    match offline {
+        true => drop(shared.metrics.offline.inc()),
+        false => shared.log.request(&call.key, budget, What::Recorded),
     }
 }
 
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -97,14 +97,11 @@
     loop {
         tokio::time::sleep(every / 2 + shared.jitter(every)).await;
         shared.health.wait_up().await;
-        let session = shared.session();
+        let session = shared.sessions.current();
         session.funds.set_boxes(shared.boxes());
         get_ready(&shared, &session);
-        for budget in session.funds.budgets() {
-            let _ = session.funds.keep(&budget).await;
-        }
-        for former in shared.former() {
-            owe_nothing(&shared, &former).await;
+        for incarnation in shared.sessions.keep().await {
+            remove(&shared, &incarnation).await;
         }
     }
 }
@@ -118,17 +115,6 @@
     }
 }
 
-/// Hands in and returns what a sealed session still owes, once nothing of it is under way.
-async fn owe_nothing(shared: &Shared, former: &Session) {
-    if !former.funds.is_idle() {
-        return;
-    }
-    if former.surrender().await.is_ok() {
-        remove(shared, former.incarnation()).await;
-        shared.forget(former.incarnation());
-    }
-}
-
 /// Removes the journal and the member object of an incarnation that owes and holds nothing.
 pub async fn remove(shared: &Shared, incarnation: &Incarnation) {
     for kind in ["journal", "member"] {
@@ -141,20 +127,17 @@
 /// Opens another session whenever the current one finds its journal sealed.
 pub async fn renew(shared: Arc<Shared>) {
     loop {
-        let session = shared.session();
+        let session = shared.sessions.current();
         session.recorder.wait_sealed().await;
-        shared.renew(session.incarnation());
+        if shared.sessions.renew(session.incarnation()) {
+            shared.metrics.renewed.inc();
+        }
     }
 }
 
 /// Ends everything at a planned stop: folds, returns all tokens, closes and removes the journal.
 pub async fn leave(shared: &Shared) {
-    let session = shared.session();
-    session.recorder.flush().await;
-    if session.recorder.close().await && session.surrender().await.is_ok() {
-        remove(shared, session.incarnation()).await;
-    }
-    for former in shared.former() {
-        owe_nothing(shared, &former).await;
+    for incarnation in shared.sessions.leave().await {
+        remove(shared, &incarnation).await;
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -127,7 +127,7 @@
         let _ = callers.await;
         shared.tasks.close();
         let _ = tokio::time::timeout(limit, async {
-            while shared.requests.under_way() > 0 || !shared.session().funds.is_idle() {
+            while shared.requests.under_way() > 0 || !shared.sessions.is_idle() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         })
--- a/crates/router/src/sealer.rs
+++ b/crates/router/src/sealer.rs
@@ -1,13 +1,12 @@
 //! Sealing the journals of incarnations that seem dead, and resolving what they left open.
 //!
-//! Any box may do this at any time and more than one may do it at once: every step is a
-//! conditional update that changes nothing when it is repeated. The home of an incarnation goes
-//! first and the next boxes follow later, which saves conflicts and nothing else.
+//! The steps are in the `session` library; this decides when and by whom. The home of an
+//! incarnation goes first and the next boxes follow later, which saves conflicts, nothing else.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use ledger::{Closing, Ended, Evidence, Incarnation, Journal, Ledger, Record};
-use platform::{Expect, Write};
+use ledger::{Closing, Ended, Evidence, Incarnation, Journal};
+use session::windup::{self, Finding, Sealed};
 use timeline::What;
 
 use crate::{keeper::remove, relay, shared::Shared};
@@ -16,8 +15,6 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Most time between looks at an incarnation that still holds something.
 const LOOK_MOST: u64 = 10_000;
-/// Conflicts after which a step is left for the next look.
-const TRIES: u32 = 6;
 
 /// What is known of an incarnation that is being wound up.
 struct Case {
@@ -56,7 +53,7 @@
     let (now, after) = (shared.now(), shared.settings.money.seal_after_ms);
     let me = shared.me();
     let former: Vec<Incarnation> =
-        shared.former().iter().map(|session| session.incarnation().clone()).collect();
+        shared.sessions.former().iter().map(|session| session.incarnation().clone()).collect();
     let members = shared.members.lock();
     let silent = members.silent(&me, now, after);
     let mine = |name: &Incarnation| former.contains(name);
@@ -68,115 +65,58 @@
 }
 
 async fn wind_up_one(shared: &Arc<Shared>, name: &Incarnation, case: &mut Case) {
-    let Some(journal) = sealed(shared, name).await else { return };
+    let store = &*shared.store;
+    let journal = match windup::seal(store, name, &shared.me()).await {
+        Sealed::Now(journal) => {
+            shared.metrics.sealed.inc();
+            shared.log.add(What::Sealed { incarnation: name.as_str().into() });
+            journal
+        }
+        Sealed::Before(journal) => journal,
+        // It never recorded anything, or was wound up: only its member object is left.
+        Sealed::Missing => return remove(shared, name).await,
+        Sealed::Unknown => return,
+    };
     let waited = Duration::from_millis(shared.now().saturating_sub(case.sealed_at));
     let ruled = waited >= Duration::from_millis(shared.settings.money.resolve_after_ms);
-    let Some(journal) = resolve(shared, journal, ruled).await else { return };
-    let mut budgets: Vec<Arc<str>> = journal.drawn.iter().cloned().collect();
-    budgets.extend(journal.records.iter().map(|record| record.budget.clone()));
-    budgets.sort();
-    budgets.dedup();
+    let findings = findings(shared, &journal, ruled).await;
+    let Some((journal, _)) = windup::resolve(store, journal, &findings).await else { return };
+    note_resolved(shared, name, &findings);
+    let destroyed = shared.config.borrow().is_destroyed(name.as_str());
+    let closing = if destroyed { Closing::Destroyed } else { Closing::Sealed };
     let mut done = journal.open_records().next().is_none();
-    for budget in budgets {
-        done &= close_grant(shared, &budget, &journal).await;
+    for budget in windup::budgets(&journal) {
+        done &= windup::close_grant(store, &budget, &journal, closing).await;
     }
-    if done {
+    // A write of the dead that was on its way may still land: look again before forgetting it.
+    if done && ruled {
         remove(shared, name).await;
     }
 }
 
-/// The journal of `name` after it was sealed by whoever was first.
-async fn sealed(shared: &Shared, name: &Incarnation) -> Option<Journal> {
-    for _ in 0..TRIES {
-        let Some(object) = shared.store.get("journal", name.as_str()).await.ok()? else {
-            // It never recorded anything, or was wound up: only its member object is left.
-            remove(shared, name).await;
-            return None;
-        };
-        let mut journal: Journal = serde_json::from_str(&object.value).ok()?;
-        if !journal.seal(&shared.me()) {
-            return Some(journal);
-        }
-        let expect = Expect::Version(object.version);
-        let write = shared.store.put("journal", name.as_str(), journal.to_json(), expect).await;
-        if let Write::Landed(_) = write {
-            shared.metrics.sealed.inc();
-            shared.log.add(What::Sealed { incarnation: name.as_str().into() });
-            return Some(journal);
-        }
-    }
-    None
-}
-
-/// Gives open records an outcome where an endpoint reports one, or where the rule is due.
-async fn resolve(shared: &Shared, journal: Journal, ruled: bool) -> Option<Journal> {
-    let open: Vec<Record> = journal.open_records().cloned().collect();
-    let mut known = Vec::new();
-    for record in open {
+/// Outcomes of open records that an endpoint reports, or that the declared rule gives.
+///
+/// An endpoint that never saw a run proves nothing: its sender may still wake up.
+async fn findings(shared: &Shared, journal: &Journal, ruled: bool) -> Vec<Finding> {
+    let mut found = Vec::new();
+    for record in journal.open_records() {
         let dispatch = format!("{}-{}", journal.incarnation, record.n);
-        match relay::ended_run(shared, &record.endpoint, &dispatch).await {
-            Some(tokens) => {
-                let charged = tokens.min(record.reserved);
-                known.push((record.n, charged, Ended::Broken, Evidence::Reported));
-            }
+        let reported = relay::ended_run(shared, &record.endpoint, &dispatch).await;
+        let (charged, ended, evidence) = match reported {
+            Some(tokens) => (tokens.min(record.reserved), Ended::Broken, Evidence::Reported),
             None if ruled => {
-                let ended = relay::ruled(shared, &record.budget);
-                known.push((record.n, record.reserved, ended, Evidence::Ruled));
+                (record.reserved, relay::ruled(shared, &record.budget), Evidence::Ruled)
             }
-            None => {}
-        }
-    }
-    if known.is_empty() {
-        return Some(journal);
-    }
-    let name = journal.incarnation.clone();
-    for _ in 0..TRIES {
-        let object = shared.store.get("journal", name.as_str()).await.ok()??;
-        let mut journal: Journal = serde_json::from_str(&object.value).ok()?;
-        for (n, charged, ended, evidence) in &known {
-            let fresh = journal.finish(*n, *charged, *ended, *evidence);
-            if fresh == Ok(true) {
-                let incarnation = name.as_str().into();
-                shared.log.add(What::Resolved { incarnation, tokens: *charged });
-            }
-        }
-        let expect = Expect::Version(object.version);
-        let write = shared.store.put("journal", name.as_str(), journal.to_json(), expect).await;
-        if let Write::Landed(_) = write {
-            return Some(journal);
-        }
+            None => continue,
+        };
+        found.push(Finding { n: record.n, charged, ended, evidence });
     }
-    None
+    found
 }
 
-/// Folds a sealed journal into one ledger and frees what its holder can no longer use.
-///
-/// True once the ledger holds nothing for that incarnation.
-async fn close_grant(shared: &Shared, budget: &Arc<str>, journal: &Journal) -> bool {
-    let holder = &journal.incarnation;
-    let destroyed = shared.config.borrow().is_destroyed(holder.as_str());
-    let closing = if destroyed { Closing::Destroyed } else { Closing::Sealed };
-    for _ in 0..TRIES {
-        let Ok(found) = shared.store.get("ledger", budget).await else { return false };
-        let Some(object) = found else { return true };
-        let Ok(ledger) = serde_json::from_str::<Ledger>(&object.value) else { return false };
-        if !ledger.grants.contains_key(holder) {
-            return true;
-        }
-        let mut next = ledger.clone();
-        if let Err(error) = next.fold(budget, journal) {
-            tracing::error!(%budget, %holder, %error, "an outcome does not fit its grant");
-            return false;
-        }
-        next.close(budget, journal, closing);
-        let empty = next.forget(holder);
-        if next == ledger {
-            return empty;
-        }
-        let expect = Expect::Version(object.version);
-        if let Write::Landed(_) = shared.store.put("ledger", budget, next.to_json(), expect).await {
-            return empty;
-        }
+fn note_resolved(shared: &Shared, name: &Incarnation, findings: &[Finding]) {
+    for finding in findings {
+        let incarnation = name.as_str().into();
+        shared.log.add(What::Resolved { incarnation, tokens: finding.charged });
     }
-    false
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -5,12 +5,12 @@
 use config::Snapshot;
 use ledger::Incarnation;
 use member::Members;
-use parking_lot::{Mutex, RwLock};
+use parking_lot::Mutex;
 use platform::{Calls, Store};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use session::{Health, Options, Session};
-use timeline::{Log, What};
+use session::{Health, Options, Sessions, Setup};
+use timeline::Log;
 use tokio::{sync::watch, time::Instant};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -26,6 +26,7 @@
     pub watched: watch::Sender<u64>,
     pub endpoints: Endpoints,
     pub requests: Arc<Requests>,
+    pub sessions: Sessions,
     pub members: Mutex<Members>,
     pub log: Log,
     pub metrics: Metrics,
@@ -33,8 +34,6 @@
     pub stopping: watch::Sender<bool>,
     pub ended: CancellationToken,
     pub tasks: TaskTracker,
-    session: RwLock<Session>,
-    former: Mutex<Vec<Session>>,
     random: Mutex<ChaCha8Rng>,
     started: Instant,
 }
@@ -43,12 +42,23 @@
     /// Opens everything; nothing runs yet.
     pub fn open(settings: Settings, store: Arc<dyn Store>, calls: Calls, seed: u64) -> Arc<Shared> {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let incarnation = Incarnation::new(&settings.box_name, random.random());
-        let log = Log::open(incarnation.as_str());
+        let log = Log::open(&*settings.box_name);
         let health = Health::open(log.clone());
         let (config, _) = watch::channel(Arc::new(Snapshot::default()));
-        let session =
-            open_session(incarnation, &settings, &store, &health, config.subscribe(), 1, &log);
+        let setup = Setup {
+            box_name: settings.box_name.clone(),
+            store: store.clone(),
+            health: health.clone(),
+            config: config.subscribe(),
+            options: Options {
+                online_horizon: settings.money.online_horizon_s,
+                offline_horizon: settings.money.offline_horizon_s,
+                boxes: 1,
+            },
+            spacing: Duration::from_millis(settings.money.spacing_ms),
+            log: log.clone(),
+            carriers: None,
+        };
         let limits = &settings.limits;
         let requests = Requests::new(limits.replay_bytes, Duration::from_millis(limits.replay_ms));
         let http = reqwest::Client::builder()
@@ -67,8 +77,7 @@
             watched: watch::channel(0).0,
             ended: CancellationToken::new(),
             tasks: TaskTracker::new(),
-            session: RwLock::new(session),
-            former: Mutex::default(),
+            sessions: Sessions::open(setup, random.random()),
             random: Mutex::new(random),
             started: Instant::now(),
             settings,
@@ -86,47 +95,9 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// The session that new requests use.
-    pub fn session(&self) -> Session {
-        self.session.read().clone()
-    }
-
-    /// The incarnation of the current session.
+    /// The current incarnation.
     pub fn me(&self) -> Incarnation {
-        self.session.read().incarnation().clone()
-    }
-
-    /// Sessions whose journals were sealed and that still owe something.
-    pub fn former(&self) -> Vec<Session> {
-        self.former.lock().clone()
-    }
-
-    /// A former session owes nothing any more.
-    pub fn forget(&self, incarnation: &Incarnation) {
-        self.former.lock().retain(|session| session.incarnation() != incarnation);
-    }
-
-    /// Goes on as a new incarnation if `sealed` is still the current session.
-    pub fn renew(&self, sealed: &Incarnation) {
-        let mut current = self.session.write();
-        if current.incarnation() != sealed {
-            return;
-        }
-        let fresh = Incarnation::new(&self.settings.box_name, self.random.lock().random());
-        let session = open_session(
-            fresh.clone(),
-            &self.settings,
-            &self.store,
-            &self.health,
-            self.config.subscribe(),
-            self.boxes(),
-            &self.log,
-        );
-        let old = std::mem::replace(&mut *current, session);
-        self.former.lock().push(old);
-        self.metrics.renewed.inc();
-        self.log.rename(fresh.as_str());
-        self.log.add(What::Renewed { incarnation: fresh.as_str().into() });
+        self.sessions.me()
     }
 
     /// Boxes that live, as this one sees it.
@@ -150,21 +121,3 @@
         self.random.lock().random()
     }
 }
-
-fn open_session(
-    incarnation: Incarnation,
-    settings: &Settings,
-    store: &Arc<dyn Store>,
-    health: &Health,
-    config: watch::Receiver<Arc<Snapshot>>,
-    boxes: u64,
-    log: &Log,
-) -> Session {
-    let options = Options {
-        online_horizon: settings.money.online_horizon_s,
-        offline_horizon: settings.money.offline_horizon_s,
-        boxes,
-    };
-    let spacing = Duration::from_millis(settings.money.spacing_ms);
-    Session::open(incarnation, store.clone(), health.clone(), config, options, spacing, log.clone())
-}
--- a/crates/session/src/funds.rs
+++ b/crates/session/src/funds.rs
@@ -118,6 +118,15 @@
         self.entry(budget).usage.lock().expect(largest);
     }
 
+    /// Takes all free tokens out of the accounts: nothing more is reserved from them.
+    pub fn drain(&self) {
+        for entry in self.entries.lock().values() {
+            let mut account = entry.account.lock();
+            account.take(Part::Online, u64::MAX);
+            account.take(Part::Offline, u64::MAX);
+        }
+    }
+
     /// Reserves tokens of the offline part.
     pub fn reserve_offline(&self, budget: &Arc<str>, tokens: u64) -> Option<Reservation> {
         self.entry(budget).reserve(Part::Offline, tokens).ok()
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -6,14 +6,19 @@
 //! another session and goes on, and the old one only hands in what it still owes.
 
 mod account;
+mod carry;
 mod draw;
 mod funds;
 mod health;
 mod recorder;
 mod session;
+mod sessions;
 mod usage;
+pub mod windup;
 
+pub use carry::{Carried, Carriers};
 pub use funds::{Denial, Funds, Options};
 pub use health::Health;
 pub use recorder::{Failure, Recorder, Work};
 pub use session::{Hold, HoldError, Session};
+pub use sessions::{Denied, Sessions, Setup};
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -2,36 +2,30 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::Snapshot;
 use ledger::{Ended, Evidence, Incarnation, Part, Record, Reservation};
-use platform::Store;
-use tokio::sync::watch;
 
-use crate::{Denial, Failure, Funds, Health, Options, Recorder, Work, account::Entry};
+use crate::{Carriers, Denial, Failure, Funds, Recorder, Setup, Work, account::Entry};
 
-/// What a session needs to open.
+/// Longest wait for carriers before offline work is dispatched.
+const CARRY: Duration = Duration::from_millis(50);
+
+/// Handle on one session.
 #[derive(Clone)]
 pub struct Session {
     /// Its journal.
     pub recorder: Recorder,
     /// What it holds of each budget.
     pub funds: Arc<Funds>,
+    carriers: Option<Arc<dyn Carriers>>,
 }
 
 impl Session {
     /// Opens a session for a new incarnation.
-    pub fn open(
-        incarnation: Incarnation,
-        store: Arc<dyn Store>,
-        health: Health,
-        config: watch::Receiver<Arc<Snapshot>>,
-        options: Options,
-        spacing: Duration,
-        log: timeline::Log,
-    ) -> Session {
+    pub fn open(incarnation: Incarnation, setup: &Setup) -> Session {
+        let Setup { store, health, config, options, spacing, log, carriers, .. } = setup.clone();
         let recorder = Recorder::spawn(incarnation, store.clone(), health.clone(), spacing);
         let funds = Funds::new(recorder.clone(), store, health, config, options, log);
-        Session { recorder, funds: Arc::new(funds) }
+        Session { recorder, funds: Arc::new(funds), carriers }
     }
 
     /// Whose session this is.
@@ -65,6 +59,13 @@
         Some(Hold::new(self.clone(), self.funds.entry(&budget), reservation, record))
     }
 
+    fn carry_later(&self, record: Record) {
+        if let Some(carriers) = self.carriers.clone() {
+            let by = self.incarnation().clone();
+            tokio::spawn(async move { carriers.carry(&by, &record).await });
+        }
+    }
+
     /// Ends a sealed session by its own word, once none of its requests is under way.
     pub async fn surrender(&self) -> Result<(), Denial> {
         self.recorder.flush().await;
@@ -134,6 +135,15 @@
         self.record.part == Part::Offline
     }
 
+    /// Gives the record of offline work to carriers in reach, before it is dispatched. With none
+    /// in reach the box alone remembers it.
+    pub(crate) async fn carry(&self) {
+        if let Some(carriers) = &self.session.carriers {
+            let carrying = carriers.carry(self.session.incarnation(), &self.record);
+            let _ = tokio::time::timeout(CARRY, carrying).await;
+        }
+    }
+
     /// Whether the journal is known to be sealed: then nothing more is dispatched from it.
     pub fn is_sealed(&self) -> bool {
         !self.is_offline() && self.session.recorder.is_sealed()
@@ -150,11 +160,11 @@
         let recorder = &self.session.recorder;
         match self.record.part {
             Part::Online => recorder.finish(self.record.n, charged, ended),
-            Part::Offline if ended == Ended::NotRun => {}
             Part::Offline => {
                 let outcome =
                     ledger::Outcome { position: 0, charged, ended, evidence: Evidence::Recorded };
                 let record = Record { outcome: Some(outcome), ..self.record.clone() };
+                self.session.carry_later(record.clone());
                 recorder.add(Work::HandIn(record, Evidence::Recorded));
             }
         }
--- /dev/null
+++ b/crates/session/src/sessions.rs
@@ -0,0 +1,186 @@
+//! All sessions of one box: the current one, and former ones that still owe something.
+
+use std::{sync::Arc, time::Duration};
+
+use config::Snapshot;
+use ledger::{Incarnation, Record};
+use parking_lot::{Mutex, RwLock};
+use platform::Store;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use snafu::Snafu;
+use timeline::{Log, What};
+use tokio::sync::watch;
+
+use crate::{Carriers, Denial, Failure, Health, Hold, HoldError, Options, Session};
+
+/// Sessions tried for one request when the box finds its journal sealed.
+const TRIES: u32 = 3;
+
+/// What all sessions of a box have in common.
+#[derive(Clone)]
+pub struct Setup {
+    /// Name of the box.
+    pub box_name: Arc<str>,
+    /// The platform.
+    pub store: Arc<dyn Store>,
+    /// Whether the platform answers.
+    pub health: Health,
+    /// Configuration in force.
+    pub config: watch::Receiver<Arc<Snapshot>>,
+    /// How parts are sized.
+    pub options: Options,
+    /// Least time between two journal writes.
+    pub spacing: Duration,
+    /// The time line.
+    pub log: Log,
+    /// Who carries records while the platform is out of reach.
+    pub carriers: Option<Arc<dyn Carriers>>,
+}
+
+/// Why a request gets no tokens. It did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Denied {
+    /// The budget has not enough left.
+    #[snafu(display("the budget has not enough tokens left for the worst case"))]
+    Exhausted,
+    /// No such budget is accepted.
+    #[snafu(display("the budget of this key does not exist"))]
+    Missing,
+    /// The platform is out of reach and the offline part is used up.
+    #[snafu(display("the platform is out of reach and this box's offline part is used up"))]
+    OfflineExhausted,
+    /// The box was taken for gone again and again.
+    #[snafu(display("this box was taken for gone and is starting anew"))]
+    Replaced,
+}
+
+/// The sessions of one box.
+pub struct Sessions {
+    setup: Setup,
+    current: RwLock<Session>,
+    former: Mutex<Vec<Session>>,
+    random: Mutex<ChaCha8Rng>,
+}
+
+impl Sessions {
+    /// Opens the first session; `seed` must be fresh, since it names the incarnations.
+    pub fn open(setup: Setup, seed: u64) -> Sessions {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let incarnation = Incarnation::new(&setup.box_name, random.random());
+        setup.log.rename(incarnation.as_str());
+        let current = RwLock::new(Session::open(incarnation, &setup));
+        Sessions { setup, current, former: Mutex::default(), random: Mutex::new(random) }
+    }
+
+    /// The session that new requests use.
+    pub fn current(&self) -> Session {
+        self.current.read().clone()
+    }
+
+    /// The incarnation of the current session.
+    pub fn me(&self) -> Incarnation {
+        self.current.read().incarnation().clone()
+    }
+
+    /// Sessions whose journals were sealed and that still owe something.
+    pub fn former(&self) -> Vec<Session> {
+        self.former.lock().clone()
+    }
+
+    /// Goes on as a new incarnation if `sealed` is still the current one.
+    pub fn renew(&self, sealed: &Incarnation) -> bool {
+        let mut current = self.current.write();
+        if current.incarnation() != sealed {
+            return false;
+        }
+        let fresh = Incarnation::new(&self.setup.box_name, self.random.lock().random());
+        let old = std::mem::replace(&mut *current, Session::open(fresh.clone(), &self.setup));
+        self.former.lock().push(old);
+        self.setup.log.rename(fresh.as_str());
+        self.setup.log.add(What::Renewed { incarnation: fresh.as_str().into() });
+        true
+    }
+
+    /// Holds the worst case of a request: online if the platform answers within `patience`,
+    /// otherwise from the offline part.
+    pub async fn hold(&self, record: Record, patience: Duration) -> Result<Hold, Denied> {
+        for _ in 0..TRIES {
+            let session = self.current();
+            if !self.setup.health.is_up() {
+                return self.hold_offline(record).await;
+            }
+            match session.hold_online(record.clone(), patience).await {
+                Ok(hold) => return Ok(hold),
+                Err(HoldError::Denied(Denial::Exhausted)) => return Err(Denied::Exhausted),
+                Err(HoldError::Denied(Denial::Missing)) => return Err(Denied::Missing),
+                Err(HoldError::Denied(Denial::Sealed) | HoldError::Failed(Failure::Sealed)) => {
+                    self.renew(session.incarnation());
+                }
+                Err(
+                    HoldError::Denied(Denial::Unreachable) | HoldError::Failed(Failure::InDoubt),
+                ) => return self.hold_offline(record).await,
+            }
+        }
+        Err(Denied::Replaced)
+    }
+
+    /// Former sessions come first: what they hold is of no other use.
+    async fn hold_offline(&self, record: Record) -> Result<Hold, Denied> {
+        for session in self.former().into_iter().chain([self.current()]) {
+            if let Some(hold) = session.hold_offline(record.clone()) {
+                hold.carry().await;
+                return Ok(hold);
+            }
+        }
+        Err(Denied::OfflineExhausted)
+    }
+
+    /// Folds, tops up and returns for every budget; returns former incarnations that owe nothing
+    /// any more.
+    pub async fn keep(&self) -> Vec<Incarnation> {
+        let session = self.current();
+        if session.recorder.is_sealed() {
+            self.renew(session.incarnation());
+        }
+        let session = self.current();
+        for budget in session.funds.budgets() {
+            // What fails now is tried again at the next turn.
+            let _ = session.funds.keep(&budget).await;
+        }
+        self.settle_former().await
+    }
+
+    /// Hands in and returns what sealed sessions still owe, once nothing of theirs is under way.
+    async fn settle_former(&self) -> Vec<Incarnation> {
+        let mut settled = Vec::new();
+        for former in self.former() {
+            // Debited first, so that no request gets tokens that are being returned.
+            former.funds.drain();
+            if former.funds.is_idle() && former.surrender().await.is_ok() {
+                settled.push(former.incarnation().clone());
+            }
+        }
+        self.former.lock().retain(|session| !settled.contains(session.incarnation()));
+        settled
+    }
+
+    /// The end of a planned stop: folds, returns all tokens and closes the journal. Returns the
+    /// incarnations that owe nothing any more.
+    pub async fn leave(&self) -> Vec<Incarnation> {
+        let session = self.current();
+        session.funds.drain();
+        session.recorder.flush().await;
+        let mut settled = self.settle_former().await;
+        if session.recorder.close().await && session.surrender().await.is_ok() {
+            settled.push(session.incarnation().clone());
+        }
+        settled
+    }
+
+    /// Whether no session holds tokens for work under way.
+    pub fn is_idle(&self) -> bool {
+        let idle = |session: &Session| session.funds.is_idle();
+        idle(&self.current()) && self.former().iter().all(idle)
+    }
+}
--- /dev/null
+++ b/crates/session/tests/interleavings.rs
@@ -0,0 +1,98 @@
+//! Random interleavings of everything that goes wrong, against real sessions.
+//!
+//! Seeds are fixed, the clock is paused. `FLINTSTALL_CASES=2000 cargo test -p session --test
+//! interleavings` runs longer.
+
+mod world;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use world::{Step, Variant, World};
+
+/// Interleavings in the regular run.
+const CASES: u32 = 64;
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0usize..3;
+    prop_oneof![
+        8 => (at.clone(), 1u64..40, prop::bool::weighted(0.2))
+            .prop_map(|(at, worst, retry)| Step::Request { at, worst, retry }),
+        4 => (1u64..1_500).prop_map(Step::Wait),
+        1 => at.clone().prop_map(Step::Crash),
+        1 => at.clone().prop_map(Step::Freeze),
+        1 => at.clone().prop_map(Step::Wake),
+        1 => at.clone().prop_map(Step::Cut),
+        1 => at.clone().prop_map(Step::Mend),
+        2 => (at.clone(), at.clone()).prop_map(|(victim, by)| Step::Seal { victim, by }),
+        1 => (1u64..200).prop_map(Step::TopUp),
+        1 => (1u64..200).prop_map(Step::Reduce),
+        2 => at.prop_map(Step::Keep),
+    ]
+}
+
+fn run(seed: u64, lossy: f64, variant: Variant, steps: &[Step]) -> Option<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime can be built");
+    runtime.block_on(async {
+        let mut world = World::new(seed, lossy, variant);
+        for step in steps {
+            world.step(step).await;
+        }
+        world.finish().await;
+        world.fault().await
+    })
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn cases() -> u32 {
+    std::env::var("FLINTSTALL_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
+proptest! {
+    #![proptest_config(config(cases()))]
+
+    #[test]
+    fn never_overspent_and_billed_once(
+        seed in any::<u64>(),
+        lossy in prop_oneof![Just(0.0), Just(0.1), Just(0.4)],
+        steps in prop::collection::vec(step(), 5..60),
+    ) {
+        prop_assert_eq!(run(seed, lossy, Variant::Whole, &steps), None);
+    }
+}
+
+/// Whether any of the same interleavings shows that a broken variant breaks a promise.
+fn is_caught(variant: Variant) -> bool {
+    let mut runner = proptest::test_runner::TestRunner::new(config(400));
+    let strategy = (any::<u64>(), prop::collection::vec(step(), 5..60));
+    let result = runner.run(&strategy, |(seed, steps)| {
+        prop_assert_eq!(run(seed, 0.1, variant, &steps), None);
+        Ok(())
+    });
+    result.is_err()
+}
+
+#[test]
+fn dispatching_without_a_record_is_caught() {
+    assert!(is_caught(Variant::DispatchUnrecorded));
+}
+
+#[test]
+fn freeing_the_offline_part_at_a_seal_is_caught() {
+    assert!(is_caught(Variant::FreeOffline));
+}
+
+#[test]
+fn taking_never_seen_for_not_run_is_caught() {
+    assert!(is_caught(Variant::BelieveNeverSeen));
+}
