--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -34,8 +34,8 @@
     pub destroyed: BTreeMap<Arc<str>, Arc<Destroyed>>,
     /// Source version in force of each resource, deleted ones included.
     versions: BTreeMap<(Kind, Arc<str>), u64>,
-    /// Source version of the budgets, for their ledgers.
     newest: u64,
+    sum: u64,
 }
 
 impl Snapshot {
@@ -64,7 +64,8 @@
                 self.destroyed.insert(name, spec.into());
             }
         }
-        self.versions.insert(id, accepted.source);
+        let before = self.versions.insert(id, accepted.source).unwrap_or(0);
+        self.sum = self.sum.wrapping_add(accepted.source - before);
         self.newest = self.newest.max(accepted.source);
         Ok(true)
     }
@@ -94,6 +95,11 @@
         self.newest
     }
 
+    /// Sum of all versions in force: it grows with every change, so a lower one lacks something.
+    pub fn sum(&self) -> u64 {
+        self.sum
+    }
+
     /// Whether an incarnation was declared destroyed.
     pub fn is_destroyed(&self, incarnation: &str) -> bool {
         self.destroyed.values().any(|spec| &*spec.incarnation == incarnation)
--- /dev/null
+++ b/crates/flintbench/src/experiment.rs
@@ -0,0 +1,113 @@
+//! The experiments by name.
+
+use crate::{
+    cli::Options,
+    exit::Code,
+    money, path,
+    report::{self, Report},
+};
+
+/// One experiment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Experiment {
+    /// Added latency and requests per core.
+    Path,
+    /// A zone loses everyone else and the platform.
+    Partition,
+    /// Boxes die with requests under way.
+    Crash,
+    /// A box freezes, is sealed, and wakes up.
+    Pause,
+    /// The platform is down.
+    Outage,
+    /// Writes land, but their answers are lost.
+    LostAnswers,
+    /// Callers send each request many times at once.
+    RetryStorm,
+    /// Budgets run out and are topped up and lowered meanwhile.
+    TopUp,
+    /// All of it together.
+    AllAtOnce,
+}
+
+impl Experiment {
+    const ALL: [Experiment; 9] = [
+        Experiment::Path,
+        Experiment::Partition,
+        Experiment::Crash,
+        Experiment::Pause,
+        Experiment::Outage,
+        Experiment::LostAnswers,
+        Experiment::RetryStorm,
+        Experiment::TopUp,
+        Experiment::AllAtOnce,
+    ];
+
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Experiment::Path => "path",
+            Experiment::Partition => "partition",
+            Experiment::Crash => "crash",
+            Experiment::Pause => "pause",
+            Experiment::Outage => "outage",
+            Experiment::LostAnswers => "lost-answers",
+            Experiment::RetryStorm => "retry-storm",
+            Experiment::TopUp => "top-up",
+            Experiment::AllAtOnce => "all-at-once",
+        }
+    }
+
+    fn about(self) -> &'static str {
+        match self {
+            Experiment::Path => "what a router adds to the first byte, and requests per core",
+            Experiment::Partition => "a zone loses all other boxes and the platform",
+            Experiment::Crash => "boxes die with requests under way and start again",
+            Experiment::Pause => "a box freezes, is sealed, and wakes up",
+            Experiment::Outage => "the platform is down for everyone",
+            Experiment::LostAnswers => "writes land, but their answers are lost",
+            Experiment::RetryStorm => "each request is sent ten times at once to all boxes",
+            Experiment::TopUp => "a budget runs out, is topped up and lowered meanwhile",
+            Experiment::AllAtOnce => "cuts, crashes, freezes, outages and lost answers together",
+        }
+    }
+
+    async fn run(self, options: &Options) -> Report {
+        match self {
+            Experiment::Path => path::run(options).await,
+            Experiment::Partition => money::partition(options).await,
+            Experiment::Crash => money::crash(options).await,
+            Experiment::Pause => money::pause(options).await,
+            Experiment::Outage => money::outage(options).await,
+            Experiment::LostAnswers => money::lost_answers(options).await,
+            Experiment::RetryStorm => money::retry_storm(options).await,
+            Experiment::TopUp => money::top_up(options).await,
+            Experiment::AllAtOnce => money::all_at_once(options).await,
+        }
+    }
+}
+
+/// Runs the experiment of the options.
+pub fn run(options: &Options) -> Result<Code, String> {
+    if options.version {
+        println!("flintbench {}", env!("CARGO_PKG_VERSION"));
+        return Ok(Code::Success);
+    }
+    let name = options.experiment.as_deref().unwrap_or("list");
+    if name == "list" {
+        for experiment in Experiment::ALL {
+            println!("{:<14} {}", experiment.name(), experiment.about());
+        }
+        return Ok(Code::Success);
+    }
+    let found = Experiment::ALL.into_iter().find(|experiment| experiment.name() == name);
+    let experiment =
+        found.ok_or_else(|| format!("no experiment `{name}`; `flintbench list` names them"))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("cannot start the runtime: {error}"))?;
+    let report = runtime.block_on(experiment.run(options));
+    runtime.shutdown_background();
+    report::print(experiment.name(), &report, options)
+}
--- /dev/null
+++ b/crates/flintbench/src/load.rs
@@ -0,0 +1,144 @@
+//! Requests as callers send them: through a balancer, at random moments, with retries.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use tokio::{task::JoinSet, time::Instant};
+use trial::{Ask, Caller, Fleet, Outcome};
+
+/// Times that a caller without a whole answer asks again with the same key.
+const RETRIES: usize = 2;
+/// Wait before a retry.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// Boxes that the platform's balancer sends callers to.
+#[derive(Debug, Clone, Default)]
+pub struct Balancer(Arc<Mutex<Vec<Option<SocketAddr>>>>);
+
+impl Balancer {
+    /// All boxes of a fleet.
+    pub fn of(fleet: &Fleet) -> Balancer {
+        let boxes = fleet.nodes.iter().map(|node| Some(node.callers())).collect();
+        Balancer(Arc::new(Mutex::new(boxes)))
+    }
+
+    /// Sends callers to a box at this address, or no longer.
+    pub fn set(&self, index: usize, address: Option<SocketAddr>) {
+        self.0.lock()[index] = address;
+    }
+
+    fn pick(
+        &self,
+        random: &mut ChaCha8Rng,
+        not: Option<SocketAddr>,
+    ) -> Option<(usize, SocketAddr)> {
+        let boxes = self.0.lock();
+        let open: Vec<(usize, SocketAddr)> = boxes
+            .iter()
+            .enumerate()
+            .filter_map(|(index, address)| Some((index, (*address)?)))
+            .collect();
+        let others: Vec<_> = open.iter().filter(|(_, a)| Some(*a) != not).copied().collect();
+        others.choose(random).or_else(|| open.choose(random)).copied()
+    }
+}
+
+/// One request of a load, for baselines to replay.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// When it came, in milliseconds from the start.
+    pub at: u64,
+    /// Box that got it.
+    pub index: usize,
+    /// Worst case, in tokens.
+    pub worst: u64,
+    /// Tokens that it uses.
+    pub used: u64,
+}
+
+/// What kind of requests to send.
+#[derive(Debug, Clone)]
+pub struct Mix {
+    /// Customer and budgets to draw from.
+    pub budgets: Vec<(String, String)>,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long.
+    pub lasting: Duration,
+    /// Share of plain service calls that may be repeated.
+    pub lookups: f64,
+    /// Share of unrepeatable service calls.
+    pub cancels: f64,
+    /// Most output tokens.
+    pub output: u64,
+}
+
+/// Sends a load and waits for all its answers; returns what came when.
+pub async fn send(caller: &Caller, balancer: &Balancer, mix: &Mix, seed: u64) -> Vec<Arrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut number = 0;
+    let mut asked = JoinSet::new();
+    let mut arrivals = Vec::new();
+    loop {
+        let gap = -random.random_range(f64::EPSILON..1.0_f64).ln() / mix.rate;
+        due += Duration::from_secs_f64(gap);
+        if due >= mix.lasting {
+            break;
+        }
+        tokio::time::sleep_until(start + due).await;
+        number += 1;
+        let ask = draw(mix, number, seed, &mut random);
+        let Some((index, to)) = balancer.pick(&mut random, None) else { continue };
+        let used = if ask.service { 5 } else { ask.worst() - ask.max_tokens + ask.output };
+        let worst = if ask.service { 5 } else { ask.worst() };
+        arrivals.push(Arrival { at: due.as_millis() as u64, index, worst, used });
+        let (caller, balancer) = (caller.clone(), balancer.clone());
+        let retry = ChaCha8Rng::seed_from_u64(random.random());
+        asked.spawn(async move { insist(&caller, &balancer, to, &ask, retry).await });
+        while asked.try_join_next().is_some() {}
+    }
+    while asked.join_next().await.is_some() {}
+    arrivals
+}
+
+fn draw(mix: &Mix, number: u64, seed: u64, random: &mut ChaCha8Rng) -> Ask {
+    let (customer, budget) = mix.budgets.choose(random).expect("a mix has budgets");
+    let key = format!("s{seed}-r{number}");
+    let kind: f64 = random.random();
+    if kind < mix.cancels {
+        return Ask::service(customer, budget, "cancel", &key);
+    }
+    if kind < mix.cancels + mix.lookups {
+        return Ask::service(customer, budget, "lookup", &key);
+    }
+    let output = random.random_range(1..=mix.output);
+    let stream = random.random_bool(0.7);
+    let max_tokens = mix.output.max(output);
+    Ask { output, max_tokens, stream, ..Ask::chat(customer, budget, &key) }
+}
+
+/// Asks until there is an answer or a truthful refusal, as a careful caller does.
+async fn insist(
+    caller: &Caller,
+    balancer: &Balancer,
+    to: SocketAddr,
+    ask: &Ask,
+    mut random: ChaCha8Rng,
+) {
+    let mut to = to;
+    for _ in 0..=RETRIES {
+        let got = caller.ask(to, ask).await;
+        if matches!(got.outcome, Outcome::Answered | Outcome::NotRun) {
+            return;
+        }
+        tokio::time::sleep(AGAIN).await;
+        match balancer.pick(&mut random, Some(to)) {
+            Some((_, other)) => to = other,
+            None => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintbench/src/main.rs
@@ -0,0 +1,25 @@
+//! Load and experiments against real router code and the stand-ins, in one process on loopback.
+
+mod baseline;
+mod cli;
+mod exit;
+mod experiment;
+mod load;
+mod money;
+mod path;
+mod plot;
+mod report;
+mod stats;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::parse();
+    match experiment::run(&options) {
+        Ok(code) => code.into(),
+        Err(error) => {
+            eprintln!("[flintstall error]: {error}");
+            exit::Code::Usage.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintbench/src/money.rs
@@ -0,0 +1,332 @@
+//! Experiments on money and truth, each with its baselines over the same arrivals.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+use trial::{Ask, Audit, Fleet, Outcome, Plan};
+
+use crate::{
+    baseline::{Fault, World},
+    cli::Options,
+    load::{Arrival, Balancer, Mix, send},
+    report::Report,
+};
+
+/// Longest wait for the books to settle after the load.
+const SETTLE: Duration = Duration::from_secs(60);
+/// Tokens paid for each budget where they should suffice.
+const AMPLE: u64 = 2_000_000;
+/// Time until the balancer notices that a box is gone.
+const NOTICED: Duration = Duration::from_millis(300);
+
+struct Scene {
+    fleet: Fleet,
+    balancer: Balancer,
+    mix: Mix,
+    seed: u64,
+    paid: u64,
+    boxes: usize,
+    writes_before: u64,
+    calls_before: u64,
+}
+
+/// What came of a load.
+struct Sent {
+    arrivals: Vec<Arrival>,
+    faults: Vec<Fault>,
+    lasting: u64,
+    /// Journals sealed and tokens that came back a few seconds after a crash, if measured.
+    extra: Vec<(&'static str, serde_json::Value)>,
+}
+
+impl Scene {
+    async fn open(options: &Options, paid: u64, change: impl FnOnce(&mut Plan)) -> Scene {
+        let boxes = options.boxes.unwrap_or(8);
+        let seconds = options.seconds.unwrap_or(10);
+        let requests = options.requests.unwrap_or(seconds * 100);
+        let names = ["bornova", "buca"];
+        let budgets: Vec<(String, u64)> =
+            names.iter().map(|name| ((*name).to_owned(), paid)).collect();
+        let mut plan = Plan {
+            seed: options.seed,
+            boxes,
+            zones: 3,
+            engines: 4,
+            services: 2,
+            customers: vec![("dental".into(), budgets)],
+            patience: Duration::from_secs(15),
+            ..Plan::default()
+        };
+        plan.money.fold_ms = 1_000;
+        change(&mut plan);
+        let fleet = Fleet::spawn(plan).await;
+        let balancer = Balancer::of(&fleet);
+        let mix = Mix {
+            budgets: names.iter().map(|name| ("dental".to_owned(), (*name).to_owned())).collect(),
+            rate: requests as f64 / seconds as f64,
+            lasting: Duration::from_secs(seconds),
+            lookups: 0.15,
+            cancels: 0.1,
+            output: 16,
+        };
+        // Boxes draw their first parts before anything goes wrong.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let usage = fleet.platform.memory().usage();
+        Scene {
+            fleet,
+            balancer,
+            mix,
+            seed: options.seed,
+            paid: paid * names.len() as u64,
+            boxes,
+            writes_before: usage.writes,
+            calls_before: usage.writes + usage.reads,
+        }
+    }
+
+    fn load(&self) -> tokio::task::JoinHandle<Vec<Arrival>> {
+        let (caller, balancer) = (self.fleet.caller.clone(), self.balancer.clone());
+        let (mix, seed) = (self.mix.clone(), self.seed);
+        tokio::spawn(async move { send(&caller, &balancer, &mix, seed).await })
+    }
+
+    fn part(&self, share: f64) -> Duration {
+        self.mix.lasting.mul_f64(share)
+    }
+
+    fn ms(&self, share: f64) -> u64 {
+        self.part(share).as_millis() as u64
+    }
+
+    /// Ends a load: settles, audits, and replays the baselines.
+    async fn close(self, sent: Sent) -> Report {
+        let usage = self.fleet.platform.memory().usage();
+        let seconds = sent.lasting as f64 / 1_000.0;
+        let settling = Instant::now();
+        let settled = self.fleet.settle(SETTLE).await;
+        let audit = Audit::of(&self.fleet).await;
+        for fault in audit.faults() {
+            eprintln!("{fault}");
+        }
+        let figures = audit.figures();
+        let mut report = Report::of(&figures);
+        report.sound &= settled;
+        report.add("settled", settled);
+        report.add_rounded("settle_s", settling.elapsed().as_secs_f64());
+        report.add("false_refusals", false_refusals(&self.fleet));
+        let writes = (usage.writes - self.writes_before) as f64;
+        let calls = (usage.writes + usage.reads - self.calls_before) as f64;
+        report.add_rounded("platform_writes_per_s", writes / seconds);
+        report.add_rounded("platform_calls_per_s", calls / seconds);
+        report.add("writes_by_kind", json!(self.fleet.platform.memory().writes_by_kind()));
+        for (name, value) in sent.extra {
+            report.add(name, value);
+        }
+        let world = World {
+            arrivals: &sent.arrivals,
+            faults: &sent.faults,
+            boxes: self.boxes,
+            paid: self.paid,
+            lasting: sent.lasting,
+        };
+        report.add("baselines", world.run());
+        report
+    }
+}
+
+/// Refusals although budget and capacity existed: all of them, where tokens suffice.
+fn false_refusals(fleet: &Fleet) -> u64 {
+    let told = fleet.caller.told();
+    told.iter().filter(|got| got.outcome == Outcome::NotRun).count() as u64
+}
+
+/// A zone loses all other boxes and the platform.
+pub async fn partition(options: &Options) -> Report {
+    let scene = Scene::open(options, AMPLE, |_| {}).await;
+    let zone: Vec<usize> = (0..scene.boxes).filter(|index| index % 3 == 0).collect();
+    let load = scene.load();
+    tokio::time::sleep(scene.part(0.2)).await;
+    scene.fleet.set_partition(&zone, true);
+    tokio::time::sleep(scene.part(0.6)).await;
+    scene.fleet.set_partition(&zone, false);
+    let arrivals = load.await.expect("the load runs to its end");
+    let (from, to) = (scene.ms(0.2), scene.ms(0.8));
+    let faults = zone.iter().map(|index| Fault::Cut { index: *index, from, to }).collect();
+    let lasting = scene.ms(1.0);
+    scene.close(Sent { arrivals, faults, lasting, extra: Vec::new() }).await
+}
+
+/// Boxes die with requests under way and start again.
+pub async fn crash(options: &Options) -> Report {
+    let mut scene = Scene::open(options, AMPLE, |_| {}).await;
+    let load = scene.load();
+    let mut faults = Vec::new();
+    for nth in 0..2 {
+        tokio::time::sleep(scene.part(0.25)).await;
+        let index = nth * 3 % scene.boxes;
+        scene.fleet.nodes[index].kill();
+        faults.push(Fault::Crash { index, at: scene.ms(0.25 * (nth + 1) as f64) });
+        tokio::time::sleep(NOTICED).await;
+        scene.balancer.set(index, None);
+        scene.fleet.restart(index).await;
+        scene.balancer.set(index, Some(scene.fleet.to(index)));
+    }
+    let arrivals = load.await.expect("the load runs to its end");
+    let lasting = scene.ms(1.0);
+    let reclaimed = online_of_dead(&scene.fleet).await;
+    let paid = scene.paid;
+    let mut report = scene
+        .close(Sent { arrivals, faults, lasting, extra: vec![("online_not_reclaimed", reclaimed)] })
+        .await;
+    let stranded = report.figures["stranded_tokens"].as_u64().unwrap_or(0);
+    report.add_rounded("stranded_percent", stranded as f64 * 100.0 / paid as f64);
+    report
+}
+
+/// Online tokens that sealed holders still have once the load is over.
+async fn online_of_dead(fleet: &Fleet) -> serde_json::Value {
+    let mut online = 0;
+    for (_, budgets) in &fleet.plan.customers {
+        for (budget, _) in budgets {
+            let ledger = fleet.ledger(budget).await;
+            let sealed = ledger.grants.values().filter(|grant| grant.sealed);
+            online += sealed.map(|grant| grant.online).sum::<u64>();
+        }
+    }
+    json!(online)
+}
+
+/// A box freezes, is sealed, and wakes up.
+pub async fn pause(options: &Options) -> Report {
+    let mut scene = Scene::open(options, AMPLE, |_| {}).await;
+    let load = scene.load();
+    tokio::time::sleep(scene.part(0.2)).await;
+    scene.fleet.nodes[0].pause();
+    tokio::time::sleep(scene.part(0.5)).await;
+    scene.fleet.nodes[0].resume();
+    let arrivals = load.await.expect("the load runs to its end");
+    let faults = vec![Fault::Frozen { index: 0, from: scene.ms(0.2), to: scene.ms(0.7) }];
+    let lasting = scene.ms(1.0);
+    scene.close(Sent { arrivals, faults, lasting, extra: Vec::new() }).await
+}
+
+/// The platform is down for everyone.
+pub async fn outage(options: &Options) -> Report {
+    let scene = Scene::open(options, AMPLE, |_| {}).await;
+    let load = scene.load();
+    tokio::time::sleep(scene.part(0.2)).await;
+    scene.fleet.platform.set(|faults| faults.down = true);
+    tokio::time::sleep(scene.part(0.6)).await;
+    scene.fleet.platform.set(|faults| faults.down = false);
+    let arrivals = load.await.expect("the load runs to its end");
+    let (from, to) = (scene.ms(0.2), scene.ms(0.8));
+    let faults = (0..scene.boxes).map(|index| Fault::Cut { index, from, to }).collect();
+    let lasting = scene.ms(1.0);
+    let unrepeatable = unrepeatable_refused(&scene.fleet);
+    scene
+        .close(Sent {
+            arrivals,
+            faults,
+            lasting,
+            extra: vec![("refused_unrepeatable", json!(unrepeatable))],
+        })
+        .await
+}
+
+fn unrepeatable_refused(fleet: &Fleet) -> usize {
+    let told = fleet.caller.told();
+    told.iter().filter(|got| got.reason == "claim_unreachable").count()
+}
+
+/// Writes land, but their answers are lost.
+pub async fn lost_answers(options: &Options) -> Report {
+    let scene = Scene::open(options, AMPLE, |_| {}).await;
+    scene.fleet.platform.set(|faults| faults.lose_answers = 0.2);
+    let load = scene.load();
+    let arrivals = load.await.expect("the load runs to its end");
+    scene.fleet.platform.set(|faults| faults.lose_answers = 0.0);
+    let lasting = scene.ms(1.0);
+    scene.close(Sent { arrivals, faults: Vec::new(), lasting, extra: Vec::new() }).await
+}
+
+/// Each request is sent ten times at once to all boxes.
+pub async fn retry_storm(options: &Options) -> Report {
+    let scene = Scene::open(options, AMPLE, |_| {}).await;
+    let count = options.requests.unwrap_or(100);
+    let start = Instant::now();
+    for number in 0..count {
+        let key = format!("storm-{number}");
+        let ask = match number % 3 {
+            0 => Ask::service("dental", "bornova", "cancel", &key),
+            1 => Ask { stream: false, ..Ask::chat("dental", "bornova", &key) },
+            _ => Ask::chat("dental", "bornova", &key),
+        };
+        let mut sent = tokio::task::JoinSet::new();
+        for nth in 0..10 {
+            let (caller, ask) = (scene.fleet.caller.clone(), ask.clone());
+            let to = scene.fleet.to(nth % scene.boxes);
+            sent.spawn(async move { caller.ask(to, &ask).await });
+        }
+        while sent.join_next().await.is_some() {}
+    }
+    let lasting = start.elapsed().as_millis() as u64;
+    let runs: usize = scene.fleet.engines.iter().map(|engine| engine.truth().runs.len()).sum();
+    let extra = vec![("engine_runs", json!(runs)), ("keys", json!(count))];
+    scene.close(Sent { arrivals: Vec::new(), faults: Vec::new(), lasting, extra }).await
+}
+
+/// A budget runs out, is topped up and lowered meanwhile.
+pub async fn top_up(options: &Options) -> Report {
+    let paid = 6_000;
+    let scene = Scene::open(options, paid, |plan| plan.offline_share = Some(100)).await;
+    let load = scene.load();
+    let topped = paid * 3;
+    let steps = [(0.4, topped), (0.2, topped / 2), (0.2, topped * 2)];
+    for (share, paid) in steps {
+        tokio::time::sleep(scene.part(share)).await;
+        for budget in ["bornova", "buca"] {
+            let mut spec = scene.fleet.spec("budget", budget).await;
+            spec["paid"] = paid.into();
+            scene.fleet.declare("budget", budget, &spec).await;
+        }
+    }
+    let arrivals = load.await.expect("the load runs to its end");
+    let lasting = scene.ms(1.0);
+    let told = scene.fleet.caller.told();
+    let exhausted = told.iter().filter(|got| got.reason == "budget_exhausted").count();
+    let extra = vec![("refused_exhausted", json!(exhausted))];
+    scene.close(Sent { arrivals, faults: Vec::new(), lasting, extra }).await
+}
+
+/// Cuts, crashes, freezes, outages and lost answers together.
+pub async fn all_at_once(options: &Options) -> Report {
+    let mut scene = Scene::open(options, AMPLE, |_| {}).await;
+    let load = scene.load();
+    scene.fleet.platform.set(|faults| faults.lose_answers = 0.1);
+    tokio::time::sleep(scene.part(0.15)).await;
+    let cut = [1, 2];
+    scene.fleet.set_partition(&cut, true);
+    scene.fleet.nodes[3].pause();
+    tokio::time::sleep(scene.part(0.15)).await;
+    scene.fleet.nodes[4].kill();
+    scene.balancer.set(4, None);
+    scene.fleet.platform.set(|faults| faults.down = true);
+    tokio::time::sleep(scene.part(0.15)).await;
+    scene.fleet.nodes[3].resume();
+    tokio::time::sleep(scene.part(0.15)).await;
+    scene.fleet.platform.set(|faults| faults.down = false);
+    scene.fleet.set_partition(&cut, false);
+    scene.fleet.restart(4).await;
+    scene.balancer.set(4, Some(scene.fleet.to(4)));
+    let arrivals = load.await.expect("the load runs to its end");
+    scene.fleet.platform.set(|faults| faults.lose_answers = 0.0);
+    let (from, to) = (scene.ms(0.3), scene.ms(0.6));
+    let mut faults: Vec<Fault> =
+        (0..scene.boxes).map(|index| Fault::Cut { index, from, to }).collect();
+    faults.extend(cut.map(|index| Fault::Cut { index, from: scene.ms(0.15), to: from }));
+    faults.push(Fault::Frozen { index: 3, from: scene.ms(0.15), to: scene.ms(0.45) });
+    faults.push(Fault::Crash { index: 4, at: from });
+    let lasting = scene.ms(1.0);
+    scene.close(Sent { arrivals, faults, lasting, extra: Vec::new() }).await
+}
--- /dev/null
+++ b/crates/flintbench/src/plot.rs
@@ -0,0 +1,54 @@
+//! Bars of an experiment's figures as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde_json::{Map, Value};
+
+/// Size of the picture, in pixels.
+const SIZE: (u32, u32) = (960, 540);
+
+/// Draws all plain numbers of a report, with those of its baselines beside them.
+pub fn draw(path: &Path, title: &str, figures: &Map<String, Value>) -> Result<(), String> {
+    let bars = bars(figures);
+    let most = bars.iter().map(|(_, value)| *value).fold(1.0, f64::max);
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    let drawn = (|| -> Result<(), Box<dyn std::error::Error>> {
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .caption(title, ("sans-serif", 24))
+            .margin(16)
+            .x_label_area_size(24)
+            .y_label_area_size(240)
+            .build_cartesian_2d(0.0..most * 1.1, 0..bars.len())?;
+        let label =
+            |index: &usize| bars.get(*index).map_or(String::new(), |(name, _)| name.clone());
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .y_labels(bars.len())
+            .y_label_formatter(&label)
+            .draw()?;
+        chart.draw_series(bars.iter().enumerate().map(|(index, (_, value))| {
+            Rectangle::new([(0.0, index), (*value, index + 1)], BLUE.mix(0.6).filled())
+        }))?;
+        root.present()?;
+        Ok(())
+    })();
+    drawn.map_err(|error| format!("cannot draw {}: {error}", path.display()))
+}
+
+fn bars(figures: &Map<String, Value>) -> Vec<(String, f64)> {
+    let mut bars = Vec::new();
+    for (name, value) in figures {
+        match value {
+            Value::Number(number) => bars.push((name.clone(), number.as_f64().unwrap_or(0.0))),
+            Value::Object(inner) => {
+                let below = self::bars(inner).into_iter();
+                bars.extend(below.map(|(inner, value)| (format!("{name}: {inner}"), value)));
+            }
+            _ => {}
+        }
+    }
+    bars
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,5 +26,5 @@
 pub use incarnation::Incarnation;
 pub use journal::{Journal, Refusal, State};
 pub use number::Numbers;
-pub use record::{Ended, Outcome, Record};
+pub use record::{Ended, Entry, Outcome, Record};
 pub use sizing::{Observed, Policy, Prefer, Target, target};
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Evidence, Part};
+use crate::{Evidence, Part, Transfer};
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,3 +61,12 @@
         self.outcome.is_none()
     }
 }
+
+/// Something that must reach a journal whatever happens to the box that wrote it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// Offline work, as an intent or with its outcome.
+    Record(Record),
+    /// Offline tokens received, of a budget.
+    Transfer(Arc<str>, Transfer),
+}
--- /dev/null
+++ b/crates/router/src/answers.rs
@@ -0,0 +1,220 @@
+//! Answering other boxes, and exchanging with them now and then.
+
+use std::{sync::Arc, time::Duration};
+
+use config::Accepted;
+use ledger::Incarnation;
+use platform::{Expect, Store};
+use resource::Kind;
+use wire::{Answer, Frame, Message, Question, Told, Value};
+
+use crate::{follow::put_in_force, shared::Shared};
+
+/// Peers that a box exchanges with in one turn, however many there are.
+const FANOUT: usize = 8;
+/// Exchanges a second that a box starts at the most.
+const TURN: Duration = Duration::from_millis(300);
+
+/// Answers the questions of other boxes.
+pub struct Desk(pub Arc<Shared>);
+
+#[async_trait::async_trait]
+impl Answer for Desk {
+    async fn answer(&self, question: Message) -> Message {
+        let shared = &self.0;
+        shared.log.observe(question.stamp);
+        let now = shared.now();
+        shared.members.lock().heard(&question.from, now);
+        let frame = answer(shared, question).await;
+        Message { from: shared.me(), stamp: shared.log.stamp(), frame }
+    }
+}
+
+async fn answer(shared: &Arc<Shared>, question: Message) -> Frame {
+    match question.frame {
+        Frame::Tell(told) => {
+            let reply = told_by(shared);
+            shared.peers.note(&question.from, Some(told.clone()));
+            take(shared, &question.from, told);
+            Frame::Tell(reply)
+        }
+        Frame::Carry { by, entries } => {
+            let taken = entries.into_iter().filter(|e| shared.carried.take(by.clone(), e.clone()));
+            Frame::Taken { count: taken.count() as u64 }
+        }
+        Frame::Accepted => Frame::Objects { objects: shared.accepted.lock().texts() },
+        Frame::Call(question) => call(shared, question).await,
+        Frame::Spare { budget, .. } => {
+            let returned = shared.sessions.current().funds.spare(&budget).await;
+            Frame::Spared { returned }
+        }
+        Frame::Lend { budget, tokens } => {
+            let transfer = shared.sessions.lend(&budget, tokens, &question.from);
+            if let Some(transfer) = &transfer {
+                let to = transfer.to.as_str().into();
+                let what = timeline::What::Transferred { to, tokens: transfer.tokens };
+                shared.log.budget(&budget, what);
+            }
+            Frame::Lent { transfer }
+        }
+        Frame::Note { customer, key, place } => {
+            shared.places.note(customer, key, place);
+            Frame::Done
+        }
+        Frame::Where { customer, key } => {
+            Frame::There { place: shared.places.find(&customer, &key) }
+        }
+        Frame::Taken { .. }
+        | Frame::Objects { .. }
+        | Frame::Found { .. }
+        | Frame::Written(_)
+        | Frame::Spared { .. }
+        | Frame::Lent { .. }
+        | Frame::There { .. }
+        | Frame::Done
+        | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
+    }
+}
+
+/// Makes a platform call for a peer, by this box's own direct way only.
+async fn call(shared: &Shared, question: Question) -> Frame {
+    let store = &shared.direct;
+    let value = |object: platform::Object| Value {
+        kind: object.kind,
+        name: object.name,
+        version: object.version,
+        value: object.value,
+    };
+    match question {
+        Question::Get { kind, name } => {
+            let found = store.get(&kind, &name).await;
+            Frame::Found { objects: found.ok().map(|o| o.into_iter().map(value).collect()) }
+        }
+        Question::List { kind, prefix } => {
+            let found = store.list(&kind, &prefix).await;
+            Frame::Found { objects: found.ok().map(|o| o.into_iter().map(value).collect()) }
+        }
+        Question::Put { kind, name, value, version } => {
+            let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
+            Frame::Written(written(store.put(&kind, &name, value, expect).await))
+        }
+        Question::Delete { kind, name, version } => {
+            Frame::Written(written(store.delete(&kind, &name, version).await))
+        }
+    }
+}
+
+fn written(write: platform::Write) -> wire::Write {
+    match write {
+        platform::Write::Landed(version) => wire::Write::Landed(version),
+        platform::Write::Refused => wire::Write::Refused,
+        platform::Write::Failed => wire::Write::Failed,
+        platform::Write::Unknown => wire::Write::Unknown,
+    }
+}
+
+fn told_by(shared: &Shared) -> Told {
+    let snapshot = shared.config.borrow().clone();
+    Told {
+        in_flight: shared.endpoints.snapshot(),
+        newest: snapshot.newest(),
+        versions: snapshot.sum(),
+        platform: shared.relayed.is_direct() && shared.health.is_up(),
+    }
+}
+
+/// Takes over what a peer told; true if its configuration is worth asking for.
+fn take(shared: &Shared, from: &Incarnation, told: Told) -> bool {
+    let now = shared.now();
+    let name: Arc<str> = from.box_name().into();
+    shared.endpoints.peer(&name, &told.in_flight, now);
+    let snapshot = shared.config.borrow();
+    told.newest > snapshot.newest() || told.versions > snapshot.sum()
+}
+
+/// Exchanges with a few peers in turn, for as long as the router runs.
+pub async fn exchange(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(TURN / 2 + shared.jitter(TURN)).await;
+        seed(&shared).await;
+        let asked = shared.peers.some(FANOUT).into_iter().map(|name| exchange_one(&shared, name));
+        futures_util::future::join_all(asked).await;
+    }
+}
+
+/// A box that knows nobody asks the addresses of its settings.
+async fn seed(shared: &Arc<Shared>) {
+    if !shared.peers.some(1).is_empty() {
+        return;
+    }
+    for address in &shared.settings.peers {
+        if let Some((name, told)) = shared.peers.seed(*address, told_by(shared)).await {
+            learn(shared, &name, told).await;
+        }
+    }
+}
+
+async fn exchange_one(shared: &Arc<Shared>, name: Incarnation) {
+    if let Some(told) = shared.peers.tell(&name, told_by(shared)).await {
+        learn(shared, &name, told).await;
+    }
+}
+
+async fn learn(shared: &Arc<Shared>, name: &Incarnation, told: Told) {
+    let now = shared.now();
+    shared.members.lock().heard(name, now);
+    if take(shared, name, told)
+        && let Some(Frame::Objects { objects }) = shared.peers.ask_one(name, Frame::Accepted).await
+    {
+        for object in objects {
+            put_in_force(shared, &object);
+        }
+        // A box that starts with no platform serves what its peers hold.
+        shared.watched.send_if_modified(|watched| {
+            let first = *watched == 0;
+            *watched = (*watched).max(1);
+            first
+        });
+    }
+}
+
+/// Accepted objects as they came, for peers that are cut off from the platform.
+#[derive(Debug, Default)]
+pub struct Texts(std::collections::BTreeMap<(Kind, Arc<str>), (u64, Arc<str>)>);
+
+impl Texts {
+    /// Keeps the text of an accepted object, if it is newer.
+    pub fn keep(&mut self, accepted: &Accepted, text: &str) {
+        let id = (accepted.kind, accepted.name.clone());
+        let older = self.0.get(&id).is_none_or(|(source, _)| *source < accepted.source);
+        if older {
+            self.0.insert(id, (accepted.source, text.into()));
+        }
+    }
+
+    fn texts(&self) -> Vec<Arc<str>> {
+        self.0.values().map(|(_, text)| text.clone()).collect()
+    }
+}
+
+/// Hands in what is carried for boxes that are gone, once the platform answers.
+pub async fn hand_in(shared: Arc<Shared>) {
+    let every = Duration::from_millis(shared.settings.money.seal_after_ms);
+    loop {
+        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
+        if !shared.health.is_up() {
+            continue;
+        }
+        let (now, after) = (shared.now(), shared.settings.money.seal_after_ms);
+        let live: Vec<Incarnation> = {
+            let members = shared.members.lock();
+            members.live(now, after).map(|member| member.incarnation.clone()).collect()
+        };
+        let store: &dyn Store = &*shared.store;
+        for by in shared.carried.whose().into_iter().filter(|by| !live.contains(by)) {
+            if shared.carried.hand_in(store, &by, &shared.me()).await {
+                shared.log.add(timeline::What::HandedIn { incarnation: by.as_str().into() });
+            }
+        }
+    }
+}
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -41,11 +41,11 @@
     ) {
         let came = Instant::now();
         let shared = &self.0;
-        let key = match request_key(shared, request) {
+        let (key, keyed) = match request_key(shared, request) {
             Ok(key) => key,
             Err(refusal) => return render::refusal(response, &refusal, "-"),
         };
-        match self.respond(request, response, &key, came).await {
+        match self.respond(request, response, &key, keyed, came).await {
             Ok(()) => {}
             Err(refusal) => render::refusal(response, &refusal, &key),
         }
@@ -58,6 +58,7 @@
         request: &mut Request,
         response: &mut Response,
         key: &Arc<str>,
+        keyed: bool,
         came: Instant,
     ) -> Result<(), Refusal> {
         let snapshot = self.0.config.borrow().clone();
@@ -77,7 +78,7 @@
             }
             _ => return Err(Reason::NoRoute.with("no such path")),
         };
-        let call = Call { key: key.clone(), came, ..call };
+        let call = Call { key: key.clone(), keyed, came, ..call };
         self.answer(call, response).await
     }
 
@@ -144,16 +145,16 @@
     }
 }
 
-fn request_key(shared: &Shared, request: &Request) -> Result<Arc<str>, Refusal> {
+fn request_key(shared: &Shared, request: &Request) -> Result<(Arc<str>, bool), Refusal> {
     match request.headers().get("idempotency-key") {
-        None => Ok(format!("auto-{:016x}", shared.fresh()).into()),
+        None => Ok((format!("auto-{:016x}", shared.fresh()).into(), false)),
         Some(value) => {
             let text = value.to_str().unwrap_or_default();
             let fits = !text.is_empty()
                 && text.len() <= MAX_KEY
                 && text.bytes().all(|byte| byte.is_ascii_graphic());
             match fits {
-                true => Ok(text.into()),
+                true => Ok((text.into(), true)),
                 false => Err(Reason::Malformed.with(format!(
                     "the idempotency key must be 1 to {MAX_KEY} visible ASCII characters"
                 ))),
@@ -260,6 +261,7 @@
     Call {
         caller,
         key: "".into(),
+        keyed: false,
         route: route.clone(),
         worst: 0,
         prefix: balance::Prefix::default(),
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -42,6 +42,8 @@
     pub caller: Caller,
     /// Request key, unique for the customer.
     pub key: Arc<str>,
+    /// Whether the caller chose the key, so that retries may come.
+    pub keyed: bool,
     /// Where it goes.
     pub route: Arc<Route>,
     /// Worst case, in tokens.
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -67,6 +67,9 @@
 
 async fn run(shared: &Arc<Shared>, call: &Call, driver: &Driver) -> Progress {
     shared.log.request(&call.key, &call.caller.budget, What::Received);
+    if let Some(progress) = elsewhere(shared, call, driver).await {
+        return progress;
+    }
     let Some(flight) = Flight::start(shared, call, &[]) else {
         return Progress::Refused(no_endpoint());
     };
@@ -80,6 +83,16 @@
     }
 }
 
+/// Follows a run of the same request that another box started, if its engine still has it.
+async fn elsewhere(shared: &Arc<Shared>, call: &Call, driver: &Driver) -> Option<Progress> {
+    let is_chat = matches!(call.payload, Payload::Chat { .. });
+    if !call.keyed || !is_chat || !call.route.repeatable {
+        return None;
+    }
+    let place = shared.find_place(&call.caller.customer, &call.key).await?;
+    relay::attach(shared, call, driver, &place).await
+}
+
 /// The refusal when no endpoint can take a call.
 pub fn no_endpoint() -> Refusal {
     Reason::NoEndpoint.after("no endpoint can take the request", SOON)
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use balance::{Failure, Pool, Prefix, Report, Weights};
-use config::Snapshot;
+use balance::{Failure, Pool, Prefix, Report, Snapshot, Weights};
+use config::Snapshot as Configuration;
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -75,7 +75,7 @@
     }
 
     /// Takes over the pools in force; returns endpoints that are leaving since.
-    pub fn update(&self, snapshot: &Snapshot, now: u64) -> Vec<Arc<str>> {
+    pub fn update(&self, snapshot: &Configuration, now: u64) -> Vec<Arc<str>> {
         let mut state = self.state.lock();
         let mut known = std::mem::take(&mut state.places);
         for (name, spec) in &snapshot.pools {
@@ -134,12 +134,34 @@
         }
     }
 
-    /// Addresses of all endpoints, those of `first` before others.
-    pub fn addresses(&self, first: &str) -> Vec<Arc<str>> {
+    /// Requests under way by pool, for peers.
+    pub fn snapshot(&self) -> Vec<(Arc<str>, Vec<Snapshot>)> {
         let state = self.state.lock();
+        let told = state.pools.iter().map(|(name, pool)| (name.clone(), pool.snapshot()));
+        told.filter(|(_, snapshot)| !snapshot.is_empty()).collect()
+    }
+
+    /// A peer told what it has under way.
+    pub fn peer(&self, peer: &Arc<str>, told: &[(Arc<str>, Vec<Snapshot>)], now: u64) {
+        let mut state = self.state.lock();
+        for (name, pool) in &mut state.pools {
+            let of_pool = told.iter().find(|(told, _)| told == name);
+            pool.peer(peer, of_pool.map_or(&[], |(_, snapshots)| snapshots), now);
+        }
+    }
+
+    /// Addresses of the model endpoints of a pool that has `first`, which comes first.
+    ///
+    /// Empty for plain services: they report no runs, and asking them would be a call.
+    pub fn engines_beside(&self, first: &str) -> Vec<Arc<str>> {
+        let state = self.state.lock();
+        let Some(pool) = state.places.get(first).map(|place| place.pool.clone()) else {
+            return Vec::new();
+        };
         let mut found: Vec<(bool, Arc<str>)> = state
             .places
             .iter()
+            .filter(|(_, place)| place.model && place.pool == pool)
             .map(|(name, place)| (&**name != first, place.address.clone()))
             .collect();
         found.sort();
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -94,6 +94,7 @@
         tracing::warn!("an accepted object was not understood and is passed over");
         return;
     };
+    shared.accepted.lock().keep(&accepted, value);
     let mut applied = false;
     shared.config.send_if_modified(|current| {
         let mut next = (**current).clone();
@@ -116,11 +117,18 @@
 
 fn saw_member(shared: &Shared, name: &str, value: Option<&str>) {
     let now = shared.now();
+    let incarnation = Incarnation::from(name);
     let mut members = shared.members.lock();
     match value.map(serde_json::from_str::<Member>) {
-        Some(Ok(member)) => members.saw(member, now),
+        Some(Ok(member)) => {
+            shared.peers.saw(&member);
+            members.saw(member, now);
+        }
         Some(Err(_)) => {}
-        None => members.removed(&Incarnation::from(name)),
+        None => {
+            shared.peers.removed(&incarnation);
+            members.removed(&incarnation);
+        }
     }
 }
 
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -36,7 +36,7 @@
             incarnation: whose.clone(),
             zone: shared.settings.zone.clone(),
             region: shared.settings.region.clone(),
-            peer: "".into(),
+            peer: shared.advertised.lock().clone(),
             watched: *watched.borrow_and_update(),
             beat: count,
             stopping: *shared.stopping.borrow(),
@@ -132,6 +132,7 @@
         if shared.sessions.renew(session.incarnation()) {
             shared.metrics.renewed.inc();
         }
+        shared.peers.rename(shared.me());
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`http`](self) reads it, `requests` joins retries, `drive` takes it through claim, money and
 //! dispatch, `relay` passes the answer on, and a `transcript` keeps it for whoever asks again.
 
+mod answers;
 mod api;
 mod call;
 mod chat;
@@ -14,7 +15,10 @@
 mod keeper;
 mod metrics;
 mod outcome;
+mod peers;
+mod places;
 mod relay;
+mod relayed;
 mod render;
 mod requests;
 mod router;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use session::Hold;
 use timeline::What;
+use wire::Place;
 
 use crate::{
     call::{Call, Payload},
@@ -68,19 +69,7 @@
         Ok(sent) => sent,
         Err(progress) => return progress,
     };
-    let mut relay = Relay {
-        shared,
-        call,
-        driver,
-        limit: *limit,
-        transcript: Arc::new(Transcript::default()),
-        streams: *stream,
-        counted: 0,
-        usage: None,
-        text: String::new(),
-        reason: None,
-        first: true,
-    };
+    let mut relay = Relay::new(shared, call, driver, *limit, *stream);
     let (end, mut flight) = match sent {
         Sent::Answering(response) => relay.follow(response, flight, &dispatch).await,
         Sent::Doubt(unknown) => (Err(unknown), flight),
@@ -99,6 +88,39 @@
     relay.close(end, charged, model)
 }
 
+/// Follows a run that another box started; `None` if its engine does not have it any more.
+///
+/// Whoever started the run has recorded it and is charged for it, so nothing is held here.
+pub async fn attach(
+    shared: &Arc<Shared>,
+    call: &Call,
+    driver: &Driver,
+    place: &Place,
+) -> Option<Progress> {
+    let Payload::Chat { limit, stream, model, .. } = &call.payload else { return None };
+    if place.by == shared.me() {
+        return None;
+    }
+    let url = format!("http://{}/runs/{}/stream", place.endpoint, place.dispatch);
+    let request = shared.http.get(url);
+    let Sent::Answering(mut response) = send(request, call.left(), &place.dispatch).await else {
+        return None;
+    };
+    if !response.status().is_success() {
+        return None;
+    }
+    let mut relay = Relay::new(shared, call, driver, *limit, *stream);
+    let read = relay.read(&mut response).await;
+    let end = match read {
+        Ok(()) => Ok(()),
+        // Nothing was passed on: the request is run anew.
+        Err(_) if relay.first => return None,
+        Err(_) => Err(Unknown::Broken),
+    };
+    shared.log.request(&call.key, &call.caller.budget, What::Replayed);
+    Some(relay.close(end, 0, model))
+}
+
 /// Sends to the chosen endpoint, and to another while it was provably not received.
 async fn dispatch_to(
     shared: &Arc<Shared>,
@@ -136,11 +158,22 @@
                 flight.failure = Some(Failure::Silent);
                 return Ok((flight, sent));
             }
-            Sent::Answering(_) => return Ok((flight, sent)),
+            Sent::Answering(_) => {
+                note_place(shared, call, &flight, &dispatch);
+                return Ok((flight, sent));
+            }
         }
     }
 }
 
+fn note_place(shared: &Arc<Shared>, call: &Call, flight: &Flight, dispatch: &str) {
+    if call.keyed && call.route.repeatable {
+        let endpoint = flight.target.address.clone();
+        let place = Place { by: shared.me(), endpoint, dispatch: dispatch.into() };
+        shared.note_place(&call.caller.customer, &call.key, place);
+    }
+}
+
 #[derive(Deserialize)]
 struct Refused {
     error: RefusedError,
@@ -193,7 +226,29 @@
     Whole,
 }
 
-impl Relay<'_> {
+impl<'a> Relay<'a> {
+    fn new(
+        shared: &'a Arc<Shared>,
+        call: &'a Call,
+        driver: &'a Driver,
+        limit: u64,
+        streams: bool,
+    ) -> Relay<'a> {
+        Relay {
+            shared,
+            call,
+            driver,
+            limit,
+            transcript: Arc::new(Transcript::default()),
+            streams,
+            counted: 0,
+            usage: None,
+            text: String::new(),
+            reason: None,
+            first: true,
+        }
+    }
+
     /// Follows the stream to its end, resuming it at the engine if it breaks.
     async fn follow(
         &mut self,
@@ -400,7 +455,7 @@
 
 /// Tokens used by a run of `dispatch`, once one of the endpoints says that it ended.
 pub async fn ended_run(shared: &Shared, endpoint: &str, dispatch: &str) -> Option<u64> {
-    for address in shared.endpoints.addresses(endpoint) {
+    for address in shared.endpoints.engines_beside(endpoint) {
         if let Some(Report::Ended { prompt_tokens, output_tokens }) =
             ask(shared, &address, dispatch).await
         {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::{
+    answers::{self, Desk},
     api::{Callers, Operators},
     endpoints, follow, keeper, sealer,
     settings::Settings,
@@ -22,6 +23,8 @@
 
 /// Time for the balancer to notice that the box is not ready any more.
 const NOTICE: Duration = Duration::from_millis(500);
+/// Time between probes of the direct way to the platform.
+const PROBE_DIRECT: Duration = Duration::from_millis(1_000);
 
 /// Why a router did not start.
 #[derive(Debug, Snafu)]
@@ -29,6 +32,9 @@
     /// An address could not be bound.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Bind { address: SocketAddr, source: Box<salvo::Error> },
+    /// The address for other boxes could not be bound.
+    #[snafu(display("cannot listen for other boxes on {address}: {source}"))]
+    Peers { address: SocketAddr, source: std::io::Error },
 }
 
 /// A running router.
@@ -36,6 +42,7 @@
     shared: Arc<Shared>,
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: Option<wire::Server>,
     handle: ServerHandle,
     servers: Vec<JoinHandle<()>>,
     loops: Vec<JoinHandle<()>>,
@@ -63,6 +70,7 @@
         let (callers, operators) = (bind(callers).await?, bind(operators).await?);
         let addresses = (address(&callers), address(&operators));
         let shared = Shared::open(settings, store, calls, seed);
+        let peers = bind_peers(&shared).await?;
         let fuse = FuseConfig::default()
             .with_http1_header_timeout(Duration::from_millis(limits.header_ms))
             .with_connection_idle_timeout(Duration::from_millis(limits.idle_ms));
@@ -77,7 +85,8 @@
         ];
         shared.log.add(What::Started);
         let loops = spawn_loops(&shared);
-        Ok(Router { shared, callers: addresses.0, operators: addresses.1, handle, servers, loops })
+        let (callers, operators) = addresses;
+        Ok(Router { shared, callers, operators, peers, handle, servers, loops })
     }
 
     /// Where callers connect.
@@ -90,6 +99,11 @@
         self.operators
     }
 
+    /// Where other boxes connect, if it takes peers.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(wire::Server::address)
+    }
+
     /// The events of this router.
     pub fn log(&self) -> Log {
         self.shared.log.clone()
@@ -166,9 +180,26 @@
         tokio::spawn(sealer::wind_up(shared.clone())),
         tokio::spawn(endpoints::poll_reports(shared.clone())),
         tokio::spawn(endpoints::poll_hosts(shared.clone())),
+        tokio::spawn(answers::exchange(shared.clone())),
+        tokio::spawn(answers::hand_in(shared.clone())),
+        tokio::spawn(probe_direct(shared.clone())),
     ]
 }
 
+async fn probe_direct(shared: Arc<Shared>) {
+    shared.relayed.probe(PROBE_DIRECT).await;
+}
+
+async fn bind_peers(shared: &Arc<Shared>) -> Result<Option<wire::Server>, Error> {
+    let listen = &shared.settings.listen;
+    let Some(address) = listen.peers else { return Ok(None) };
+    let server = wire::Server::bind(address, Arc::new(Desk(shared.clone()))).await;
+    let server = server.context(PeersSnafu { address })?;
+    let advertised = listen.advertise.unwrap_or_else(|| server.address());
+    *shared.advertised.lock() = advertised.to_string().into();
+    Ok(Some(server))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpAcceptor, Error> {
     TcpListener::new(address).try_bind().await.map_err(Box::new).context(BindSnafu { address })
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,6 +21,9 @@
     pub listen: Listen,
     /// How it reaches the platform.
     pub platform: PlatformSettings,
+    /// Addresses of a few other boxes, for a start without the platform.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Limits towards callers.
     #[serde(default)]
     pub limits: Limits,
@@ -40,6 +43,12 @@
     pub callers: SocketAddr,
     /// For metrics and health.
     pub operators: SocketAddr,
+    /// For other boxes; without it the box takes no peers.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
+    /// Where other boxes reach it, if not at `peers` itself.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// The platform's object API.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,6 +1,10 @@
 //! What all parts of one router share.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    sync::Arc,
+    time::Duration,
+};
 
 use config::Snapshot;
 use ledger::Incarnation;
@@ -9,17 +13,33 @@
 use platform::{Calls, Store};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use session::{Health, Options, Sessions, Setup};
+use session::{Carried, Health, Options, Sessions, Setup};
 use timeline::Log;
 use tokio::{sync::watch, time::Instant};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use wire::{Frame, Place};
 
-use crate::{endpoints::Endpoints, metrics::Metrics, requests::Requests, settings::Settings};
+use crate::{
+    answers::Texts, endpoints::Endpoints, metrics::Metrics, peers::Peers, places::Places,
+    relayed::Relayed, requests::Requests, settings::Settings,
+};
+
+/// Where questions to peers leave from, if the box takes none itself.
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 /// Shared state of one router.
 pub struct Shared {
     pub settings: Settings,
+    /// The platform, directly or through a peer.
     pub store: Arc<dyn Store>,
+    /// The platform, directly only.
+    pub direct: Arc<dyn Store>,
+    pub relayed: Arc<Relayed>,
+    pub peers: Peers,
+    pub carried: Carried,
+    pub places: Places,
+    pub advertised: Mutex<Arc<str>>,
+    pub accepted: Mutex<Texts>,
     pub calls: Calls,
     pub health: Health,
     pub config: watch::Sender<Arc<Snapshot>>,
@@ -40,10 +60,19 @@
 
 impl Shared {
     /// Opens everything; nothing runs yet.
-    pub fn open(settings: Settings, store: Arc<dyn Store>, calls: Calls, seed: u64) -> Arc<Shared> {
+    pub fn open(
+        settings: Settings,
+        direct: Arc<dyn Store>,
+        calls: Calls,
+        seed: u64,
+    ) -> Arc<Shared> {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let log = Log::open(&*settings.box_name);
         let health = Health::open(log.clone());
+        let source = settings.listen.peers.map_or(LOOPBACK, |address| address.ip());
+        let peers = Peers::new(source, settings.zone.clone(), log.clone(), random.random());
+        let relayed = Arc::new(Relayed::new(direct.clone(), peers.clone()));
+        let store: Arc<dyn Store> = relayed.clone();
         let (config, _) = watch::channel(Arc::new(Snapshot::default()));
         let setup = Setup {
             box_name: settings.box_name.clone(),
@@ -57,8 +86,10 @@
             },
             spacing: Duration::from_millis(settings.money.spacing_ms),
             log: log.clone(),
-            peers: None,
+            peers: Some(Arc::new(peers.clone())),
         };
+        let sessions = Sessions::open(setup, random.random());
+        peers.rename(sessions.me());
         let limits = &settings.limits;
         let requests = Requests::new(limits.replay_bytes, Duration::from_millis(limits.replay_ms));
         let http = reqwest::Client::builder()
@@ -77,7 +108,14 @@
             watched: watch::channel(0).0,
             ended: CancellationToken::new(),
             tasks: TaskTracker::new(),
-            sessions: Sessions::open(setup, random.random()),
+            sessions,
+            carried: Carried::default(),
+            places: Places::default(),
+            advertised: Mutex::new("".into()),
+            accepted: Mutex::default(),
+            direct,
+            relayed,
+            peers,
             random: Mutex::new(random),
             started: Instant::now(),
             settings,
@@ -111,6 +149,39 @@
         self.members.lock().rank(key, &me, self.now(), self.settings.money.seal_after_ms)
     }
 
+    /// The peer that is home to a request's key; `None` if it is this box.
+    fn key_home(&self, customer: &str, key: &str) -> Option<Incarnation> {
+        let me = self.me();
+        let id = format!("{customer}/{key}");
+        let weight = |name: &Incarnation| member::weight(&id, name.box_name());
+        let home = self.peers.in_reach().into_iter().max_by_key(|name| weight(name))?;
+        (weight(&home) > weight(&me)).then_some(home)
+    }
+
+    /// Where a request with a key is or was run, as its home knows.
+    pub async fn find_place(&self, customer: &Arc<str>, key: &Arc<str>) -> Option<Place> {
+        let Some(home) = self.key_home(customer, key) else {
+            return self.places.find(customer, key);
+        };
+        let question = Frame::Where { customer: customer.clone(), key: key.clone() };
+        match self.peers.ask_one(&home, question).await {
+            Some(Frame::There { place }) => place,
+            _ => None,
+        }
+    }
+
+    /// Tells the home of a request's key where it is run.
+    pub fn note_place(self: &Arc<Self>, customer: &Arc<str>, key: &Arc<str>, place: Place) {
+        match self.key_home(customer, key) {
+            None => self.places.note(customer.clone(), key.clone(), place),
+            Some(home) => {
+                let frame = Frame::Note { customer: customer.clone(), key: key.clone(), place };
+                let peers = self.peers.clone();
+                self.tasks.spawn(async move { peers.ask_one(&home, frame).await });
+            }
+        }
+    }
+
     /// A random part of `most`, against everyone acting at once.
     pub fn jitter(&self, most: Duration) -> Duration {
         most.mul_f64(self.random.lock().random())
--- a/crates/session/src/carry.rs
+++ b/crates/session/src/carry.rs
@@ -9,25 +9,15 @@
     sync::Arc,
 };
 
-use ledger::{Evidence, Incarnation, Journal, Ledger, Record, Transfer};
+use ledger::{Entry, Evidence, Incarnation, Journal, Ledger, Record, Transfer};
 use parking_lot::Mutex;
 use platform::{Expect, Store, Write};
-use serde::{Deserialize, Serialize};
 
 /// Most records carried for others.
 const MOST: usize = 50_000;
 /// Conflicts after which a hand-in is left for later.
 const TRIES: u32 = 6;
 
-/// Something that must reach a journal whatever happens to the box that wrote it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Entry {
-    /// Offline work, as an intent or with its outcome.
-    Record(Record),
-    /// Offline tokens received, of a budget.
-    Transfer(Arc<str>, Transfer),
-}
-
 /// Other boxes in reach, as the money side needs them.
 #[async_trait::async_trait]
 pub trait Peers: Send + Sync {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -16,7 +16,7 @@
 mod usage;
 pub mod windup;
 
-pub use carry::{Carried, Entry, Peers};
+pub use carry::{Carried, Peers};
 pub use funds::{Denial, Funds, Options};
 pub use health::Health;
 pub use recorder::{Failure, Recorder, Work};
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ledger::{Ended, Evidence, Incarnation, Part, Record, Reservation, Transfer};
+use ledger::{Ended, Entry, Evidence, Incarnation, Part, Record, Reservation, Transfer};
 
-use crate::{Denial, Failure, Funds, Peers, Recorder, Setup, Work, account, carry::Entry};
+use crate::{Denial, Failure, Funds, Peers, Recorder, Setup, Work, account};
 
 /// Longest wait for carriers before offline work is dispatched.
 const CARRY: Duration = Duration::from_millis(50);
--- a/crates/session/tests/world/mod.rs
+++ b/crates/session/tests/world/mod.rs
@@ -11,7 +11,8 @@
 use config::{Snapshot, Verdict, gate};
 use faulty::{Condition, Faulty, Way};
 use ledger::{
-    Bill, Closing, Ended, Evidence, Incarnation, Journal, Ledger, Page, Part, Record, Transfer,
+    Bill, Closing, Ended, Entry, Evidence, Incarnation, Journal, Ledger, Page, Part, Record,
+    Transfer,
 };
 use parking_lot::Mutex;
 use platform::Store;
@@ -19,7 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 use resource::Kind;
 use session::{
-    Carried, Entry, Health, Options, Sessions, Setup,
+    Carried, Health, Options, Sessions, Setup,
     windup::{self, Finding, Sealed},
 };
 use standin::Memory;
@@ -388,7 +389,7 @@
 
     /// What must always hold; the first thing that does not.
     pub async fn fault(&self) -> Option<String> {
-        let (ledger, bills) = (self.ledger().await, self.bills().await);
+        let (ledger, bills, books) = (self.ledger().await, self.bills().await, self.books().await);
         let truth = self.truth.lock();
         let served: u64 = truth.runs.values().map(|run| run.tokens).sum();
         if served > truth.paid_at_most {
@@ -408,7 +409,6 @@
             let count = bills.iter().filter(|bill| bill.key == **key).count();
             if count > 1 || (count == 0 && ran.contains(key)) {
                 let runs: Vec<_> = truth.runs.iter().filter(|(_, run)| run.key == **key).collect();
-                let books = self.books().await;
                 return Some(format!("{key} ran and is on {count} bills: {runs:?}\n{books}"));
             }
         }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -42,8 +42,8 @@
     Renewed { incarnation: Arc<str> },
     /// An open record of a sealed journal got an outcome.
     Resolved { incarnation: Arc<str>, tokens: u64 },
-    /// Records of offline work reached a journal late.
-    HandedIn { records: u64 },
+    /// Entries carried for another incarnation reached its journal.
+    HandedIn { incarnation: Arc<str> },
     /// Offline tokens went to another incarnation.
     Transferred { to: Arc<str>, tokens: u64 },
     /// A version of a resource is in force here.
--- a/crates/trial/src/audit.rs
+++ b/crates/trial/src/audit.rs
@@ -160,6 +160,18 @@
         }
     }
 
+    /// What breaks a promise, in words, for whoever looks into it.
+    pub fn faults(&self) -> Vec<String> {
+        let unbilled = self.ran.iter().filter(|(key, _)| !self.bills.contains_key(*key));
+        let mut faults: Vec<String> =
+            unbilled.map(|(key, runs)| format!("`{key}` ran {runs:?} and is on no bill")).collect();
+        let twice = self.bills.iter().filter(|(_, bills)| bills.len() > 1);
+        faults.extend(twice.map(|(key, bills)| format!("`{key}` is billed by {bills:?}")));
+        let unsound = self.ledgers.iter().filter(|(name, ledger)| !self.adds_up(name, ledger));
+        faults.extend(unsound.map(|(name, ledger)| format!("ledger `{name}`: {ledger:?}")));
+        faults
+    }
+
     fn lied(&self) -> u64 {
         let mut only_refused: BTreeMap<String, bool> = BTreeMap::new();
         for got in &self.told {
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -1,6 +1,10 @@
 //! Platform, endpoints and routers, started together.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use ledger::Ledger;
 use platform::{Expect, Store, Write};
@@ -72,6 +76,11 @@
     }
 }
 
+/// The own IP number of a box towards its peers, so that links can tell boxes apart.
+fn peer_ip(index: usize) -> IpAddr {
+    [127, 0, 1 + (index / 200) as u8, 10 + (index % 200) as u8].into()
+}
+
 /// A fleet on loopback.
 pub struct Fleet {
     /// The plan it was started by.
@@ -86,6 +95,8 @@
     pub nodes: Vec<Node>,
     /// The link of each router to the platform.
     pub links: Vec<Link>,
+    /// The link of all other routers to each router.
+    pub peer_links: Vec<Link>,
     /// The caller.
     pub caller: Caller,
     starts: u64,
@@ -112,6 +123,7 @@
             services,
             nodes: Vec::new(),
             links: Vec::new(),
+            peer_links: Vec::new(),
             caller,
             starts: 0,
         };
@@ -120,6 +132,9 @@
             let socket = fleet.platform.socket();
             let link = Link::bind(socket, Duration::ZERO).await.expect("loopback has free ports");
             fleet.links.push(link);
+            let address = (peer_ip(index), 0).into();
+            let link = Link::bind_at(address, Duration::ZERO).await.expect("loopback is free");
+            fleet.peer_links.push(link);
             let node = fleet.start(index).await;
             fleet.nodes.push(node);
         }
@@ -135,7 +150,11 @@
     async fn start(&mut self, index: usize) -> Node {
         self.starts += 1;
         let seed = self.plan.seed.wrapping_mul(1_000_003) + self.starts;
-        Node::spawn(self.settings(index), seed).await
+        let node = Node::spawn(self.settings(index), seed).await;
+        if let Some(address) = node.peers() {
+            self.peer_links[index].set_target(address);
+        }
+        node
     }
 
     fn settings(&self, index: usize) -> Settings {
@@ -144,7 +163,13 @@
             box_name: format!("box-{index}").into(),
             zone: self.zone(index).into(),
             region: "trial".into(),
-            listen: Listen { callers: loopback, operators: loopback },
+            listen: Listen {
+                callers: loopback,
+                operators: loopback,
+                peers: Some((peer_ip(index), 0).into()),
+                advertise: Some(self.peer_links[index].address()),
+            },
+            peers: Vec::new(),
             platform: PlatformSettings {
                 address: format!("http://{}", self.links[index].address()),
                 timeout_ms: self.plan.timeout_ms,
@@ -156,6 +181,22 @@
         }
     }
 
+    /// Cuts boxes `a` and `b` off from each other, or joins them again.
+    pub fn set_cut(&self, a: usize, b: usize, cut: bool) {
+        self.peer_links[a].set_blocked(peer_ip(b), cut);
+        self.peer_links[b].set_blocked(peer_ip(a), cut);
+    }
+
+    /// Cuts a group of boxes off from all others and from the platform, or joins them again.
+    pub fn set_partition(&self, group: &[usize], cut: bool) {
+        for index in group {
+            self.links[*index].set_cut(cut);
+            for other in (0..self.nodes.len()).filter(|other| !group.contains(other)) {
+                self.set_cut(*index, other, cut);
+            }
+        }
+    }
+
     /// Starts the router of a box again, as a new incarnation.
     pub async fn restart(&mut self, index: usize) {
         let node = self.start(index).await;
--- a/crates/trial/src/node.rs
+++ b/crates/trial/src/node.rs
@@ -24,6 +24,7 @@
     name: Arc<str>,
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: Option<SocketAddr>,
     log: Log,
     calls: platform::Calls,
     commands: tokio::sync::mpsc::UnboundedSender<Command>,
@@ -34,6 +35,7 @@
 struct Up {
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: Option<SocketAddr>,
     log: Log,
     calls: platform::Calls,
 }
@@ -53,6 +55,7 @@
             name,
             callers: up.callers,
             operators: up.operators,
+            peers: up.peers,
             log: up.log,
             calls: up.calls,
             commands,
@@ -76,6 +79,11 @@
         self.operators
     }
 
+    /// Where other boxes connect.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers
+    }
+
     /// Its newest events.
     pub fn events(&self) -> Vec<Event> {
         self.log.events()
@@ -178,6 +186,7 @@
     let _ = ready.send(Up {
         callers: router.callers(),
         operators: router.operators(),
+        peers: router.peers(),
         log: router.log(),
         calls: router.calls(),
     });
--- a/crates/trial/tests/path.rs
+++ b/crates/trial/tests/path.rs
@@ -76,3 +76,23 @@
     assert_eq!(of_box, 0, "{ledger:?}");
     assert_eq!(ledger.statement.count, 1);
 }
+
+/// Found by the `pause` experiment: whoever resolved a dead box's records asked plain services
+/// too, and every question was a call.
+#[tokio::test]
+async fn resolving_a_dead_box_calls_no_service() {
+    let mut fleet = Fleet::spawn(Plan::default()).await;
+    fleet.services[0].set_drop_answers(true);
+    let ask = Ask::service("dis", "bornova", "cancel", "chair-9");
+    let (to, caller) = (fleet.to(0), fleet.caller.clone());
+    let asking = tokio::spawn(async move { caller.ask(to, &ask).await });
+    while fleet.services[0].executions().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.nodes[0].kill();
+    asking.await.unwrap();
+    assert!(fleet.settle(SETTLE).await);
+    let figures = fleet.audit().await;
+    assert!(figures.is_sound(), "{figures:?}");
+    assert_eq!(fleet.services[0].executions().len(), 1);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use balance::Snapshot;
-use ledger::{Incarnation, Record, Transfer};
+use ledger::{Entry, Incarnation, Transfer};
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
 
@@ -25,7 +25,7 @@
     pub in_flight: Vec<(Arc<str>, Vec<Snapshot>)>,
     /// Newest source version in force.
     pub newest: u64,
-    /// Number of versions in force, so that a gap below the newest shows.
+    /// Sum of all versions in force, so that a gap below the newest shows.
     pub versions: u64,
     /// Whether the sender reaches the platform.
     pub platform: bool,
@@ -86,8 +86,8 @@
 pub enum Frame {
     /// Regular exchange; answered in kind.
     Tell(Told),
-    /// Records to carry while the platform is out of reach.
-    Carry { by: Incarnation, records: Vec<Record> },
+    /// Entries to carry while the platform is out of reach.
+    Carry { by: Incarnation, entries: Vec<Entry> },
     /// How many were taken.
     Taken { count: u64 },
     /// Wants all accepted objects.
@@ -100,10 +100,14 @@
     Found { objects: Option<Vec<Value>> },
     /// Result of a write passed on.
     Written(Write),
-    /// Lacks tokens of a budget, for a request of this size.
-    Want { budget: Arc<str>, tokens: u64, offline: bool },
-    /// Offline tokens passed on, or nothing. Online surplus goes back to the ledger instead.
-    Gave { transfer: Option<Transfer>, returned: u64 },
+    /// A ledger has not enough left for a request of this size: return what can be spared.
+    Spare { budget: Arc<str>, tokens: u64 },
+    /// Whether anything was returned.
+    Spared { returned: bool },
+    /// Asks for offline tokens, for a request of this size.
+    Lend { budget: Arc<str>, tokens: u64 },
+    /// Offline tokens passed on, or nothing.
+    Lent { transfer: Option<Transfer> },
     /// A request with a key is run here.
     Note { customer: Arc<str>, key: Arc<str>, place: Place },
     /// Where is the request with this key run?
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -22,11 +22,8 @@
     let word = "[a-z]{0,12}";
     prop_oneof![
         Just(Frame::Done),
-        (word, any::<u64>(), any::<bool>()).prop_map(|(budget, tokens, offline)| Frame::Want {
-            budget: budget.into(),
-            tokens,
-            offline
-        }),
+        (word, any::<u64>())
+            .prop_map(|(budget, tokens)| Frame::Lend { budget: budget.into(), tokens }),
         (word, word, any::<u64>()).prop_map(|(kind, name, version)| {
             let (kind, name) = (kind.into(), name.into());
             Frame::Call(Question::Put { kind, name, value: "{}".into(), version })
