One box runs a retried request; the others follow it

Cause: ten retries at once to eight boxes ran a repeatable request on every box (528 engine runs for 66 keys), and eight of nine callers of an unrepeatable one were told "unknown" while it was running. Change: the home of a key names the first asker as the one about to run it, and the others wait for its place and follow the run at its engine. A claim held by another attempt is followed until the caller's deadline before "unknown" is said. Outcomes wait up to 250 ms to share a write with the next intent.

--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -62,7 +62,8 @@
             Frame::Done
         }
         Frame::Where { customer, key } => {
-            Frame::There { place: shared.places.find(&customer, &key) }
+            let now = shared.now();
+            Frame::There(shared.places.find(&customer, &key, &question.from, now))
         }
         Frame::Taken { .. }
         | Frame::Objects { .. }
@@ -70,7 +71,7 @@
         | Frame::Written(_)
         | Frame::Spared { .. }
         | Frame::Lent { .. }
-        | Frame::There { .. }
+        | Frame::There(_)
         | Frame::Done
         | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
     }
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -4,6 +4,7 @@
 
 use claim::{Claim, Decision, State, object_name};
 use platform::{Expect, Write};
+use tokio::time::Instant;
 
 use crate::shared::Shared;
 
@@ -11,6 +12,10 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// Longest wait between attempts.
 const AGAIN_MOST: Duration = Duration::from_secs(5);
+/// First wait before looking whether another attempt has answered.
+const LOOK: Duration = Duration::from_millis(40);
+/// Longest such wait.
+const LOOK_MOST: Duration = Duration::from_millis(640);
 /// Attempts to take a claim before the platform counts as unreachable.
 const TRIES: u32 = 6;
 
@@ -34,21 +39,47 @@
     Unreachable,
 }
 
-/// Takes the claim; the write lands before this returns.
-pub async fn take(shared: &Arc<Shared>, claim: Claim, within: Duration) -> Result<Held, Miss> {
-    // Whatever happens to the caller, a claim that may have landed is settled by own word.
-    let held = Held { shared: shared.clone(), claim: claim.clone(), settled: false };
-    match tokio::time::timeout(within, attempt(shared, &claim)).await {
-        Ok(Ok(())) => Ok(held),
-        Ok(Err(Miss::Unreachable)) | Err(_) => Err(Miss::Unreachable),
-        Ok(Err(miss)) => {
-            held.abandon();
-            Err(miss)
+/// Takes the claim within `patience`; the write lands before this returns.
+///
+/// While another attempt holds the claim, its answer is waited for until `left` is over.
+pub async fn take(
+    shared: &Arc<Shared>,
+    claim: Claim,
+    patience: Duration,
+    left: Duration,
+) -> Result<Held, Miss> {
+    let end = Instant::now() + left;
+    loop {
+        // Whatever happens to the caller, a claim that may have landed is settled by own word.
+        let held = Held { shared: shared.clone(), claim: claim.clone(), settled: false };
+        let miss = match tokio::time::timeout(patience, create(shared, &claim)).await {
+            Ok(Ok(())) => return Ok(held),
+            Ok(Err(Miss::Unreachable)) | Err(_) => return Err(Miss::Unreachable),
+            Ok(Err(miss)) => miss,
+        };
+        held.abandon();
+        if miss != Miss::Unknown {
+            return Err(miss);
+        }
+        match tokio::time::timeout_at(end, follow(shared, &claim)).await {
+            Ok(Some(miss)) => return Err(miss),
+            Ok(None) => {}
+            Err(_) => return Err(Miss::Unknown),
         }
     }
 }
 
-async fn attempt(shared: &Shared, mine: &Claim) -> Result<(), Miss> {
+async fn read(shared: &Shared, name: &str) -> Result<Option<(Claim, u64)>, Miss> {
+    let found = shared.store.get("claim", name).await.map_err(|_| {
+        shared.health.failed();
+        Miss::Unreachable
+    })?;
+    let Some(object) = found else { return Ok(None) };
+    let claim = serde_json::from_str(&object.value).map_err(|_| Miss::Unknown)?;
+    Ok(Some((claim, object.version)))
+}
+
+async fn create(shared: &Shared, mine: &Claim) -> Result<(), Miss> {
     let name = object_name(&mine.customer, &mine.key);
     let mut expect = Expect::Absent;
     for _ in 0..TRIES {
@@ -57,29 +88,36 @@
             shared.health.answered();
             return Ok(());
         }
-        let read = shared.store.get("claim", &name).await;
-        let found = read.map_err(|_| {
-            shared.health.failed();
-            Miss::Unreachable
-        })?;
-        expect = match found {
+        expect = match read(shared, &name).await? {
             None => Expect::Absent,
-            Some(object) => {
-                let claim: Claim =
-                    serde_json::from_str(&object.value).map_err(|_| Miss::Unknown)?;
-                match claim.decide(mine) {
-                    Decision::Own => return Ok(()),
-                    Decision::Take => Expect::Version(object.version),
-                    Decision::Replay(answer) => return Err(Miss::Replay(answer)),
-                    Decision::Unknown => return Err(Miss::Unknown),
-                    Decision::Mismatch => return Err(Miss::Mismatch),
-                }
-            }
+            Some((claim, version)) => match claim.decide(mine) {
+                Decision::Own => return Ok(()),
+                Decision::Take => Expect::Version(version),
+                Decision::Replay(answer) => return Err(Miss::Replay(answer)),
+                Decision::Unknown => return Err(Miss::Unknown),
+                Decision::Mismatch => return Err(Miss::Mismatch),
+            },
         };
     }
     Err(Miss::Unreachable)
 }
 
+/// Waits for the answer of another attempt; `None` once that attempt says that it did not run.
+async fn follow(shared: &Shared, mine: &Claim) -> Option<Miss> {
+    let name = object_name(&mine.customer, &mine.key);
+    let mut wait = LOOK;
+    loop {
+        tokio::time::sleep(wait + shared.jitter(wait)).await;
+        wait = (wait * 2).min(LOOK_MOST);
+        let Ok(Some((claim, _))) = read(shared, &name).await else { continue };
+        match claim.decide(mine) {
+            Decision::Replay(answer) => return Some(Miss::Replay(answer)),
+            Decision::Take => return None,
+            Decision::Unknown | Decision::Own | Decision::Mismatch => {}
+        }
+    }
+}
+
 impl Held {
     /// The claim was never ours: nothing to settle.
     fn abandon(mut self) {
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -7,6 +7,7 @@
 use ledger::{Part, Record};
 use session::{Denied, Hold};
 use timeline::What;
+use wire::There;
 
 use crate::{
     call::{Call, Payload},
@@ -22,6 +23,9 @@
 /// When to come back after a refusal that a moment may cure.
 pub const SOON: Duration = Duration::from_secs(1);
 
+/// Wait before asking again for a run that another box is about to start.
+const WAIT_SOON: Duration = Duration::from_millis(20);
+
 /// Everything a call needs to be dispatched.
 pub struct Secured {
     /// Tokens held and, online, the intent landed.
@@ -89,8 +93,14 @@
     if !call.keyed || !is_chat || !call.route.repeatable {
         return None;
     }
-    let place = shared.find_place(&call.caller.customer, &call.key).await?;
-    relay::attach(shared, call, driver, &place).await
+    loop {
+        match shared.find_place(&call.caller.customer, &call.key).await {
+            There::Nowhere => return None,
+            There::Place(place) => return relay::attach(shared, call, driver, &place).await,
+            There::Soon if call.left() < WAIT_SOON => return None,
+            There::Soon => tokio::time::sleep(WAIT_SOON).await,
+        }
+    }
 }
 
 /// The refusal when no endpoint can take a call.
@@ -115,8 +125,8 @@
         state: claim::State::Open,
     };
     let patience = patience(shared, call);
-    let (held, hold) =
-        tokio::join!(claims::take(shared, claim, patience), hold(shared, call, target));
+    let taking = claims::take(shared, claim, patience, call.left());
+    let (held, hold) = tokio::join!(taking, hold(shared, call, target));
     // Whichever is dropped here says "not run" by itself.
     let held = held.map_err(missed)?;
     let hold = hold.map_err(Progress::Refused)?;
--- a/crates/session/src/recorder.rs
+++ b/crates/session/src/recorder.rs
@@ -20,6 +20,8 @@
 
 /// First wait after a failed write; doubles up to [`BACKOFF_MOST`].
 const BACKOFF: Duration = Duration::from_millis(50);
+/// Outcomes alone wait this long for an intent to share a write with.
+const LAZY: Duration = Duration::from_millis(250);
 /// Longest wait after a failed write.
 const BACKOFF_MOST: Duration = Duration::from_secs(2);
 
@@ -57,6 +59,8 @@
     folded: BTreeMap<Arc<str>, u64>,
     next: u64,
     number: u64,
+    /// Somebody waits for what is queued.
+    urgent: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -99,6 +103,7 @@
             folded: BTreeMap::new(),
             next: 1,
             number: 1,
+            urgent: true,
         };
         let shared = Arc::new(Shared {
             incarnation,
@@ -151,6 +156,7 @@
             if self.is_sealed() {
                 return Err(Failure::Sealed);
             }
+            queue.urgent = true;
             let at = queue.push(Work::Intend(record));
             queue.waiters.insert(n, (at, sender));
         }
@@ -175,8 +181,13 @@
 
     /// Queues something that nobody waits for.
     pub fn add(&self, work: Work) {
-        self.0.queue.lock().push(work);
-        self.0.wake.notify_one();
+        let mut queue = self.0.queue.lock();
+        let first = queue.work.is_empty();
+        queue.push(work);
+        drop(queue);
+        if first {
+            self.0.wake.notify_one();
+        }
     }
 
     /// Records an outcome.
@@ -191,7 +202,11 @@
 
     /// Waits until everything queued so far has landed.
     pub async fn flush(&self) {
-        let upto = self.0.queue.lock().next - 1;
+        let upto = {
+            let mut queue = self.0.queue.lock();
+            queue.urgent = true;
+            queue.next - 1
+        };
         self.0.wake.notify_one();
         let _ = self.0.landed.subscribe().wait_for(|landed| *landed >= upto).await;
     }
@@ -258,12 +273,18 @@
     let mut backoff = BACKOFF;
     loop {
         let Some(shared) = shared.upgrade() else { return };
-        let idle = shared.queue.lock().work.is_empty();
+        let (idle, urgent) = {
+            let queue = shared.queue.lock();
+            (queue.work.is_empty(), queue.urgent)
+        };
         if idle {
             let wait = tokio::time::timeout(Duration::from_millis(500), shared.wake.notified());
             let _ = wait.await;
             continue;
         }
+        if !urgent {
+            let _ = tokio::time::timeout(LAZY, shared.wake.notified()).await;
+        }
         match shared.write_once().await {
             Step::Landed => backoff = BACKOFF,
             Step::Again => {}
@@ -316,7 +337,8 @@
 
     /// The journal with everything queued, and up to which piece.
     fn candidate(&self, base: &Journal) -> (Journal, u64) {
-        let queue = self.queue.lock();
+        let mut queue = self.queue.lock();
+        queue.urgent = false;
         let mut journal = base.clone();
         journal.compact(&queue.folded);
         for (_, work) in &queue.work {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -42,6 +42,17 @@
     pub dispatch: Arc<str>,
 }
 
+/// What the home of a key knows of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum There {
+    /// Nobody runs it: whoever asked may.
+    Nowhere,
+    /// Another incarnation is about to run it.
+    Soon,
+    /// It is or was run there.
+    Place(Place),
+}
+
 /// A stored object passed on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Value {
@@ -110,10 +121,10 @@
     Lent { transfer: Option<Transfer> },
     /// A request with a key is run here.
     Note { customer: Arc<str>, key: Arc<str>, place: Place },
-    /// Where is the request with this key run?
+    /// Where is the request with this key run? If nowhere, the asker is about to run it.
     Where { customer: Arc<str>, key: Arc<str> },
-    /// There, if it is known.
-    There { place: Option<Place> },
+    /// What the key's home knows.
+    There(There),
     /// Understood, nothing to say.
     Done,
     /// The question made no sense to this box.
