Capacity from measured slopes; hand-ins by parts

Journals take at most 3,000 records of hand-ins at once, ledgers at most 2,000 bills before pages; flush no longer waits for hand-ins. Members are listed, not watched; exchanges slow down in a large fleet.

--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -1,10 +1,12 @@
 //! The experiments by name.
 
 use crate::{
+    capacity,
     cli::Options,
     exit::Code,
     money, path,
     report::{self, Report},
+    slopes,
 };
 
 /// One experiment.
@@ -28,10 +30,14 @@
     TopUp,
     /// All of it together.
     AllAtOnce,
+    /// What each mechanism costs as it grows.
+    Slopes,
+    /// The letter's size from measured slopes.
+    Capacity,
 }
 
 impl Experiment {
-    const ALL: [Experiment; 9] = [
+    const ALL: [Experiment; 11] = [
         Experiment::Path,
         Experiment::Partition,
         Experiment::Crash,
@@ -41,6 +47,8 @@
         Experiment::RetryStorm,
         Experiment::TopUp,
         Experiment::AllAtOnce,
+        Experiment::Slopes,
+        Experiment::Capacity,
     ];
 
     /// Name on the command line.
@@ -55,6 +63,8 @@
             Experiment::RetryStorm => "retry-storm",
             Experiment::TopUp => "top-up",
             Experiment::AllAtOnce => "all-at-once",
+            Experiment::Slopes => "slopes",
+            Experiment::Capacity => "capacity",
         }
     }
 
@@ -69,6 +79,8 @@
             Experiment::RetryStorm => "each request is sent ten times at once to all boxes",
             Experiment::TopUp => "a budget runs out, is topped up and lowered meanwhile",
             Experiment::AllAtOnce => "cuts, crashes, freezes, outages and lost answers together",
+            Experiment::Slopes => "what each mechanism costs as it grows",
+            Experiment::Capacity => "the size to design for, from measured slopes",
         }
     }
 
@@ -83,6 +95,8 @@
             Experiment::RetryStorm => money::retry_storm(options).await,
             Experiment::TopUp => money::top_up(options).await,
             Experiment::AllAtOnce => money::all_at_once(options).await,
+            Experiment::Slopes => slopes::run(options).await,
+            Experiment::Capacity => capacity::run(),
         }
     }
 }
@@ -103,6 +117,10 @@
     let found = Experiment::ALL.into_iter().find(|experiment| experiment.name() == name);
     let experiment =
         found.ok_or_else(|| format!("no experiment `{name}`; `flintbench list` names them"))?;
+    if experiment == Experiment::Capacity && !options.json {
+        print!("{}", capacity::table());
+        return Ok(Code::Success);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/flintbench/src/main.rs
+++ b/crates/flintbench/src/main.rs
@@ -1,6 +1,7 @@
 //! Load and experiments against real router code and the stand-ins, in one process on loopback.
 
 mod baseline;
+mod capacity;
 mod cli;
 mod exit;
 mod experiment;
@@ -9,6 +10,7 @@
 mod path;
 mod plot;
 mod report;
+mod slopes;
 mod stats;
 
 use std::process::ExitCode;
--- a/crates/flintbench/src/path.rs
+++ b/crates/flintbench/src/path.rs
@@ -69,7 +69,8 @@
     let (mut direct, mut routed) = (Times::default(), Times::default());
     let engine = fleet.engines[0].address();
     for number in 0..requests {
-        let ask = Ask::chat("dental", "bornova", &format!("lat-{number}"));
+        let chat = Ask::chat("dental", "bornova", &format!("lat-{number}"));
+        let ask = Ask { output: 1, max_tokens: 1, ..chat };
         let straight = caller.ask(engine, &ask).await;
         let through = caller.ask(fleet.to(0), &ask).await;
         // The first requests open connections.
@@ -104,7 +105,8 @@
     let caller = Caller::new(Duration::from_secs(20));
     let mut answered = 0;
     for number in 0..count {
-        let ask = Ask::chat("dental", "bornova", &format!("lane-{lane}-{number}"));
+        let chat = Ask::chat("dental", "bornova", &format!("lane-{lane}-{number}"));
+        let ask = Ask { output: 1, max_tokens: 1, ..chat };
         let got = caller.ask(to, &ask).await;
         answered += u64::from(got.outcome == Outcome::Answered);
     }
--- a/crates/flintbench/src/stats.rs
+++ b/crates/flintbench/src/stats.rs
@@ -18,7 +18,8 @@
 impl Times {
     /// Adds a duration.
     pub fn add(&mut self, time: Duration) {
-        self.0.saturating_record(time.as_micros() as u64);
+        // Recording, unlike saturating recording, lets the histogram grow.
+        let _ = self.0.record(time.as_micros() as u64);
     }
 
     /// Milliseconds that a share of all durations does not exceed.
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -14,6 +14,8 @@
 pub const PAGE_BILLS: usize = 200;
 /// Keys remembered against billing a rerun twice.
 const KEYS: usize = 4_000;
+/// Bills kept in a ledger before a fold waits for pages: a value holds 1 MB.
+const RECENT: usize = 2_000;
 /// Holders remembered as ended.
 const ENDED: usize = 64;
 
@@ -169,7 +171,8 @@
         let fresh = journal.outcomes_after(budget, folded);
         let mut outcomes = 0;
         for (record, position) in &fresh {
-            if self.fold_one(&journal.incarnation, record, *position).is_err() {
+            let full = self.statement.recent.len() >= RECENT;
+            if full || self.fold_one(&journal.incarnation, record, *position).is_err() {
                 break;
             }
             outcomes += 1;
@@ -263,10 +266,11 @@
         serde_json::to_string(self).expect("ledgers always serialize")
     }
 
-    /// The next page of bills to write before it leaves the ledger, if one is full.
-    pub fn full_page(&self) -> Option<(u64, Page)> {
-        let bills = self.statement.recent.get(..PAGE_BILLS)?;
-        Some((self.statement.pages, Page { bills: bills.to_vec() }))
+    /// Full pages of bills to write before they leave the ledger, the oldest first.
+    pub fn full_pages(&self) -> Vec<(u64, Page)> {
+        let pages = self.statement.recent.chunks_exact(PAGE_BILLS);
+        let numbered = (self.statement.pages..).zip(pages);
+        numbered.map(|(number, bills)| (number, Page { bills: bills.to_vec() })).collect()
     }
 
     /// Drops the bills of page `number`, which has been written.
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -10,10 +10,14 @@
 
 use crate::{follow::put_in_force, shared::Shared};
 
-/// Peers that a box exchanges with in one turn, however many there are.
-const FANOUT: usize = 8;
-/// Exchanges a second that a box starts at the most.
+/// Boxes up to which everyone exchanges with everyone in each turn.
+const FEW: u64 = 9;
+/// Peers that a box exchanges with in one turn of a larger fleet.
+const FANOUT: usize = 2;
+/// Time of one turn of a small fleet.
 const TURN: Duration = Duration::from_millis(300);
+/// Longest time of one turn.
+const TURN_MOST: Duration = Duration::from_millis(2_400);
 
 /// Answers the questions of other boxes.
 pub struct Desk(pub Arc<Shared>);
@@ -136,9 +140,12 @@
 /// Exchanges with a few peers in turn, for as long as the router runs.
 pub async fn exchange(shared: Arc<Shared>) {
     loop {
-        tokio::time::sleep(TURN / 2 + shared.jitter(TURN)).await;
+        let boxes = shared.boxes();
+        let turn = (TURN * u32::try_from(boxes / FEW).unwrap_or(1).max(1)).min(TURN_MOST);
+        tokio::time::sleep(turn / 2 + shared.jitter(turn)).await;
         seed(&shared).await;
-        let asked = shared.peers.some(FANOUT).into_iter().map(|name| exchange_one(&shared, name));
+        let fanout = if boxes <= FEW { boxes as usize } else { FANOUT };
+        let asked = shared.peers.some(fanout).into_iter().map(|name| exchange_one(&shared, name));
         futures_util::future::join_all(asked).await;
     }
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,6 +1,6 @@
 //! Following configuration: the gate to `accepted`, and what is in force here.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use config::{Accepted, Verdict, gate, object_name};
 use ledger::Incarnation;
@@ -16,10 +16,12 @@
 const NEXT_IN_LINE: Duration = Duration::from_millis(700);
 /// Boxes in line for one object.
 const LINE: usize = 3;
+/// Lists of members read a second over the whole fleet, whatever its size.
+const LISTS_PER_S: u64 = 20;
 /// Wait after a failed read.
 const AGAIN: Duration = Duration::from_millis(200);
 
-const KINDS: [&str; 7] = ["accepted", "budget", "customer", "pool", "route", "destroyed", "member"];
+const KINDS: [&str; 6] = ["accepted", "budget", "customer", "pool", "route", "destroyed"];
 
 /// Follows the platform's objects for as long as the router runs.
 pub async fn follow(shared: Arc<Shared>) {
@@ -53,9 +55,6 @@
     for object in accepted {
         put_in_force(shared, &object.value);
     }
-    for object in shared.store.list("member", "").await? {
-        saw_member(shared, &object.name, Some(&object.value));
-    }
     for kind in Kind::ALL {
         for object in shared.store.list(kind.as_str(), "").await? {
             offer(shared, kind, source(object));
@@ -77,7 +76,6 @@
     for change in watch.changes {
         match (&*change.kind, &change.value) {
             ("accepted", Some(value)) => put_in_force(shared, value),
-            ("member", value) => saw_member(shared, &change.name, value.as_deref()),
             (kind, _) => {
                 if let Ok(kind) = kind.parse() {
                     offer(shared, kind, change);
@@ -115,6 +113,37 @@
     }
 }
 
+/// Reads the list of members now and then, for as long as the router runs.
+///
+/// A watch would wake every box at every beat of every other: the number of reads would grow
+/// with the square of the fleet.
+pub async fn follow_members(shared: Arc<Shared>) {
+    let mut known = BTreeSet::new();
+    loop {
+        match shared.store.list("member", "").await {
+            Ok(objects) => {
+                let names: BTreeSet<Arc<str>> =
+                    objects.iter().map(|object| object.name.clone()).collect();
+                for object in &objects {
+                    saw_member(&shared, &object.name, Some(&object.value));
+                }
+                for gone in known.difference(&names) {
+                    saw_member(&shared, gone, None);
+                }
+                known = names;
+            }
+            Err(_) => {
+                // Others' silence means nothing while this box could not hear them.
+                let now = shared.now();
+                shared.members.lock().restart_counting(now);
+            }
+        }
+        let least = Duration::from_millis(shared.boxes() * 1_000 / LISTS_PER_S);
+        let every = Duration::from_millis(shared.settings.money.beat_ms).max(least);
+        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
+    }
+}
+
 fn saw_member(shared: &Shared, name: &str, value: Option<&str>) {
     let now = shared.now();
     let incarnation = Incarnation::from(name);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -173,6 +173,7 @@
 fn spawn_loops(shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
     vec![
         tokio::spawn(follow::follow(shared.clone())),
+        tokio::spawn(follow::follow_members(shared.clone())),
         tokio::spawn(keeper::beat(shared.clone())),
         tokio::spawn(keeper::probe(shared.clone())),
         tokio::spawn(keeper::fold(shared.clone())),
--- a/crates/session/src/funds.rs
+++ b/crates/session/src/funds.rs
@@ -243,6 +243,7 @@
             }
             let Some((next, draw)) = planned? else { return Ok(()) };
             match self.write(entry, &mut book, next, draw).await? {
+                true if matches!(purpose, Purpose::Keep) && self.has_more(entry, &book) => {}
                 true => return self.verdict(entry, &purpose),
                 false => tokio::time::sleep(Duration::from_millis(u64::from(attempt) * 3)).await,
             }
@@ -328,7 +329,7 @@
         }
         let journal = self.recorder.journal();
         next.fold(&entry.budget, &journal);
-        self.write_page(entry, ledger, &mut next).await;
+        self.write_pages(entry, ledger, &mut next).await;
         let share = spec.map_or(0, |spec| spec.share());
         let draw = self.draw(entry, &next, share, purpose).await;
         let known_short = next.grants.get(self.me()).is_some_and(|g| g.wanted == draw.wanted);
@@ -408,20 +409,28 @@
         target(policy, Observed { rate, largest, peak, unspent })
     }
 
-    /// Moves a full page of bills out of the ledger.
+    /// Moves full pages of bills out of the ledger.
     ///
     /// Only bills that have landed go on a page: their order is settled, so whoever writes the
     /// page writes the same one.
-    async fn write_page(&self, entry: &Entry, landed: &Ledger, next: &mut Ledger) {
-        let Some((number, page)) = landed.full_page() else { return };
-        let name = ledger::page_name(&entry.budget, number);
-        let text = serde_json::to_string(&page).expect("pages always serialize");
-        match self.store.put("bills", &name, text, Expect::Absent).await {
-            Write::Landed(_) | Write::Refused => drop(next.drop_page(number)),
-            Write::Failed | Write::Unknown => {}
+    async fn write_pages(&self, entry: &Entry, landed: &Ledger, next: &mut Ledger) {
+        for (number, page) in landed.full_pages() {
+            let name = ledger::page_name(&entry.budget, number);
+            let text = serde_json::to_string(&page).expect("pages always serialize");
+            match self.store.put("bills", &name, text, Expect::Absent).await {
+                Write::Landed(_) | Write::Refused => drop(next.drop_page(number)),
+                Write::Failed | Write::Unknown => return,
+            }
         }
     }
 
+    /// Whether another write would fold or page more.
+    fn has_more(&self, entry: &Entry, book: &Book) -> bool {
+        let Some(mut ledger) = book.ledger.clone() else { return false };
+        let paged = ledger.statement.recent.len() >= ledger::PAGE_BILLS;
+        paged || ledger.fold(&entry.budget, &self.recorder.journal()).outcomes > 0
+    }
+
     /// Writes the ledger; true if it landed, false if another write came first.
     async fn write(
         &self,
@@ -544,10 +553,17 @@
                 return Ok(());
             }
             let position = next.grants.get(self.me()).map_or(0, |grant| grant.folded);
-            next.end(self.me());
+            let last = self.recorder.backlog() == 0;
+            if last {
+                next.end(self.me());
+            }
+            if !last && next == *ledger {
+                return Err(Denial::Unreachable);
+            }
             if self.write(&entry, &mut book, next, Draw::default()).await? {
                 self.recorder.folded(budget, position);
-                return Ok(());
+                // Folding made room for hand-ins that still wait.
+                return if last { Ok(()) } else { Err(Denial::Unreachable) };
             }
         }
         Err(Denial::Unreachable)
--- a/crates/session/src/recorder.rs
+++ b/crates/session/src/recorder.rs
@@ -5,7 +5,7 @@
 //! whose answer was lost is simply read back and applied again where it did not land.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -22,6 +22,10 @@
 const BACKOFF: Duration = Duration::from_millis(50);
 /// Outcomes alone wait this long for an intent to share a write with.
 const LAZY: Duration = Duration::from_millis(250);
+/// Records that a journal holds at the most before hand-ins wait: a value holds 1 MB.
+const MOST_RECORDS: usize = 3_000;
+/// Records above that which intents may still add.
+const ROOM_FOR_INTENTS: usize = 500;
 /// Longest wait after a failed write.
 const BACKOFF_MOST: Duration = Duration::from_secs(2);
 
@@ -200,15 +204,21 @@
         self.0.queue.lock().folded.insert(budget.clone(), position);
     }
 
-    /// Waits until everything queued so far has landed.
+    /// Waits until everything queued so far has landed, except hand-ins: those only spend what
+    /// the ledger holds for them anyway, and may have to wait for folds.
     pub async fn flush(&self) {
         let upto = {
             let mut queue = self.0.queue.lock();
             queue.urgent = true;
-            queue.next - 1
+            queue.next
         };
         self.0.wake.notify_one();
-        let _ = self.0.landed.subscribe().wait_for(|landed| *landed >= upto).await;
+        let mut landed = self.0.landed.subscribe();
+        while self.0.queue.lock().holds_before(upto) {
+            if landed.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Like [`Recorder::flush`], but gives up; false if something may not have landed.
@@ -257,6 +267,11 @@
 }
 
 impl Queue {
+    fn holds_before(&self, upto: u64) -> bool {
+        let mut before = self.work.iter().take_while(|(at, _)| *at < upto);
+        before.any(|(_, work)| !matches!(work, Work::HandIn(..)))
+    }
+
     fn push(&mut self, work: Work) -> u64 {
         let at = self.next;
         self.next += 1;
@@ -307,9 +322,9 @@
 impl Shared {
     async fn write_once(&self) -> Step {
         let base = self.base.lock().clone();
-        let (journal, upto) = self.candidate(&base.journal);
+        let (journal, applied) = self.candidate(&base.journal);
         if base.version != 0 && journal == *base.journal {
-            self.landed(upto, None);
+            self.landed(&applied, None);
             return Step::Again;
         }
         let name = self.incarnation.as_str();
@@ -317,7 +332,7 @@
         match write {
             Write::Landed(version) => {
                 self.health.answered();
-                self.landed(upto, Some(Base { journal: Arc::new(journal), version }));
+                self.landed(&applied, Some(Base { journal: Arc::new(journal), version }));
                 Step::Landed
             }
             Write::Refused => {
@@ -335,36 +350,45 @@
         }
     }
 
-    /// The journal with everything queued, and up to which piece.
-    fn candidate(&self, base: &Journal) -> (Journal, u64) {
+    /// The journal with everything queued that it has room for, and which pieces those are.
+    fn candidate(&self, base: &Journal) -> (Journal, BTreeSet<u64>) {
         let mut queue = self.queue.lock();
         queue.urgent = false;
         let mut journal = base.clone();
         journal.compact(&queue.folded);
-        for (_, work) in &queue.work {
-            apply(&mut journal, work);
+        let mut applied = BTreeSet::new();
+        for (at, work) in &queue.work {
+            let room = match work {
+                Work::HandIn(..) => MOST_RECORDS,
+                Work::Intend(_) => MOST_RECORDS + ROOM_FOR_INTENTS,
+                Work::Finish { .. } | Work::Draw(_) | Work::Transfer(..) => usize::MAX,
+            };
+            if journal.records.len() < room {
+                apply(&mut journal, work);
+                applied.insert(*at);
+            }
         }
-        (journal, queue.next - 1)
+        (journal, applied)
     }
 
-    fn landed(&self, upto: u64, base: Option<Base>) {
+    fn landed(&self, applied: &BTreeSet<u64>, base: Option<Base>) {
         if let Some(base) = base {
             *self.base.lock() = base;
         }
         let base = self.base.lock().clone();
         let open = base.journal.is_open();
         let mut queue = self.queue.lock();
-        queue.work.retain(|(at, _)| *at > upto);
+        queue.work.retain(|(at, _)| !applied.contains(at));
         let waiters = std::mem::take(&mut queue.waiters);
         for (n, (at, waiter)) in waiters {
-            match (at <= upto, open) {
+            match (applied.contains(&at), open) {
                 (_, false) => drop(waiter.send(Err(Failure::Sealed))),
                 (true, true) => drop(waiter.send(Ok(()))),
                 (false, true) => drop(queue.waiters.insert(n, (at, waiter))),
             }
         }
         drop(queue);
-        self.landed.send_replace(upto);
+        self.landed.send_modify(|landings| *landings += 1);
     }
 
     async fn read_back(&self) -> Step {
@@ -399,9 +423,8 @@
         base.journal = Arc::new(journal);
         let mut queue = self.queue.lock();
         queue.work.clear();
-        let upto = queue.next - 1;
         drop(queue);
-        self.landed.send_replace(upto);
+        self.landed.send_modify(|landings| *landings += 1);
         base
     }
 
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -100,10 +100,11 @@
     /// Ends a sealed session by its own word, once none of its requests is under way.
     pub async fn surrender(&self) -> Result<(), Denial> {
         self.recorder.flush().await;
+        let mut last = Ok(());
         for budget in self.funds.budgets() {
-            self.funds.surrender(&budget).await?;
+            last = last.and(self.funds.surrender(&budget).await);
         }
-        Ok(())
+        last
     }
 }
 
