Lanes before pools; load and change under experiment

Cause: nothing kept short work apart from long, and the declared limits of customers and routes were not enforced. Change: admit decides by class, weight and deadline on the estimated load of a pool; requests that cannot start in time are refused at once. flintbench runs mixed-load, drain-endpoint, rolling-restart and config-race. Conclusion: first tokens of chats wait for prefill steps of long prompts in the same batch; the engine's priorities alone do not help there.

--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -6,7 +6,7 @@
     exit::Code,
     money, path,
     report::{self, Report},
-    slopes,
+    serve, slopes,
 };
 
 /// One experiment.
@@ -30,6 +30,14 @@
     TopUp,
     /// All of it together.
     AllAtOnce,
+    /// See its line in `flintbench list`.
+    MixedLoad,
+    /// See its line in `flintbench list`.
+    DrainEndpoint,
+    /// See its line in `flintbench list`.
+    RollingRestart,
+    /// See its line in `flintbench list`.
+    ConfigRace,
     /// What each mechanism costs as it grows.
     Slopes,
     /// The letter's size from measured slopes.
@@ -37,7 +45,7 @@
 }
 
 impl Experiment {
-    const ALL: [Experiment; 11] = [
+    const ALL: [Experiment; 15] = [
         Experiment::Path,
         Experiment::Partition,
         Experiment::Crash,
@@ -47,6 +55,10 @@
         Experiment::RetryStorm,
         Experiment::TopUp,
         Experiment::AllAtOnce,
+        Experiment::MixedLoad,
+        Experiment::DrainEndpoint,
+        Experiment::RollingRestart,
+        Experiment::ConfigRace,
         Experiment::Slopes,
         Experiment::Capacity,
     ];
@@ -63,6 +75,10 @@
             Experiment::RetryStorm => "retry-storm",
             Experiment::TopUp => "top-up",
             Experiment::AllAtOnce => "all-at-once",
+            Experiment::MixedLoad => "mixed-load",
+            Experiment::DrainEndpoint => "drain-endpoint",
+            Experiment::RollingRestart => "rolling-restart",
+            Experiment::ConfigRace => "config-race",
             Experiment::Slopes => "slopes",
             Experiment::Capacity => "capacity",
         }
@@ -79,6 +95,10 @@
             Experiment::RetryStorm => "each request is sent ten times at once to all boxes",
             Experiment::TopUp => "a budget runs out, is topped up and lowered meanwhile",
             Experiment::AllAtOnce => "cuts, crashes, freezes, outages and lost answers together",
+            Experiment::MixedLoad => "pings and chats alone, then beside long prompts",
+            Experiment::DrainEndpoint => "an endpoint leaves under load",
+            Experiment::RollingRestart => "every router is stopped by plan and started again",
+            Experiment::ConfigRace => "one resource changes again and again, a box cut off",
             Experiment::Slopes => "what each mechanism costs as it grows",
             Experiment::Capacity => "the size to design for, from measured slopes",
         }
@@ -95,6 +115,10 @@
             Experiment::RetryStorm => money::retry_storm(options).await,
             Experiment::TopUp => money::top_up(options).await,
             Experiment::AllAtOnce => money::all_at_once(options).await,
+            Experiment::MixedLoad => serve::mixed_load(options).await,
+            Experiment::DrainEndpoint => serve::drain_endpoint(options).await,
+            Experiment::RollingRestart => serve::rolling_restart(options).await,
+            Experiment::ConfigRace => serve::config_race(options).await,
             Experiment::Slopes => slopes::run(options).await,
             Experiment::Capacity => capacity::run(),
         }
--- a/crates/flintbench/src/main.rs
+++ b/crates/flintbench/src/main.rs
@@ -10,6 +10,7 @@
 mod path;
 mod plot;
 mod report;
+mod serve;
 mod slopes;
 mod stats;
 
--- a/crates/flintbench/src/stats.rs
+++ b/crates/flintbench/src/stats.rs
@@ -27,6 +27,11 @@
         self.0.value_at_quantile(quantile) as f64 / 1_000.0
     }
 
+    /// Adds all durations of another.
+    pub fn merge(&mut self, other: &Times) {
+        let _ = self.0.add(&other.0);
+    }
+
     /// Number of durations.
     pub fn len(&self) -> u64 {
         self.0.len()
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -226,12 +226,13 @@
     let limit = chat.max_tokens.unwrap_or(route.max_output).min(route.max_output);
     let (worst, prefix) = (chat.worst(pool, limit), chat.prefix());
     let (model, stream) = (chat.model.clone(), chat.stream);
+    let route_name = model.clone();
     Ok(Call {
         worst,
         prefix,
         fingerprint: xxh3_64_with_seed(&bytes, 1),
         payload: Payload::Chat { body: chat.body(limit), limit, stream, model },
-        ..empty(caller, route)
+        ..empty(caller, route_name, route)
     })
 }
 
@@ -252,19 +253,21 @@
     let path = format!("{rest}{query}");
     let seed = xxh3_64_with_seed(format!("{method} {name}/{path}").as_bytes(), 2);
     let headers = end_to_end(request.headers());
+    let route_name = name.into();
     Ok(Call {
         worst: cost,
         fingerprint: xxh3_64_with_seed(&bytes, seed),
         payload: Payload::Service { method, path, headers, body: bytes },
-        ..empty(caller, route)
+        ..empty(caller, route_name, route)
     })
 }
 
-fn empty(caller: Caller, route: &Arc<Route>) -> Call {
+fn empty(caller: Caller, route_name: Arc<str>, route: &Arc<Route>) -> Call {
     Call {
         caller,
         key: "".into(),
         keyed: false,
+        route_name,
         route: route.clone(),
         worst: 0,
         prefix: balance::Prefix::default(),
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -44,6 +44,8 @@
     pub key: Arc<str>,
     /// Whether the caller chose the key, so that retries may come.
     pub keyed: bool,
+    /// Name of the route.
+    pub route_name: Arc<str>,
     /// Where it goes.
     pub route: Arc<Route>,
     /// Worst case, in tokens.
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -13,6 +13,7 @@
     call::{Call, Payload},
     claims::{self, Held, Miss},
     endpoints::Target,
+    lanes,
     metrics::Finished,
     outcome::{Reason, Refusal, Unknown},
     relay,
@@ -75,6 +76,10 @@
     if let Some(progress) = elsewhere(shared, call, driver).await {
         return progress;
     }
+    let _permit = match lanes::enter(shared, call).await {
+        Ok(permit) => permit,
+        Err(refusal) => return Progress::Refused(refusal),
+    };
     let Some(flight) = Flight::start(shared, call, &[]) else {
         return Progress::Refused(no_endpoint());
     };
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use admit::Capacity;
 use balance::{Failure, Pool, Prefix, Report, Snapshot, Weights};
 use config::Snapshot as Configuration;
 use parking_lot::Mutex;
@@ -13,6 +14,9 @@
 
 use crate::shared::Shared;
 
+/// Requests at once of an endpoint that does not say how many it takes.
+const SLOTS_UNKNOWN: f64 = 1_000.0;
+
 /// Why an endpoint gets no new work; any one suffices.
 #[derive(Debug, Clone, Copy, Default)]
 struct Leaving {
@@ -134,6 +138,20 @@
         }
     }
 
+    /// What a pool can take now, as this box estimates it.
+    pub fn capacity(&self, pool: &str, now: u64) -> Capacity {
+        let state = self.state.lock();
+        let endpoints = state.pools.get(pool).map_or(&[][..], |pool| pool.endpoints());
+        let usable = endpoints.iter().filter(|e| !e.leaving && !e.is_ejected(now));
+        let mut capacity = Capacity { load: 0.0, slots: 0.0 };
+        for endpoint in usable {
+            capacity.load += endpoint.load(now);
+            // A service or an engine that reports nothing is taken for wide open.
+            capacity.slots += endpoint.slots().map_or(SLOTS_UNKNOWN, f64::from);
+        }
+        capacity
+    }
+
     /// Requests under way by pool, for peers.
     pub fn snapshot(&self) -> Vec<(Arc<str>, Vec<Snapshot>)> {
         let state = self.state.lock();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod follow;
 mod keeper;
+mod lanes;
 mod metrics;
 mod outcome;
 mod peers;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -20,8 +20,8 @@
 use wire::{Frame, Place, There};
 
 use crate::{
-    answers::Texts, endpoints::Endpoints, metrics::Metrics, peers::Peers, places::Places,
-    relayed::Relayed, requests::Requests, settings::Settings, tickets::Tickets,
+    answers::Texts, endpoints::Endpoints, lanes::Lanes, metrics::Metrics, peers::Peers,
+    places::Places, relayed::Relayed, requests::Requests, settings::Settings, tickets::Tickets,
 };
 
 /// Where questions to peers leave from, if the box takes none itself.
@@ -39,6 +39,7 @@
     pub carried: Carried,
     pub places: Places,
     pub tickets: Tickets,
+    pub lanes: Lanes,
     pub advertised: Mutex<Arc<str>>,
     pub accepted: Mutex<Texts>,
     pub calls: Calls,
@@ -112,6 +113,7 @@
             sessions,
             carried: Carried::default(),
             places: Places::default(),
+            lanes: Lanes::default(),
             tickets: Tickets::new(random.random()),
             advertised: Mutex::new("".into()),
             accepted: Mutex::default(),
--- a/crates/trial/src/node.rs
+++ b/crates/trial/src/node.rs
@@ -4,9 +4,11 @@
     net::SocketAddr,
     sync::{Arc, mpsc},
     thread::JoinHandle,
+    time::Duration,
 };
 
 use ledger::Incarnation;
+use resource::Kind;
 use router::{Router, Settings};
 use timeline::{Event, Log};
 use tokio::sync::oneshot;
@@ -17,6 +19,7 @@
     Pause(mpsc::Receiver<()>),
     Incarnation(oneshot::Sender<Incarnation>),
     Watched(u64, oneshot::Sender<()>),
+    Version(Kind, String, oneshot::Sender<u64>),
 }
 
 /// A router that can be stopped, killed or frozen.
@@ -109,6 +112,24 @@
         }
     }
 
+    /// Version of a resource in force, 0 if there is none.
+    pub async fn version(&self, kind: &str, name: &str) -> u64 {
+        let Ok(kind) = kind.parse() else { return 0 };
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(Command::Version(kind, name.to_owned(), sender));
+        if sent.is_err() {
+            return 0;
+        }
+        receiver.await.unwrap_or(0)
+    }
+
+    /// Waits until a version of a resource, or a newer one, is in force.
+    pub async fn wait_version(&self, kind: &str, name: &str, version: u64) {
+        while !self.is_down() && self.version(kind, name).await < version {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// The planned stop, to its end.
     pub async fn stop(&mut self) {
         let (sender, receiver) = oneshot::channel();
@@ -201,6 +222,9 @@
             // Blocking here is the point: this thread is the whole box.
             Command::Pause(paused) => drop(paused.recv()),
             Command::Incarnation(answer) => drop(answer.send(router.incarnation())),
+            Command::Version(kind, name, answer) => {
+                let _ = answer.send(router.version(kind, &name));
+            }
             Command::Watched(version, done) => {
                 router.wait_watched(version).await;
                 let _ = done.send(());
