herd and steady: what the choices and the writes cost

Cause: two goals had no figures: p99 with late reports, and writes at today's size. Change: flintbench herd runs the router's choice, round robin and least reported load over the same arrivals; flintbench steady measures four spacings.

--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -4,7 +4,7 @@
     capacity,
     cli::Options,
     exit::Code,
-    money, path,
+    herd, money, path,
     report::{self, Report},
     serve, slopes,
 };
@@ -38,6 +38,10 @@
     RollingRestart,
     /// See its line in `flintbench list`.
     ConfigRace,
+    /// See its line in `flintbench list`.
+    Steady,
+    /// See its line in `flintbench list`.
+    Herd,
     /// What each mechanism costs as it grows.
     Slopes,
     /// The letter's size from measured slopes.
@@ -45,7 +49,7 @@
 }
 
 impl Experiment {
-    const ALL: [Experiment; 15] = [
+    const ALL: [Experiment; 17] = [
         Experiment::Path,
         Experiment::Partition,
         Experiment::Crash,
@@ -59,6 +63,8 @@
         Experiment::DrainEndpoint,
         Experiment::RollingRestart,
         Experiment::ConfigRace,
+        Experiment::Steady,
+        Experiment::Herd,
         Experiment::Slopes,
         Experiment::Capacity,
     ];
@@ -79,6 +85,8 @@
             Experiment::DrainEndpoint => "drain-endpoint",
             Experiment::RollingRestart => "rolling-restart",
             Experiment::ConfigRace => "config-race",
+            Experiment::Steady => "steady",
+            Experiment::Herd => "herd",
             Experiment::Slopes => "slopes",
             Experiment::Capacity => "capacity",
         }
@@ -99,6 +107,8 @@
             Experiment::DrainEndpoint => "an endpoint leaves under load",
             Experiment::RollingRestart => "every router is stopped by plan and started again",
             Experiment::ConfigRace => "one resource changes again and again, a box cut off",
+            Experiment::Steady => "platform writes against latency at several spacings",
+            Experiment::Herd => "eight boxes choose from reports two seconds late",
             Experiment::Slopes => "what each mechanism costs as it grows",
             Experiment::Capacity => "the size to design for, from measured slopes",
         }
@@ -119,6 +129,8 @@
             Experiment::DrainEndpoint => serve::drain_endpoint(options).await,
             Experiment::RollingRestart => serve::rolling_restart(options).await,
             Experiment::ConfigRace => serve::config_race(options).await,
+            Experiment::Steady => money::steady(options).await,
+            Experiment::Herd => herd::run(options),
             Experiment::Slopes => slopes::run(options).await,
             Experiment::Capacity => capacity::run(),
         }
--- a/crates/flintbench/src/main.rs
+++ b/crates/flintbench/src/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod exit;
 mod experiment;
+mod herd;
 mod load;
 mod money;
 mod path;
--- a/crates/flintbench/src/money.rs
+++ b/crates/flintbench/src/money.rs
@@ -11,6 +11,7 @@
     cli::Options,
     load::{Arrival, Balancer, Mix, send},
     report::Report,
+    stats::Times,
 };
 
 /// Longest wait for the books to settle after the load.
@@ -335,3 +336,32 @@
     let lasting = scene.ms(1.0);
     scene.close(Sent { arrivals, faults, lasting, extra: Vec::new() }).await
 }
+
+/// Steady load at several spacings of journal writes: platform writes against latency.
+pub async fn steady(options: &Options) -> Report {
+    let mut last = Report::default();
+    let mut rows = Vec::new();
+    let mut sound = true;
+    for spacing in [0, 40, 80, 120] {
+        let mut scene = Scene::open(options, AMPLE, |plan| {
+            plan.money.spacing_ms = spacing;
+            plan.platform_delay = Duration::from_millis(3);
+        })
+        .await;
+        scene.mix.cancels = 0.0;
+        let arrivals = scene.load().await.expect("the load runs to its end");
+        let lasting = scene.ms(1.0);
+        let mut first = Times::default();
+        first.extend(scene.fleet.caller.told().iter().map(|got| got.first));
+        let sent = Sent { arrivals, faults: Vec::new(), lasting, extra: Vec::new() };
+        last = scene.close(sent).await;
+        sound &= last.sound;
+        rows.push(json!({
+            "spacing_ms": spacing, "platform_writes_per_s": last.figures["platform_writes_per_s"],
+            "first_byte": first.summary(),
+        }));
+    }
+    last.sound = sound;
+    last.add("spacings", rows);
+    last
+}
