--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -18,6 +18,7 @@
     outcome::{Reason, Refusal, Unknown},
     relay,
     requests::{Answer, Driver, Progress},
+    service,
     shared::Shared,
     tickets::Kind,
 };
@@ -89,7 +90,7 @@
     };
     match &call.payload {
         Payload::Chat { .. } => relay::chat(shared, call, driver, secured, flight).await,
-        Payload::Service { .. } => relay::service(shared, call, secured, flight).await,
+        Payload::Service { .. } => service::serve(shared, call, secured, flight).await,
     }
 }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,4 +1,4 @@
-//! Dispatching a held call to an endpoint and passing its answer on.
+//! Passing the answer of a chat completion on, token by token.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,8 +7,6 @@
 use http::header::CONTENT_TYPE;
 use ledger::Ended;
 use reqwest::Response;
-use resource::Unresolved;
-use serde::Deserialize;
 use session::Hold;
 use timeline::What;
 use wire::Place;
@@ -16,37 +14,21 @@
 use crate::{
     call::{Call, Payload},
     chat,
-    drive::{Flight, Secured, no_endpoint},
+    dispatch::{Sent, dispatch, send},
+    drive::{Flight, Secured},
     metrics::Stage,
-    outcome::{Reason, Unknown},
+    outcome::Unknown,
     requests::{Answer, Driver, Progress},
-    service::end_to_end,
+    runs::{ask_until_ended, cancel},
     shared::Shared,
     sse::{self, Event, Scanner},
     transcript::{End, Transcript},
 };
 
-/// Endpoints tried for one call, each after the last provably did not receive it.
-const TRIES: usize = 3;
 /// Times that a broken stream is resumed at its engine.
 const RESUMES: u32 = 2;
-/// Largest answer of a plain service, in bytes.
-const MAX_ANSWER: usize = 16 << 20;
 /// How long a run goes on after its last caller left.
 const ABANDONED: Duration = Duration::from_millis(300);
-/// First wait between questions for how a run ended.
-const ASK_AGAIN: Duration = Duration::from_millis(50);
-/// Longest wait between such questions.
-const ASK_MOST: Duration = Duration::from_secs(2);
-
-enum Sent {
-    /// It answers.
-    Answering(Response),
-    /// Provably not received.
-    NotReceived(Failure),
-    /// It may have been received.
-    Doubt(Unknown),
-}
 
 /// Sends a held chat completion and relays its stream.
 pub async fn chat(
@@ -60,18 +42,18 @@
         unreachable!("only chat completions come here");
     };
     let Secured { hold, claim } = secured;
-    let dispatch = hold.dispatch();
+    let id = hold.dispatch();
     let send = |address: &str| {
         let url = format!("http://{address}/v1/chat/completions");
         shared.http.post(url).header(CONTENT_TYPE, "application/json").body(body.clone())
     };
-    let (flight, sent) = match dispatch_to(shared, call, &hold, flight, send).await {
+    let (flight, sent) = match dispatch(shared, call, &hold, flight, send).await {
         Ok(sent) => sent,
         Err(progress) => return progress,
     };
     let mut relay = Relay::new(shared, call, driver, *limit, *stream);
     let (end, mut flight) = match sent {
-        Sent::Answering(response) => relay.follow(response, flight, &dispatch).await,
+        Sent::Answering(response) => relay.follow(response, flight, &id).await,
         Sent::Doubt(unknown) => (Err(unknown), flight),
         Sent::NotReceived(_) => unreachable!("tried elsewhere or refused"),
     };
@@ -121,92 +103,6 @@
     Some(relay.close(end, 0, model))
 }
 
-/// Sends to the chosen endpoint, and to another while it was provably not received.
-async fn dispatch_to(
-    shared: &Arc<Shared>,
-    call: &Call,
-    hold: &Hold,
-    mut flight: Flight,
-    build: impl Fn(&str) -> reqwest::RequestBuilder,
-) -> Result<(Flight, Sent), Progress> {
-    let mut tried = Vec::new();
-    let dispatch = hold.dispatch();
-    loop {
-        if hold.is_sealed() {
-            let message = "this box was taken for gone before it dispatched the request";
-            return Err(Progress::Refused(Reason::Replaced.with(message)));
-        }
-        let endpoint = flight.target.name.clone();
-        let what = What::Dispatched { endpoint: endpoint.clone() };
-        shared.log.request(&call.key, &call.caller.budget, what);
-        let request = build(&flight.target.address)
-            .header("x-request-id", &dispatch)
-            .header("idempotency-key", format!("{}.{}", call.caller.customer, call.key))
-            .header("x-budget", &*call.caller.budget)
-            .header("x-priority", call.class().priority().to_string())
-            .header("x-stamp", shared.log.stamp().to_string());
-        let sent = send(request, call.left(), &dispatch).await;
-        match sent {
-            Sent::NotReceived(failure) => {
-                flight.failure = Some(failure);
-                tried.push(endpoint);
-                drop(flight);
-                let next = (tried.len() < TRIES).then(|| Flight::start(shared, call, &tried));
-                flight = next.flatten().ok_or_else(|| Progress::Refused(no_endpoint()))?;
-            }
-            Sent::Doubt(_) => {
-                flight.failure = Some(Failure::Silent);
-                return Ok((flight, sent));
-            }
-            Sent::Answering(_) => {
-                note_place(shared, call, &flight, &dispatch);
-                return Ok((flight, sent));
-            }
-        }
-    }
-}
-
-fn note_place(shared: &Arc<Shared>, call: &Call, flight: &Flight, dispatch: &str) {
-    if call.keyed && call.route.repeatable {
-        let endpoint = flight.target.address.clone();
-        let place = Place { by: shared.me(), endpoint, dispatch: dispatch.into() };
-        shared.note_place(&call.caller.customer, &call.key, place);
-    }
-}
-
-#[derive(Deserialize)]
-struct Refused {
-    error: RefusedError,
-}
-
-#[derive(Deserialize)]
-struct RefusedError {
-    ran: bool,
-}
-
-async fn send(request: reqwest::RequestBuilder, within: Duration, dispatch: &str) -> Sent {
-    let answer = match tokio::time::timeout(within, request.send()).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) if error.is_connect() => return Sent::NotReceived(Failure::Silent),
-        Ok(Err(_)) | Err(_) => return Sent::Doubt(Unknown::Silent),
-    };
-    if answer.status() == http::StatusCode::SERVICE_UNAVAILABLE {
-        let refused = answer.json::<Refused>().await;
-        return match refused {
-            Ok(Refused { error: RefusedError { ran: false } }) => {
-                Sent::NotReceived(Failure::Refused)
-            }
-            _ => Sent::Doubt(Unknown::Broken),
-        };
-    }
-    let echoed = answer.headers().get("x-request-id").and_then(|id| id.to_str().ok());
-    match echoed {
-        // An answer to somebody else is never passed on.
-        Some(echoed) if echoed != dispatch => Sent::Doubt(Unknown::Broken),
-        _ => Sent::Answering(answer),
-    }
-}
-
 struct Relay<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
@@ -436,160 +332,3 @@
     /// Nobody wants the answer any more.
     Abandoned,
 }
-
-#[derive(Deserialize)]
-#[serde(tag = "state", rename_all = "snake_case")]
-enum Report {
-    Running,
-    Ended { prompt_tokens: u64, output_tokens: u64 },
-    Unknown,
-}
-
-/// Asks an engine how a run stands; `None` without an answer.
-async fn ask(shared: &Shared, address: &str, dispatch: &str) -> Option<Report> {
-    let url = format!("http://{address}/runs/{dispatch}");
-    let limit = Duration::from_millis(shared.settings.limits.connect_ms);
-    let answer = shared.http.get(url).timeout(limit).send().await.ok()?;
-    answer.json().await.ok()
-}
-
-/// Tokens used by a run of `dispatch`, once one of the endpoints says that it ended.
-pub async fn ended_run(shared: &Shared, endpoint: &str, dispatch: &str) -> Option<u64> {
-    for address in shared.endpoints.engines_beside(endpoint) {
-        if let Some(Report::Ended { prompt_tokens, output_tokens }) =
-            ask(shared, &address, dispatch).await
-        {
-            return Some(prompt_tokens + output_tokens);
-        }
-    }
-    None
-}
-
-fn cancel(
-    shared: Arc<Shared>,
-    flight: &Flight,
-    hold: &Hold,
-) -> impl Future<Output = ()> + Send + use<> {
-    let url = format!("http://{}/runs/{}/cancel", flight.target.address, hold.dispatch());
-    async move {
-        let limit = Duration::from_millis(shared.settings.limits.connect_ms);
-        let _ = shared.http.post(url).timeout(limit).send().await;
-    }
-}
-
-/// Cancels a run that nobody follows, and keeps its tokens held until its end is known.
-fn ask_until_ended(
-    shared: Arc<Shared>,
-    hold: Hold,
-    flight: &Flight,
-) -> impl Future<Output = ()> + Send + use<> {
-    let address = flight.target.address.clone();
-    let cancel = cancel(shared.clone(), flight, &hold);
-    async move {
-        cancel.await;
-        let dispatch = hold.dispatch();
-        let end = tokio::time::Instant::now()
-            + Duration::from_millis(shared.settings.money.resolve_after_ms);
-        let mut wait = ASK_AGAIN;
-        while tokio::time::Instant::now() < end {
-            if let Some(Report::Ended { prompt_tokens, output_tokens }) =
-                ask(&shared, &address, &dispatch).await
-            {
-                hold.finish(prompt_tokens + output_tokens, Ended::Broken);
-                return;
-            }
-            tokio::time::sleep(wait + shared.jitter(wait)).await;
-            wait = (wait * 2).min(ASK_MOST);
-        }
-        rule(&shared, hold);
-    }
-}
-
-/// Ends a request that nobody can account for, by its budget's declared rule.
-fn rule(shared: &Shared, hold: Hold) {
-    let ended = ruled(shared, &hold.record().budget);
-    let reserved = hold.record().reserved;
-    hold.finish(reserved, ended);
-}
-
-/// How the declared rule of a budget ends a request.
-pub fn ruled(shared: &Shared, budget: &str) -> Ended {
-    let snapshot = shared.config.borrow().clone();
-    match snapshot.budgets.get(budget).map(|spec| spec.unresolved) {
-        Some(Unresolved::BillNothing) => Ended::Waived,
-        Some(Unresolved::ChargeReserved) | None => Ended::Broken,
-    }
-}
-
-/// Sends a held call to a plain service and returns its answer.
-pub async fn service(
-    shared: &Arc<Shared>,
-    call: &Call,
-    secured: Secured,
-    flight: Flight,
-) -> Progress {
-    let Payload::Service { method, path, headers, body } = &call.payload else {
-        unreachable!("only calls of plain services come here");
-    };
-    let Secured { hold, claim } = secured;
-    let send = |address: &str| {
-        let url = format!("http://{address}/{path}");
-        shared.http.request(method.clone(), url).headers(headers.clone()).body(body.clone())
-    };
-    let (mut flight, sent) = match dispatch_to(shared, call, &hold, flight, send).await {
-        Ok(sent) => sent,
-        Err(progress) => return progress,
-    };
-    let answer = match sent {
-        Sent::Answering(response) => read_answer(response, call.left()).await,
-        Sent::Doubt(unknown) => Err(unknown),
-        Sent::NotReceived(_) => unreachable!("tried elsewhere or refused"),
-    };
-    match answer {
-        Err(unknown) => {
-            flight.failure = Some(Failure::Broken);
-            rule(shared, hold);
-            if let Some(claim) = claim {
-                claim.leave_open();
-            }
-            Progress::Unknown(unknown)
-        }
-        Ok(answer) => {
-            let charged = hold.finish(call.worst, Ended::Answered);
-            shared.metrics.tokens.inc_by(charged);
-            let what = What::Answered { tokens: charged };
-            shared.log.request(&call.key, &call.caller.budget, what);
-            if let Some(claim) = claim {
-                claim.answered(kept(&answer));
-            }
-            Progress::Answered(Arc::new(answer))
-        }
-    }
-}
-
-async fn read_answer(mut response: Response, within: Duration) -> Result<Answer, Unknown> {
-    let status = response.status().as_u16();
-    let headers = end_to_end(response.headers());
-    let mut body = Vec::new();
-    let reading = async {
-        while let Some(chunk) = response.chunk().await.map_err(|_| Unknown::Broken)? {
-            if body.len() + chunk.len() > MAX_ANSWER {
-                return Err(Unknown::Broken);
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(())
-    };
-    tokio::time::timeout(within, reading).await.map_err(|_| Unknown::Broken)??;
-    Ok(Answer { status, headers, body: body.into() })
-}
-
-fn kept(answer: &Answer) -> claim::Answer {
-    let content_type = answer.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    let text = std::str::from_utf8(&answer.body).ok();
-    claim::Answer {
-        status: answer.status,
-        content_type: content_type.unwrap_or("application/octet-stream").into(),
-        body: text.filter(|text| text.len() <= claim::MAX_ANSWER).map(Into::into),
-    }
-}
--- a/crates/router/src/sealer.rs
+++ b/crates/router/src/sealer.rs
@@ -9,7 +9,7 @@
 use session::windup::{self, Finding, Sealed};
 use timeline::What;
 
-use crate::{keeper::remove, relay, shared::Shared};
+use crate::{keeper::remove, runs, shared::Shared};
 
 /// Looks between one silent incarnation's seal and the next look at it.
 const LOOK: Duration = Duration::from_millis(250);
@@ -104,11 +104,11 @@
     let mut found = Vec::new();
     for record in journal.open_records() {
         let dispatch = format!("{}-{}", journal.incarnation, record.n);
-        let reported = relay::ended_run(shared, &record.endpoint, &dispatch).await;
+        let reported = runs::ended_run(shared, &record.endpoint, &dispatch).await;
         let (charged, ended, evidence) = match reported {
             Some(tokens) => (tokens.min(record.reserved), Ended::Broken, Evidence::Reported),
             None if ruled => {
-                (record.reserved, relay::ruled(shared, &record.budget), Evidence::Ruled)
+                (record.reserved, runs::ruled(shared, &record.budget), Evidence::Ruled)
             }
             None => continue,
         };
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -1,6 +1,25 @@
 //! Plain services: what is passed on, and what is not.
 
-use http::{HeaderMap, HeaderName};
+use std::{sync::Arc, time::Duration};
+
+use balance::Failure;
+use http::{HeaderMap, HeaderName, header::CONTENT_TYPE};
+use ledger::Ended;
+use reqwest::Response;
+use timeline::What;
+
+use crate::{
+    call::{Call, Payload},
+    dispatch::{Sent, dispatch},
+    drive::{Flight, Secured},
+    outcome::Unknown,
+    requests::{Answer, Progress},
+    runs::rule,
+    shared::Shared,
+};
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
 
 /// Headers that belong to one connection, or that the router sets itself.
 const OWN: [&str; 14] = [
@@ -36,6 +55,79 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
+/// Sends a held call to a plain service and returns its answer.
+pub async fn serve(
+    shared: &Arc<Shared>,
+    call: &Call,
+    secured: Secured,
+    flight: Flight,
+) -> Progress {
+    let Payload::Service { method, path, headers, body } = &call.payload else {
+        unreachable!("only calls of plain services come here");
+    };
+    let Secured { hold, claim } = secured;
+    let send = |address: &str| {
+        let url = format!("http://{address}/{path}");
+        shared.http.request(method.clone(), url).headers(headers.clone()).body(body.clone())
+    };
+    let (mut flight, sent) = match dispatch(shared, call, &hold, flight, send).await {
+        Ok(sent) => sent,
+        Err(progress) => return progress,
+    };
+    let answer = match sent {
+        Sent::Answering(response) => read_answer(response, call.left()).await,
+        Sent::Doubt(unknown) => Err(unknown),
+        Sent::NotReceived(_) => unreachable!("tried elsewhere or refused"),
+    };
+    match answer {
+        Err(unknown) => {
+            flight.failure = Some(Failure::Broken);
+            rule(shared, hold);
+            if let Some(claim) = claim {
+                claim.leave_open();
+            }
+            Progress::Unknown(unknown)
+        }
+        Ok(answer) => {
+            let charged = hold.finish(call.worst, Ended::Answered);
+            shared.metrics.tokens.inc_by(charged);
+            let what = What::Answered { tokens: charged };
+            shared.log.request(&call.key, &call.caller.budget, what);
+            if let Some(claim) = claim {
+                claim.answered(kept(&answer));
+            }
+            Progress::Answered(Arc::new(answer))
+        }
+    }
+}
+
+async fn read_answer(mut response: Response, within: Duration) -> Result<Answer, Unknown> {
+    let status = response.status().as_u16();
+    let headers = end_to_end(response.headers());
+    let mut body = Vec::new();
+    let reading = async {
+        while let Some(chunk) = response.chunk().await.map_err(|_| Unknown::Broken)? {
+            if body.len() + chunk.len() > MAX_ANSWER {
+                return Err(Unknown::Broken);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    tokio::time::timeout(within, reading).await.map_err(|_| Unknown::Broken)??;
+    Ok(Answer { status, headers, body: body.into() })
+}
+
+fn kept(answer: &Answer) -> claim::Answer {
+    let content_type = answer.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let text = std::str::from_utf8(&answer.body).ok();
+    claim::Answer {
+        status: answer.status,
+        content_type: content_type.unwrap_or("application/octet-stream").into(),
+        body: text.filter(|text| text.len() <= claim::MAX_ANSWER).map(Into::into),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
