A record is carried with the transfers that pay for it

Its record was carried by a box that lived, but the transfer only by boxes that died, so the fold waited for it for ever.

Change: whoever carries a record gets the transfers of its budget beside it. Test a_record_is_carried_with_the_transfers_that_pay_for_it. Conclusion: what a record needs to be folded travels with it.

--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ledger::{Ended, Entry, Evidence, Incarnation, Part, Record, Reservation, Transfer};
+use parking_lot::Mutex;
 
 use crate::{Denial, Failure, Funds, Peers, Recorder, Setup, Work, account};
 
@@ -17,6 +18,7 @@
     /// What it holds of each budget.
     pub funds: Arc<Funds>,
     peers: Option<Arc<dyn Peers>>,
+    borrowed: Arc<Mutex<Vec<(Arc<str>, Transfer)>>>,
 }
 
 impl Session {
@@ -25,7 +27,7 @@
         let Setup { store, health, config, options, spacing, log, peers, .. } = setup.clone();
         let recorder = Recorder::spawn(incarnation, store.clone(), health.clone(), spacing);
         let funds = Funds::new(recorder.clone(), store, health, config, options, log);
-        Session { recorder, funds: Arc::new(funds), peers }
+        Session { recorder, funds: Arc::new(funds), peers, borrowed: Arc::default() }
     }
 
     /// Whose session this is.
@@ -68,10 +70,22 @@
         }
     }
 
-    fn carry_later(&self, by: &Incarnation, entry: Entry) {
+    /// A record with the transfers that may have paid for it: whoever carries one carries all.
+    fn entries(&self, record: &Record) -> Vec<Entry> {
+        let borrowed = self.borrowed.lock();
+        let paid = borrowed.iter().filter(|(budget, _)| *budget == record.budget);
+        let transfers = paid.map(|(budget, t)| Entry::Transfer(budget.clone(), t.clone()));
+        transfers.chain([Entry::Record(record.clone())]).collect()
+    }
+
+    fn carry_later(&self, record: &Record) {
         if let Some(peers) = self.peers.clone() {
-            let by = by.clone();
-            tokio::spawn(async move { peers.carry(&by, &entry).await });
+            let (by, entries) = (self.incarnation().clone(), self.entries(record));
+            tokio::spawn(async move {
+                for entry in entries {
+                    peers.carry(&by, &entry).await;
+                }
+            });
         }
     }
 
@@ -93,6 +107,7 @@
         }
         let tokens = transfer.tokens;
         self.recorder.add(Work::Transfer(budget.clone(), transfer.clone()));
+        self.borrowed.lock().push((budget.clone(), transfer.clone()));
         self.carry_transfer(budget, &transfer).await;
         self.funds.give_offline(budget, tokens);
     }
@@ -176,8 +191,13 @@
     /// in reach the box alone remembers it.
     pub(crate) async fn carry(&self) {
         if let Some(peers) = &self.session.peers {
-            let entry = Entry::Record(self.record.clone());
-            let carrying = peers.carry(self.session.incarnation(), &entry);
+            let entries = self.session.entries(&self.record);
+            let by = self.session.incarnation();
+            let carrying = async {
+                for entry in &entries {
+                    peers.carry(by, entry).await;
+                }
+            };
             let _ = tokio::time::timeout(CARRY, carrying).await;
         }
     }
@@ -202,7 +222,7 @@
                 let outcome =
                     ledger::Outcome { position: 0, charged, ended, evidence: Evidence::Recorded };
                 let record = Record { outcome: Some(outcome), ..self.record.clone() };
-                self.session.carry_later(self.session.incarnation(), Entry::Record(record.clone()));
+                self.session.carry_later(&record);
                 recorder.add(Work::HandIn(record, Evidence::Recorded));
             }
         }
--- a/crates/session/tests/interleavings.rs
+++ b/crates/session/tests/interleavings.rs
@@ -125,6 +125,26 @@
     assert_eq!(run(2_582_376_846_811_021_081, 0.4, Variant::Whole, &steps), None);
 }
 
+/// Found by a longer run: a record was carried by a box that lived, the transfer that paid for it
+/// only by boxes that died, so it could never be folded.
+#[test]
+fn a_record_is_carried_with_the_transfers_that_pay_for_it() {
+    let ask = |at, worst| Step::Request { at, worst, retry: false };
+    let steps = [
+        ask(0, 1),
+        ask(0, 3),
+        ask(1, 1),
+        Step::Wait(301),
+        Step::Freeze(2),
+        Step::Crash(0),
+        Step::Wait(118),
+        ask(0, 1),
+        Step::Crash(2),
+        Step::Crash(1),
+    ];
+    assert_eq!(run(12_440_283_306_550_285_785, 0.4, Variant::Whole, &steps), None);
+}
+
 /// Whether any of the same interleavings shows that a broken variant breaks a promise.
 fn is_caught(variant: Variant) -> bool {
     let mut runner = proptest::test_runner::TestRunner::new(config(400));
