--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -10,6 +10,9 @@
 /// Longest wait for carriers before offline work is dispatched.
 const CARRY: Duration = Duration::from_millis(50);
 
+/// Budget and transfer of tokens that a peer lent.
+type Borrowed = (Arc<str>, Transfer);
+
 /// Handle on one session.
 #[derive(Clone)]
 pub struct Session {
@@ -18,7 +21,7 @@
     /// What it holds of each budget.
     pub funds: Arc<Funds>,
     peers: Option<Arc<dyn Peers>>,
-    borrowed: Arc<Mutex<Vec<(Arc<str>, Transfer)>>>,
+    borrowed: Arc<Mutex<Vec<Borrowed>>>,
 }
 
 impl Session {
