--- a/crates/flintbench/src/capacity.rs
+++ b/crates/flintbench/src/capacity.rs
@@ -184,7 +184,7 @@
             z::BUDGETS * s::CONFIG_BYTES / 1e6,
             "MB",
             Some(32.0),
-            "91,000 budgets on every node",
+            "decoded specs alone: the texts kept for peers come on top, not measured",
         ),
         line(
             "accounts in memory",
