--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -3,25 +3,36 @@
 use std::sync::Arc;
 
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Endpoint, Failure, Prefix, Prefixes, Report, Snapshot, prefix::BLOCK_BYTES};
+use crate::{Endpoint, Failure, Prefix, Prefixes, Report, Snapshot};
 
 /// What weighs how much in a choice.
 #[derive(Debug, Clone, Copy)]
 pub struct Weights {
-    /// Bytes of prompt to prefill that weigh as much as one request under way.
-    pub bytes_per_request: f64,
+    /// Prompt to prefill that weighs as much as one request under way, in the unit of the
+    /// prefixes.
+    pub size_per_request: f64,
     /// Requests under way that another availability zone weighs.
     pub other_zone: f64,
     /// Load above the pool's mean at which a cached prompt no longer counts, as a factor.
     pub bounded_load: f64,
     /// Endpoints drawn at random to compare.
     pub draws: usize,
+    /// Endpoints compared because the shared part of the prompt hashes to them on every box. The
+    /// first of them counts as holding it: whichever box came before sent it there.
+    pub homes: usize,
 }
 
 impl Default for Weights {
     fn default() -> Weights {
-        Weights { bytes_per_request: 1_024.0, other_zone: 1.0, bounded_load: 1.5, draws: 2 }
+        Weights {
+            size_per_request: 1_024.0,
+            other_zone: 1.0,
+            bounded_load: 1.5,
+            draws: 2,
+            homes: 0,
+        }
     }
 }
 
@@ -30,8 +41,8 @@
 pub struct Choice {
     /// Name of the endpoint.
     pub name: Arc<str>,
-    /// Leading blocks of the prompt that it probably holds.
-    pub held: usize,
+    /// Size of the leading blocks of the prompt that it probably holds.
+    pub held: u64,
     /// Estimated requests there.
     pub load: f64,
 }
@@ -102,7 +113,7 @@
         let offered: Vec<&Endpoint> =
             self.endpoints.iter().filter(|e| !e.leaving && !tried.contains(&e.name)).collect();
         if let Some(probe) = offered.iter().find(|endpoint| endpoint.wants_probe(now)) {
-            return Some(self.judge(probe, prefix, now).1);
+            return Some(self.judge(probe, prefix, 0, now).1);
         }
         let aside = |e: &&&Endpoint| e.is_ejected(now) || e.is_probed(now);
         let most_aside = offered.iter().filter(aside).count() * 2 >= offered.len().max(1);
@@ -115,17 +126,39 @@
         for name in self.prefixes.best(prefix, 2) {
             candidates.extend(usable.clone().find(|e| e.name == name && e.load(now) <= bound));
         }
-        let judged = candidates.into_iter().map(|endpoint| self.judge(endpoint, prefix, now));
+        let homes = self.homes(usable, prefix);
+        candidates.extend(homes.iter().filter(|e| e.load(now) <= bound));
+        let judged = candidates.into_iter().map(|endpoint| {
+            let home = homes.first().is_some_and(|home| home.name == endpoint.name);
+            let shared = prefix.shared().filter(|_| home).map_or(0, |(_, size)| size);
+            self.judge(endpoint, prefix, shared, now)
+        });
         judged.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
     }
 
-    fn judge(&self, endpoint: &Endpoint, prefix: &Prefix, now: u64) -> (f64, Choice) {
+    /// Endpoints that the shared part of a prompt hashes to, the first one first.
+    fn homes<'a>(
+        &self,
+        usable: impl Iterator<Item = &'a Endpoint>,
+        prefix: &Prefix,
+    ) -> Vec<&'a Endpoint> {
+        let Some((hash, _)) = prefix.shared().filter(|_| self.weights.homes > 0) else {
+            return Vec::new();
+        };
+        let mut homes: Vec<(u64, &Endpoint)> =
+            usable.map(|e| (xxh3_64_with_seed(e.name.as_bytes(), hash), e)).collect();
+        homes.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        homes.into_iter().take(self.weights.homes).map(|(_, endpoint)| endpoint).collect()
+    }
+
+    /// Cost of sending a prompt to an endpoint that holds at least `assumed` of it.
+    fn judge(&self, endpoint: &Endpoint, prefix: &Prefix, assumed: u64, now: u64) -> (f64, Choice) {
         let load = endpoint.load(now);
-        let held = self.prefixes.held(prefix, &endpoint.name);
-        let missing = (prefix.blocks() - held) * BLOCK_BYTES;
+        let held = self.prefixes.held(prefix, &endpoint.name).max(assumed);
+        let missing = prefix.size().saturating_sub(held);
         let away = if endpoint.zone == self.zone { 0.0 } else { self.weights.other_zone };
         let cost = (load + 1.0) * endpoint.slow_start(now)
-            + missing as f64 / self.weights.bytes_per_request
+            + missing as f64 / self.weights.size_per_request
             + away;
         (cost, Choice { name: endpoint.name.clone(), held, load })
     }
--- a/crates/balance/src/prefix.rs
+++ b/crates/balance/src/prefix.rs
@@ -1,7 +1,9 @@
 //! Which endpoint probably holds which part of a prompt in its cache.
 //!
 //! Cache events come late and with gaps, so they are hints; what this box sent where is known at
-//! once. Prompts are cut into blocks, and each block's hash covers all text before it.
+//! once. Prompts are cut into blocks, and each block's hash covers all that comes before it. The
+//! size of a block is in whatever unit the caller counts in: bytes of text, or tokens of a named
+//! part.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -15,9 +17,18 @@
 /// Blocks of a prompt that are looked at.
 const BLOCKS: usize = 256;
 
+/// One block of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Block {
+    /// Covers this block and all before it.
+    hash: u64,
+    /// Size of this block alone.
+    size: u32,
+}
+
 /// The leading blocks of a prompt.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Prefix(Vec<u64>);
+pub struct Prefix(Vec<Block>);
 
 impl Prefix {
     /// Cuts the start of a prompt into blocks.
@@ -28,16 +39,33 @@
             bytes.extend_from_slice(&text.as_bytes()[..text.len().min(room)]);
         }
         let mut seed = 0;
-        let hashes = bytes.chunks_exact(BLOCK_BYTES).map(|block| {
+        let blocks = bytes.chunks_exact(BLOCK_BYTES).map(|block| {
             seed = xxh3_64_with_seed(block, seed);
-            seed
+            Block { hash: seed, size: BLOCK_BYTES as u32 }
+        });
+        Prefix(blocks.collect())
+    }
+
+    /// A prompt whose parts are named: the id and size of each, in order.
+    pub fn of_parts(parts: impl IntoIterator<Item = (u64, u32)>) -> Prefix {
+        let mut seed = 0;
+        let blocks = parts.into_iter().map(|(id, size)| {
+            seed = xxh3_64_with_seed(&id.to_le_bytes(), seed);
+            Block { hash: seed, size }
         });
-        Prefix(hashes.collect())
+        Prefix(blocks.collect())
+    }
+
+    /// Size of all blocks together.
+    pub fn size(&self) -> u64 {
+        self.0.iter().map(|block| u64::from(block.size)).sum()
     }
 
-    /// Number of whole blocks.
-    pub fn blocks(&self) -> usize {
-        self.0.len()
+    /// The part that other prompts may share, all but the last block: its hash and size.
+    pub fn shared(&self) -> Option<(u64, u64)> {
+        let (_, shared) = self.0.split_last()?;
+        let size = shared.iter().map(|block| u64::from(block.size)).sum();
+        shared.last().map(|block| (block.hash, size))
     }
 }
 
@@ -58,7 +86,7 @@
     /// A prompt was sent to an endpoint, which will hold it soon.
     pub fn sent(&mut self, prefix: &Prefix, endpoint: &Arc<str>) {
         for block in &prefix.0 {
-            self.add(*block, endpoint);
+            self.add(block.hash, endpoint);
         }
     }
 
@@ -84,20 +112,21 @@
         }
     }
 
-    /// Number of leading blocks that an endpoint probably holds.
-    pub fn held(&self, prefix: &Prefix, endpoint: &str) -> usize {
-        let holds = |block: &&u64| {
-            self.holders.get(*block).is_some_and(|names| names.iter().any(|n| &**n == endpoint))
+    /// Size of the leading blocks that an endpoint probably holds.
+    pub fn held(&self, prefix: &Prefix, endpoint: &str) -> u64 {
+        let holds = |block: &&Block| {
+            let holders = self.holders.get(&block.hash);
+            holders.is_some_and(|names| names.iter().any(|name| &**name == endpoint))
         };
-        prefix.0.iter().take_while(holds).count()
+        prefix.0.iter().take_while(holds).map(|block| u64::from(block.size)).sum()
     }
 
     /// Endpoints that hold the longest known part, longest first, at most `most`.
     pub fn best(&self, prefix: &Prefix, most: usize) -> Vec<Arc<str>> {
         let mut found: Vec<Arc<str>> = Vec::new();
-        let known = prefix.0.partition_point(|block| self.holders.contains_key(block));
+        let known = prefix.0.partition_point(|block| self.holders.contains_key(&block.hash));
         for block in prefix.0[..known].iter().rev() {
-            for name in self.holders.get(block).into_iter().flatten() {
+            for name in self.holders.get(&block.hash).into_iter().flatten() {
                 match found.contains(name) {
                     true => {}
                     false if found.len() < most => found.push(name.clone()),
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -24,7 +24,7 @@
     let prefix = Prefix::of([text.as_str()]);
     pool.start(&"e5".into(), &prefix, 10);
     let choice = pool.choose(&prefix, &[], 20, &mut random()).unwrap();
-    assert_eq!((&*choice.name, choice.held), ("e5", prefix.blocks()));
+    assert_eq!((&*choice.name, choice.held), ("e5", prefix.size()));
     pool.report("e5", Report { at: 20, running: 32, waiting: 30, slots: 32 });
     let choice = pool.choose(&prefix, &[], 30, &mut random()).unwrap();
     assert_ne!(&*choice.name, "e5");
--- a/crates/flintstall/src/apply.rs
+++ b/crates/flintstall/src/apply.rs
@@ -1,6 +1,6 @@
 //! Writing and deleting resources, conditionally on what was read.
 
-use platform::{Client, Expect, Store, Write};
+use objects::{Client, Expect, Store, Write};
 use resource::{Document, Kind, Spec};
 use serde_json::Value;
 use snafu::ResultExt;
--- a/crates/flintstall/src/read.rs
+++ b/crates/flintstall/src/read.rs
@@ -2,7 +2,7 @@
 
 use config::{Accepted, object_name};
 use member::Member;
-use platform::{Client, Object, Store};
+use objects::{Client, Object, Store};
 use resource::Kind;
 use serde_json::{Value, json};
 use snafu::ResultExt;
--- a/crates/flintstall/src/run.rs
+++ b/crates/flintstall/src/run.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use platform::Client;
+use objects::Client;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{
@@ -49,7 +49,7 @@
     Conflict { kind: String, name: String },
     /// The platform did not answer.
     #[snafu(display("{source}"))]
-    Platform { source: platform::Error },
+    Platform { source: objects::Error },
     /// A write's answer was lost.
     #[snafu(display("it is not known whether {kind} `{name}` was written; read it again"))]
     InDoubt { kind: String, name: String },
@@ -107,7 +107,7 @@
     let named = options.platform.clone().or_else(|| std::env::var("FLINTSTALL_PLATFORM").ok());
     let address = named.context(NoPlatformSnafu)?;
     let address = address.trim_end_matches('/').to_owned();
-    Ok(Client::open(platform::Options { address, timeout: TIMEOUT, watch: WATCH }))
+    Ok(Client::open(objects::Options { address, timeout: TIMEOUT, watch: WATCH }))
 }
 
 /// Text of a file, or of standard input for `-`.
--- a/crates/flintstall/src/statement.rs
+++ b/crates/flintstall/src/statement.rs
@@ -1,7 +1,7 @@
 //! The balance and the bills of a budget.
 
 use ledger::{Bill, Ledger, Page, page_name};
-use platform::{Client, Store};
+use objects::{Client, Store};
 use serde_json::json;
 use snafu::ResultExt;
 
--- a/crates/flintstall/src/watch.rs
+++ b/crates/flintstall/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::{Change, Client, Store};
+use objects::{Change, Client, Store};
 use resource::Kind;
 use serde_json::{Value, json};
 use snafu::ResultExt;
--- a/crates/flintstalld/src/cli.rs
+++ b/crates/flintstalld/src/cli.rs
@@ -15,6 +15,10 @@
     #[argh(option)]
     pub settings: Option<PathBuf>,
 
+    /// serve plain requests on the users' platform: the settings are those of a gateway
+    #[argh(switch)]
+    pub gateway: bool,
+
     /// validate the settings, say what is wrong with them, and exit without listening
     #[argh(switch)]
     pub check: bool,
--- a/crates/flintstalld/src/logs.rs
+++ b/crates/flintstalld/src/logs.rs
@@ -1,6 +1,7 @@
 //! Setting up `tracing` from the settings.
 
 use router::{LogFormat, LogSettings};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, fmt};
 
 /// Starts logging to standard output; time line events are always part of it.
@@ -12,3 +13,20 @@
         LogFormat::Json => lines.json().init(),
     }
 }
+
+/// Lines that wait to be written; more are dropped, and counted.
+const LINES: usize = 4_096;
+
+/// Logs JSON lines from a gateway without ever waiting for whoever reads them.
+///
+/// The lines are flushed when the guard is dropped.
+pub fn open_bounded(level: &str) -> (WorkerGuard, ErrorCounter) {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES)
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    let filter = EnvFilter::new(format!("{level},hyper=warn,reqwest=warn"));
+    fmt().json().flatten_event(true).with_env_filter(filter).with_writer(writer).init();
+    (guard, dropped)
+}
--- a/crates/flintstalld/src/run.rs
+++ b/crates/flintstalld/src/run.rs
@@ -1,10 +1,12 @@
 //! From options to a running router and its planned stop.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
+use gateway::Gateway;
 use router::{Router, Settings};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::signal::unix::{SignalKind, signal};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::{cli::Options, exit::Code, logs};
 
@@ -23,6 +25,9 @@
     /// The router did not start.
     #[snafu(display("{source}"))]
     Start { source: router::Error },
+    /// The gateway did not start.
+    #[snafu(display("{source}"))]
+    Gateway { source: gateway::Error },
     /// The operating system refused something.
     #[snafu(display("{what}: {source}"))]
     System { what: &'static str, source: std::io::Error },
@@ -33,7 +38,7 @@
     pub fn code(&self) -> Code {
         match self {
             Error::NoSettings | Error::Read { .. } | Error::Settings { .. } => Code::Usage,
-            Error::Start { .. } | Error::System { .. } => Code::Failure,
+            Error::Start { .. } | Error::Gateway { .. } | Error::System { .. } => Code::Failure,
         }
     }
 }
@@ -46,6 +51,9 @@
     }
     let path = options.settings.clone().context(NoSettingsSnafu)?;
     let text = std::fs::read_to_string(&path).context(ReadSnafu { path: path.clone() })?;
+    if options.gateway {
+        return run_gateway(&path, &text, options.check);
+    }
     let settings = Settings::read(&text).context(SettingsSnafu { path: path.clone() })?;
     if options.check {
         println!("{}: the settings of box `{}` are valid", path.display(), settings.box_name);
@@ -57,6 +65,60 @@
     runtime.block_on(serve(settings))
 }
 
+fn run_gateway(path: &Path, text: &str, check: bool) -> Result<(), Error> {
+    let settings = gateway::Settings::read(text).context(SettingsSnafu { path })?;
+    if check {
+        println!("{}: the settings of box `{}` are valid", path.display(), settings.box_name);
+        return Ok(());
+    }
+    let (_flushed, dropped) = logs::open_bounded(&settings.log.level);
+    // One thread: a box has a fraction of one processor, and every wake-up counts.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(SystemSnafu { what: "cannot start the runtime" })?;
+    runtime.block_on(serve_gateway(path, settings, dropped))
+}
+
+async fn serve_gateway(
+    path: &Path,
+    settings: gateway::Settings,
+    dropped: ErrorCounter,
+) -> Result<(), Error> {
+    let failed = SystemSnafu { what: "cannot listen for signals" };
+    let mut terminate = signal(SignalKind::terminate()).context(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(failed)?;
+    let mut reload = signal(SignalKind::hangup()).context(failed)?;
+    let gateway = Gateway::spawn(settings, rand::random()).await.context(GatewaySnafu)?;
+    gateway.count_dropped_lines(move || dropped.dropped_lines());
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reread(path, &gateway),
+        }
+    }
+    gateway.stop().await;
+    Ok(())
+}
+
+/// Reads the settings again. A file that is wrong leaves those in force as they are.
+fn reread(path: &Path, gateway: &Gateway) {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::error!(event = "settings_unreadable", path = %path.display(), %error);
+            return;
+        }
+    };
+    match gateway::Settings::read(&text) {
+        Ok(settings) => gateway.reload(settings),
+        Err(error) => {
+            tracing::error!(event = "settings_invalid", path = %path.display(), %error);
+        }
+    }
+}
+
 async fn serve(settings: Settings) -> Result<(), Error> {
     let router = Router::spawn(settings, rand::random()).await.context(StartSnafu)?;
     tracing::info!(callers = %router.callers(), operators = %router.operators(), "listening");
--- /dev/null
+++ b/crates/forward/src/body.rs
@@ -0,0 +1,73 @@
+//! The body of an answer, tied to the connection that it comes on.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use http_body::Frame;
+use hyper::body::Incoming;
+
+use crate::{Fault, links::Lease};
+
+/// Body of an answer. Read to its end, it frees its connection; dropped before, it closes it.
+#[derive(Debug)]
+pub struct Body {
+    incoming: Incoming,
+    lease: Option<Lease>,
+}
+
+impl Body {
+    pub(crate) fn new(incoming: Incoming, lease: Lease) -> Body {
+        let mut body = Body { incoming, lease: Some(lease) };
+        body.end_if_whole();
+        body
+    }
+
+    fn end_if_whole(&mut self) {
+        if http_body::Body::is_end_stream(&self.incoming) {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.end();
+        }
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        match frame {
+            None => {
+                self.end();
+                Poll::Ready(None)
+            }
+            Some(Ok(frame)) => {
+                self.end_if_whole();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                self.lease = None;
+                Poll::Ready(Some(Err(Fault::Unknown { reason: error.to_string() })))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        http_body::Body::is_end_stream(&self.incoming)
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        http_body::Body::size_hint(&self.incoming)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/link.rs
@@ -0,0 +1,78 @@
+//! One connection to an endpoint.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
+
+use crate::Fault;
+
+/// A connection that is not in use, or whose answer is being read.
+#[derive(Debug)]
+pub struct Link {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// When the endpoint may close it for having rested.
+    pub rests_until: Instant,
+}
+
+impl Link {
+    /// Connects; nothing is sent yet.
+    pub async fn open(
+        address: SocketAddr,
+        connect: Duration,
+        silent: Duration,
+    ) -> Result<Link, Fault> {
+        let unsent = |reason: String| Fault::Unsent { reason };
+        let stream = tokio::time::timeout(connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| unsent(format!("no connection within {} ms", connect.as_millis())))?
+            .map_err(|error| unsent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| unsent(error.to_string()))?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(silent))
+            .map_err(|error| unsent(error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unsent(error.to_string()))?;
+        // Its result also reaches whoever waits for the answer, so nothing is lost here.
+        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+        Ok(Link { sender, task, rests_until: Instant::now() })
+    }
+
+    /// Whether a request can be sent now: no earlier one is still being sent.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection is of no more use.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Fault> {
+        self.sender.try_send_request(request).await.map_err(|mut failed| {
+            let reason = failed.error().to_string();
+            match failed.take_message() {
+                Some(_) => Fault::Unsent { reason },
+                None => Fault::Unknown { reason },
+            }
+        })
+    }
+}
+
+impl Drop for Link {
+    /// Closes the connection at once, so that the endpoint stops working on what it carries.
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/forward/src/links.rs
@@ -0,0 +1,208 @@
+//! All connections of this box to endpoints.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response, Uri, Version, header, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::{Body, Fault, link::Link};
+
+/// Bounds on connections.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Time for a connection to come up.
+    pub connect: Duration,
+    /// A connection on which sent bytes stay unacknowledged for this long is given up.
+    pub silent: Duration,
+    /// Rest of a connection where the endpoint does not say how long it keeps one.
+    pub rest: Duration,
+    /// A connection is not used again this long before the endpoint may close it.
+    pub margin: Duration,
+}
+
+/// A request to be sent.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Headers, the length of the body among them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The answer of an endpoint.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// Body; reading it to its end frees the connection, dropping it closes the connection.
+    pub body: Body,
+    /// Whether it came on a connection that was used before.
+    pub reused: bool,
+}
+
+/// All connections of this box to endpoints.
+#[derive(Debug, Clone)]
+pub struct Links {
+    options: Arc<Options>,
+    peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    resting: Vec<Link>,
+    open: usize,
+    opened: u64,
+}
+
+impl Links {
+    /// No connections yet.
+    pub fn new(options: Options) -> Links {
+        Links { options: Arc::new(options), peers: Arc::default() }
+    }
+
+    /// Sends a request on a connection of its own, at most `most` of them to this address.
+    ///
+    /// Dropping the future closes the connection.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        most: usize,
+        request: Request,
+    ) -> Result<Answer, Fault> {
+        let mut place = self.place(address, most)?;
+        let reused = place.link.is_some();
+        let link = match place.link.take() {
+            Some(link) => place.link.insert(link),
+            None => {
+                let opened = Link::open(address, self.options.connect, self.options.silent).await?;
+                self.peers.lock().entry(address).or_default().opened += 1;
+                place.link.insert(opened)
+            }
+        };
+        let response = link.send(outgoing(request)).await?;
+        let lease = Lease { place, rest: self.rest(&response), options: self.options.clone() };
+        let (head, body) = response.into_parts();
+        Ok(Answer { head, body: Body::new(body, lease), reused })
+    }
+
+    /// A place among the connections to an address, with a resting connection if there is one.
+    fn place(&self, address: SocketAddr, most: usize) -> Result<Place, Fault> {
+        let mut peers = self.peers.lock();
+        let peer = peers.entry(address).or_default();
+        let now = Instant::now();
+        let before = peer.resting.len();
+        peer.resting.retain(|link| !link.is_closed() && link.rests_until > now);
+        peer.open -= before - peer.resting.len();
+        let ready = peer.resting.iter().rposition(Link::is_ready);
+        let link = ready.map(|at| peer.resting.remove(at));
+        match link {
+            Some(_) => {}
+            None if peer.open >= most => return Err(Fault::Full { most }),
+            None => peer.open += 1,
+        }
+        Ok(Place { address, link, peers: self.peers.clone() })
+    }
+
+    /// How long the connection of an answer may rest; `None` if it ends with the answer.
+    fn rest(&self, response: &Response<Incoming>) -> Option<Duration> {
+        let headers = response.headers();
+        let ends = headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(|value| value.as_bytes().to_ascii_lowercase().windows(5).any(|w| w == b"close"));
+        let rest = kept_for(headers).unwrap_or(self.options.rest);
+        (!ends).then(|| rest.saturating_sub(self.options.margin))
+    }
+
+    /// Closes the resting connections to an address that is of no more use.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut peers = self.peers.lock();
+        if let Some(peer) = peers.get_mut(&address) {
+            peer.open -= peer.resting.len();
+            peer.resting.clear();
+        }
+        peers.retain(|_, peer| peer.open > 0);
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.peers.lock().values().map(|peer| peer.opened).sum()
+    }
+
+    /// Connections open to an address.
+    pub fn open(&self, address: SocketAddr) -> usize {
+        self.peers.lock().get(&address).map_or(0, |peer| peer.open)
+    }
+}
+
+/// One of the connections that may be open to an address, counted while this lives.
+#[derive(Debug)]
+struct Place {
+    address: SocketAddr,
+    link: Option<Link>,
+    peers: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+}
+
+impl Place {
+    /// Keeps the connection for the next request.
+    fn keep(mut self, until: Instant) {
+        let Some(mut link) = self.link.take() else { return };
+        link.rests_until = until;
+        let mut peers = self.peers.lock();
+        let peer = peers.entry(self.address).or_default();
+        // What `drop` counts down when this ends stays counted for the resting connection.
+        peer.open += 1;
+        peer.resting.push(link);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut peers = self.peers.lock();
+        if let Some(peer) = peers.get_mut(&self.address) {
+            peer.open = peer.open.saturating_sub(1);
+        }
+    }
+}
+
+/// The connection of an answer that is being read.
+#[derive(Debug)]
+pub struct Lease {
+    place: Place,
+    rest: Option<Duration>,
+    options: Arc<Options>,
+}
+
+impl Lease {
+    /// The answer was read to its end.
+    pub fn end(self) {
+        debug_assert!(self.options.margin <= self.options.rest);
+        if let Some(rest) = self.rest {
+            self.place.keep(Instant::now() + rest);
+        }
+    }
+}
+
+fn outgoing(request: Request) -> http::Request<Full<Bytes>> {
+    let mut outgoing = http::Request::new(Full::new(request.body));
+    *outgoing.method_mut() = request.method;
+    *outgoing.uri_mut() = request.target;
+    *outgoing.version_mut() = Version::HTTP_11;
+    *outgoing.headers_mut() = request.headers;
+    outgoing
+}
+
+/// Seconds that `Keep-Alive: timeout=N` grants.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/endpoints.rs
@@ -0,0 +1,135 @@
+//! The choice of an endpoint for one try, and what is learned from how it went.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use balance::{Failure, Pool, Prefix, Report, Weights};
+use parking_lot::Mutex;
+use platform::answer::Load;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+use crate::directory::Directory;
+
+/// Tokens of prompt that weigh as much as one request under way. An engine of the deployments
+/// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
+/// everything beside them by ten steps.
+const TOKENS_PER_REQUEST: f64 = 2_000.0;
+/// Endpoints that a shared part of a prompt hashes to: one, and another for when it is busy.
+const HOMES: usize = 2;
+
+/// A chosen endpoint.
+#[derive(Debug, Clone)]
+pub struct Chosen {
+    /// Incarnation of the endpoint.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Tokens of the prompt that it probably holds.
+    pub held: u64,
+    /// Requests there, as far as this box can tell.
+    pub load: f64,
+}
+
+/// All endpoints that take work, by service.
+#[derive(Debug)]
+pub struct Endpoints {
+    zone: Arc<str>,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    random: SmallRng,
+    services: HashMap<Arc<str>, Pool>,
+    addresses: HashMap<Arc<str>, SocketAddr>,
+}
+
+impl Endpoints {
+    /// No endpoints yet, seen from a box in `zone`.
+    pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
+        let random = SmallRng::seed_from_u64(seed);
+        let state = State { random, services: HashMap::new(), addresses: HashMap::new() };
+        Endpoints { zone, started: Instant::now(), state: Mutex::new(state) }
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Takes over who takes work; returns the addresses that are of no more use.
+    pub fn update(&self, directory: &Directory) -> Vec<SocketAddr> {
+        let now = self.now();
+        let mut listed: BTreeMap<Arc<str>, Vec<(Arc<str>, Arc<str>)>> = BTreeMap::new();
+        let mut addresses = HashMap::new();
+        for (id, entry) in directory.ready() {
+            let of = listed.entry(entry.service.clone()).or_default();
+            of.push((id.clone(), entry.zone.clone()));
+            addresses.insert(id.clone(), entry.address);
+        }
+        let state = &mut *self.state.lock();
+        for (service, pool) in &mut state.services {
+            if !listed.contains_key(service) {
+                pool.update([], now);
+            }
+        }
+        for (service, mut list) in listed {
+            list.sort();
+            let weights = Weights {
+                size_per_request: TOKENS_PER_REQUEST,
+                homes: HOMES,
+                ..Weights::default()
+            };
+            let fresh = || Pool::new(self.zone.clone(), weights);
+            state.services.entry(service).or_insert_with(fresh).update(list, now);
+        }
+        let gone = |address: &SocketAddr| !addresses.values().any(|kept| kept == address);
+        let unused = state.addresses.values().copied().filter(gone).collect();
+        state.addresses = addresses;
+        unused
+    }
+
+    /// Chooses an endpoint of a service that is not in `tried`.
+    pub fn choose(&self, service: &str, prefix: &Prefix, tried: &[Arc<str>]) -> Option<Chosen> {
+        let now = self.now();
+        let state = &mut *self.state.lock();
+        let pool = state.services.get_mut(service)?;
+        let choice = pool.choose(prefix, tried, now, &mut state.random)?;
+        let address = *state.addresses.get(&choice.name)?;
+        Some(Chosen { id: choice.name, address, held: choice.held, load: choice.load })
+    }
+
+    /// A request goes to an endpoint.
+    pub fn start(&self, service: &str, id: &Arc<str>, prefix: &Prefix) {
+        let now = self.now();
+        if let Some(pool) = self.state.lock().services.get_mut(service) {
+            pool.start(id, prefix, now);
+        }
+    }
+
+    /// A request ended there.
+    pub fn end(&self, service: &str, id: &str, failure: Option<Failure>) {
+        let now = self.now();
+        if let Some(pool) = self.state.lock().services.get_mut(service) {
+            pool.end(id, failure, now);
+        }
+    }
+
+    /// An endpoint told its load with an answer.
+    pub fn report(&self, service: &str, id: &str, load: Load) {
+        let at = self.now();
+        let report = Report { at, running: load.running, waiting: load.waiting, slots: load.slots };
+        if let Some(pool) = self.state.lock().services.get_mut(service) {
+            pool.report(id, report);
+        }
+    }
+
+    /// Number of endpoints of a service that take work.
+    pub fn count(&self, service: &str) -> usize {
+        self.state.lock().services.get(service).map_or(0, |pool| pool.endpoints().len())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,293 @@
+//! Starting and stopping a box on the users' platform.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use forward::Links;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use ledger::Incarnation;
+use objects::Calls;
+use parking_lot::Mutex;
+use platform::store::Client;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+    time::Instant,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    endpoints::Endpoints,
+    follow::{self, EndpointFollower},
+    funds::Funds,
+    handle::Gate,
+    metrics::{Budget, Metrics, Purpose},
+    serve::{self, Bounds},
+    settings::Settings,
+    settle::Settler,
+};
+
+/// Connections of the balancer and of scrapers at once.
+const FEW: usize = 64;
+/// Rest of callers' connections: what both deployments allow. The bound of the configuration is
+/// not known before the first one is read, and callers reuse connections for less than this.
+const IDLE: Duration = Duration::from_secs(15);
+/// Bytes of a head: what both deployments allow.
+const HEAD_BYTES: usize = 16_384;
+/// Time for the last settlement of a planned stop.
+const LEAVE: Duration = Duration::from_millis(600);
+
+/// Why a box did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address could not be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Bind { address: SocketAddr, source: std::io::Error },
+}
+
+/// A running box.
+pub struct Gateway {
+    gate: Arc<Gate>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    operators: SocketAddr,
+    incarnation: Incarnation,
+    calls: Calls,
+    stopping: watch::Sender<bool>,
+    closing: watch::Sender<bool>,
+    /// Connections of callers.
+    tasks: TaskTracker,
+    leaving: CancellationToken,
+    settler: Option<JoinHandle<()>>,
+    loops: Vec<JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Starts a box. `seed` feeds its random choices, its incarnation among them: it must be
+    /// fresh.
+    pub async fn spawn(settings: Settings, seed: u64) -> Result<Gateway, Error> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let incarnation = Incarnation::new(&settings.box_name, random.random());
+        let store = Client::open(settings.store());
+        let calls = store.calls();
+        let metrics = Metrics::open();
+        let (in_force, table) = watch::channel(None);
+        let (stopping, stops) = watch::channel(false);
+        let (closing, closes) = watch::channel(false);
+        let endpoints = Arc::new(Endpoints::new(settings.zone.clone(), random.random()));
+        let links = Links::new(settings.links());
+        let funds = Funds::open();
+        let gate = Arc::new(Gate {
+            table,
+            endpoints: endpoints.clone(),
+            links: links.clone(),
+            funds: funds.clone(),
+            retries: Mutex::default(),
+            metrics: metrics.clone(),
+            bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
+            stopping: stops,
+            started: Instant::now(),
+            dropped_lines: Mutex::default(),
+            settings: settings.clone(),
+        });
+        let listeners = [settings.listen.callers, settings.listen.ready, settings.listen.operators]
+            .map(|address| serve::bind(address).context(BindSnafu { address }));
+        let [callers, ready, operators] = listeners;
+        let (callers, ready, operators) = (callers?, ready?, operators?);
+        let addresses = [&callers, &ready, &operators]
+            .map(|listener| listener.local_addr().expect("a bound socket has an address"));
+        let tasks = TaskTracker::new();
+        let leaving = CancellationToken::new();
+        let (policy, money) = (settings.policy(), settings.money.clone());
+        let settler =
+            Settler::new(store.clone(), funds.clone(), incarnation.clone(), policy, money);
+        let lapse = Duration::from_millis(settings.limits.lapse_ms);
+        let follower = EndpointFollower::new(store.clone(), endpoints, links, lapse);
+        let bounds =
+            Bounds { connections: settings.limits.connections, head_bytes: HEAD_BYTES, idle: IDLE };
+        let few = Bounds { connections: FEW, ..bounds.clone() };
+        let serving = gate.clone();
+        let handle = move |request| serving.clone().handle(request);
+        let loops = vec![
+            tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds)),
+            tokio::spawn(follower.run()),
+            tokio::spawn(serve::accept(
+                callers,
+                bounds,
+                tasks.clone(),
+                closes.clone(),
+                metrics.clone(),
+                handle,
+            )),
+            tokio::spawn(serve::accept(
+                ready,
+                few.clone(),
+                TaskTracker::new(),
+                closes.clone(),
+                metrics.clone(),
+                answer_ready(gate.clone()),
+            )),
+            tokio::spawn(serve::accept(
+                operators,
+                few,
+                TaskTracker::new(),
+                closes,
+                metrics,
+                answer_metrics(gate.clone(), calls.clone()),
+            )),
+        ];
+        let settler = Some(tokio::spawn(settle(settler, leaving.clone())));
+        tracing::info!(
+            event = "started",
+            incarnation = incarnation.as_str(),
+            zone = &*settings.zone,
+            callers = %addresses[0],
+            store = %settings.store.address,
+        );
+        let [callers, ready, operators] = addresses;
+        Ok(Gateway {
+            gate,
+            callers,
+            ready,
+            operators,
+            incarnation,
+            calls,
+            stopping,
+            closing,
+            tasks,
+            leaving,
+            settler,
+            loops,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where the balancer asks whether the box takes requests.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Where metrics are read.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// The incarnation of this start.
+    pub fn incarnation(&self) -> &Incarnation {
+        &self.incarnation
+    }
+
+    /// The counters of its calls to the store.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    /// The metrics as text.
+    pub fn metrics(&self) -> String {
+        self.gate.metrics.text()
+    }
+
+    /// Tells the metrics how many log lines were dropped so far.
+    pub fn count_dropped_lines(&self, count: impl Fn() -> usize + Send + Sync + 'static) {
+        *self.gate.dropped_lines.lock() = Some(Box::new(count));
+    }
+
+    /// Takes over settings that were read again. Those in force stay so until the next start of
+    /// the process: what the platform changes in them concerns addresses, which are bound.
+    pub fn reload(&self, settings: Settings) {
+        let changed = settings != self.gate.settings;
+        tracing::info!(event = "settings_read_again", changed, in_force = "at the next start");
+    }
+
+    /// The planned stop: not ready first, then every request to its end, then all tokens returned.
+    pub async fn stop(mut self) {
+        let began = Instant::now();
+        let limits = &self.gate.settings.limits;
+        let limit = Duration::from_millis(limits.stop_ms);
+        tracing::info!(event = "stopping", limit_ms = limits.stop_ms);
+        self.stopping.send_replace(true);
+        self.tasks.close();
+        let notice = Duration::from_millis(limits.notice_ms);
+        // The balancer sends connections until it has noticed; they are all served.
+        tokio::time::sleep(notice.min(limit)).await;
+        self.closing.send_replace(true);
+        let rest = limit.saturating_sub(began.elapsed());
+        let finished = tokio::time::timeout(rest, self.tasks.wait()).await.is_ok();
+        self.leaving.cancel();
+        if let Some(settler) = self.settler.take() {
+            // It bounds itself in time; a panic in it was printed already.
+            let _ = settler.await;
+        }
+        let took_ms = began.elapsed().as_millis() as u64;
+        tracing::info!(event = "stopped", finished, took_ms);
+    }
+}
+
+impl Drop for Gateway {
+    /// Ends at once, as a crash would: nothing is returned.
+    fn drop(&mut self) {
+        for task in self.loops.iter().chain(&self.settler) {
+            task.abort();
+        }
+    }
+}
+
+async fn settle(mut settler: Settler, leaving: CancellationToken) {
+    tokio::select! {
+        () = settler.run() => {}
+        () = leaving.cancelled() => {}
+    }
+    settler.leave(LEAVE).await;
+}
+
+type Page = Response<Full<Bytes>>;
+
+fn page(status: StatusCode, text: impl Into<Bytes>) -> Page {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Whether the box takes requests: it has a configuration and is not being stopped.
+fn answer_ready(
+    gate: Arc<Gate>,
+) -> impl Fn(Request<Incoming>) -> std::future::Ready<Page> + Clone + Send + 'static {
+    move |_| {
+        let ready = gate.table.borrow().is_some() && !*gate.stopping.borrow();
+        std::future::ready(match ready {
+            true => page(StatusCode::OK, "ready\n"),
+            false => page(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        })
+    }
+}
+
+fn answer_metrics(
+    gate: Arc<Gate>,
+    calls: Calls,
+) -> impl Fn(Request<Incoming>) -> std::future::Ready<Page> + Clone + Send + 'static {
+    move |_| {
+        let metrics = &gate.metrics;
+        for ((operation, kind), count) in calls.snapshot() {
+            let purpose = Purpose { operation: format!("{operation:?}"), kind: kind.to_string() };
+            metrics.calls.get_or_create(&purpose).set(count.calls as i64);
+        }
+        for (customer, free, _, unspent) in gate.funds.overview() {
+            let budget = Budget { customer: customer.to_string() };
+            metrics.free.get_or_create(&budget).set(free as i64);
+            metrics.unspent.get_or_create(&budget).set(unspent as i64);
+        }
+        let dropped = gate.dropped_lines.lock().as_ref().map_or(0, |count| count());
+        metrics.dropped_lines.set(dropped as i64);
+        metrics.connections.set(gate.links.opened() as i64);
+        std::future::ready(page(StatusCode::OK, metrics.text()))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! A box on the users' platform: plain requests in, plain requests out to endpoints.
+//!
+//! [`Gateway::spawn`] starts one, [`Gateway::stop`] is the planned stop. The way of a request is
+//! [`handle`]: find its route and customer (`table`), hold its worst case in tokens (`funds`),
+//! choose an endpoint (`endpoints`), pass the answer on (`relay`) and settle (`trip`). Beside it,
+//! `follow` keeps the configuration and the list of endpoints, and `settle` the box's part of all
+//! budgets, each from the platform's store. Nothing is kept on the box.
+
+mod directory;
+mod endpoints;
+mod follow;
+mod funds;
+mod gateway;
+mod handle;
+mod meter;
+mod metrics;
+mod outage;
+mod refusal;
+mod relay;
+mod retries;
+mod serve;
+mod settings;
+mod settle;
+mod table;
+mod trip;
+
+pub use directory::Directory;
+pub use funds::{Funds, Hold, Lack};
+pub use gateway::{Error, Gateway};
+pub use meter::Meter;
+pub use refusal::{Reason, Refusal};
+pub use retries::Retries;
+pub use settings::{Limits, Listen, Money, Settings, Store};
+pub use table::Table;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,128 @@
+//! Counters and histograms, in the Prometheus text format.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Labels of a finished request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Finished {
+    /// `answered`, `not_run`, `unknown`, `broken` or `left`.
+    pub outcome: &'static str,
+    /// Reason, where there is one.
+    pub reason: &'static str,
+}
+
+/// Labels of calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Purpose {
+    /// What the call does.
+    pub operation: String,
+    /// Kind of object.
+    pub kind: String,
+}
+
+/// Labels of a budget.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Budget {
+    /// Customer whose budget it is.
+    pub customer: String,
+}
+
+/// All metrics of a box.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Requests by how they ended.
+    pub requests: Family<Finished, Counter>,
+    /// Requests under way.
+    pub under_way: Gauge,
+    /// Tokens charged.
+    pub tokens: Counter,
+    /// Seconds to the first byte of an endpoint's answer.
+    pub first_byte: Histogram,
+    /// Requests sent to a second endpoint.
+    pub repeats: Counter,
+    /// Connections opened to endpoints.
+    pub connections: Gauge,
+    /// Connections of callers.
+    pub callers: Gauge,
+    /// Calls to the store by purpose.
+    pub calls: Family<Purpose, Gauge>,
+    /// Tokens free in this box, by customer.
+    pub free: Family<Budget, Gauge>,
+    /// Tokens paid and not known to be spent, by customer.
+    pub unspent: Family<Budget, Gauge>,
+    /// Log lines dropped because the reader was too slow.
+    pub dropped_lines: Gauge,
+}
+
+/// Bounds of the buckets for the first byte, in seconds: round the targets of the deployments.
+const FIRST_BYTE: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.5, 6.0];
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn open() -> Metrics {
+        let metrics = Metrics {
+            registry: Arc::new(Mutex::new(Registry::with_prefix("flintstall"))),
+            requests: Family::default(),
+            under_way: Gauge::default(),
+            tokens: Counter::default(),
+            first_byte: Histogram::new(FIRST_BYTE),
+            repeats: Counter::default(),
+            connections: Gauge::default(),
+            callers: Gauge::default(),
+            calls: Family::default(),
+            free: Family::default(),
+            unspent: Family::default(),
+            dropped_lines: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock();
+        registry.register("requests", "Requests by how they ended", self.requests.clone());
+        registry.register("requests_under_way", "Requests under way", self.under_way.clone());
+        registry.register("tokens_charged", "Tokens charged", self.tokens.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time to the first byte of an endpoint's answer",
+            self.first_byte.clone(),
+        );
+        registry.register("repeats", "Requests sent to a second endpoint", self.repeats.clone());
+        registry.register(
+            "endpoint_connections_opened",
+            "Connections opened to endpoints since the start",
+            self.connections.clone(),
+        );
+        registry.register("caller_connections", "Connections of callers", self.callers.clone());
+        registry.register("store_calls", "Calls to the store by purpose", self.calls.clone());
+        registry.register("tokens_free", "Tokens free in this box", self.free.clone());
+        registry.register(
+            "tokens_unspent",
+            "Tokens paid and not known to be spent",
+            self.unspent.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped because the reader was too slow",
+            self.dropped_lines.clone(),
+        );
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry.lock()) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics could not be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,143 @@
+//! The body of an endpoint's answer on its way to the caller.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use balance::Failure;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+use tokio::time::Sleep;
+
+use crate::{
+    endpoints::Endpoints,
+    meter::Meter,
+    trip::{End, Trip},
+};
+
+/// Why a body breaks off. The connection to the caller is closed then, so that what arrived does
+/// not look whole.
+#[derive(Debug, Snafu)]
+pub enum Broken {
+    /// The endpoint's answer broke off.
+    #[snafu(display("{source}"))]
+    Endpoint { source: forward::Fault },
+    /// The time of the request is over.
+    #[snafu(display("the time of the request is over"))]
+    Timeout,
+}
+
+/// A request that an endpoint has: counted there while this lives.
+#[derive(Debug)]
+pub struct Flight {
+    endpoints: Arc<Endpoints>,
+    service: Arc<str>,
+    endpoint: Arc<str>,
+    failure: Option<Failure>,
+}
+
+impl Flight {
+    /// Counts a request at an endpoint.
+    pub fn start(
+        endpoints: Arc<Endpoints>,
+        service: Arc<str>,
+        endpoint: Arc<str>,
+        prefix: &balance::Prefix,
+    ) -> Flight {
+        endpoints.start(&service, &endpoint, prefix);
+        Flight { endpoints, service, endpoint, failure: None }
+    }
+
+    /// It failed there.
+    pub fn fail(&mut self, failure: Failure) {
+        self.failure = Some(failure);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.endpoints.end(&self.service, &self.endpoint, self.failure);
+    }
+}
+
+/// An answer's body, passed on as it comes.
+pub struct Relay {
+    body: forward::Body,
+    meter: Meter,
+    status: u16,
+    timeout: Pin<Box<Sleep>>,
+    flight: Flight,
+    trip: Trip,
+}
+
+impl Relay {
+    /// Passes on the body of an answer with this status.
+    pub fn new(body: forward::Body, status: u16, flight: Flight, trip: Trip) -> Relay {
+        let timeout = Box::pin(tokio::time::sleep_until(trip.until));
+        let mut relay = Relay { body, meter: Meter::default(), status, timeout, flight, trip };
+        relay.end_if_whole();
+        relay
+    }
+
+    fn end_if_whole(&mut self) {
+        if self.body.is_end_stream() {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        self.trip.end(End::Answered { status: self.status }, self.meter.events());
+    }
+
+    fn break_off(&mut self, reason: String) {
+        self.trip.end(End::Broken { reason }, self.meter.events());
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                ready!(self.timeout.as_mut().poll(context));
+                self.break_off("the time of the request is over".into());
+                return Poll::Ready(Some(Err(Broken::Timeout)));
+            }
+        };
+        match frame {
+            None => {
+                self.end();
+                Poll::Ready(None)
+            }
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.meter.pass(data);
+                }
+                self.end_if_whole();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(source)) => {
+                self.flight.fail(Failure::Broken);
+                self.break_off(source.to_string());
+                Poll::Ready(Some(Err(Broken::Endpoint { source })))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,242 @@
+//! Settings of a box on the users' platform: JSON with comments.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jsonc::{Error, Violation};
+use serde::Deserialize;
+
+/// All settings. Addresses and names have no defaults; everything else does.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the box, the same over all its lives.
+    #[serde(rename = "box")]
+    pub box_name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: Store,
+    /// Grants of prepaid tokens.
+    #[serde(default)]
+    pub money: Money,
+    /// Requests sent to a second endpoint.
+    #[serde(default)]
+    pub retries: Retries,
+    /// Bounds in time and number.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Log lines.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Log lines.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { level: "info".into() }
+    }
+}
+
+/// Addresses.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether the box takes requests.
+    pub ready: SocketAddr,
+    /// For metrics.
+    pub operators: SocketAddr,
+}
+
+/// How to reach the platform's store.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Bound on one call, in milliseconds. Four times what the store takes when it is slow.
+    #[serde(default = "store_timeout")]
+    pub timeout_ms: u64,
+    /// How long a watch waits for a change, in milliseconds. Each one is a call that is paid for;
+    /// a dead connection is found sooner, by keep-alive probes.
+    #[serde(default = "store_watch")]
+    pub watch_ms: u64,
+}
+
+fn store_timeout() -> u64 {
+    1_000
+}
+
+fn store_watch() -> u64 {
+    20_000
+}
+
+/// How much of each budget a box holds, to serve without the store.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Money {
+    /// Share of what is unspent that all boxes may hold together, in thousandths.
+    pub share: u64,
+    /// Seconds of use that a box holds at most; outages of the store up to this are ridden out.
+    pub horizon_s: u64,
+    /// Time between two settlements that nothing asks for, in milliseconds.
+    pub settle_ms: u64,
+    /// Shortest time between two settlements that no request waits for, in milliseconds.
+    pub spacing_ms: u64,
+    /// Longest time that a request waits for tokens, in milliseconds.
+    pub wait_ms: u64,
+}
+
+impl Default for Money {
+    /// Weighed in `docs/design/0005-platform.md`.
+    fn default() -> Money {
+        Money { share: 500, horizon_s: 20, settle_ms: 3_000, spacing_ms: 700, wait_ms: 250 }
+    }
+}
+
+/// Bounds on sending a request to a second endpoint.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Retries {
+    /// Share of the requests of this box that may be sent once more.
+    pub ratio: f64,
+    /// Repeats allowed besides, so that a box with little traffic has some.
+    pub extra: u32,
+    /// Seconds over which both are counted.
+    pub window_s: u64,
+}
+
+impl Default for Retries {
+    fn default() -> Retries {
+        Retries { ratio: 0.15, extra: 2, window_s: 10 }
+    }
+}
+
+/// Bounds in time and number.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Connections of callers at once.
+    pub connections: usize,
+    /// Bytes of request bodies held at once.
+    pub bodies: usize,
+    /// Time for a connection to an endpoint to come up, in milliseconds.
+    pub connect_ms: u64,
+    /// A connection to an endpoint is given up after this long without an acknowledgement, in
+    /// milliseconds.
+    pub silent_ms: u64,
+    /// Rest of a connection to an endpoint that does not say how long it keeps one, in
+    /// milliseconds.
+    pub rest_ms: u64,
+    /// Time from a planned stop until requests under way are given up, in milliseconds.
+    pub stop_ms: u64,
+    /// Time from a planned stop until resting callers' connections are closed, in milliseconds:
+    /// the balancer asks every second and believes the second answer.
+    pub notice_ms: u64,
+    /// Time after the store's return during which an endpoint without an entry is still used, in
+    /// milliseconds. The platform puts entries that lapsed back within about two seconds.
+    pub lapse_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            connections: 2_000,
+            bodies: 16 << 20,
+            connect_ms: 300,
+            silent_ms: 3_000,
+            rest_ms: 4_000,
+            stop_ms: 7_300,
+            notice_ms: 3_000,
+            lapse_ms: 2_300,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks settings; the error names the key, its line and what is allowed.
+    pub fn read(text: &str) -> Result<Settings, Error> {
+        let (settings, lines) = jsonc::read::<Settings>(text)?;
+        match settings.check().first() {
+            Some(violation) => Err(violation.error(&lines)),
+            None => Ok(settings),
+        }
+    }
+
+    /// Values out of range.
+    pub fn check(&self) -> Vec<Violation> {
+        let (store, money, limits) = (&self.store, &self.money, &self.limits);
+        let ranges = [
+            ("store.timeout_ms", store.timeout_ms, 10, 60_000),
+            ("store.watch_ms", store.watch_ms, 100, 30_000),
+            ("money.share", money.share, 0, 1_000),
+            ("money.horizon_s", money.horizon_s, 0, 86_400),
+            ("money.settle_ms", money.settle_ms, 100, 3_600_000),
+            ("money.spacing_ms", money.spacing_ms, 10, 3_600_000),
+            ("money.wait_ms", money.wait_ms, 0, 60_000),
+            ("retries.window_s", self.retries.window_s, 1, 3_600),
+            ("limits.connections", limits.connections as u64, 1, 1_000_000),
+            ("limits.bodies", limits.bodies as u64, 1 << 16, 1 << 34),
+            ("limits.connect_ms", limits.connect_ms, 10, 60_000),
+            ("limits.silent_ms", limits.silent_ms, 100, 600_000),
+            ("limits.stop_ms", limits.stop_ms, 100, 86_400_000),
+        ];
+        let mut found: Vec<Violation> = ranges
+            .into_iter()
+            .filter(|(_, value, least, most)| !(least..=most).contains(&value))
+            .map(|(path, _, least, most)| {
+                Violation::new(path, format!("between {least} and {most}"))
+            })
+            .collect();
+        if self.box_name.is_empty() {
+            found.push(Violation::new("box", "a name"));
+        }
+        if !(0.0..=1.0).contains(&self.retries.ratio) {
+            found.push(Violation::new("retries.ratio", "between 0 and 1"));
+        }
+        if !["error", "warn", "info", "debug", "trace"].contains(&self.log.level.as_str()) {
+            found.push(Violation::new("log.level", "error, warn, info, debug or trace"));
+        }
+        found
+    }
+
+    /// Connections to endpoints.
+    pub fn links(&self) -> forward::Options {
+        let ms = Duration::from_millis;
+        forward::Options {
+            connect: ms(self.limits.connect_ms),
+            silent: ms(self.limits.silent_ms),
+            rest: ms(self.limits.rest_ms),
+            margin: ms(1_000),
+        }
+    }
+
+    /// Calls of the store.
+    pub fn store(&self) -> platform::store::Options {
+        platform::store::Options {
+            address: format!("http://{}", self.store.address),
+            timeout: Duration::from_millis(self.store.timeout_ms),
+            watch: Duration::from_millis(self.store.watch_ms),
+        }
+    }
+
+    /// Sizing of grants.
+    pub fn policy(&self) -> ledger::Policy {
+        ledger::Policy {
+            offline_share: self.money.share,
+            online_horizon: 0,
+            offline_horizon: self.money.horizon_s,
+            boxes: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settle.rs
@@ -0,0 +1,225 @@
+//! The task that settles this box's accounts with the book in the store.
+//!
+//! One settlement is under way at a time. It is written until it is known to have landed: a
+//! refusal brings the book as it stands, and a lost answer is resolved by the writer's number.
+
+use std::time::Duration;
+
+use ledger::{Book, Granted, Incarnation, Policy, Settlement};
+use objects::Expect;
+use platform::store::{Client, Put};
+use snafu::Snafu;
+use tokio::time::Instant;
+
+use crate::{funds::Funds, outage::Outage, settings};
+
+/// Kind and name of the object that holds the book.
+pub const BOOK: (&str, &str) = ("books", "main");
+/// First pause after a call that failed; doubles up to [`PAUSE_MOST`].
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between two calls while the store does not answer.
+const PAUSE_MOST: Duration = Duration::from_millis(400);
+/// Time until the first grants are asked for: the other boxes register meanwhile.
+const REGISTER: Duration = Duration::from_millis(1_500);
+
+/// What is wrong with the book.
+#[derive(Debug, Snafu)]
+enum Fault {
+    #[snafu(display("{source}"))]
+    Store { source: objects::Error },
+    #[snafu(display("the book cannot be read: {source}"))]
+    Book { source: serde_json::Error },
+    #[snafu(display("the book is gone from the store"))]
+    Gone,
+    #[snafu(display("the write failed: {reason}"))]
+    Write { reason: String },
+}
+
+/// Settles accounts with the book.
+pub struct Settler {
+    pub store: Client,
+    pub funds: Funds,
+    pub holder: Incarnation,
+    pub policy: Policy,
+    pub money: settings::Money,
+    pub outage: Outage,
+    /// The book as it was last read or written, with its version; 0 where there is none.
+    known: Option<(Book, u64)>,
+    /// Whether a book was ever seen: it is not made anew then.
+    seen: bool,
+    write: u64,
+    /// The settlement under way: it must land, also when this task was interrupted.
+    pending: Option<Settlement>,
+    /// What the newest write of it would grant, in case its answer is lost.
+    last: Option<Vec<Granted>>,
+}
+
+impl Settler {
+    /// Nothing is read yet.
+    pub fn new(
+        store: Client,
+        funds: Funds,
+        holder: Incarnation,
+        policy: Policy,
+        money: settings::Money,
+    ) -> Settler {
+        let outage = Outage::new("book");
+        Settler {
+            store,
+            funds,
+            holder,
+            policy,
+            money,
+            outage,
+            known: None,
+            seen: false,
+            write: 0,
+            pending: None,
+            last: None,
+        }
+    }
+
+    /// Settles as need arises, for as long as the box runs.
+    pub async fn run(&mut self) {
+        self.settle(false).await;
+        self.wait(REGISTER).await;
+        loop {
+            self.settle(false).await;
+            let spacing = Duration::from_millis(self.money.spacing_ms);
+            let settle = Duration::from_millis(self.money.settle_ms);
+            let began = Instant::now();
+            while !self.funds.is_urgent() && began.elapsed() < self.funds.pause(spacing, settle) {
+                self.wait(spacing).await;
+            }
+        }
+    }
+
+    async fn wait(&self, pause: Duration) {
+        if !self.funds.is_urgent() {
+            let _ = tokio::time::timeout(pause, self.funds.wanted()).await;
+        }
+    }
+
+    /// Writes one settlement until it has landed. May be interrupted: the next call goes on.
+    async fn settle(&mut self, leaves: bool) {
+        let settlement = match self.pending.take() {
+            Some(pending) => pending,
+            None => {
+                self.write += 1;
+                self.funds.plan(&self.holder, self.write, leaves)
+            }
+        };
+        self.pending = Some(settlement.clone());
+        let mut pause = PAUSE;
+        let granted = loop {
+            match self.attempt(&settlement).await {
+                Ok(Some(granted)) => break granted,
+                Ok(None) => {}
+                Err(fault) => {
+                    self.funds.set_reachable(false);
+                    self.outage.failed(&fault);
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_MOST);
+                }
+            }
+        };
+        self.pending = None;
+        self.outage.answered();
+        self.funds.set_reachable(true);
+        let boxes = self.known.as_ref().map_or(1, |(book, _)| book.boxes());
+        report(&settlement, &granted);
+        self.funds.landed(granted, boxes);
+    }
+
+    /// One call; `None` where the book had changed meanwhile.
+    async fn attempt(&mut self, settlement: &Settlement) -> Result<Option<Vec<Granted>>, Fault> {
+        let (book, version) = match self.known.take() {
+            Some(known) => known,
+            None => self.read().await?,
+        };
+        if book.has(&settlement.holder, settlement.write) {
+            self.known = Some((book, version));
+            return Ok(Some(self.last.take().unwrap_or_default()));
+        }
+        let mut next = book.clone();
+        let granted = next.settle(settlement, self.policy);
+        self.last = Some(granted.clone());
+        let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
+        match self.store.put(BOOK.0, BOOK.1, &next.to_json(), expect).await {
+            Put::Landed(version) => {
+                self.known = Some((next, version));
+                self.seen = true;
+                Ok(Some(granted))
+            }
+            Put::Refused(Some(object)) => {
+                self.take_over(&object)?;
+                Ok(None)
+            }
+            Put::Refused(None) => Err(Fault::Gone),
+            // Not carried out: the book may stand as it did.
+            Put::Failed(reason) => {
+                self.known = Some((book, version));
+                Err(Fault::Write { reason })
+            }
+            // Read back first: it may have landed.
+            Put::Unknown(reason) => Err(Fault::Write { reason }),
+        }
+    }
+
+    async fn read(&mut self) -> Result<(Book, u64), Fault> {
+        let found = self.store.get(BOOK.0, BOOK.1).await;
+        match found.map_err(|source| Fault::Store { source })? {
+            Some(object) => {
+                self.take_over(&object)?;
+                self.known.take().ok_or(Fault::Gone)
+            }
+            None if self.seen => Err(Fault::Gone),
+            None => Ok((Book::default(), 0)),
+        }
+    }
+
+    fn take_over(&mut self, object: &objects::Object) -> Result<(), Fault> {
+        let book = serde_json::from_str(&object.value).map_err(|source| Fault::Book { source })?;
+        self.known = Some((book, object.version));
+        self.seen = true;
+        Ok(())
+    }
+
+    /// Gives everything back by plan, within `limit`.
+    pub async fn leave(&mut self, limit: Duration) {
+        let began = Instant::now();
+        let all = async {
+            if self.pending.is_some() {
+                self.settle(false).await;
+            }
+            self.settle(true).await;
+        };
+        let done = tokio::time::timeout(limit, all).await.is_ok();
+        tracing::info!(
+            event = "funds_returned",
+            done,
+            took_ms = began.elapsed().as_millis() as u64
+        );
+    }
+}
+
+fn report(settlement: &Settlement, granted: &[Granted]) {
+    for (item, granted) in settlement.items.iter().zip(granted) {
+        let changed = item.charged > 0 || granted.tokens > 0 || item.returned > 0 || item.need > 0;
+        if changed {
+            tracing::info!(
+                event = "settled",
+                customer = &*item.customer,
+                write = settlement.write,
+                charged = item.charged,
+                granted = granted.tokens,
+                returned = item.returned,
+                free = item.free,
+                need = item.need,
+                target = granted.target,
+                unspent = granted.unspent,
+                wanted_by_others = granted.wanted,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/trip.rs
@@ -0,0 +1,173 @@
+//! One request on its way: what its log lines and its bill need, settled once however it ends.
+
+use std::{sync::Arc, time::Duration};
+
+use platform::{
+    config::Kind,
+    request::{Head, Tokens},
+};
+use tokio::time::Instant;
+
+use crate::{
+    funds::Hold,
+    metrics::{Finished, Metrics},
+    refusal::Refusal,
+};
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// The caller got an endpoint's whole answer.
+    Answered {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The box answered itself.
+    Refused(Refusal),
+    /// An answer that had begun broke off.
+    Broken {
+        /// Why.
+        reason: String,
+    },
+    /// The caller went away first.
+    Left,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Trip {
+    pub id: Option<Arc<str>>,
+    pub customer: Option<Arc<str>>,
+    pub route: Option<Arc<str>>,
+    pub kind: Option<Kind>,
+    pub service: Option<Arc<str>>,
+    /// Version of the configuration that decided.
+    pub version: u64,
+    pub came: Instant,
+    pub until: Instant,
+    pub tokens: Option<Tokens>,
+    /// Most tokens in one event of the service's engines.
+    pub event_tokens: u64,
+    pub endpoint: Option<Arc<str>>,
+    /// Endpoints that it was sent to.
+    pub sent: u32,
+    /// Whether some endpoint may have run it.
+    pub may_have_run: bool,
+    /// Time until the first byte of the answer.
+    pub first_byte: Option<Duration>,
+    hold: Option<Hold>,
+    metrics: Metrics,
+    ended: bool,
+}
+
+impl Trip {
+    /// A request that was just read.
+    pub fn begin(head: &Head, came: Instant, until: Instant, metrics: Metrics) -> Trip {
+        metrics.under_way.inc();
+        Trip {
+            id: head.id.clone(),
+            customer: None,
+            route: None,
+            kind: None,
+            service: None,
+            version: 0,
+            came,
+            until,
+            tokens: head.tokens,
+            event_tokens: 1,
+            endpoint: None,
+            sent: 0,
+            may_have_run: false,
+            first_byte: None,
+            hold: None,
+            metrics,
+            ended: false,
+        }
+    }
+
+    /// The request pays with these tokens.
+    pub fn pay_with(&mut self, hold: Hold) {
+        self.hold = Some(hold);
+    }
+
+    /// Time left.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Tokens to charge when it ends now with `events` events passed on.
+    fn charge(&self, end: &End, events: u64) -> u64 {
+        let Some(tokens) = self.tokens else { return 0 };
+        let worst = tokens.prompt + tokens.most_output;
+        match end {
+            _ if !self.may_have_run => 0,
+            End::Answered { status } if (200..300).contains(status) => {
+                let output = events.saturating_mul(self.event_tokens).min(tokens.most_output);
+                tokens.prompt + output
+            }
+            // How much the endpoint made is not known.
+            _ => worst,
+        }
+    }
+
+    /// Settles and logs it; only the first call counts.
+    pub fn end(&mut self, end: End, events: u64) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let worst = self.hold.as_ref().map_or(0, Hold::tokens);
+        let charge = self.charge(&end, events);
+        let charged = self.hold.take().map_or(0, |hold| hold.settle(charge));
+        let (outcome, reason) = match &end {
+            End::Answered { .. } => ("answered", "-"),
+            End::Refused(refusal) if refusal.reason.is_not_run() => {
+                ("not_run", refusal.reason.as_str())
+            }
+            End::Refused(refusal) => ("unknown", refusal.reason.as_str()),
+            End::Broken { .. } => ("broken", "-"),
+            End::Left => ("left", "-"),
+        };
+        self.count(outcome, reason, charged);
+        let (status, detail) = match &end {
+            End::Answered { status } => (*status, ""),
+            End::Refused(refusal) => (refusal.reason.status().as_u16(), &*refusal.detail),
+            End::Broken { reason } => (0, &**reason),
+            End::Left => (0, ""),
+        };
+        tracing::info!(
+            event = "request_ended",
+            id = self.id.as_deref(),
+            customer = self.customer.as_deref(),
+            route = self.route.as_deref(),
+            service = self.service.as_deref(),
+            endpoint = self.endpoint.as_deref(),
+            config = self.version,
+            outcome,
+            reason,
+            status,
+            detail,
+            sent = self.sent,
+            held = worst,
+            charged,
+            events,
+            first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64),
+            took_ms = self.came.elapsed().as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+        );
+    }
+
+    fn count(&self, outcome: &'static str, reason: &'static str, charged: u64) {
+        self.metrics.under_way.dec();
+        self.metrics.tokens.inc_by(charged);
+        self.metrics.requests.get_or_create(&Finished { outcome, reason }).inc();
+        if let Some(first) = self.first_byte {
+            self.metrics.first_byte.observe(first.as_secs_f64());
+        }
+    }
+}
+
+impl Drop for Trip {
+    fn drop(&mut self) {
+        self.end(End::Left, 0);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/book.rs
@@ -0,0 +1,170 @@
+//! The ledgers of many budgets in one object, written by all boxes in turn.
+//!
+//! A box that needs no intents (a request id there is one try) settles all its budgets by one
+//! conditional update: what it charged since its last one, what it gives back, and what it would
+//! like to hold. [`Book::settle`] grants from what is really left, so a stale view in the box can
+//! only ask too much or too little. A grant can be spent with no word from the platform; what a
+//! box that died had left of it counts as spent for good.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Draw, Incarnation, Ledger, Observed, Policy, target};
+
+/// Ledgers of several budgets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Book {
+    /// One for each customer.
+    #[serde(default)]
+    pub ledgers: BTreeMap<Arc<str>, Ledger>,
+    /// Boxes that write here, with the number of each one's newest write.
+    #[serde(default)]
+    pub writers: BTreeMap<Incarnation, u64>,
+}
+
+/// What a box settles of one budget.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Item {
+    /// Customer whose budget it is.
+    pub customer: Arc<str>,
+    /// What the operator says is paid, with the version that says so.
+    pub paid: Option<(u64, u64)>,
+    /// Tokens charged since the last settlement that landed.
+    pub charged: u64,
+    /// Requests charged since then.
+    pub requests: u64,
+    /// Free tokens given back, already taken out of the box's account.
+    pub returned: u64,
+    /// Free tokens that the box still holds.
+    pub free: u64,
+    /// Tokens that waiting requests lack.
+    pub need: u64,
+    /// Use as the box saw it; what is unspent is filled in from the ledger.
+    pub observed: Observed,
+}
+
+/// One write of a box.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settlement {
+    /// Who writes.
+    pub holder: Incarnation,
+    /// Its write number, by which a lost answer is resolved.
+    pub write: u64,
+    /// Budgets.
+    pub items: Vec<Item>,
+    /// The box ends by plan: its grants end too, and nothing of them can come later.
+    pub leaves: bool,
+}
+
+/// What a box learns of one budget by a write.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Granted {
+    /// Customer whose budget it is.
+    pub customer: Arc<str>,
+    /// Tokens granted.
+    pub tokens: u64,
+    /// What a box should hold free now, as the ledger stands.
+    pub target: u64,
+    /// Tokens paid and not known to be spent, whoever holds them.
+    pub unspent: u64,
+    /// Tokens that other boxes lack.
+    pub wanted: u64,
+    /// Tokens that the customer is certain to have used; the rest of what counts as spent was
+    /// lost with boxes that died.
+    pub used: u64,
+}
+
+impl Book {
+    /// Boxes that hold or may ask for grants.
+    pub fn boxes(&self) -> u64 {
+        let names: BTreeSet<&str> = self.writers.keys().map(Incarnation::box_name).collect();
+        names.len() as u64
+    }
+
+    /// Whether write number `write` of `holder` is in.
+    pub fn has(&self, holder: &Incarnation, write: u64) -> bool {
+        self.writers.get(holder).is_some_and(|newest| *newest >= write)
+    }
+
+    /// Carries a settlement out and says what it gave, budget by budget.
+    pub fn settle(&mut self, settlement: &Settlement, policy: Policy) -> Vec<Granted> {
+        let holder = &settlement.holder;
+        let first = self.writers.insert(holder.clone(), settlement.write).is_none();
+        if first {
+            self.replace_earlier(holder);
+        }
+        let policy = Policy { boxes: self.boxes(), ..policy };
+        let granted = settlement
+            .items
+            .iter()
+            .map(|item| {
+                let ledger = self.ledgers.entry(item.customer.clone()).or_default();
+                settle_item(ledger, settlement, item, policy, first)
+            })
+            .collect();
+        if settlement.leaves {
+            self.writers.remove(holder);
+        }
+        granted
+    }
+
+    /// What an earlier life of the same box held counts as spent: nobody knows how much of it was.
+    fn replace_earlier(&mut self, holder: &Incarnation) {
+        let same = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
+        self.writers.retain(|name, _| !same(name));
+        for ledger in self.ledgers.values_mut() {
+            let earlier: Vec<_> = ledger.grants.keys().filter(|name| same(name)).cloned().collect();
+            for name in earlier {
+                ledger.write_off(&name);
+            }
+        }
+    }
+
+    /// JSON text for the platform.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("books always serialize")
+    }
+}
+
+fn settle_item(
+    ledger: &mut Ledger,
+    settlement: &Settlement,
+    item: &Item,
+    policy: Policy,
+    first: bool,
+) -> Granted {
+    let holder = &settlement.holder;
+    if let Some((paid, version)) = item.paid {
+        ledger.apply_paid(paid, version);
+    }
+    // A box whose grant ended has nothing left to charge; what it reports is counted already.
+    let charged = ledger.charge(holder, item.charged, item.requests);
+    let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
+    let target = target(policy, Observed { unspent, ..item.observed }).offline;
+    // Before the others are known, a box takes only what waiting requests lack.
+    let wish = if first { 0 } else { target.saturating_sub(item.free) };
+    let left = (ledger.left() + item.returned).min(unspent);
+    let tokens = match (settlement.leaves, charged) {
+        (false, true) => wish.max(item.need).min(left),
+        _ => 0,
+    };
+    let lacking = item.need.saturating_sub(tokens);
+    let draw =
+        Draw { offline: tokens, return_offline: item.returned, wanted: lacking, ..Draw::default() };
+    let drawn = ledger.draw(holder, draw, settlement.write).is_ok();
+    if settlement.leaves {
+        ledger.end(holder);
+    }
+    Granted {
+        customer: item.customer.clone(),
+        tokens: if drawn { tokens } else { 0 },
+        target,
+        unspent,
+        wanted: ledger.wanted_by_others(holder),
+        used: ledger.spent - ledger.lost,
+    }
+}
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -79,6 +79,9 @@
     pub spent: u64,
     /// Part of `spent` that no customer is billed for: reruns of a billed request.
     pub absorbed: u64,
+    /// Part of `spent` that boxes held when they died: nobody knows whether it was used.
+    #[serde(default)]
+    pub lost: u64,
     /// Unspent grants by holder.
     pub grants: BTreeMap<Incarnation, Grant>,
     /// Bills.
@@ -249,6 +252,33 @@
         freed
     }
 
+    /// Moves tokens that `holder` charged from its offline part to what is spent, with the number
+    /// of requests that they paid for.
+    ///
+    /// `false` where the grant ended or is smaller than the charge: nothing is charged then.
+    pub fn charge(&mut self, holder: &Incarnation, tokens: u64, requests: u64) -> bool {
+        if tokens == 0 {
+            return !self.ended.contains(holder);
+        }
+        let rest = self.grants.get(holder).and_then(|grant| grant.offline.checked_sub(tokens));
+        match (rest, self.grants.get_mut(holder)) {
+            (Some(rest), Some(grant)) => grant.offline = rest,
+            _ => return false,
+        }
+        self.spent += tokens;
+        self.statement.count += requests;
+        self.statement.tokens += tokens;
+        true
+    }
+
+    /// Counts all that `holder` had as spent: it died, and nobody knows what it used of it.
+    pub fn write_off(&mut self, holder: &Incarnation) -> u64 {
+        let lost = self.grants.remove(holder).map_or(0, |grant| grant.total());
+        self.spent += lost;
+        self.lost += lost;
+        lost
+    }
+
     /// Forgets a grant that is empty and whose journal is gone.
     pub fn forget(&mut self, holder: &Incarnation) -> bool {
         let empty = self.grants.get(holder).is_some_and(|grant| grant.total() == 0 && grant.sealed);
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod account;
 mod bill;
+mod book;
 mod budget;
 mod grant;
 mod incarnation;
@@ -21,6 +22,7 @@
 
 pub use account::{Account, Need, Part, Reservation, Tokens};
 pub use bill::{Bill, Evidence, Page, Statement};
+pub use book::{Book, Granted, Item, Settlement};
 pub use budget::{Closing, Draw, Error, Folded, Ledger, PAGE_BILLS, page_name};
 pub use grant::{Grant, Transfer};
 pub use incarnation::Incarnation;
--- a/crates/ledger/tests/exhaustive.rs
+++ b/crates/ledger/tests/exhaustive.rs
@@ -176,12 +176,12 @@
     fn learn_draw(&self, expect: u64, write: u64, broken: Broken, found: &mut Vec<World>) {
         let mine = self.ledger.value.grants.get(&a());
         let marked = mine.is_some_and(|grant| grant.write >= write);
-        let settled = platform::settle(expect, self.ledger.version, marked);
+        let settled = objects::settle(expect, self.ledger.version, marked);
         match settled {
-            platform::Settled::Lost if broken != Broken::Blind => {
+            objects::Settled::Lost if broken != Broken::Blind => {
                 found.extend(self.send_draw(write));
             }
-            platform::Settled::Open if broken != Broken::Blind => {}
+            objects::Settled::Open if broken != Broken::Blind => {}
             _ => {
                 let mut world = self.clone();
                 world.account.give(Part::Online, GRANT - 1);
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -4,7 +4,7 @@
 
 use config::Accepted;
 use ledger::Incarnation;
-use platform::{Expect, Store};
+use objects::{Expect, Store};
 use resource::Kind;
 use wire::{Answer, Frame, Message, Question, Told, Value};
 
@@ -84,7 +84,7 @@
 /// Makes a platform call for a peer, by this box's own direct way only.
 async fn call(shared: &Shared, question: Question) -> Frame {
     let store = &shared.direct;
-    let value = |object: platform::Object| Value {
+    let value = |object: objects::Object| Value {
         kind: object.kind,
         name: object.name,
         version: object.version,
@@ -109,12 +109,12 @@
     }
 }
 
-fn written(write: platform::Write) -> wire::Write {
+fn written(write: objects::Write) -> wire::Write {
     match write {
-        platform::Write::Landed(version) => wire::Write::Landed(version),
-        platform::Write::Refused => wire::Write::Refused,
-        platform::Write::Failed => wire::Write::Failed,
-        platform::Write::Unknown => wire::Write::Unknown,
+        objects::Write::Landed(version) => wire::Write::Landed(version),
+        objects::Write::Refused => wire::Write::Refused,
+        objects::Write::Failed => wire::Write::Failed,
+        objects::Write::Unknown => wire::Write::Unknown,
     }
 }
 
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use claim::{Claim, Decision, State, object_name};
-use platform::{Expect, Write};
+use objects::{Expect, Write};
 use tokio::time::Instant;
 
 use crate::shared::Shared;
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -104,7 +104,7 @@
     }
 
     /// Takes over the platform's list of leaving boxes, by endpoint name.
-    pub fn hosts(&self, hosts: &[platform::Host]) -> Vec<Arc<str>> {
+    pub fn hosts(&self, hosts: &[objects::Host]) -> Vec<Arc<str>> {
         let mut state = self.state.lock();
         for host in hosts {
             if let Some(place) = state.places.get_mut(&host.name) {
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -5,7 +5,7 @@
 use config::{Accepted, Verdict, gate, object_name};
 use ledger::Incarnation;
 use member::Member;
-use platform::{Change, Error, Expect, Object, Write};
+use objects::{Change, Error, Expect, Object, Write};
 use resource::Kind;
 use serde_json::json;
 use timeline::What;
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -4,7 +4,7 @@
 
 use ledger::Incarnation;
 use member::Member;
-use platform::{Expect, Write};
+use objects::{Expect, Write};
 use session::Session;
 
 use crate::shared::Shared;
--- a/crates/router/src/relayed.rs
+++ b/crates/router/src/relayed.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use platform::{Error, Expect, Host, Object, Store, Watch, Write};
+use objects::{Error, Expect, Host, Object, Store, Watch, Write};
 use wire::{Frame, Question};
 
 use crate::peers::Peers;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::{Calls, Client, Store};
+use objects::{Calls, Client, Store};
 use salvo::{Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
 use snafu::{ResultExt, Snafu};
 use timeline::{Log, What};
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -9,8 +9,8 @@
 use config::Snapshot;
 use ledger::Incarnation;
 use member::Members;
+use objects::{Calls, Store};
 use parking_lot::Mutex;
-use platform::{Calls, Store};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use session::{Carried, Health, Options, Sessions, Setup};
--- a/crates/session/src/carry.rs
+++ b/crates/session/src/carry.rs
@@ -10,8 +10,8 @@
 };
 
 use ledger::{Entry, Evidence, Incarnation, Journal, Ledger, Record, Transfer};
+use objects::{Expect, Store, Write};
 use parking_lot::Mutex;
-use platform::{Expect, Store, Write};
 
 /// Most records carried for others.
 const MOST: usize = 50_000;
--- a/crates/session/src/funds.rs
+++ b/crates/session/src/funds.rs
@@ -11,8 +11,8 @@
 
 use config::Snapshot;
 use ledger::{Draw, Incarnation, Ledger, Observed, Part, Policy, Reservation, target};
+use objects::{Expect, Settled, Store, Write, settle};
 use parking_lot::Mutex;
-use platform::{Expect, Settled, Store, Write, settle};
 use resource::Kind;
 use snafu::Snafu;
 use tokio::{sync::watch, time::Instant};
--- a/crates/session/src/recorder.rs
+++ b/crates/session/src/recorder.rs
@@ -11,8 +11,8 @@
 };
 
 use ledger::{Ended, Evidence, Incarnation, Journal, Record, Refusal, Transfer};
+use objects::{Expect, Store, Write};
 use parking_lot::Mutex;
-use platform::{Expect, Store, Write};
 use snafu::Snafu;
 use tokio::sync::{Notify, oneshot, watch};
 
--- a/crates/session/src/sessions.rs
+++ b/crates/session/src/sessions.rs
@@ -4,8 +4,8 @@
 
 use config::Snapshot;
 use ledger::{Incarnation, Record, Transfer};
+use objects::Store;
 use parking_lot::{Mutex, RwLock};
-use platform::Store;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use snafu::Snafu;
--- a/crates/session/src/windup.rs
+++ b/crates/session/src/windup.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use ledger::{Closing, Ended, Evidence, Incarnation, Journal, Ledger};
-use platform::{Expect, Store, Write};
+use objects::{Expect, Store, Write};
 
 /// Conflicts after which a step is left for the next look.
 const TRIES: u32 = 6;
--- a/crates/session/tests/hand_in.rs
+++ b/crates/session/tests/hand_in.rs
@@ -4,7 +4,7 @@
 
 use config::Snapshot;
 use ledger::{Draw, Ended, Evidence, Incarnation, Journal, Ledger, Outcome, Part, Record};
-use platform::{Expect, Store, Write};
+use objects::{Expect, Store, Write};
 use session::{Health, Options, Sessions, Setup, Work};
 use standin::Memory;
 use timeline::Log;
--- a/crates/session/tests/world/faulty.rs
+++ b/crates/session/tests/world/faulty.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use objects::{Error, Expect, Host, Object, Store, Watch, Write};
 use parking_lot::Mutex;
-use platform::{Error, Expect, Host, Object, Store, Watch, Write};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use standin::Memory;
--- a/crates/session/tests/world/mod.rs
+++ b/crates/session/tests/world/mod.rs
@@ -14,8 +14,8 @@
     Bill, Closing, Ended, Entry, Evidence, Incarnation, Journal, Ledger, Page, Part, Record,
     Transfer,
 };
+use objects::Store;
 use parking_lot::Mutex;
-use platform::Store;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use resource::Kind;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use objects::{Expect, Host, Object, Write};
 use parking_lot::Mutex;
-use platform::{Expect, Host, Object, Write};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::StatusCode, http::header};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -6,8 +6,8 @@
     time::Duration,
 };
 
+use objects::{Change, Error, Expect, Host, Object, Store, Watch, Write};
 use parking_lot::Mutex;
-use platform::{Change, Error, Expect, Host, Object, Store, Watch, Write};
 use tokio::sync::Notify;
 
 /// Changes remembered for watches.
--- a/crates/trial/src/audit.rs
+++ b/crates/trial/src/audit.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ledger::{Bill, Ledger, Page};
-use platform::Store;
+use objects::Store;
 use serde::Serialize;
 
 use crate::{Fleet, Got, Outcome};
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use ledger::Ledger;
-use platform::{Expect, Store, Write};
+use objects::{Expect, Store, Write};
 use router::{Limits, Listen, LogSettings, Money, PlatformSettings, Settings};
 use serde_json::Value;
 use standin::{Engine, Link, Platform, Service};
--- a/crates/trial/src/node.rs
+++ b/crates/trial/src/node.rs
@@ -29,7 +29,7 @@
     operators: SocketAddr,
     peers: Option<SocketAddr>,
     log: Log,
-    calls: platform::Calls,
+    calls: objects::Calls,
     commands: tokio::sync::mpsc::UnboundedSender<Command>,
     thread: Option<JoinHandle<()>>,
     resume: Option<mpsc::Sender<()>>,
@@ -40,7 +40,7 @@
     operators: SocketAddr,
     peers: Option<SocketAddr>,
     log: Log,
-    calls: platform::Calls,
+    calls: objects::Calls,
 }
 
 impl Node {
@@ -93,7 +93,7 @@
     }
 
     /// The counters of its platform calls.
-    pub fn calls(&self) -> &platform::Calls {
+    pub fn calls(&self) -> &objects::Calls {
         &self.calls
     }
 
