One client of the store, watches that cannot hang, a stop that takes nothing late

Now accepting ends after 2.5 s. Ruled out: lost events at the store (the object versions were all read later). objects::Client, with the invented protocol, is gone: platform::store speaks for the product too, and the stand-in platform answers in the users' protocol.

--- a/crates/flintstall/src/apply.rs
+++ b/crates/flintstall/src/apply.rs
@@ -1,6 +1,7 @@
 //! Writing and deleting resources, conditionally on what was read.
 
-use objects::{Client, Expect, Store, Write};
+use objects::{Expect, Store, Write};
+use platform::store::Client;
 use resource::{Document, Kind, Spec};
 use serde_json::Value;
 use snafu::ResultExt;
--- a/crates/flintstall/src/read.rs
+++ b/crates/flintstall/src/read.rs
@@ -2,7 +2,8 @@
 
 use config::{Accepted, object_name};
 use member::Member;
-use objects::{Client, Object, Store};
+use objects::{Object, Store};
+use platform::store::Client;
 use resource::Kind;
 use serde_json::{Value, json};
 use snafu::ResultExt;
--- a/crates/flintstall/src/run.rs
+++ b/crates/flintstall/src/run.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use objects::Client;
+use platform::store::{Client, Options as Reach};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{
@@ -107,7 +107,7 @@
     let named = options.platform.clone().or_else(|| std::env::var("FLINTSTALL_PLATFORM").ok());
     let address = named.context(NoPlatformSnafu)?;
     let address = address.trim_end_matches('/').to_owned();
-    Ok(Client::open(objects::Options { address, timeout: TIMEOUT, watch: WATCH }))
+    Ok(Client::open(Reach { address, timeout: TIMEOUT, watch: WATCH }))
 }
 
 /// Text of a file, or of standard input for `-`.
--- a/crates/flintstall/src/statement.rs
+++ b/crates/flintstall/src/statement.rs
@@ -1,7 +1,8 @@
 //! The balance and the bills of a budget.
 
 use ledger::{Bill, Ledger, Page, page_name};
-use objects::{Client, Store};
+use objects::Store;
+use platform::store::Client;
 use serde_json::json;
 use snafu::ResultExt;
 
--- a/crates/flintstall/src/watch.rs
+++ b/crates/flintstall/src/watch.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use objects::{Change, Client, Store};
+use objects::{Change, Store};
+use platform::store::Client;
 use resource::Kind;
 use serde_json::{Value, json};
 use snafu::ResultExt;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -34,6 +34,9 @@
     pub load: f64,
 }
 
+/// An endpoint and its availability zone.
+type Placed = (Arc<str>, Arc<str>);
+
 /// All endpoints that take work, by service.
 #[derive(Debug)]
 pub struct Endpoints {
@@ -64,7 +67,7 @@
     /// Takes over who takes work; returns the addresses that are of no more use.
     pub fn update(&self, directory: &Directory) -> Vec<SocketAddr> {
         let now = self.now();
-        let mut listed: BTreeMap<Arc<str>, Vec<(Arc<str>, Arc<str>)>> = BTreeMap::new();
+        let mut listed: BTreeMap<Arc<str>, Vec<Placed>> = BTreeMap::new();
         let mut addresses = HashMap::new();
         for (id, entry) in directory.ready() {
             let of = listed.entry(entry.service.clone()).or_default();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,11 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    directory::Directory, endpoints::Endpoints, funds::Funds, outage::Outage, table::Table,
+    directory::Directory,
+    endpoints::Endpoints,
+    funds::Funds,
+    outage::{Contact, Outage},
+    table::Table,
 };
 
 /// Pause after a call that failed.
@@ -20,11 +24,11 @@
 pub type InForce = watch::Sender<Option<Arc<Table>>>;
 
 /// Follows the operator's configuration. Within the life of a box it only goes forwards.
-pub async fn follow_config(store: Client, in_force: Arc<InForce>, funds: Funds) {
+pub async fn follow_config(store: Client, in_force: Arc<InForce>, funds: Funds, contact: Contact) {
     let kind = platform::CONFIG.0;
-    let mut outage = Outage::new("configuration");
+    let mut outage = Outage::new("configuration", contact.clone());
     loop {
-        let list = match store.list(kind).await {
+        let list = match store.all(kind).await {
             Ok(list) => list,
             Err(error) => {
                 outage.failed(&error);
@@ -36,7 +40,11 @@
         list.objects.iter().for_each(|object| apply_config(object, &in_force, &funds));
         let mut from = list.version;
         loop {
-            match store.watch(kind, from).await {
+            let watched = tokio::select! {
+                watched = store.changes(kind, from) => watched,
+                () = contact.regained() => break,
+            };
+            match watched {
                 Ok(watch) if watch.gap => {
                     tracing::info!(event = "watch_gap", what = "configuration", from);
                     break;
@@ -90,6 +98,7 @@
     pub links: forward::Links,
     /// How long missing entries are kept after the store's return.
     pub lapse: Duration,
+    contact: Contact,
     directory: Directory,
     outage: Outage,
     started: Instant,
@@ -103,10 +112,22 @@
         endpoints: Arc<Endpoints>,
         links: forward::Links,
         lapse: Duration,
+        contact: Contact,
     ) -> EndpointFollower {
-        let (directory, outage) = (Directory::default(), Outage::new("endpoints"));
+        let directory = Directory::default();
+        let outage = Outage::new("endpoints", contact.clone());
         let started = Instant::now();
-        EndpointFollower { store, endpoints, links, lapse, directory, outage, started, answered: 0 }
+        EndpointFollower {
+            store,
+            endpoints,
+            links,
+            lapse,
+            contact,
+            directory,
+            outage,
+            started,
+            answered: 0,
+        }
     }
 
     fn now(&self) -> u64 {
@@ -127,7 +148,7 @@
     }
 
     async fn list(&mut self) -> Result<u64, Error> {
-        let list = self.store.list(platform::ENDPOINTS).await?;
+        let list = self.store.all(platform::ENDPOINTS).await?;
         self.heard();
         let entries = list.objects.iter().filter_map(|object| {
             let entry = read_entry(&object.name, &object.value)?;
@@ -145,12 +166,17 @@
         let now = self.now();
         let lost = self.outage.answered();
         if lost.is_some() && now.saturating_sub(self.answered) > AWAY_MS && self.answered > 0 {
-            let until = now + self.lapse.as_millis() as u64;
-            self.directory.returned(until);
+            self.returned();
         }
         self.answered = now;
     }
 
+    /// The store is back: entries that lapsed meanwhile may come back too.
+    fn returned(&mut self) {
+        let until = self.now() + self.lapse.as_millis() as u64;
+        self.directory.returned(until);
+    }
+
     async fn watch(&mut self, mut from: u64) {
         loop {
             let watched = match self.directory.keeps_missing() {
@@ -175,7 +201,14 @@
     }
 
     async fn watch_once(&mut self, from: u64) -> Result<Option<u64>, Error> {
-        let watch = self.store.watch(platform::ENDPOINTS, from).await?;
+        let watch = tokio::select! {
+            watch = self.store.changes(platform::ENDPOINTS, from) => watch?,
+            () = self.contact.regained() => {
+                // Another task lost the store and found it again: this watch may be dead.
+                self.returned();
+                return Ok(None);
+            }
+        };
         if watch.gap {
             tracing::info!(event = "watch_gap", what = "endpoints", from);
             return Ok(None);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
     funds::Funds,
     handle::Gate,
     metrics::{Budget, Metrics, Purpose},
+    outage::Contact,
     serve::{self, Bounds},
     settings::Settings,
     settle::Settler,
@@ -64,6 +65,8 @@
     tasks: TaskTracker,
     leaving: CancellationToken,
     settler: Option<JoinHandle<()>>,
+    /// Accepts callers' connections.
+    accepting: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
 }
 
@@ -103,27 +106,35 @@
             .map(|listener| listener.local_addr().expect("a bound socket has an address"));
         let tasks = TaskTracker::new();
         let leaving = CancellationToken::new();
+        let contact = Contact::new();
         let (policy, money) = (settings.policy(), settings.money.clone());
-        let settler =
-            Settler::new(store.clone(), funds.clone(), incarnation.clone(), policy, money);
+        let settler = Settler::new(
+            store.clone(),
+            funds.clone(),
+            incarnation.clone(),
+            policy,
+            money,
+            contact.clone(),
+        );
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
-        let follower = EndpointFollower::new(store.clone(), endpoints, links, lapse);
+        let follower =
+            EndpointFollower::new(store.clone(), endpoints, links, lapse, contact.clone());
         let bounds =
             Bounds { connections: settings.limits.connections, head_bytes: HEAD_BYTES, idle: IDLE };
         let few = Bounds { connections: FEW, ..bounds.clone() };
         let serving = gate.clone();
         let handle = move |request| serving.clone().handle(request);
+        let accepting = tokio::spawn(serve::accept(
+            callers,
+            bounds,
+            tasks.clone(),
+            closes.clone(),
+            metrics.clone(),
+            handle,
+        ));
         let loops = vec![
-            tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds)),
+            tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds, contact)),
             tokio::spawn(follower.run()),
-            tokio::spawn(serve::accept(
-                callers,
-                bounds,
-                tasks.clone(),
-                closes.clone(),
-                metrics.clone(),
-                handle,
-            )),
             tokio::spawn(serve::accept(
                 ready,
                 few.clone(),
@@ -162,6 +173,7 @@
             tasks,
             leaving,
             settler,
+            accepting,
             loops,
         })
     }
@@ -219,6 +231,7 @@
         let notice = Duration::from_millis(limits.notice_ms);
         // The balancer sends connections until it has noticed; they are all served.
         tokio::time::sleep(notice.min(limit)).await;
+        self.accepting.abort();
         self.closing.send_replace(true);
         let rest = limit.saturating_sub(began.elapsed());
         let finished = tokio::time::timeout(rest, self.tasks.wait()).await.is_ok();
@@ -235,6 +248,7 @@
 impl Drop for Gateway {
     /// Ends at once, as a crash would: nothing is returned.
     fn drop(&mut self) {
+        self.accepting.abort();
         for task in self.loops.iter().chain(&self.settler) {
             task.abort();
         }
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -1,21 +1,48 @@
 //! Whether a dependency answers, with one log line for each change.
+//!
+//! A call that waits for news cannot tell a quiet store from a dead connection. So whichever task
+//! first finds the store answering again says so to the others through [`Contact`], and they read
+//! anew at once.
 
-use std::fmt::Display;
+use std::{fmt::Display, sync::Arc};
 
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
+
+/// Counts how often the store was found to answer again.
+#[derive(Debug, Clone)]
+pub struct Contact(Arc<watch::Sender<u64>>);
+
+impl Contact {
+    /// Nothing was lost yet.
+    pub fn new() -> Contact {
+        Contact(Arc::new(watch::channel(0).0))
+    }
+
+    /// Waits until some task finds the store answering again.
+    pub async fn regained(&self) {
+        let mut count = self.0.subscribe();
+        // The sender lives as long as `self`.
+        let _ = count.changed().await;
+    }
+
+    fn tell(&self) {
+        self.0.send_modify(|count| *count += 1);
+    }
+}
 
 /// State of one dependency.
 #[derive(Debug)]
 pub struct Outage {
     what: &'static str,
+    contact: Contact,
     since: Option<Instant>,
     failures: u64,
 }
 
 impl Outage {
     /// A dependency that is taken to answer.
-    pub fn new(what: &'static str) -> Outage {
-        Outage { what, since: None, failures: 0 }
+    pub fn new(what: &'static str, contact: Contact) -> Outage {
+        Outage { what, contact, since: None, failures: 0 }
     }
 
     /// A call failed.
@@ -31,6 +58,7 @@
     pub fn answered(&mut self) -> Option<u64> {
         let lost = self.since.take()?.elapsed().as_millis() as u64;
         let failures = std::mem::take(&mut self.failures);
+        self.contact.tell();
         tracing::info!(event = "dependency_back", what = self.what, lost_ms = lost, failures);
         Some(lost)
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -140,8 +140,9 @@
     pub rest_ms: u64,
     /// Time from a planned stop until requests under way are given up, in milliseconds.
     pub stop_ms: u64,
-    /// Time from a planned stop until resting callers' connections are closed, in milliseconds:
-    /// the balancer asks every second and believes the second answer.
+    /// Time from a planned stop until no more requests are taken, in milliseconds. The balancer
+    /// asks every second and believes the second answer; a request that comes later than three
+    /// seconds after the stop began might not end before the process has to.
     pub notice_ms: u64,
     /// Time after the store's return during which an endpoint without an entry is still used, in
     /// milliseconds. The platform puts entries that lapsed back within about two seconds.
@@ -157,7 +158,7 @@
             silent_ms: 3_000,
             rest_ms: 4_000,
             stop_ms: 7_300,
-            notice_ms: 3_000,
+            notice_ms: 2_500,
             lapse_ms: 2_300,
         }
     }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 
 use ledger::{Book, Granted, Incarnation, Policy, Settlement};
-use objects::Expect;
+use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use snafu::Snafu;
 use tokio::time::Instant;
 
-use crate::{funds::Funds, outage::Outage, settings};
+use crate::{
+    funds::Funds,
+    outage::{Contact, Outage},
+    settings,
+};
 
 /// Kind and name of the object that holds the book.
 pub const BOOK: (&str, &str) = ("books", "main");
@@ -62,8 +66,9 @@
         holder: Incarnation,
         policy: Policy,
         money: settings::Money,
+        contact: Contact,
     ) -> Settler {
-        let outage = Outage::new("book");
+        let outage = Outage::new("book", contact);
         Settler {
             store,
             funds,
@@ -145,7 +150,7 @@
         let granted = next.settle(settlement, self.policy);
         self.last = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
-        match self.store.put(BOOK.0, BOOK.1, &next.to_json(), expect).await {
+        match self.store.replace(BOOK.0, BOOK.1, &next.to_json(), expect).await {
             Put::Landed(version) => {
                 self.known = Some((next, version));
                 self.seen = true;
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -1,17 +1,15 @@
 //! The platform's object API as the fleet sees it.
 //!
 //! [`Store`] is the narrow edge between decisions and the platform: objects with versions,
-//! conditional updates, watches and the list of boxes. [`Client`] speaks it over HTTP; tests use
-//! the stand-in's own implementation. A write has three results, never two: it landed, it was
+//! conditional updates, watches and the list of boxes. `platform::store` speaks it over HTTP; tests
+//! use the stand-in's own implementation. A write has three results, never two: it landed, it was
 //! refused by version, or it is *not known* whether it landed.
 
 mod call;
-mod client;
 mod object;
 mod settle;
 
 pub use call::{Calls, Count, Counts, Operation};
-pub use client::{Client, Options};
 pub use object::{Change, Expect, Host, Object, Watch, Write};
 pub use settle::{Settled, settle};
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use objects::{Calls, Client, Store};
+use objects::{Calls, Store};
+use platform::store::Client;
 use salvo::{Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
 use snafu::{ResultExt, Snafu};
 use timeline::{Log, What};
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -240,8 +240,8 @@
     }
 
     /// How the platform is reached.
-    pub fn platform_options(&self) -> objects::Options {
-        objects::Options {
+    pub fn platform_options(&self) -> platform::store::Options {
+        platform::store::Options {
             address: self.platform.address.clone(),
             timeout: Duration::from_millis(self.platform.timeout_ms),
             watch: Duration::from_millis(self.platform.watch_ms),
--- /dev/null
+++ b/crates/standin/src/api.rs
@@ -0,0 +1,246 @@
+//! The platform's object API over HTTP, with faults.
+
+use std::{collections::HashSet, net::IpAddr, sync::Arc, time::Duration};
+
+use objects::{Expect, Host, Write};
+use parking_lot::Mutex;
+use platform::served::{self, Answer, Call};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::StatusCode, http::header};
+use tokio::time::Instant;
+
+use crate::{Memory, Server};
+
+/// Fault switches of the platform.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Answers nothing at all.
+    pub down: bool,
+    /// Delay of every call but a watch.
+    pub delay: Duration,
+    /// Share of writes that land but whose answer is lost, from 0 to 1.
+    pub lose_answers: f64,
+    /// Time after which a write whose answer is lost is done; zero means before the loss.
+    pub late: Duration,
+    /// Addresses of callers that are turned away while others are served.
+    pub turns_away: HashSet<IpAddr>,
+    /// Writes a second; 0 means no limit.
+    pub writes_per_s: u32,
+    /// Reads a second, waiting watches included; 0 means no limit.
+    pub reads_per_s: u32,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn take(&mut self, rate: u32) -> bool {
+        if rate == 0 {
+            return true;
+        }
+        let rate = f64::from(rate);
+        self.tokens = (self.tokens + self.at.elapsed().as_secs_f64() * rate).min(rate);
+        self.at = Instant::now();
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+struct Shared {
+    memory: Memory,
+    faults: Mutex<Faults>,
+    random: Mutex<ChaCha8Rng>,
+    writes: Mutex<Bucket>,
+    reads: Mutex<Bucket>,
+}
+
+/// A platform that serves its object API on loopback.
+#[derive(Clone)]
+pub struct Platform {
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+}
+
+impl Platform {
+    /// Starts an empty platform; `seed` decides which answers are lost.
+    pub async fn spawn(seed: u64) -> Platform {
+        let bucket = || Mutex::new(Bucket { tokens: 1.0, at: Instant::now() });
+        let shared = Arc::new(Shared {
+            memory: Memory::default(),
+            faults: Mutex::default(),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            writes: bucket(),
+            reads: bucket(),
+        });
+        let handler = Api(shared.clone());
+        let server = Server::spawn(Router::with_path("{**rest}").goal(handler)).await;
+        Platform { shared, server: Arc::new(server) }
+    }
+
+    /// Base address of the API.
+    pub fn address(&self) -> String {
+        format!("http://{}", self.server.address())
+    }
+
+    /// Where it listens, for a link in front of it.
+    pub fn socket(&self) -> std::net::SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the fault switches.
+    pub fn set(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.faults.lock());
+    }
+
+    /// The objects themselves, without faults.
+    pub fn memory(&self) -> &Memory {
+        &self.shared.memory
+    }
+
+    /// Sets the list of boxes.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.shared.memory.set_hosts(hosts);
+    }
+}
+
+struct Api(Arc<Shared>);
+
+#[async_trait::async_trait]
+impl Handler for Api {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let (status, body) = self.serve(request).await;
+        response.status_code(status);
+        let _ = response.add_header(header::CONTENT_TYPE, "application/json", true);
+        let _ = response.write_body(body);
+    }
+}
+
+impl Api {
+    async fn serve(&self, request: &mut Request) -> Answer {
+        let faults = self.0.faults.lock().clone();
+        let from = request.remote_addr().as_ipv4().map(|address| (*address.ip()).into());
+        let refuses = from.is_some_and(|from: IpAddr| faults.turns_away.contains(&from));
+        if faults.down && !refuses {
+            std::future::pending::<()>().await;
+        }
+        if refuses {
+            return (StatusCode::SERVICE_UNAVAILABLE, "busy".into());
+        }
+        let body = request.payload_with_max_size(2 << 20).await.map(|body| body.to_vec());
+        let query = request.queries().iter().map(|(name, value)| (name.clone(), value.clone()));
+        let query = query.collect();
+        let path = request.uri().path().to_owned();
+        let read = Call::read(request.method(), &path, &query, &body.unwrap_or_default());
+        let Some(call) = read else {
+            return (StatusCode::BAD_REQUEST, "no such call".into());
+        };
+        if !self.admit(call.is_write(), &faults) {
+            return (StatusCode::TOO_MANY_REQUESTS, "too many calls".into());
+        }
+        match call {
+            Call::Watch { kind, from, wait } => self.watch(&kind, from, wait).await,
+            Call::Get { kind, name } => {
+                pause(faults.delay).await;
+                served::found(self.0.memory.read(&kind, &name).as_ref())
+            }
+            Call::List { kind, after } => {
+                pause(faults.delay).await;
+                let (objects, version) = self.0.memory.read_all(&kind, "");
+                served::page(&objects, after.as_deref(), version)
+            }
+            Call::Put { kind, name, value, expect } => {
+                self.write(&kind, &name, Some(value), expect, &faults).await
+            }
+            Call::Delete { kind, name, version } => {
+                self.write(&kind, &name, None, Expect::Version(version), &faults).await
+            }
+        }
+    }
+
+    fn admit(&self, write: bool, faults: &Faults) -> bool {
+        match write {
+            true => self.0.writes.lock().take(faults.writes_per_s),
+            false => self.0.reads.lock().take(faults.reads_per_s),
+        }
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Answer {
+        let watch = self.0.memory.wait(&[kind], from, wait).await;
+        if self.0.faults.lock().down {
+            std::future::pending::<()>().await;
+        }
+        served::events(&watch.changes, watch.next, watch.gap)
+    }
+
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Option<Arc<str>>,
+        expect: Expect,
+        faults: &Faults,
+    ) -> Answer {
+        let lost = faults.lose_answers > 0.0
+            && self.0.random.lock().random_bool(faults.lose_answers.min(1.0));
+        let delay = if lost { faults.late.max(faults.delay) } else { faults.delay };
+        let applied = self.apply_later(kind, name, value, expect, delay);
+        if lost {
+            // The caller hears nothing; whether the write is done by then is the fault's choice.
+            if faults.late.is_zero() {
+                applied.await;
+            }
+            return (StatusCode::GATEWAY_TIMEOUT, "no answer".into());
+        }
+        match applied.await {
+            Write::Landed(version) => match self.0.memory.read(kind, name) {
+                Some(object) if object.version == version => served::found(Some(&object)),
+                _ => served::found(Some(&objects::Object {
+                    kind: kind.into(),
+                    name: name.into(),
+                    version,
+                    value: "null".into(),
+                })),
+            },
+            Write::Refused => served::refused(self.0.memory.read(kind, name).as_ref()),
+            _ => (StatusCode::PAYLOAD_TOO_LARGE, "too large".into()),
+        }
+    }
+
+    /// Applies the write in a task of its own, so that it lands even if the caller gave up.
+    fn apply_later(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Option<Arc<str>>,
+        expect: Expect,
+        delay: Duration,
+    ) -> impl Future<Output = Write> + use<> {
+        let memory = self.0.memory.clone();
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let task = tokio::spawn(async move {
+            pause(delay).await;
+            memory.apply(&kind, &name, value, expect)
+        });
+        async move { task.await.unwrap_or(Write::Unknown) }
+    }
+}
+
+/// Sleeping for no time still waits for the timer's next tick.
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,15 +8,16 @@
 mod cache;
 mod engine;
 mod link;
-mod platform;
+
+mod api;
 mod serve;
 mod service;
 mod store;
 
+pub use api::{Faults, Platform};
 pub use batch::Speed;
 pub use engine::{Engine, Fault, Run, Settings, Truth};
 pub use link::Link;
-pub use platform::{Faults, Platform};
 pub use serve::Server;
 pub use service::{Execution, Service};
 pub use store::{Memory, Usage};
