Boxes lend each other tokens; what may be held is split by use

A box's part follows its use, 30% of it is split evenly. Ruled out: too small a share held in all (half of what is unspent was out).

--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -6,7 +6,9 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use ledger::{Account, Granted, Incarnation, Item, Observed, Part, Reservation, Settlement};
+use ledger::{
+    Account, Granted, Incarnation, Item, Observed, Part, Reservation, Settlement, Transfer, Writer,
+};
 use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, watch},
@@ -21,6 +23,9 @@
 const LOW: f64 = 0.6;
 /// A box gives tokens back once it holds more than this multiple of its target.
 const HIGH: f64 = 2.0;
+/// Seconds of use that a box keeps when it is asked for tokens, and asks for beyond what one
+/// request lacks.
+const KEEP_S: f64 = 1.0;
 /// Until use was observed, a box counts on requests as large as this fraction of what is unspent,
 /// split over the boxes.
 const GUESS: u64 = 64;
@@ -68,6 +73,14 @@
     peak: u64,
     granted: Granted,
     known: bool,
+    /// Tokens passed on or received and not planned into a settlement yet.
+    transfers: Vec<Transfer>,
+    /// Tokens received that no settlement which landed has told of.
+    received: u64,
+    /// Transfers given so far: the number of the next one.
+    given: u64,
+    /// One request at a time asks other boxes for this customer.
+    asking: Arc<tokio::sync::Mutex<()>>,
 }
 
 #[derive(Debug, Default)]
@@ -161,35 +174,31 @@
         self.0.state.lock().reachable = reachable;
     }
 
-    /// Holds the worst case of a request, waiting for a settlement if need be until `until`.
-    pub async fn hold(
-        &self,
-        customer: &Arc<str>,
-        worst: u64,
-        until: Instant,
-    ) -> Result<Hold, Lack> {
+    /// Holds the worst case of a request, waiting until `until` for a settlement that brings the
+    /// tokens; `None` if none did.
+    pub async fn hold(&self, customer: &Arc<str>, worst: u64, until: Instant) -> Option<Hold> {
         if let Some(hold) = self.try_hold(customer, worst) {
-            return Ok(hold);
+            return Some(hold);
         }
-        let waiting = Waiting::join(self, customer, worst);
+        let _waiting = Waiting::join(self, customer, worst);
         let mut settled = self.0.settled.subscribe();
         let joined = *settled.borrow_and_update();
         loop {
-            // One settlement may have been under way without this request.
             let changed = tokio::time::timeout_at(until, settled.changed()).await;
             let now = *settled.borrow_and_update();
             if let Some(hold) = self.try_hold(customer, worst) {
-                return Ok(hold);
+                return Some(hold);
             }
+            // One settlement may have been under way without this request.
             if changed.is_err() || now >= joined + 2 {
-                drop(waiting);
-                return Err(self.lack(customer, worst));
+                return None;
             }
             self.0.wanted.notify_one();
         }
     }
 
-    fn try_hold(&self, customer: &Arc<str>, worst: u64) -> Option<Hold> {
+    /// Holds the worst case of a request if the tokens are here.
+    pub fn try_hold(&self, customer: &Arc<str>, worst: u64) -> Option<Hold> {
         let mut state = self.0.state.lock();
         let purse = state.purses.entry(customer.clone()).or_default();
         purse.peak = purse.peak.max(worst);
@@ -202,7 +211,60 @@
         })
     }
 
-    fn lack(&self, customer: &str, worst: u64) -> Lack {
+    /// Passes tokens on to another box, as many as `wanted` and this box can spare.
+    ///
+    /// Only tokens that the book knows to be here are passed on, so that whoever tells of it
+    /// first, the grant of this box covers it.
+    pub fn lend(
+        &self,
+        customer: &Arc<str>,
+        wanted: u64,
+        from: &Incarnation,
+        to: &Incarnation,
+    ) -> Option<Transfer> {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let purse = state.purses.get_mut(customer)?;
+        let keep = (purse.rate.per_second(now) as f64 * KEEP_S) as u64;
+        let spare = purse.account.free().saturating_sub(purse.received.max(keep));
+        let tokens = purse.account.take(Part::Offline, wanted.min(spare));
+        if tokens == 0 {
+            return None;
+        }
+        purse.given += 1;
+        let transfer = Transfer { from: from.clone(), n: purse.given, to: to.clone(), tokens };
+        purse.transfers.push(transfer.clone());
+        Some(transfer)
+    }
+
+    /// Takes over tokens that another box passed on.
+    pub fn receive(&self, customer: &Arc<str>, transfer: Transfer) {
+        let mut state = self.0.state.lock();
+        let purse = state.purses.entry(customer.clone()).or_default();
+        purse.account.give(Part::Offline, transfer.tokens);
+        purse.received += transfer.tokens;
+        purse.transfers.push(transfer);
+    }
+
+    /// What a request of this size lacks, with a little for the ones after it.
+    pub fn missing(&self, customer: &str, worst: u64) -> u64 {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let Some(purse) = state.purses.get_mut(customer) else { return worst };
+        let next = (purse.rate.per_second(now) as f64 * KEEP_S) as u64;
+        match worst.saturating_sub(purse.account.free()) {
+            0 => 0,
+            missing => missing + next,
+        }
+    }
+
+    /// The lock under which one request at a time asks other boxes for a customer's tokens.
+    pub fn asking(&self, customer: &Arc<str>) -> Arc<tokio::sync::Mutex<()>> {
+        self.0.state.lock().purses.entry(customer.clone()).or_default().asking.clone()
+    }
+
+    /// Why a request of this size cannot be paid for now.
+    pub fn lack(&self, customer: &str, worst: u64) -> Lack {
         let state = self.0.state.lock();
         let purse = state.purses.get(customer);
         let exhausted = purse.is_some_and(|purse| {
@@ -229,26 +291,32 @@
             let (free, target) = (purse.account.free() as f64, purse.granted.target as f64);
             let low = free < target * LOW && purse.granted.unspent > 0;
             let high = free > target * HIGH + purse.peak as f64;
-            let asked = purse.granted.wanted > 0 && free > target / 2.0;
-            purse.known && (low || high || asked)
+            purse.known && (low || high)
         })
     }
 
     /// The next settlement. What it reports and returns is out of the accounts once planned, so
     /// it must land, however long that takes.
-    pub fn plan(&self, holder: &Incarnation, write: u64, leaves: bool) -> Settlement {
+    pub fn plan(&self, holder: &Incarnation, writer: Writer, leaves: bool) -> Settlement {
         let now = Instant::now();
         let mut state = self.0.state.lock();
         let boxes = state.boxes.max(1);
         let limited = state.purses.iter_mut().filter(|(_, purse)| purse.paid.is_some());
         let items = limited.map(|(customer, purse)| purse.item(customer, boxes, leaves, now));
-        Settlement { holder: holder.clone(), write, items: items.collect(), leaves }
+        Settlement { holder: holder.clone(), writer, items: items.collect(), leaves }
     }
 
     /// Takes over what a settlement that landed gave.
-    pub fn landed(&self, granted: Vec<Granted>, boxes: u64) {
+    pub fn landed(&self, settlement: &Settlement, granted: Vec<Granted>, boxes: u64) {
         let mut state = self.0.state.lock();
         state.boxes = boxes;
+        for item in &settlement.items {
+            let to_me = item.transfers.iter().filter(|transfer| transfer.to == settlement.holder);
+            let told: u64 = to_me.map(|transfer| transfer.tokens).sum();
+            if let Some(purse) = state.purses.get_mut(&item.customer) {
+                purse.received -= told;
+            }
+        }
         for granted in granted {
             let purse = state.purses.entry(granted.customer.clone()).or_default();
             purse.account.give(Part::Offline, granted.tokens);
@@ -287,7 +355,6 @@
         let surplus = match () {
             () if leaves => free,
             () if !self.known => 0,
-            () if self.granted.wanted > 0 => free.saturating_sub(target / 2),
             () if free as f64 > target as f64 * HIGH + self.peak as f64 => free - target,
             () => 0,
         };
@@ -302,6 +369,7 @@
             returned,
             free,
             need: self.waiting.saturating_sub(free),
+            transfers: std::mem::take(&mut self.transfers),
             observed: Observed {
                 rate: self.rate.per_second(now),
                 largest: self.peak,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     handle::Gate,
     metrics::{Budget, Metrics, Purpose},
     outage::Contact,
+    peers::{Desk, Peers},
     serve::{self, Bounds},
     settings::Settings,
     settle::Settler,
@@ -65,6 +66,8 @@
     tasks: TaskTracker,
     leaving: CancellationToken,
     settler: Option<JoinHandle<()>>,
+    /// Answers other boxes; it ends when dropped.
+    lender: Option<wire::Server>,
     /// Accepts callers' connections.
     accepting: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
@@ -85,11 +88,23 @@
         let endpoints = Arc::new(Endpoints::new(settings.zone.clone(), random.random()));
         let links = Links::new(settings.links());
         let funds = Funds::open();
+        let peers = Peers::open(incarnation.clone(), settings.listen.peers, random.random());
+        let lending = Desk::new(incarnation.clone(), funds.clone(), peers.clone());
+        let lender = match settings.listen.peers {
+            Some(address) => {
+                let server = wire::Server::bind(address, Arc::new(lending)).await;
+                let server = server.context(BindSnafu { address })?;
+                peers.listens_at(server.address());
+                Some(server)
+            }
+            None => None,
+        };
         let gate = Arc::new(Gate {
             table,
             endpoints: endpoints.clone(),
             links: links.clone(),
             funds: funds.clone(),
+            peers: peers.clone(),
             retries: Mutex::default(),
             metrics: metrics.clone(),
             bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
@@ -111,6 +126,7 @@
         let settler = Settler::new(
             store.clone(),
             funds.clone(),
+            peers,
             incarnation.clone(),
             policy,
             money,
@@ -173,6 +189,7 @@
             tasks,
             leaving,
             settler,
+            lender,
             accepting,
             loops,
         })
@@ -193,6 +210,11 @@
         self.operators
     }
 
+    /// Where other boxes ask for tokens, if they may.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.lender.as_ref().map(wire::Server::address)
+    }
+
     /// The incarnation of this start.
     pub fn incarnation(&self) -> &Incarnation {
         &self.incarnation
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -23,6 +23,7 @@
     endpoints::{Chosen, Endpoints},
     funds::{Funds, Lack},
     metrics::Metrics,
+    peers::Peers,
     refusal::{Reason, Refusal},
     relay::{Flight, Relay},
     retries::Retries,
@@ -59,6 +60,7 @@
     pub endpoints: Arc<Endpoints>,
     pub links: Links,
     pub funds: Funds,
+    pub peers: Peers,
     pub retries: Mutex<Retries>,
     pub metrics: Metrics,
     /// Bytes of request bodies that may still be held.
@@ -230,23 +232,30 @@
         let (Some(tokens), Some(customer)) = (trip.tokens, trip.customer.clone()) else {
             return Ok(());
         };
-        let patience = Duration::from_millis(self.settings.money.wait_ms);
-        let patience = call.route.target.map_or(patience, |target| patience.min(target / 2));
-        let until = (Instant::now() + patience).min(trip.until);
         let worst = tokens.prompt + tokens.most_output;
-        match self.funds.hold(&customer, worst, until).await {
-            Ok(hold) => {
-                trip.pay_with(hold);
-                Ok(())
-            }
-            Err(Lack::Exhausted) => {
+        let money = &self.settings.money;
+        let patience = Duration::from_millis(money.wait_ms);
+        let patience = call.route.target.map_or(patience, |target| patience.min(target / 2));
+        let now = Instant::now();
+        let until = (now + patience).min(trip.until);
+        let from_store = (now + Duration::from_millis(money.store_ms)).min(until);
+        let hold = match self.funds.hold(&customer, worst, from_store).await {
+            Some(hold) => Some(hold),
+            None => self.peers.borrow_for(&self.funds, &customer, worst, until).await,
+        };
+        if let Some(hold) = hold {
+            trip.pay_with(hold);
+            return Ok(());
+        }
+        Err(match self.funds.lack(&customer, worst) {
+            Lack::Exhausted => {
                 let detail = format!("what remains of the budget cannot hold {worst} tokens");
-                Err(Reason::BudgetExhausted.with(detail))
+                Reason::BudgetExhausted.with(detail)
             }
-            Err(Lack::Short) => {
-                Err(Reason::TokensShort.after(LATER, format!("this box lacks tokens for {worst}")))
+            Lack::Short => {
+                Reason::TokensShort.after(LATER, format!("this box lacks tokens for {worst}"))
             }
-        }
+        })
     }
 
     /// Sends a request to endpoints until one of them answers or no more may be tried.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,6 +56,9 @@
     pub ready: SocketAddr,
     /// For metrics.
     pub operators: SocketAddr,
+    /// For other boxes; without it, boxes do not pass tokens on.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
 }
 
 /// How to reach the platform's store.
@@ -95,12 +98,22 @@
     pub spacing_ms: u64,
     /// Longest time that a request waits for tokens, in milliseconds.
     pub wait_ms: u64,
+    /// Time that a request waits for a settlement before other boxes are asked, in milliseconds:
+    /// a few calls of the store.
+    pub store_ms: u64,
 }
 
 impl Default for Money {
     /// Weighed in `docs/design/0005-platform.md`.
     fn default() -> Money {
-        Money { share: 500, horizon_s: 20, settle_ms: 3_000, spacing_ms: 700, wait_ms: 250 }
+        Money {
+            share: 500,
+            horizon_s: 20,
+            settle_ms: 3_000,
+            spacing_ms: 700,
+            wait_ms: 250,
+            store_ms: 40,
+        }
     }
 }
 
@@ -184,6 +197,7 @@
             ("money.horizon_s", money.horizon_s, 0, 86_400),
             ("money.settle_ms", money.settle_ms, 100, 3_600_000),
             ("money.spacing_ms", money.spacing_ms, 10, 3_600_000),
+            ("money.store_ms", money.store_ms, 0, 60_000),
             ("money.wait_ms", money.wait_ms, 0, 60_000),
             ("retries.window_s", self.retries.window_s, 1, 3_600),
             ("limits.connections", limits.connections as u64, 1, 1_000_000),
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ledger::{Book, Granted, Incarnation, Policy, Settlement};
+use ledger::{Book, Granted, Incarnation, Policy, Settlement, Writer};
 use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use snafu::Snafu;
@@ -14,6 +14,7 @@
 use crate::{
     funds::Funds,
     outage::{Contact, Outage},
+    peers::Peers,
     settings,
 };
 
@@ -43,6 +44,7 @@
 pub struct Settler {
     pub store: Client,
     pub funds: Funds,
+    pub peers: Peers,
     pub holder: Incarnation,
     pub policy: Policy,
     pub money: settings::Money,
@@ -63,6 +65,7 @@
     pub fn new(
         store: Client,
         funds: Funds,
+        peers: Peers,
         holder: Incarnation,
         policy: Policy,
         money: settings::Money,
@@ -72,6 +75,7 @@
         Settler {
             store,
             funds,
+            peers,
             holder,
             policy,
             money,
@@ -111,7 +115,8 @@
             Some(pending) => pending,
             None => {
                 self.write += 1;
-                self.funds.plan(&self.holder, self.write, leaves)
+                let writer = Writer { write: self.write, peer: self.peers.address() };
+                self.funds.plan(&self.holder, writer, leaves)
             }
         };
         self.pending = Some(settlement.clone());
@@ -131,9 +136,12 @@
         self.pending = None;
         self.outage.answered();
         self.funds.set_reachable(true);
-        let boxes = self.known.as_ref().map_or(1, |(book, _)| book.boxes());
+        let boxes = self.known.as_ref().map_or(1, |(book, _)| {
+            self.peers.update(&book.writers);
+            book.boxes()
+        });
         report(&settlement, &granted);
-        self.funds.landed(granted, boxes);
+        self.funds.landed(&settlement, granted, boxes);
     }
 
     /// One call; `None` where the book had changed meanwhile.
@@ -142,7 +150,7 @@
             Some(known) => known,
             None => self.read().await?,
         };
-        if book.has(&settlement.holder, settlement.write) {
+        if book.has(&settlement.holder, settlement.writer.write) {
             self.known = Some((book, version));
             return Ok(Some(self.last.take().unwrap_or_default()));
         }
@@ -210,12 +218,16 @@
 
 fn report(settlement: &Settlement, granted: &[Granted]) {
     for (item, granted) in settlement.items.iter().zip(granted) {
-        let changed = item.charged > 0 || granted.tokens > 0 || item.returned > 0 || item.need > 0;
+        let changed = item.charged > 0
+            || granted.tokens > 0
+            || item.returned > 0
+            || item.need > 0
+            || !item.transfers.is_empty();
         if changed {
             tracing::info!(
                 event = "settled",
                 customer = &*item.customer,
-                write = settlement.write,
+                write = settlement.writer.write,
                 charged = item.charged,
                 granted = granted.tokens,
                 returned = item.returned,
@@ -223,7 +235,7 @@
                 need = item.need,
                 target = granted.target,
                 unspent = granted.unspent,
-                wanted_by_others = granted.wanted,
+                transfers = item.transfers.len(),
             );
         }
     }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -8,12 +8,17 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Draw, Incarnation, Ledger, Observed, Policy, target};
+use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer, target};
+
+/// Part of what all boxes may hold that is split evenly, in thousandths: a box that a customer's
+/// next requests come to first has some.
+const EVEN: u64 = 300;
 
 /// Ledgers of several budgets.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,9 +26,18 @@
     /// One for each customer.
     #[serde(default)]
     pub ledgers: BTreeMap<Arc<str>, Ledger>,
-    /// Boxes that write here, with the number of each one's newest write.
+    /// Boxes that write here.
     #[serde(default)]
-    pub writers: BTreeMap<Incarnation, u64>,
+    pub writers: BTreeMap<Incarnation, Writer>,
+}
+
+/// A box that writes here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Writer {
+    /// Number of its newest write.
+    pub write: u64,
+    /// Where other boxes ask it for tokens.
+    pub peer: Option<SocketAddr>,
 }
 
 /// What a box settles of one budget.
@@ -43,6 +57,8 @@
     pub free: u64,
     /// Tokens that waiting requests lack.
     pub need: u64,
+    /// Tokens passed on to or received from other boxes since the last settlement that landed.
+    pub transfers: Vec<Transfer>,
     /// Use as the box saw it; what is unspent is filled in from the ledger.
     pub observed: Observed,
 }
@@ -52,8 +68,8 @@
 pub struct Settlement {
     /// Who writes.
     pub holder: Incarnation,
-    /// Its write number, by which a lost answer is resolved.
-    pub write: u64,
+    /// Its write number, by which a lost answer is resolved, and its address.
+    pub writer: Writer,
     /// Budgets.
     pub items: Vec<Item>,
     /// The box ends by plan: its grants end too, and nothing of them can come later.
@@ -71,8 +87,6 @@
     pub target: u64,
     /// Tokens paid and not known to be spent, whoever holds them.
     pub unspent: u64,
-    /// Tokens that other boxes lack.
-    pub wanted: u64,
     /// Tokens that the customer is certain to have used; the rest of what counts as spent was
     /// lost with boxes that died.
     pub used: u64,
@@ -87,31 +101,40 @@
 
     /// Whether write number `write` of `holder` is in.
     pub fn has(&self, holder: &Incarnation, write: u64) -> bool {
-        self.writers.get(holder).is_some_and(|newest| *newest >= write)
+        self.writers.get(holder).is_some_and(|writer| writer.write >= write)
     }
 
     /// Carries a settlement out and says what it gave, budget by budget.
     pub fn settle(&mut self, settlement: &Settlement, policy: Policy) -> Vec<Granted> {
         let holder = &settlement.holder;
-        let first = self.writers.insert(holder.clone(), settlement.write).is_none();
+        let first = self.writers.insert(holder.clone(), settlement.writer).is_none();
         if first {
             self.replace_earlier(holder);
         }
         let policy = Policy { boxes: self.boxes(), ..policy };
-        let granted = settlement
-            .items
-            .iter()
-            .map(|item| {
-                let ledger = self.ledgers.entry(item.customer.clone()).or_default();
-                settle_item(ledger, settlement, item, policy, first)
-            })
-            .collect();
+        let mut granted = Vec::with_capacity(settlement.items.len());
+        for item in &settlement.items {
+            let gone: Vec<bool> =
+                item.transfers.iter().map(|transfer| self.is_replaced(&transfer.to)).collect();
+            let ledger = self.ledgers.entry(item.customer.clone()).or_default();
+            for (transfer, gone) in item.transfers.iter().zip(gone) {
+                // Refused only if the giver never had the tokens, which its own account excludes.
+                let _ = ledger.pass_on(transfer, gone);
+            }
+            granted.push(settle_item(ledger, settlement, item, policy, first));
+        }
         if settlement.leaves {
             self.writers.remove(holder);
         }
         granted
     }
 
+    /// Whether the box of `holder` lives on as another incarnation.
+    fn is_replaced(&self, holder: &Incarnation) -> bool {
+        let newer = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
+        !self.writers.contains_key(holder) && self.writers.keys().any(newer)
+    }
+
     /// What an earlier life of the same box held counts as spent: nobody knows how much of it was.
     fn replace_earlier(&mut self, holder: &Incarnation) {
         let same = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
@@ -141,21 +164,20 @@
     if let Some((paid, version)) = item.paid {
         ledger.apply_paid(paid, version);
     }
-    // A box whose grant ended has nothing left to charge; what it reports is counted already.
-    let charged = ledger.charge(holder, item.charged, item.requests);
+    ledger.charge(holder, item.charged, item.requests);
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
+    let policy =
+        Policy { boxes: 1, offline_share: portion(ledger, holder, item, policy), ..policy };
     let target = target(policy, Observed { unspent, ..item.observed }).offline;
     // Before the others are known, a box takes only what waiting requests lack.
     let wish = if first { 0 } else { target.saturating_sub(item.free) };
     let left = (ledger.left() + item.returned).min(unspent);
-    let tokens = match (settlement.leaves, charged) {
-        (false, true) => wish.max(item.need).min(left),
-        _ => 0,
-    };
-    let lacking = item.need.saturating_sub(tokens);
-    let draw =
-        Draw { offline: tokens, return_offline: item.returned, wanted: lacking, ..Draw::default() };
-    let drawn = ledger.draw(holder, draw, settlement.write).is_ok();
+    let tokens = if settlement.leaves { 0 } else { wish.max(item.need).min(left) };
+    let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
+    let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
+    if let Some(grant) = ledger.grants.get_mut(holder) {
+        grant.rate = item.observed.rate;
+    }
     if settlement.leaves {
         ledger.end(holder);
     }
@@ -164,7 +186,21 @@
         tokens: if drawn { tokens } else { 0 },
         target,
         unspent,
-        wanted: ledger.wanted_by_others(holder),
         used: ledger.spent - ledger.lost,
     }
 }
+
+/// A box's part, in thousandths, of what is unspent: some of what all boxes may hold is split
+/// evenly, the rest by use.
+fn portion(ledger: &Ledger, holder: &Incarnation, item: &Item, policy: Policy) -> u64 {
+    let others = ledger.grants.iter().filter(|(name, _)| *name != holder);
+    let used: u64 = others.map(|(_, grant)| grant.rate).sum::<u64>() + item.observed.rate;
+    let even = policy.offline_share / policy.boxes.max(1);
+    match used {
+        0 => even,
+        used => {
+            (even * EVEN + policy.offline_share * item.observed.rate / used * (1_000 - EVEN))
+                / 1_000
+        }
+    }
+}
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::{Bill, Grant, Incarnation, Journal, Page, Part, Record, Statement, Transfer};
+use crate::{Bill, Grant, Incarnation, Journal, Numbers, Page, Part, Record, Statement, Transfer};
 
 /// Bills on one page.
 pub const PAGE_BILLS: usize = 200;
@@ -89,6 +89,10 @@
     /// Holders that ended by their own word lately, the oldest first: nothing of theirs can come.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<Incarnation>,
+    /// Numbers of the tokens passed on between boxes that are counted here, by giver. Kept also
+    /// when the giver is gone: whoever received tokens may tell so later.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub passed: BTreeMap<Incarnation, Numbers>,
     /// Transfers applied, while their giver or receiver still has a grant.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub transfers: BTreeSet<Transfer>,
@@ -255,20 +259,52 @@
     /// Moves tokens that `holder` charged from its offline part to what is spent, with the number
     /// of requests that they paid for.
     ///
-    /// `false` where the grant ended or is smaller than the charge: nothing is charged then.
-    pub fn charge(&mut self, holder: &Incarnation, tokens: u64, requests: u64) -> bool {
-        if tokens == 0 {
-            return !self.ended.contains(holder);
-        }
-        let rest = self.grants.get(holder).and_then(|grant| grant.offline.checked_sub(tokens));
-        match (rest, self.grants.get_mut(holder)) {
-            (Some(rest), Some(grant)) => grant.offline = rest,
-            _ => return false,
-        }
-        self.spent += tokens;
+    /// A box never charges more than it was given, so what its grant here does not cover was
+    /// counted as lost with an earlier holder, and is known to be used now.
+    pub fn charge(&mut self, holder: &Incarnation, tokens: u64, requests: u64) {
+        let held = self.grants.get_mut(holder);
+        let covered = held.map_or(0, |grant| {
+            let covered = tokens.min(grant.offline);
+            grant.offline -= covered;
+            covered
+        });
+        self.spent += covered;
+        self.lost = self.lost.saturating_sub(tokens - covered);
         self.statement.count += requests;
         self.statement.tokens += tokens;
-        true
+    }
+
+    /// Counts offline tokens that one box passed on to another, once, whichever of them tells.
+    ///
+    /// `gone` says that the receiver died: the tokens are lost with it then.
+    pub fn pass_on(&mut self, transfer: &Transfer, gone: bool) -> Result<(), Error> {
+        let misfit = Error::Misfit { tokens: transfer.tokens };
+        if self.passed.get(&transfer.from).is_some_and(|numbers| numbers.contains(transfer.n)) {
+            return Ok(());
+        }
+        match self.grants.get_mut(&transfer.from) {
+            Some(giver) => {
+                giver.offline = giver.offline.checked_sub(transfer.tokens).ok_or(misfit)?
+            }
+            // The giver died and all that it held was written off, these tokens among it.
+            None => {
+                self.lost = self.lost.checked_sub(transfer.tokens).ok_or(misfit)?;
+                self.spent -= transfer.tokens;
+            }
+        }
+        self.passed.entry(transfer.from.clone()).or_default().insert(transfer.n);
+        match gone {
+            true => {
+                self.spent += transfer.tokens;
+                self.lost += transfer.tokens;
+            }
+            // The receiver told all that it had when it ended: these never reached it.
+            false if self.ended.contains(&transfer.to) => {}
+            false => {
+                self.grants.entry(transfer.to.clone()).or_default().offline += transfer.tokens;
+            }
+        }
+        Ok(())
     }
 
     /// Counts all that `holder` had as spent: it died, and nobody knows what it used of it.
--- a/crates/ledger/src/grant.rs
+++ b/crates/ledger/src/grant.rs
@@ -18,6 +18,9 @@
     /// The holder's journal is sealed: no more draws.
     #[serde(default)]
     pub sealed: bool,
+    /// Tokens a second that the holder used lately, by which what may be held is split.
+    #[serde(default)]
+    pub rate: u64,
     /// Free tokens the holder lacked at its last write, so that others return surplus.
     #[serde(default)]
     pub wanted: u64,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use account::{Account, Need, Part, Reservation, Tokens};
 pub use bill::{Bill, Evidence, Page, Statement};
-pub use book::{Book, Granted, Item, Settlement};
+pub use book::{Book, Granted, Item, Settlement, Writer};
 pub use budget::{Closing, Draw, Error, Folded, Ledger, PAGE_BILLS, page_name};
 pub use grant::{Grant, Transfer};
 pub use incarnation::Incarnation;
