Boxes hold less of what is scarce; a source that had nothing is not asked at once again

Change: a box holds 10 s of its use and one large request, at most its part of a share of what is unspent; an empty book or empty neighbours are left alone 500 ms. Ruled out: intents before each run, since what an outage is served from is lost with the box all the same; asking clocks how long a box was away.

--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -23,6 +23,9 @@
 const LOW: f64 = 0.6;
 /// A box gives tokens back once it holds more than this multiple of its target.
 const HIGH: f64 = 2.0;
+/// Time for which a source of tokens that had none is not asked again: other boxes settle about
+/// as often.
+const DRY: Duration = Duration::from_millis(500);
 /// Seconds of use that a box keeps when it is asked for tokens, and asks for beyond what one
 /// request lacks.
 const KEEP_S: f64 = 1.0;
@@ -79,6 +82,10 @@
     received: u64,
     /// Transfers given so far: the number of the next one.
     given: u64,
+    /// The book had nothing left at the last settlement: it is not asked before then.
+    dry_until: Option<Instant>,
+    /// Other boxes had nothing to spare: they are not asked before then.
+    others_dry_until: Option<Instant>,
     /// One request at a time asks other boxes for this customer.
     asking: Arc<tokio::sync::Mutex<()>>,
 }
@@ -158,7 +165,11 @@
         let mut state = self.0.state.lock();
         for customer in table.config().customers.iter().flatten() {
             let purse = state.purses.entry(customer.name.clone()).or_default();
-            purse.paid = customer.paid.map(|paid| (paid, table.version()));
+            let paid = customer.paid.map(|paid| (paid, table.version()));
+            if purse.paid.map(|(paid, _)| paid) != customer.paid {
+                (purse.dry_until, purse.others_dry_until) = (None, None);
+            }
+            purse.paid = paid;
         }
         drop(state);
         self.0.wanted.notify_one();
@@ -180,6 +191,9 @@
         if let Some(hold) = self.try_hold(customer, worst) {
             return Some(hold);
         }
+        if self.is_dry(customer) {
+            return None;
+        }
         let _waiting = Waiting::join(self, customer, worst);
         let mut settled = self.0.settled.subscribe();
         let joined = *settled.borrow_and_update();
@@ -246,6 +260,30 @@
         purse.transfers.push(transfer);
     }
 
+    /// Whether the book had nothing left for a customer a moment ago.
+    fn is_dry(&self, customer: &str) -> bool {
+        let now = Instant::now();
+        let state = self.0.state.lock();
+        let purse = state.purses.get(customer);
+        purse.is_some_and(|purse| purse.dry_until.is_some_and(|until| until > now))
+    }
+
+    /// Whether other boxes had nothing to spare for a customer a moment ago.
+    pub fn are_others_dry(&self, customer: &str) -> bool {
+        let now = Instant::now();
+        let state = self.0.state.lock();
+        let purse = state.purses.get(customer);
+        purse.is_some_and(|purse| purse.others_dry_until.is_some_and(|until| until > now))
+    }
+
+    /// Other boxes had nothing to spare for a customer.
+    pub fn note_others_dry(&self, customer: &str) {
+        let mut state = self.0.state.lock();
+        if let Some(purse) = state.purses.get_mut(customer) {
+            purse.others_dry_until = Some(Instant::now() + DRY);
+        }
+    }
+
     /// What a request of this size lacks, with a little for the ones after it.
     pub fn missing(&self, customer: &str, worst: u64) -> u64 {
         let now = Instant::now();
@@ -313,8 +351,11 @@
         for item in &settlement.items {
             let to_me = item.transfers.iter().filter(|transfer| transfer.to == settlement.holder);
             let told: u64 = to_me.map(|transfer| transfer.tokens).sum();
+            let brought = granted.iter().find(|granted| granted.customer == item.customer);
+            let short = brought.is_none_or(|granted| granted.tokens < item.need);
             if let Some(purse) = state.purses.get_mut(&item.customer) {
                 purse.received -= told;
+                purse.dry_until = (item.need > 0 && short).then(|| Instant::now() + DRY);
             }
         }
         for granted in granted {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -97,6 +97,9 @@
         worst: u64,
         until: Instant,
     ) -> Option<Hold> {
+        if funds.are_others_dry(customer) {
+            return None;
+        }
         let asking = funds.asking(customer);
         let ask = async {
             let _one_at_a_time = asking.lock().await;
@@ -125,6 +128,9 @@
         };
         let asked = tokio::time::timeout_at(until, ask).await.unwrap_or(0);
         let hold = funds.try_hold(customer, worst);
+        if hold.is_none() {
+            funds.note_others_dry(customer);
+        }
         tracing::info!(
             event = "asked_other_boxes",
             customer = &**customer,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -107,8 +107,8 @@
     /// Weighed in `docs/design/0005-platform.md`.
     fn default() -> Money {
         Money {
-            share: 500,
-            horizon_s: 20,
+            share: 330,
+            horizon_s: 10,
             settle_ms: 3_000,
             spacing_ms: 700,
             wait_ms: 250,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer, target};
+use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer};
 
 /// Part of what all boxes may hold that is split evenly, in thousandths: a box that a customer's
 /// next requests come to first has some.
@@ -166,9 +166,7 @@
     }
     ledger.charge(holder, item.charged, item.requests);
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
-    let policy =
-        Policy { boxes: 1, offline_share: portion(ledger, holder, item, policy), ..policy };
-    let target = target(policy, Observed { unspent, ..item.observed }).offline;
+    let target = target(unspent, portion(ledger, holder, item, policy), item.observed, policy);
     // Before the others are known, a box takes only what waiting requests lack.
     let wish = if first { 0 } else { target.saturating_sub(item.free) };
     let left = (ledger.left() + item.returned).min(unspent);
@@ -190,6 +188,15 @@
     }
 }
 
+/// What a box should hold free: enough for an outage as long as the policy says, and one large
+/// request, but no more than its part of what is unspent. What a budget has little of, a box holds
+/// little of: tokens that were not used in an outage can be used after it, those that a box held
+/// when it died cannot.
+fn target(unspent: u64, portion: u64, observed: Observed, policy: Policy) -> u64 {
+    let part = unspent * portion / 1_000;
+    part.min(observed.rate * policy.offline_horizon + observed.peak)
+}
+
 /// A box's part, in thousandths, of what is unspent: some of what all boxes may hold is split
 /// evenly, the rest by use.
 fn portion(ledger: &Ledger, holder: &Incarnation, item: &Item, policy: Policy) -> u64 {
