Boxes hold less still once a budget runs low; dry sources rest longer

Change: below half of what is paid the share shrinks with what is unspent; a request that the book cannot pay for leaves the rest to smaller ones; rests double to 4 s. Ruled out: charging too much (9.12 M charged, 8.87 M prompt tokens read or kept).

--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -26,6 +26,8 @@
 /// Time for which a source of tokens that had none is not asked again: other boxes settle about
 /// as often.
 const DRY: Duration = Duration::from_millis(500);
+/// Each time in a row doubles that, so many times at most.
+const DRY_DOUBLINGS: u32 = 3;
 /// Seconds of use that a box keeps when it is asked for tokens, and asks for beyond what one
 /// request lacks.
 const KEEP_S: f64 = 1.0;
@@ -82,8 +84,10 @@
     received: u64,
     /// Transfers given so far: the number of the next one.
     given: u64,
-    /// The book had nothing left at the last settlement: it is not asked before then.
+    /// The book had too little left at the last settlement: it is not asked before then.
     dry_until: Option<Instant>,
+    /// Settlements in a row that had too little left.
+    dry_times: u32,
     /// Other boxes had nothing to spare: they are not asked before then.
     others_dry_until: Option<Instant>,
     /// One request at a time asks other boxes for this customer.
@@ -167,7 +171,7 @@
             let purse = state.purses.entry(customer.name.clone()).or_default();
             let paid = customer.paid.map(|paid| (paid, table.version()));
             if purse.paid.map(|(paid, _)| paid) != customer.paid {
-                (purse.dry_until, purse.others_dry_until) = (None, None);
+                (purse.dry_until, purse.others_dry_until, purse.dry_times) = (None, None, 0);
             }
             purse.paid = paid;
         }
@@ -191,7 +195,7 @@
         if let Some(hold) = self.try_hold(customer, worst) {
             return Some(hold);
         }
-        if self.is_dry(customer) {
+        if self.is_dry(customer, worst) {
             return None;
         }
         let _waiting = Waiting::join(self, customer, worst);
@@ -260,12 +264,14 @@
         purse.transfers.push(transfer);
     }
 
-    /// Whether the book had nothing left for a customer a moment ago.
-    fn is_dry(&self, customer: &str) -> bool {
+    /// Whether the book had too little left for such a request a moment ago.
+    fn is_dry(&self, customer: &str, worst: u64) -> bool {
         let now = Instant::now();
         let state = self.0.state.lock();
-        let purse = state.purses.get(customer);
-        purse.is_some_and(|purse| purse.dry_until.is_some_and(|until| until > now))
+        state.purses.get(customer).is_some_and(|purse| {
+            let dry = purse.dry_until.is_some_and(|until| until > now);
+            dry && purse.account.free() + purse.granted.left < worst
+        })
     }
 
     /// Whether other boxes had nothing to spare for a customer a moment ago.
@@ -327,7 +333,7 @@
         let state = self.0.state.lock();
         state.purses.values().any(|purse| {
             let (free, target) = (purse.account.free() as f64, purse.granted.target as f64);
-            let low = free < target * LOW && purse.granted.unspent > 0;
+            let low = free < target * LOW && purse.granted.left > 0;
             let high = free > target * HIGH + purse.peak as f64;
             purse.known && (low || high)
         })
@@ -355,7 +361,10 @@
             let short = brought.is_none_or(|granted| granted.tokens < item.need);
             if let Some(purse) = state.purses.get_mut(&item.customer) {
                 purse.received -= told;
-                purse.dry_until = (item.need > 0 && short).then(|| Instant::now() + DRY);
+                let dry = item.need > 0 && short;
+                purse.dry_times = if dry { purse.dry_times + 1 } else { 0 };
+                let rest = DRY * 2u32.pow(purse.dry_times.saturating_sub(1).min(DRY_DOUBLINGS));
+                purse.dry_until = dry.then(|| Instant::now() + rest);
             }
         }
         for granted in granted {
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -87,6 +87,8 @@
     pub target: u64,
     /// Tokens paid and not known to be spent, whoever holds them.
     pub unspent: u64,
+    /// Tokens that nobody holds.
+    pub left: u64,
     /// Tokens that the customer is certain to have used; the rest of what counts as spent was
     /// lost with boxes that died.
     pub used: u64,
@@ -166,11 +168,14 @@
     }
     ledger.charge(holder, item.charged, item.requests);
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
-    let target = target(unspent, portion(ledger, holder, item, policy), item.observed, policy);
+    let part = portion(ledger, holder, item, policy);
+    let target = target(unspent, ledger.paid_wanted, part, item.observed, policy);
     // Before the others are known, a box takes only what waiting requests lack.
     let wish = if first { 0 } else { target.saturating_sub(item.free) };
     let left = (ledger.left() + item.returned).min(unspent);
-    let tokens = if settlement.leaves { 0 } else { wish.max(item.need).min(left) };
+    // What cannot pay for the waiting requests stays for smaller ones, wherever they come.
+    let need = if item.need <= left { item.need } else { 0 };
+    let tokens = if settlement.leaves { 0 } else { wish.max(need).min(left) };
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
     if let Some(grant) = ledger.grants.get_mut(holder) {
@@ -184,16 +189,22 @@
         tokens: if drawn { tokens } else { 0 },
         target,
         unspent,
+        left: ledger.left().min(unspent),
         used: ledger.spent - ledger.lost,
     }
 }
 
+/// Part of what is paid, in thousandths, below which the share that boxes may hold shrinks with
+/// what is unspent.
+const PLENTY: u64 = 500;
+
 /// What a box should hold free: enough for an outage as long as the policy says, and one large
 /// request, but no more than its part of what is unspent. What a budget has little of, a box holds
 /// little of: tokens that were not used in an outage can be used after it, those that a box held
 /// when it died cannot.
-fn target(unspent: u64, portion: u64, observed: Observed, policy: Policy) -> u64 {
-    let part = unspent * portion / 1_000;
+fn target(unspent: u64, paid: u64, portion: u64, observed: Observed, policy: Policy) -> u64 {
+    let plenty = (paid * PLENTY / 1_000).max(1);
+    let part = unspent * portion / 1_000 * unspent.min(plenty) / plenty;
     part.min(observed.rate * policy.offline_horizon + observed.peak)
 }
 
