--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -225,6 +225,17 @@
         &self.calls
     }
 
+    /// Tokens of a customer that are free in this box.
+    pub fn free(&self, customer: &str) -> u64 {
+        let all = self.gate.funds.overview();
+        all.iter().find(|line| &*line.0 == customer).map_or(0, |line| line.1)
+    }
+
+    /// Number of other boxes that this one can ask for tokens.
+    pub fn knows_peers(&self) -> usize {
+        self.gate.peers.len()
+    }
+
     /// The metrics as text.
     pub fn metrics(&self) -> String {
         self.gate.metrics.text()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// Number of other boxes that stand in the book.
+    pub fn len(&self) -> usize {
+        self.state.lock().known.len()
+    }
+
+    /// Whether no other box stands in the book.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Whether a box stands in the book.
     pub fn knows(&self, name: &Incarnation) -> bool {
         self.state.lock().known.contains_key(name)
--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,141 @@
+//! The pure decisions of a gateway, case by case.
+
+use std::{sync::Arc, time::Duration};
+
+use gateway::{Directory, Meter, Reason, Retries, Table, settings};
+use http::StatusCode;
+use platform::{config::Config, endpoint::Entry, played};
+
+fn table(routes: &[&str]) -> Table {
+    let text = played::config(3, 1_000, routes);
+    Table::new(Config::read(&text).expect("a valid configuration"))
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let text = r#"{"version": 1, "routes": [
+        {"name": "all", "host": "Desk.example", "path_prefix": "/", "kind": "safe", "service": "a"},
+        {"name": "long", "host": "desk.example", "path_prefix": "/x/y/", "kind": "safe", "service": "b"},
+        {"name": "short", "host": "desk.example", "path_prefix": "/x/", "kind": "safe", "service": "c"}
+    ], "a_field_of_tomorrow": {"kept": true}}"#;
+    let table = Table::new(Config::read(text).expect("unknown fields are passed over"));
+    let cases = [
+        ("desk.example", "/x/y/z", Some("long")),
+        ("desk.example:8080", "/x/yz", Some("short")),
+        ("DESK.example", "/x", Some("all")),
+        ("other.example", "/x/", None),
+        ("", "/", None),
+    ];
+    for (host, path, want) in cases {
+        let found = table.route(host, path).map(|route| &*route.name);
+        assert_eq!(found, want, "{host}{path}");
+    }
+}
+
+#[test]
+fn only_keys_that_stand_there_name_a_customer() {
+    let table = table(&["cancel"]);
+    for (key, want) in
+        [("key-b", Some("bornova")), ("key-p", Some("pasila")), ("KEY-B", None), ("", None)]
+    {
+        assert_eq!(table.customer(key).map(|customer| &*customer.name), want, "{key}");
+    }
+}
+
+#[test]
+fn a_split_follows_its_weights_and_the_id() {
+    let text = r#"{"version": 1, "routes": [{"name": "r", "host": "h", "path_prefix": "/",
+        "kind": "safe", "traffic_split": [
+            {"service": "a", "weight": 90}, {"service": "b", "weight": 10},
+            {"service": "never", "weight": 0}]}]}"#;
+    let table = Table::new(Config::read(text).expect("valid"));
+    let route = table.route("h", "/").expect("a route").clone();
+    let ids: Vec<String> = (0..2_000).map(|n| format!("id-{n}")).collect();
+    let to = |id: &String| table.target(&route, id).expect("a service").clone();
+    let share = ids.iter().filter(|id| &*to(id) == "b").count();
+    assert!((140..260).contains(&share), "{share} of 2,000 went to b");
+    assert!(ids.iter().all(|id| &*to(id) != "never" && to(id) == to(id)));
+}
+
+fn entry(state: &str) -> Entry {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    Entry::read(&played::entry("plain", address, state == "ready")).expect("an entry")
+}
+
+fn ready(directory: &Directory) -> Vec<&str> {
+    let mut names: Vec<&str> = directory.ready().map(|(id, _)| &**id).collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_more() {
+    let mut directory = Directory::default();
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    assert_eq!(ready(&directory), ["a", "b"]);
+    directory.set("a".into(), 3, entry("draining"));
+    assert_eq!(ready(&directory), ["b"], "it said so");
+    directory.set("a".into(), 1, entry("ready"));
+    assert_eq!(ready(&directory), ["b"], "an older entry does not undo it");
+    directory.remove("b", 10);
+    assert!(ready(&directory).is_empty(), "its entry went");
+}
+
+#[test]
+fn entries_that_lapsed_with_the_store_have_time_to_come_back() {
+    let mut directory = Directory::default();
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.returned(12_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 10_000);
+    assert_eq!(ready(&directory), ["a", "b"], "b may still come back");
+    assert!(directory.keeps_missing());
+    assert!(!directory.sweep(11_999));
+    directory.set("b".into(), 11, entry("ready"));
+    assert!(!directory.sweep(12_000), "it came back");
+    assert_eq!(ready(&directory), ["a", "b"]);
+    directory.returned(20_000);
+    directory.remove("b", 19_000);
+    assert!(directory.sweep(20_000), "it did not come back this time");
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[test]
+fn repeats_are_a_share_of_the_requests_of_the_window() {
+    let limits = settings::Retries { ratio: 0.1, extra: 1, window_s: 10 };
+    let service: Arc<str> = "plain".into();
+    let mut retries = Retries::default();
+    for second in 0..10 {
+        (0..4).for_each(|_| retries.request(&service, second, &limits));
+    }
+    let taken = (0..20).filter(|_| retries.take(&service, 9, &limits)).count();
+    assert_eq!(taken, 5, "a tenth of 40 and one more");
+    assert!(!retries.take(&service, 18, &limits), "the repeats of second 9 still count");
+    assert!(retries.take(&service, 19, &limits), "a new window has its extra one");
+    assert!(retries.take(&"other".into(), 9, &limits), "services do not share");
+}
+
+#[test]
+fn events_are_counted_however_their_bytes_are_cut() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n: note\n\ndata: unfinished\n";
+    for size in 1..stream.len() {
+        let mut meter = Meter::default();
+        stream.chunks(size).for_each(|part| meter.pass(part));
+        assert_eq!(meter.events(), 3, "in parts of {size}");
+        assert!(meter.is_inside(), "the last event has not ended");
+    }
+}
+
+#[test]
+fn a_status_that_promises_not_run_is_only_given_for_that() {
+    let promises = [408, 421, 429, 503].map(|code| StatusCode::from_u16(code).expect("a status"));
+    let unknown = [Reason::Silent, Reason::Lost];
+    for reason in unknown {
+        assert!(!reason.is_not_run() && !promises.contains(&reason.status()), "{reason:?}");
+    }
+    for reason in [Reason::TokensShort, Reason::NoEndpoint, Reason::TooLate, Reason::NoConfig] {
+        assert!(reason.is_not_run() && promises.contains(&reason.status()), "{reason:?}");
+        let refusal = reason.after(Duration::from_millis(1_500), "later");
+        let response = refusal.response(Some("try-1"));
+        assert_eq!(response.headers()["retry-after"], "1.500", "{reason:?}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/loopback/outage.rs
@@ -0,0 +1,110 @@
+//! Boxes that lose the store and find it again.
+
+use std::{net::IpAddr, time::Duration};
+
+use crate::world::{World, answers, call, until, until_served};
+use http::StatusCode;
+
+#[tokio::test]
+async fn a_watch_that_died_in_a_cut_is_replaced_when_the_store_is_back() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let _endpoint = world.endpoint("i-1", "plain", answers).await;
+    let (gateway, link) = world.cut_gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    // Connections that were open when the cut began never carry a byte again.
+    link.lose_open();
+    world.configure(2, 1_000_000, &["open", "cancel"]).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    link.set_cut(false);
+    // Far below the 20 s after which the watch itself would end.
+    let served = until_served(&world, &gateway, "/cancel/x");
+    tokio::time::timeout(Duration::from_secs(12), served)
+        .await
+        .expect("the new version is in force");
+}
+
+#[tokio::test]
+async fn a_box_without_the_store_serves_on_its_grants_and_borrows() {
+    let world = World::open(100_000, &["stream", "open"]).await;
+    let _plain = world.endpoint("i-1", "plain", answers).await;
+    let _engine = world.endpoint("i-2", "engines", answers).await;
+    let one = world.gateway("box-1").await;
+    let two = world.gateway("box-2").await;
+    until_served(&world, &one, "/open/x").await;
+    until_served(&world, &two, "/open/x").await;
+    // Box 1 draws tokens, and its use makes it hold more.
+    until_served(&world, &one, "/stream/x").await;
+    until("box 1 holds tokens and both know each other", async || {
+        call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
+        call(two.callers(), "/stream/x", &world.asked("key-b", 1, 1)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        one.free("bornova") > 9_000 && two.knows_peers() > 0 && one.knows_peers() > 0
+    })
+    .await;
+    world.platform.set(|faults| faults.down = true);
+    let worst = two.free("bornova") + 2_000;
+    let got = call(two.callers(), "/stream/x", &world.asked("key-b", worst - 10, 10)).await;
+    assert_eq!(got.status, StatusCode::OK, "{got:?}");
+    let all = one.free("bornova") + two.free("bornova");
+    let got = call(two.callers(), "/stream/x", &world.asked("key-b", all + 1, 1)).await;
+    assert_eq!(got.status, StatusCode::TOO_MANY_REQUESTS, "nobody has that many: {got:?}");
+    assert!(got.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn a_box_that_the_store_turns_away_keeps_what_it_knows() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let _endpoint = world.endpoint("i-1", "plain", answers).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let me: IpAddr = [127, 0, 0, 1].into();
+    world.platform.set(|faults| {
+        faults.turns_away.insert(me);
+    });
+    for _ in 0..20 {
+        let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        assert_eq!(got.status, StatusCode::OK);
+    }
+    world.platform.set(|faults| faults.turns_away.clear());
+    world.configure(2, 1_000_000, &["open", "cancel"]).await;
+    until_served(&world, &gateway, "/cancel/x").await;
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_settle_every_token_once() {
+    for late in [Duration::ZERO, Duration::from_millis(400)] {
+        let world = World::open(1_000_000, &["stream"]).await;
+        let _engine = world.endpoint("i-1", "engines", answers).await;
+        let gateway = world.gateway("box-1").await;
+        until_served(&world, &gateway, "/stream/x").await;
+        world.platform.set(|faults| (faults.lose_answers, faults.late) = (0.5, late));
+        for _ in 0..40 {
+            call(gateway.callers(), "/stream/x", &world.asked("key-b", 1_000, 10)).await;
+        }
+        world.platform.set(|faults| faults.lose_answers = 0.0);
+        let charged = gateway.metrics();
+        gateway.stop().await;
+        let line = charged.lines().find_map(|l| l.strip_prefix("flintstall_tokens_charged_total "));
+        let charged: u64 = line.expect("a counter").parse().expect("a number");
+        until("the last settlement landed", async || {
+            let book = objects::Store::get(world.platform.memory(), "books", "main").await;
+            let book = book.expect("memory answers").expect("a book").value;
+            let book: ledger::Book = serde_json::from_str(&book).expect("a book");
+            let of = &book.ledgers["bornova"];
+            of.statement.tokens == charged && of.spent == charged && of.grants.is_empty()
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_box_that_never_had_a_configuration_says_so() {
+    let world = World::open(1_000, &["open"]).await;
+    world.platform.set(|faults| faults.down = true);
+    let gateway = world.gateway("box-1").await;
+    let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(got.body.expect("a body").contains("no_config"));
+    let ready = reqwest::get(format!("http://{}/ready", gateway.ready())).await.expect("an answer");
+    assert_eq!(ready.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
--- /dev/null
+++ b/crates/gateway/tests/loopback/path.rs
@@ -0,0 +1,226 @@
+//! The whole way of a request, with real gateways over loopback.
+
+use std::time::Duration;
+
+use crate::world::{World, answers, call, finish, request, shared, until, until_served};
+use http::{HeaderMap, StatusCode};
+use platform::played;
+use standin::{Arrived, Reply};
+
+fn id_of(arrived: &Arrived) -> HeaderMap {
+    played::answered(&arrived.told.id, None)
+}
+
+#[tokio::test]
+async fn a_request_arrives_as_it_was_sent_and_its_answer_unchanged() {
+    let world = World::open(1_000_000, &["confirm", "open"]).await;
+    let endpoint = world.endpoint("i-1", "plain", answers).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let asked = world.asked("key-b", 5, 5);
+    let sent = played::forged().into_iter().fold(
+        request(gateway.callers(), "/confirm/a%20b?x=1&y", &asked),
+        |request, (name, value)| request.header(name, value),
+    );
+    let got = finish(sent.header("x-own", "kept").body("the body")).await;
+    assert_eq!((got.status, got.body.as_deref()), (StatusCode::OK, Ok("done")));
+    assert_eq!(played::signature(&got.headers).as_deref(), Some(&*asked.id));
+    let arrived = endpoint.arrived().pop().expect("it arrived");
+    assert_eq!(arrived.line, "POST /confirm/a%20b?x=1&y HTTP/1.1");
+    assert_eq!(arrived.body, b"the body");
+    assert_eq!(arrived.told.id, asked.id);
+    assert_eq!(arrived.told.customer.as_deref(), Some("bornova"), "not what the caller said");
+    assert_eq!(arrived.told.instance.as_deref(), Some("i-1"));
+    assert_eq!(arrived.told.key, None, "endpoints do not see keys");
+    let left = arrived.told.left.expect("a bound in time");
+    assert!(left <= Duration::from_secs(5), "the route's own bound is shorter: {left:?}");
+}
+
+#[tokio::test]
+async fn refusals_say_why() {
+    let world = World::open(1_000, &["confirm", "stream", "open"]).await;
+    let _plain = world.endpoint("i-1", "plain", answers).await;
+    let _engine = world.endpoint("i-2", "engines", answers).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let large = "x".repeat(70_000);
+    let cases = [
+        ("/nowhere/x", "key-b", 1, "", 404, "no_route"),
+        ("/confirm/x", "key-unknown", 1, "", 401, "no_customer"),
+        ("/stream/x", "key-b", 5_000, "", 402, "budget_exhausted"),
+        ("/confirm/x", "key-b", 1, &*large, 413, "too_large"),
+    ];
+    for (path, key, prompt, body, status, reason) in cases {
+        let asked = world.asked(key, prompt, 1);
+        let got = finish(request(gateway.callers(), path, &asked).body(body.to_owned())).await;
+        let text = got.body.expect("a body");
+        assert_eq!((got.status.as_u16(), text.contains(reason)), (status, true), "{path}: {text}");
+    }
+}
+
+#[tokio::test]
+async fn what_an_endpoint_does_decides_what_its_caller_hears() {
+    let declined = |arrived: &Arrived| {
+        let (status, headers) = played::declined(&arrived.told.id);
+        Reply::Whole(status, headers, String::new())
+    };
+    let foreign = |_: &Arrived| {
+        Reply::Whole(StatusCode::OK, played::answered("another", None), "not yours".into())
+    };
+    let failed = |arrived: &Arrived| {
+        Reply::Whole(StatusCode::INTERNAL_SERVER_ERROR, id_of(arrived), "failed".into())
+    };
+    type Script = Box<dyn Fn(&Arrived) -> Reply + Send + Sync>;
+    // The route, what the first endpoint does, what the caller gets, and how often it was sent.
+    let cases: Vec<(&str, &str, Script, u16, usize)> = vec![
+        ("declined, once only", "confirm", Box::new(declined), 503, 1),
+        ("declined, repeatable", "cancel", Box::new(declined), 200, 2),
+        ("no answer, once only", "confirm", Box::new(|_| Reply::Close), 502, 1),
+        ("no answer, repeatable", "cancel", Box::new(|_| Reply::Close), 200, 2),
+        ("another's answer, once only", "confirm", Box::new(foreign), 502, 1),
+        ("another's answer, repeatable", "cancel", Box::new(foreign), 200, 2),
+        ("failed, once only", "confirm", Box::new(failed), 500, 1),
+        ("failed, repeatable", "cancel", Box::new(failed), 200, 2),
+    ];
+    for (name, route, script, status, sent) in cases {
+        let world = World::open(1_000_000, &["confirm", "cancel", "open"]).await;
+        // Whichever endpoint is tried first does it; the next one answers.
+        let script = shared(move |arrived| match arrived.line.contains("/open/") {
+            true => answers(arrived),
+            false => script(arrived),
+        });
+        let first = world.endpoint("i-1", "plain", script).await;
+        let gateway = world.gateway("box-1").await;
+        until_served(&world, &gateway, "/open/x").await;
+        let second = match sent {
+            1 => None,
+            _ => Some(world.endpoint("i-2", "plain", answers).await),
+        };
+        if sent > 1 {
+            until("both are known", async || {
+                call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+                second.as_ref().is_some_and(|endpoint| !endpoint.arrived().is_empty())
+            })
+            .await;
+        }
+        let arrivals = || {
+            let all = first.arrived().into_iter().chain(second.iter().flat_map(|e| e.arrived()));
+            all.filter(|arrived| arrived.line.contains(&format!("/{route}/"))).count()
+        };
+        // The choice is random: ask until the first endpoint was the first to be tried.
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let (before, at_first) = (arrivals(), first.arrived().len());
+            let path = format!("/{route}/x");
+            let got = call(gateway.callers(), &path, &world.asked("key-b", 1, 1)).await;
+            if sent > 1 && first.arrived().len() == at_first && tries < 100 {
+                continue;
+            }
+            assert_eq!(got.status.as_u16(), status, "{name}: {got:?}");
+            assert_eq!(arrivals() - before, sent, "{name}");
+            let promised = got.status == StatusCode::SERVICE_UNAVAILABLE;
+            assert_eq!(got.headers.contains_key("retry-after"), promised, "{name}");
+            break;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_never_looks_whole() {
+    let events: Vec<String> = (1..4).map(|n| format!("id: {n}\ndata: x\n\n")).collect();
+    let whole = events.clone();
+    let script = move |arrived: &Arrived| match arrived.line.contains("torn") {
+        true => Reply::Torn(id_of(arrived), events.clone()),
+        false => Reply::Events(id_of(arrived), whole.clone(), Duration::ZERO),
+    };
+    let world = World::open(1_000_000, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", script).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/stream/x").await;
+    let got = call(gateway.callers(), "/stream/torn", &world.asked("key-b", 10, 90)).await;
+    assert!(got.body.is_err(), "the caller sees that it broke off: {got:?}");
+    let got = call(gateway.callers(), "/stream/x", &world.asked("key-b", 10, 90)).await;
+    assert_eq!(got.body.expect("a whole stream").matches("id:").count(), 3);
+    // The prompt and 3 events of 2 tokens; what broke off counts at its worst.
+    until("both are settled", async || {
+        let text = gateway.metrics();
+        let charged = text.lines().find_map(|l| l.strip_prefix("flintstall_tokens_charged_total "));
+        charged.and_then(|charged| charged.parse::<u64>().ok()).is_some_and(|sum| sum >= 116)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_request_at_the_endpoint() {
+    let world = World::open(1_000_000, &["confirm", "open"]).await;
+    let script = |arrived: &Arrived| match arrived.line.contains("/confirm/") {
+        true => Reply::Silent,
+        false => answers(arrived),
+    };
+    let endpoint = world.endpoint("i-1", "plain", script).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let closed = endpoint.closed();
+    let sending = request(gateway.callers(), "/confirm/x", &world.asked("key-b", 1, 1)).send();
+    let left = tokio::time::timeout(Duration::from_millis(300), sending).await;
+    assert!(left.is_err(), "the endpoint never answers");
+    until("the endpoint sees it", async || endpoint.closed() > closed).await;
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_new_work() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let old = world.endpoint("i-1", "plain", answers).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let new = world.endpoint("i-2", "plain", answers).await;
+    world.list("i-1", "plain", old.address(), false).await;
+    let mut quiet = 0;
+    until("only the new one is used", async || {
+        let before = old.arrived().len();
+        call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        quiet = if old.arrived().len() == before { quiet + 1 } else { 0 };
+        quiet > 20
+    })
+    .await;
+    assert!(new.arrived().len() > 20);
+    world.unlist("i-2").await;
+    until("nobody is left", async || {
+        let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        got.status == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_finishes_streams_and_returns_all_tokens() {
+    let events: Vec<String> = (0..20).map(|n| format!("id: {n}\ndata: x\n\n")).collect();
+    let script = move |arrived: &Arrived| {
+        Reply::Events(id_of(arrived), events.clone(), Duration::from_millis(30))
+    };
+    let world = World::open(100_000, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", script).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/stream/x").await;
+    let (callers, ready) = (gateway.callers(), gateway.ready());
+    let asked = world.asked("key-b", 100, 100);
+    let stream = tokio::spawn(async move { call(callers, "/stream/x", &asked).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let stop = tokio::spawn(gateway.stop());
+    until("it calls itself not ready", async || {
+        let asked = reqwest::get(format!("http://{ready}/ready")).await;
+        asked.map_or(true, |answer| answer.status() == StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await;
+    let got = stream.await.expect("no panic");
+    assert_eq!(got.body.expect("a whole stream").matches("id:").count(), 20);
+    stop.await.expect("it stops");
+    let book = objects::Store::get(world.platform.memory(), "books", "main").await;
+    let book = book.expect("memory answers").expect("a book").value;
+    let book: ledger::Book = serde_json::from_str(&book).expect("a book");
+    let of = &book.ledgers["bornova"];
+    assert!(book.writers.is_empty() && of.grants.is_empty(), "{book:?}");
+    assert_eq!((of.lost, of.spent, of.statement.tokens), (0, of.spent, of.spent));
+    assert!(of.spent >= 140, "100 of the prompt and 20 events of 2 tokens");
+}
--- /dev/null
+++ b/crates/gateway/tests/loopback/world.rs
@@ -0,0 +1,179 @@
+//! Real gateways between the stand-in store, scripted endpoints and a caller.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use gateway::{Gateway, Settings};
+use http::{HeaderMap, StatusCode};
+use objects::{Expect, Store};
+use platform::{
+    played::{self, Asked},
+    request::Tokens,
+};
+use standin::{Arrived, Link, Platform, Reply, Scripted};
+
+/// Longest that anything waits here; reached only when a test fails.
+pub const BOUND: Duration = Duration::from_secs(20);
+
+/// The store, and what writes to it as the operator and the endpoints do.
+pub struct World {
+    pub platform: Platform,
+    ids: AtomicU64,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Got {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// The body, or why it broke off.
+    pub body: Result<String, String>,
+}
+
+impl World {
+    /// A store with a configuration in which each customer has paid this much.
+    pub async fn open(paid: u64, routes: &[&str]) -> World {
+        let world = World { platform: Platform::spawn(1).await, ids: AtomicU64::new(1) };
+        world.configure(1, paid, routes).await;
+        world
+    }
+
+    /// Writes an object whatever its version.
+    async fn write(&self, kind: &str, name: &str, value: String) {
+        let memory = self.platform.memory();
+        let expect = match memory.get(kind, name).await.expect("memory answers") {
+            Some(object) => Expect::Version(object.version),
+            None => Expect::Absent,
+        };
+        memory.put(kind, name, value, expect).await;
+    }
+
+    /// Writes a version of the configuration.
+    pub async fn configure(&self, version: u64, paid: u64, routes: &[&str]) {
+        let (kind, name) = platform::CONFIG;
+        self.write(kind, name, played::config(version, paid, routes)).await;
+    }
+
+    /// Writes the entry of an endpoint.
+    pub async fn list(&self, id: &str, service: &str, address: SocketAddr, ready: bool) {
+        self.write(platform::ENDPOINTS, id, played::entry(service, address, ready)).await;
+    }
+
+    /// Removes the entry of an endpoint.
+    pub async fn unlist(&self, id: &str) {
+        let memory = self.platform.memory();
+        let found = memory.get(platform::ENDPOINTS, id).await.expect("memory answers");
+        let version = found.expect("it is listed").version;
+        memory.delete(platform::ENDPOINTS, id, version).await;
+    }
+
+    /// Starts an endpoint and lists it.
+    pub async fn endpoint(
+        &self,
+        id: &str,
+        service: &str,
+        script: impl Fn(&Arrived) -> Reply + Send + Sync + 'static,
+    ) -> Scripted {
+        let endpoint = Scripted::spawn(script).await;
+        self.list(id, service, endpoint.address(), true).await;
+        endpoint
+    }
+
+    /// Starts a gateway that reaches the store directly.
+    pub async fn gateway(&self, name: &str) -> Gateway {
+        self.gateway_at(name, self.platform.socket()).await
+    }
+
+    /// Starts a gateway that reaches the store through a link that can be cut.
+    pub async fn cut_gateway(&self, name: &str) -> (Gateway, Link) {
+        let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
+        (self.gateway_at(name, link.address()).await, link)
+    }
+
+    async fn gateway_at(&self, name: &str, store: SocketAddr) -> Gateway {
+        let text = format!(
+            r#"{{
+                "box": "{name}", "zone": "z1",
+                "listen": {{
+                    "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+                    "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
+                }},
+                "store": {{ "address": "{store}", "timeout_ms": 300 }},
+                "limits": {{ "notice_ms": 200, "stop_ms": 5000 }},
+            }}"#
+        );
+        let settings = Settings::read(&text).expect("valid settings");
+        let seed = self.ids.fetch_add(1, Ordering::Relaxed);
+        Gateway::spawn(settings, seed).await.expect("it starts")
+    }
+
+    /// A fresh request of a customer that costs tokens.
+    pub fn asked(&self, key: &str, prompt: u64, most_output: u64) -> Asked {
+        Asked {
+            id: format!("try-{}", self.ids.fetch_add(1, Ordering::Relaxed)),
+            key: Some(key.to_owned()),
+            deadline: Some(Duration::from_secs(10)),
+            tokens: Some(Tokens { prompt, most_output }),
+            parts: Vec::new(),
+        }
+    }
+}
+
+/// A request on its way.
+pub fn request(address: SocketAddr, path: &str, asked: &Asked) -> reqwest::RequestBuilder {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let request = client.post(format!("http://{address}{path}")).header("host", "desk.example");
+    asked.headers().into_iter().fold(request, |request, (name, value)| request.header(name, value))
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn call(address: SocketAddr, path: &str, asked: &Asked) -> Got {
+    finish(request(address, path, asked).body("a body")).await
+}
+
+/// Sends a request that was prepared and reads the whole answer.
+pub async fn finish(request: reqwest::RequestBuilder) -> Got {
+    let answer = tokio::time::timeout(BOUND, request.send()).await.expect("an answer in time");
+    let answer = answer.expect("an answer");
+    let (status, headers) = (answer.status(), answer.headers().clone());
+    let body = answer.text().await.map_err(|error| error.to_string());
+    Got { status, headers, body }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(BOUND, wait).await.unwrap_or_else(|_| panic!("{what}"));
+}
+
+/// Waits until a route is served, so that configuration and endpoints are known.
+pub async fn until_served(world: &World, gateway: &Gateway, path: &str) {
+    until("the route is served", async || {
+        let asked = world.asked("key-b", 1, 1);
+        call(gateway.callers(), path, &asked).await.status == StatusCode::OK
+    })
+    .await;
+}
+
+/// An endpoint that answers every request whole.
+pub fn answers(arrived: &Arrived) -> Reply {
+    Reply::Whole(StatusCode::OK, played::answered(&arrived.told.id, None), "done".into())
+}
+
+/// The same script for several endpoints.
+pub fn shared(
+    script: impl Fn(&Arrived) -> Reply + Send + Sync + 'static,
+) -> impl Fn(&Arrived) -> Reply + Clone + Send + Sync + 'static {
+    let script = Arc::new(script);
+    move |arrived: &Arrived| script(arrived)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,12 +4,13 @@
 //! they run, and count the truth that experiments are judged by. They are no simulator: time is
 //! real, and the router code that talks to them is the code that ships.
 
+mod api;
 mod batch;
 mod cache;
 mod engine;
 mod link;
+mod scripted;
 
-mod api;
 mod serve;
 mod service;
 mod store;
@@ -18,6 +19,7 @@
 pub use batch::Speed;
 pub use engine::{Engine, Fault, Run, Settings, Truth};
 pub use link::Link;
+pub use scripted::{Arrived, Reply, Scripted};
 pub use serve::Server;
 pub use service::{Execution, Service};
 pub use store::{Memory, Usage};
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -23,11 +23,14 @@
     cut: bool,
     blocked: HashSet<IpAddr>,
     target: Option<SocketAddr>,
+    /// Connections opened before this count was reached carry nothing more.
+    lost: u64,
 }
 
 impl Gate {
-    fn passes(&self, source: IpAddr) -> bool {
-        !self.cut && !self.blocked.contains(&source) && self.target.is_some()
+    fn passes(&self, source: IpAddr, opened: u64) -> bool {
+        let open = !self.cut && !self.blocked.contains(&source) && self.target.is_some();
+        open && opened >= self.lost
     }
 }
 
@@ -75,6 +78,11 @@
         self.gate.send_modify(|gate| gate.cut = cut);
     }
 
+    /// Lets the connections that are open now hang for ever; new ones work.
+    pub fn lose_open(&self) {
+        self.gate.send_modify(|gate| gate.lost += 1);
+    }
+
     /// Stops all bytes of connections from one IP number, or lets them pass again.
     pub fn set_blocked(&self, source: IpAddr, blocked: bool) {
         self.gate.send_modify(|gate| {
@@ -98,16 +106,16 @@
     delay: Duration,
     mut gate: watch::Receiver<Gate>,
 ) {
-    let Ok(target) = gate.wait_for(|gate| gate.passes(source)).await.map(|gate| gate.target) else {
-        return;
-    };
+    let opened = gate.borrow().lost;
+    let passed = gate.wait_for(|gate| gate.passes(source, opened)).await;
+    let Ok(target) = passed.map(|gate| gate.target) else { return };
     let Some(target) = target else { return };
     let Ok(far) = TcpStream::connect(target).await else { return };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = copy(near_read, far_write, delay, source, gate.clone());
-    let back = copy(far_read, near_write, delay, source, gate);
+    let there = copy(near_read, far_write, delay, source, opened, gate.clone());
+    let back = copy(far_read, near_write, delay, source, opened, gate);
     tokio::join!(there, back);
 }
 
@@ -116,6 +124,7 @@
     mut to: impl AsyncWriteExt + Unpin,
     delay: Duration,
     source: IpAddr,
+    opened: u64,
     mut gate: watch::Receiver<Gate>,
 ) {
     let mut buffer = vec![0; CHUNK];
@@ -126,7 +135,7 @@
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        let _ = gate.wait_for(|gate| gate.passes(source)).await;
+        let _ = gate.wait_for(|gate| gate.passes(source, opened)).await;
         if to.write_all(&buffer[..read]).await.is_err() {
             break;
         }
--- /dev/null
+++ b/crates/standin/src/scripted.rs
@@ -0,0 +1,221 @@
+//! An endpoint that answers each request as a script says, also in ways that break the protocol.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{HeaderMap, StatusCode};
+use parking_lot::Mutex;
+use platform::played::Told;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// Largest head that is read, in bytes.
+const MOST_HEAD: usize = 64 << 10;
+
+/// A request as it arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrived {
+    /// Method and path.
+    pub line: String,
+    /// What the router said about it.
+    pub told: Told,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Number of the connection that it came on.
+    pub connection: usize,
+}
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// Answers whole, with a length.
+    Whole(StatusCode, HeaderMap, String),
+    /// Answers whole, and sends this after it.
+    Extra(StatusCode, HeaderMap, String, String),
+    /// Answers without a length and closes.
+    Unframed(HeaderMap, String),
+    /// Answers without a length and resets the connection.
+    UnframedReset(HeaderMap, String),
+    /// Sends events with pauses between them, in chunks.
+    Events(HeaderMap, Vec<String>, Duration),
+    /// Sends some events and closes without the end.
+    Torn(HeaderMap, Vec<String>),
+    /// Closes without an answer.
+    Close,
+    /// Reads on and never answers.
+    Silent,
+}
+
+type Script = dyn Fn(&Arrived) -> Reply + Send + Sync;
+
+#[derive(Default)]
+struct Seen {
+    arrived: Vec<Arrived>,
+    connections: usize,
+    closed: usize,
+}
+
+/// A running endpoint on loopback; it ends when dropped.
+pub struct Scripted {
+    address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+    task: JoinHandle<()>,
+}
+
+impl Scripted {
+    /// Binds a free loopback port and answers as `script` says.
+    pub async fn spawn(script: impl Fn(&Arrived) -> Reply + Send + Sync + 'static) -> Scripted {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let (script, shared): (Arc<Script>, _) = (Arc::new(script), seen.clone());
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, script.clone(), shared.clone()));
+            }
+        });
+        Scripted { address, seen, task }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Every request that arrived, in order.
+    pub fn arrived(&self) -> Vec<Arrived> {
+        self.seen.lock().arrived.clone()
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.seen.lock().connections
+    }
+
+    /// Connections that the other side closed.
+    pub fn closed(&self) -> usize {
+        self.seen.lock().closed
+    }
+}
+
+impl Drop for Scripted {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Mutex<Seen>>) {
+    let _ = stream.set_nodelay(true);
+    let connection = {
+        let mut seen = seen.lock();
+        seen.connections += 1;
+        seen.connections
+    };
+    let mut buffer = Vec::new();
+    while let Some(arrived) = read(&mut stream, &mut buffer, connection).await {
+        let reply = script(&arrived);
+        seen.lock().arrived.push(arrived);
+        if !answer(&mut stream, reply).await {
+            break;
+        }
+    }
+    seen.lock().closed += 1;
+}
+
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>, connection: usize) -> Option<Arrived> {
+    let end = loop {
+        let found = buffer.windows(4).position(|window| window == b"\r\n\r\n");
+        match found {
+            Some(at) => break at + 4,
+            None if buffer.len() > MOST_HEAD => return None,
+            None if stream.read_buf(buffer).await.ok()? == 0 => return None,
+            None => {}
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    let mut lines = head.lines();
+    let line = lines.next()?.to_owned();
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        let name: http::HeaderName = name.trim().parse().ok()?;
+        headers.append(name, value.trim().parse().ok()?);
+    }
+    let length = headers.get(http::header::CONTENT_LENGTH);
+    let length: usize = length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+    while buffer.len() < end + length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let body = buffer[end..end + length].to_vec();
+    buffer.drain(..end + length);
+    Some(Arrived { line, told: Told::read(&headers), body, connection })
+}
+
+fn head(status: StatusCode, headers: &HeaderMap, framing: &str) -> String {
+    let mut text = format!("HTTP/1.1 {status}\r\n{framing}");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap_or_default()));
+    }
+    text + "\r\n"
+}
+
+fn whole(status: StatusCode, headers: &HeaderMap, body: &str) -> String {
+    head(status, headers, &format!("content-length: {}\r\n", body.len())) + body
+}
+
+fn chunk(event: &str) -> String {
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+/// Sends a reply; whether the connection goes on.
+async fn answer(stream: &mut TcpStream, reply: Reply) -> bool {
+    const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+    match reply {
+        Reply::Whole(status, headers, body) => {
+            stream.write_all(whole(status, &headers, &body).as_bytes()).await.is_ok()
+        }
+        Reply::Extra(status, headers, body, extra) => {
+            let bytes = whole(status, &headers, &body) + &extra;
+            stream.write_all(bytes.as_bytes()).await.is_ok()
+        }
+        Reply::Unframed(headers, body) => {
+            let bytes = head(StatusCode::OK, &headers, "") + &body;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            false
+        }
+        Reply::UnframedReset(headers, body) => {
+            let bytes = head(StatusCode::OK, &headers, "") + &body;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            false
+        }
+        Reply::Events(headers, events, pause) => {
+            let mut bytes = head(StatusCode::OK, &headers, CHUNKED);
+            for event in events {
+                bytes.push_str(&chunk(&event));
+                if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    return false;
+                }
+                bytes.clear();
+                tokio::time::sleep(pause).await;
+            }
+            stream.write_all(b"0\r\n\r\n").await.is_ok()
+        }
+        Reply::Torn(headers, events) => {
+            let chunks: String = events.iter().map(|event| chunk(event)).collect();
+            let bytes = head(StatusCode::OK, &headers, CHUNKED) + &chunks;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            false
+        }
+        Reply::Close => false,
+        Reply::Silent => {
+            let mut rest = Vec::new();
+            while matches!(stream.read_buf(&mut rest).await, Ok(read) if read > 0) {}
+            false
+        }
+    }
+}
