Engines are chosen by what is to be read there, not by requests under way

An engine's step hardly depends on how many requests it answers, but 9,000 tokens of prompt delay everything beside them by 240 ms; the cost of a choice weighed one request under way like 2,000 tokens, so prompts left the engines that held their shared part whenever a few more answers ran there. Change: backlog (own prompts not yet read, others' by the reported queue, fading with age), 0.05 for a request under way, the same home for a shared part on every box. Ruled out: priorities (the late ones were of all kinds).

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -16,6 +16,9 @@
 const EJECT_MOST_MS: u64 = 30_000;
 /// A new endpoint gets a growing share for this long, in milliseconds.
 const SLOW_START_MS: u64 = 5_000;
+/// A reported queue fades to a third in this time, in milliseconds: about what an engine needs to
+/// read a long prompt.
+const BACKLOG_MS: f64 = 300.0;
 /// Age at which a report counts for nothing, in milliseconds.
 const REPORT_MOST_MS: u64 = 15_000;
 
@@ -59,6 +62,9 @@
     failures: u32,
     ejected_until: u64,
     new_since: Option<u64>,
+    /// Requests of this box whose answer has not begun, and what of their prompts is to be read.
+    unanswered: u32,
+    unread: u64,
 }
 
 /// What others should know of an endpoint.
@@ -84,6 +90,8 @@
             failures: 0,
             ejected_until: 0,
             new_since: (!warm).then_some(now),
+            unanswered: 0,
+            unread: 0,
         }
     }
 
@@ -93,6 +101,29 @@
         self.sample(now);
     }
 
+    /// A request was sent of whose prompt this much is to be read.
+    pub fn read(&mut self, size: u64) {
+        self.unanswered += 1;
+        self.unread += size;
+    }
+
+    /// Its answer began, or it ended without one.
+    pub fn has_read(&mut self, size: u64) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        self.unread = self.unread.saturating_sub(size);
+    }
+
+    /// Size of prompts that are to be read before a new one: those of this box, and for each
+    /// request of others that waits there a `typical` one. What was reported fades with its age.
+    pub fn backlog(&self, typical: f64, now: u64) -> f64 {
+        let others = self.report.map_or(0.0, |report| {
+            let waiting = f64::from(report.waiting.saturating_sub(self.unanswered));
+            let age = now.saturating_sub(report.at) as f64;
+            waiting * (-age / BACKLOG_MS).exp()
+        });
+        self.unread as f64 + others * typical
+    }
+
     /// A request ended.
     pub fn end(&mut self, now: u64, failure: Option<Failure>) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -13,6 +13,8 @@
     /// Prompt to prefill that weighs as much as one request under way, in the unit of the
     /// prefixes.
     pub size_per_request: f64,
+    /// Weight of a request under way, beside prompts that are to be read.
+    pub under_way: f64,
     /// Requests under way that another availability zone weighs.
     pub other_zone: f64,
     /// Load above the pool's mean at which a cached prompt no longer counts, as a factor.
@@ -28,6 +30,7 @@
     fn default() -> Weights {
         Weights {
             size_per_request: 1_024.0,
+            under_way: 1.0,
             other_zone: 1.0,
             bounded_load: 1.5,
             draws: 2,
@@ -54,15 +57,20 @@
     prefixes: Prefixes,
     weights: Weights,
     zone: Arc<str>,
+    /// Mean size of what was to be read of a prompt.
+    typical: f64,
 }
 
+/// Gain of the mean size of prompts that are to be read: the last twenty or so count.
+const TYPICAL_GAIN: f64 = 0.05;
 /// Prompt blocks remembered by pool.
 const PREFIX_BLOCKS: usize = 65_536;
 
 impl Pool {
     /// An empty pool seen from a box in `zone`.
     pub fn new(zone: Arc<str>, weights: Weights) -> Pool {
-        Pool { endpoints: Vec::new(), prefixes: Prefixes::new(PREFIX_BLOCKS), weights, zone }
+        let prefixes = Prefixes::new(PREFIX_BLOCKS);
+        Pool { endpoints: Vec::new(), prefixes, weights, zone, typical: 0.0 }
     }
 
     /// Takes over the pool's list; known endpoints keep their state.
@@ -157,8 +165,9 @@
         let held = self.prefixes.held(prefix, &endpoint.name).max(assumed);
         let missing = prefix.size().saturating_sub(held);
         let away = if endpoint.zone == self.zone { 0.0 } else { self.weights.other_zone };
-        let cost = (load + 1.0) * endpoint.slow_start(now)
-            + missing as f64 / self.weights.size_per_request
+        let backlog = endpoint.backlog(self.typical, now);
+        let cost = (load + 1.0) * self.weights.under_way * endpoint.slow_start(now)
+            + (missing as f64 + backlog) / self.weights.size_per_request
             + away;
         (cost, Choice { name: endpoint.name.clone(), held, load })
     }
@@ -171,6 +180,23 @@
         }
     }
 
+    /// An endpoint that holds `held` of a prompt has the rest of it to read; returns how much.
+    pub fn read(&mut self, name: &str, prefix: &Prefix, held: u64) -> u64 {
+        let missing = prefix.size().saturating_sub(held);
+        self.typical += (missing as f64 - self.typical) * TYPICAL_GAIN;
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.read(missing);
+        }
+        missing
+    }
+
+    /// The answer of a request began, or it ended without one.
+    pub fn has_read(&mut self, name: &str, missing: u64) {
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.has_read(missing);
+        }
+    }
+
     /// A request ended.
     pub fn end(&mut self, name: &str, failure: Option<Failure>, now: u64) {
         if let Some(endpoint) = self.get_mut(name) {
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -101,3 +101,52 @@
         prop_assert_eq!(load, f64::from(before + 3 + after));
     }
 }
+
+#[test]
+fn an_engine_with_a_long_prompt_to_read_is_avoided() {
+    let weights =
+        Weights { size_per_request: 2_000.0, under_way: 0.05, draws: 9, ..Weights::default() };
+    let mut pool = Pool::new("z1".into(), weights);
+    pool.update(["e1", "e2"].map(|name| (name.into(), "z1".into())), 0);
+    let long = Prefix::of_parts([(1, 30_000)]);
+    let short = Prefix::of_parts([(2, 500)]);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    pool.start(&"e1".into(), &long, 0);
+    let unread = pool.read("e1", &long, 0);
+    // Many answers under way cost less than one long prompt.
+    for _ in 0..8 {
+        pool.start(&"e2".into(), &Prefix::default(), 0);
+    }
+    let mut choose = |pool: &Pool| pool.choose(&short, &[], 0, &mut random).expect("one").name;
+    assert!((0..20).all(|_| &*choose(&pool) == "e2"), "e1 has a long prompt to read");
+    pool.has_read("e1", unread);
+    assert!(
+        (0..20).all(|_| &*choose(&pool) == "e1"),
+        "it has read it, and less is under way there"
+    );
+    // Another box's request waits there: it counts as a typical one, less as the report ages.
+    pool.report("e1", Report { at: 0, running: 1, waiting: 1, slots: 64 });
+    assert!((0..20).all(|_| &*choose(&pool) == "e2"), "others have something to read at e1");
+}
+
+#[test]
+fn a_shared_part_has_the_same_home_on_every_box() {
+    let weights =
+        Weights { size_per_request: 2_000.0, under_way: 0.05, homes: 1, ..Weights::default() };
+    let names: Vec<String> = (0..9).map(|n| format!("e{n}")).collect();
+    let pools = [1, 2].map(|seed| {
+        let mut pool = Pool::new("z1".into(), weights);
+        pool.update(names.iter().map(|name| ((&**name).into(), "z1".into())), 0);
+        (pool, ChaCha8Rng::seed_from_u64(seed))
+    });
+    let mut homes = std::collections::HashSet::new();
+    let [(one, mut first), (two, mut second)] = pools;
+    for part in 0..40 {
+        let of = |own| Prefix::of_parts([(7, 2_000), (100 + part, 4_000), (own, 900)]);
+        let here = one.choose(&of(1), &[], 0, &mut first).expect("one").name;
+        let there = two.choose(&of(2), &[], 0, &mut second).expect("one").name;
+        assert_eq!(here, there, "part {part}");
+        homes.insert(here);
+    }
+    assert!(homes.len() >= 7, "the parts are spread: {homes:?}");
+}
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! The choice of an endpoint for one try, and what is learned from how it went.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
@@ -18,6 +18,17 @@
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
 /// everything beside them by ten steps.
 const TOKENS_PER_REQUEST: f64 = 2_000.0;
+/// Weight of a request that an engine is answering: one more in a batch makes a step longer by
+/// less than a hundredth.
+const UNDER_WAY: f64 = 0.05;
+/// Another availability zone weighs as much as this many tokens of prompt would, in requests: the
+/// way there takes half a millisecond, the time to read 20 tokens.
+const OTHER_ZONE: f64 = 0.02;
+/// Requests at an engine, as a multiple of the mean, above which a prompt that it holds does not
+/// count any more.
+const BOUNDED_LOAD: f64 = 3.0;
+/// Endpoints drawn at random to compare, where prompts make the difference.
+const DRAWS: usize = 4;
 /// Endpoints that a shared part of a prompt hashes to: one, and another for when it is busy.
 const HOMES: usize = 2;
 
@@ -67,12 +78,16 @@
     /// Takes over who takes work; returns the addresses that are of no more use.
     pub fn update(&self, directory: &Directory) -> Vec<SocketAddr> {
         let now = self.now();
+        let mut engines: HashSet<Arc<str>> = HashSet::new();
         let mut listed: BTreeMap<Arc<str>, Vec<Placed>> = BTreeMap::new();
         let mut addresses = HashMap::new();
         for (id, entry) in directory.ready() {
             let of = listed.entry(entry.service.clone()).or_default();
             of.push((id.clone(), entry.zone.clone()));
             addresses.insert(id.clone(), entry.address);
+            if entry.engine {
+                engines.insert(entry.service.clone());
+            }
         }
         let state = &mut *self.state.lock();
         for (service, pool) in &mut state.services {
@@ -82,12 +97,8 @@
         }
         for (service, mut list) in listed {
             list.sort();
-            let weights = Weights {
-                size_per_request: TOKENS_PER_REQUEST,
-                homes: HOMES,
-                ..Weights::default()
-            };
-            let fresh = || Pool::new(self.zone.clone(), weights);
+            let engines = engines.contains(&service);
+            let fresh = || Pool::new(self.zone.clone(), weights(engines));
             state.services.entry(service).or_insert_with(fresh).update(list, now);
         }
         let gone = |address: &SocketAddr| !addresses.values().any(|kept| kept == address);
@@ -106,11 +117,19 @@
         Some(Chosen { id: choice.name, address, held: choice.held, load: choice.load })
     }
 
-    /// A request goes to an endpoint.
-    pub fn start(&self, service: &str, id: &Arc<str>, prefix: &Prefix) {
+    /// A request goes to an endpoint; returns how much of its prompt is to be read there.
+    pub fn start(&self, service: &str, chosen: &Chosen, prefix: &Prefix) -> u64 {
         let now = self.now();
+        let mut state = self.state.lock();
+        let Some(pool) = state.services.get_mut(service) else { return 0 };
+        pool.start(&chosen.id, prefix, now);
+        pool.read(&chosen.id, prefix, chosen.held)
+    }
+
+    /// The answer of a request began, or it ended without one.
+    pub fn has_read(&self, service: &str, id: &str, missing: u64) {
         if let Some(pool) = self.state.lock().services.get_mut(service) {
-            pool.start(id, prefix, now);
+            pool.has_read(id, missing);
         }
     }
 
@@ -136,3 +155,18 @@
         self.state.lock().services.get(service).map_or(0, |pool| pool.endpoints().len())
     }
 }
+
+/// What weighs how much: at engines the prompts to be read, elsewhere the requests under way.
+fn weights(engines: bool) -> Weights {
+    match engines {
+        false => Weights::default(),
+        true => Weights {
+            size_per_request: TOKENS_PER_REQUEST,
+            under_way: UNDER_WAY,
+            other_zone: OTHER_ZONE,
+            bounded_load: BOUNDED_LOAD,
+            draws: DRAWS,
+            homes: HOMES,
+        },
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -333,8 +333,7 @@
             sent_before = trip.sent,
         );
         let endpoints = self.endpoints.clone();
-        let mut flight =
-            Flight::start(endpoints, call.service.clone(), chosen.id.clone(), &call.prefix);
+        let mut flight = Flight::start(endpoints, call.service.clone(), chosen, &call.prefix);
         // From here on the endpoint may have it, also when this future is dropped.
         let (had_run, had_sent) = (trip.may_have_run, trip.sent);
         (trip.may_have_run, trip.sent) = (true, trip.sent + 1);
@@ -395,6 +394,7 @@
             return Try::Unknown(Reason::Lost.with(format!("the endpoint failed with {status}")));
         }
         trip.first_byte = Some(trip.came.elapsed());
+        flight.begin();
         Try::Answer(Box::new(answer), flight)
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use tokio::time::Sleep;
 
 use crate::{
-    endpoints::Endpoints,
+    endpoints::{Chosen, Endpoints},
     meter::Meter,
     trip::{End, Trip},
 };
@@ -36,6 +36,8 @@
     endpoints: Arc<Endpoints>,
     service: Arc<str>,
     endpoint: Arc<str>,
+    /// What of its prompt the endpoint has to read, until the answer begins.
+    unread: Option<u64>,
     failure: Option<Failure>,
 }
 
@@ -44,11 +46,18 @@
     pub fn start(
         endpoints: Arc<Endpoints>,
         service: Arc<str>,
-        endpoint: Arc<str>,
+        chosen: &Chosen,
         prefix: &balance::Prefix,
     ) -> Flight {
-        endpoints.start(&service, &endpoint, prefix);
-        Flight { endpoints, service, endpoint, failure: None }
+        let unread = Some(endpoints.start(&service, chosen, prefix));
+        Flight { endpoints, service, endpoint: chosen.id.clone(), unread, failure: None }
+    }
+
+    /// Its answer began.
+    pub fn begin(&mut self) {
+        if let Some(unread) = self.unread.take() {
+            self.endpoints.has_read(&self.service, &self.endpoint, unread);
+        }
     }
 
     /// It failed there.
@@ -59,6 +68,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.begin();
         self.endpoints.end(&self.service, &self.endpoint, self.failure);
     }
 }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -235,6 +235,9 @@
                 need = item.need,
                 target = granted.target,
                 unspent = granted.unspent,
+                left = granted.left,
+                used = granted.used,
+                lost = granted.lost,
                 transfers = item.transfers.len(),
             );
         }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -89,9 +89,10 @@
     pub unspent: u64,
     /// Tokens that nobody holds.
     pub left: u64,
-    /// Tokens that the customer is certain to have used; the rest of what counts as spent was
-    /// lost with boxes that died.
+    /// Tokens that the customer is certain to have used.
     pub used: u64,
+    /// Tokens that count as spent because boxes died with them.
+    pub lost: u64,
 }
 
 impl Book {
@@ -191,6 +192,7 @@
         unspent,
         left: ledger.left().min(unspent),
         used: ledger.spent - ledger.lost,
+        lost: ledger.lost,
     }
 }
 
