--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -358,10 +358,10 @@
             let to_me = item.transfers.iter().filter(|transfer| transfer.to == settlement.holder);
             let told: u64 = to_me.map(|transfer| transfer.tokens).sum();
             let brought = granted.iter().find(|granted| granted.customer == item.customer);
-            let short = brought.is_none_or(|granted| granted.tokens < item.need);
+            let short = brought.is_none_or(|granted| granted.tokens < item.need());
             if let Some(purse) = state.purses.get_mut(&item.customer) {
                 purse.received -= told;
-                let dry = item.need > 0 && short;
+                let dry = item.need() > 0 && short;
                 purse.dry_times = if dry { purse.dry_times + 1 } else { 0 };
                 let rest = DRY * 2u32.pow(purse.dry_times.saturating_sub(1).min(DRY_DOUBLINGS));
                 purse.dry_until = dry.then(|| Instant::now() + rest);
@@ -418,7 +418,7 @@
             requests: std::mem::take(&mut self.requests),
             returned,
             free,
-            need: self.waiting.saturating_sub(free),
+            waiting: self.waiting,
             transfers: std::mem::take(&mut self.transfers),
             observed: Observed {
                 rate: self.rate.per_second(now),
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -20,6 +20,8 @@
 
 /// Kind and name of the object that holds the book.
 pub const BOOK: (&str, &str) = ("books", "main");
+/// Time between two log lines on the calls of the store.
+const TELL: Duration = Duration::from_secs(10);
 /// First pause after a call that failed; doubles up to [`PAUSE_MOST`].
 const PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two calls while the store does not answer.
@@ -90,10 +92,15 @@
 
     /// Settles as need arises, for as long as the box runs.
     pub async fn run(&mut self) {
+        let mut told = Instant::now();
         self.settle(false).await;
         self.wait(REGISTER).await;
         loop {
             self.settle(false).await;
+            if told.elapsed() >= TELL {
+                told = Instant::now();
+                report_calls(&self.store);
+            }
             let spacing = Duration::from_millis(self.money.spacing_ms);
             let settle = Duration::from_millis(self.money.settle_ms);
             let began = Instant::now();
@@ -216,12 +223,22 @@
     }
 }
 
+/// One line on the calls that this process made so far, by purpose.
+fn report_calls(store: &Client) {
+    let calls = store.calls().snapshot();
+    let calls: Vec<String> = calls
+        .iter()
+        .map(|((operation, kind), count)| format!("{operation:?} {kind}: {}", count.calls))
+        .collect();
+    tracing::info!(event = "store_calls", calls = calls.join(", "));
+}
+
 fn report(settlement: &Settlement, granted: &[Granted]) {
     for (item, granted) in settlement.items.iter().zip(granted) {
         let changed = item.charged > 0
             || granted.tokens > 0
             || item.returned > 0
-            || item.need > 0
+            || item.waiting > 0
             || !item.transfers.is_empty();
         if changed {
             tracing::info!(
@@ -232,7 +249,7 @@
                 granted = granted.tokens,
                 returned = item.returned,
                 free = item.free,
-                need = item.need,
+                need = item.need(),
                 target = granted.target,
                 unspent = granted.unspent,
                 left = granted.left,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -55,14 +55,21 @@
     pub returned: u64,
     /// Free tokens that the box still holds.
     pub free: u64,
-    /// Tokens that waiting requests lack.
-    pub need: u64,
+    /// Worst cases of requests that wait because the free tokens are not enough.
+    pub waiting: u64,
     /// Tokens passed on to or received from other boxes since the last settlement that landed.
     pub transfers: Vec<Transfer>,
     /// Use as the box saw it; what is unspent is filled in from the ledger.
     pub observed: Observed,
 }
 
+impl Item {
+    /// Tokens that the waiting requests lack.
+    pub fn need(&self) -> u64 {
+        self.waiting.saturating_sub(self.free)
+    }
+}
+
 /// One write of a box.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settlement {
@@ -171,12 +178,14 @@
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
     let part = portion(ledger, holder, item, policy);
     let target = target(unspent, ledger.paid_wanted, part, item.observed, policy);
-    // Before the others are known, a box takes only what waiting requests lack.
-    let wish = if first { 0 } else { target.saturating_sub(item.free) };
     let left = (ledger.left() + item.returned).min(unspent);
     // What cannot pay for the waiting requests stays for smaller ones, wherever they come.
-    let need = if item.need <= left { item.need } else { 0 };
-    let tokens = if settlement.leaves { 0 } else { wish.max(need).min(left) };
+    let need = item.need();
+    let waiting = if need <= left { item.waiting } else { 0 };
+    // Before the others are known, a box takes only what waiting requests lack.
+    let target_now = if first { 0 } else { target };
+    let wish = (target_now + waiting).saturating_sub(item.free);
+    let tokens = if settlement.leaves { 0 } else { wish.min(left) };
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
     if let Some(grant) = ledger.grants.get_mut(holder) {
