Bills page by page, and an audit of book and bills

Each request that cost tokens goes on one page named by incarnation and number, which is only ever created; a box that loses power loses the bills of up to 10 s, whose tokens count as spent all the same. flintstall audit reads the book and the pages and says what does not fit.

--- /dev/null
+++ b/crates/flintstall/src/audit.rs
@@ -0,0 +1,69 @@
+//! The audit of a gateway fleet's book and bills.
+
+use ledger::{BILLS, BOOK, Bill, Book, Finding, Page};
+use objects::Store;
+use platform::store::Client;
+use snafu::ResultExt;
+
+use crate::{
+    exit::Code,
+    output::Form,
+    paint::{Tone, paint},
+    run::{Error, MissingSnafu, PlatformSnafu, decode},
+    table::Table,
+};
+
+/// Prints the audit; fails if something does not fit.
+pub async fn audit(client: &Client, form: Form) -> Result<Code, Error> {
+    let found = client.get(BOOK.0, BOOK.1).await.context(PlatformSnafu)?;
+    let Some(object) = found else {
+        return MissingSnafu { kind: BOOK.0, name: BOOK.1 }.fail();
+    };
+    let book: Book = decode(&object.value)?;
+    let pages = client.list(BILLS, "").await.context(PlatformSnafu)?;
+    let mut bills: Vec<Bill> = Vec::new();
+    for page in &pages {
+        bills.extend(decode::<Page>(&page.value)?.bills);
+    }
+    let audit = ledger::audit(&book, &bills);
+    match form {
+        Form::Json => println!("{}", serde_json::json!(audit)),
+        Form::Table => print(&audit),
+    }
+    Ok(if audit.findings.is_empty() { Code::Success } else { Code::Failure })
+}
+
+fn print(audit: &ledger::Audit) {
+    let head = ["CUSTOMER", "PAID", "USED", "LOST", "HELD", "LEFT", "REQUESTS", "BILLED", "TOKENS"];
+    let mut table = Table::new(&head);
+    for line in &audit.lines {
+        let numbers = [
+            line.paid,
+            line.used,
+            line.lost,
+            line.granted,
+            line.left,
+            line.requests,
+            line.billed_requests,
+            line.billed,
+        ];
+        let cells = numbers.map(|number| number.to_string());
+        table.row([line.customer.to_string()].into_iter().chain(cells));
+    }
+    print!("{}", table.render());
+    for finding in &audit.findings {
+        let text = match finding {
+            Finding::Overspent { customer, by } => {
+                format!("{customer} is overspent by {by} tokens")
+            }
+            Finding::BilledTwice { customer, key } => {
+                format!("request {key} of {customer} stands on two bills")
+            }
+            Finding::NumberTwice { by, n } => format!("{by} gave the bill number {n} twice"),
+        };
+        println!("{}", paint(Tone::Bad, &text));
+    }
+    if audit.findings.is_empty() {
+        println!("everything fits");
+    }
+}
--- a/crates/flintstall/src/cli.rs
+++ b/crates/flintstall/src/cli.rs
@@ -32,6 +32,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Apply(Apply),
+    Audit(Audit),
     Check(Check),
     Get(Get),
     Describe(Describe),
@@ -58,6 +59,14 @@
     pub dry_run: bool,
 }
 
+/// Proves that what the boxes of a gateway fleet spent, hold and billed fits what was paid.
+///
+/// It reads the book of all budgets and the pages of bills from the platform, and nothing else.
+/// The exit code says whether everything fits.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub struct Audit {}
+
 /// Checks a file of resources without reaching the platform.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/flintstall/src/main.rs
+++ b/crates/flintstall/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' client: it writes and watches resources in the platform, never a box.
 
 mod apply;
+mod audit;
 mod cli;
 mod events;
 mod exit;
--- a/crates/flintstall/src/run.rs
+++ b/crates/flintstall/src/run.rs
@@ -10,7 +10,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{
-    apply,
+    apply, audit,
     cli::{Command, Options},
     events,
     exit::Code,
@@ -94,6 +94,7 @@
         Command::Check(check) => apply::check(check),
         Command::Timeline(timeline) => events::timeline(timeline, form),
         Command::Try(choice) => Ok(try_out::try_out(choice).await),
+        Command::Audit(_) => audit::audit(&client(options)?, form).await,
         Command::Apply(apply) => apply::apply(&client(options)?, apply).await,
         Command::Get(get) => read::get(&client(options)?, get, form).await,
         Command::Describe(describe) => read::describe(&client(options)?, describe, form).await,
@@ -110,6 +111,11 @@
     Ok(Client::open(Reach { address, timeout: TIMEOUT, watch: WATCH }))
 }
 
+/// Reads a stored object.
+pub fn decode<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Error> {
+    serde_json::from_str(text).map_err(|error| Error::Stored { reason: error.to_string() })
+}
+
 /// Text of a file, or of standard input for `-`.
 pub fn text_of(path: &Path) -> Result<String, Error> {
     let context = FileSnafu { path };
--- a/crates/flintstall/src/statement.rs
+++ b/crates/flintstall/src/statement.rs
@@ -1,6 +1,6 @@
 //! The balance and the bills of a budget.
 
-use ledger::{Bill, Ledger, Page, page_name};
+use ledger::{BILLS, Bill, Ledger, Page, page_name};
 use objects::Store;
 use platform::store::Client;
 use serde_json::json;
@@ -11,7 +11,7 @@
     exit::Code,
     output::Form,
     paint::{Tone, paint},
-    run::{Error, MissingSnafu, PlatformSnafu},
+    run::{Error, MissingSnafu, PlatformSnafu, decode},
     table::Table,
 };
 
@@ -39,10 +39,6 @@
     Ok(Code::Success)
 }
 
-fn decode<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Error> {
-    serde_json::from_str(text).map_err(|error| Error::Stored { reason: error.to_string() })
-}
-
 /// The newest bills first, from the ledger and then from its pages.
 async fn newest(
     client: &Client,
@@ -54,7 +50,7 @@
     let mut page = ledger.statement.pages;
     while bills.len() < most && page > 0 {
         page -= 1;
-        let found = client.get("bills", &page_name(name, page)).await.context(PlatformSnafu)?;
+        let found = client.get(BILLS, &page_name(name, page)).await.context(PlatformSnafu)?;
         let Some(object) = found else { break };
         let older: Page = decode(&object.value)?;
         bills.extend(older.bills.into_iter().rev());
--- /dev/null
+++ b/crates/gateway/src/bills.rs
@@ -0,0 +1,98 @@
+//! Bills of finished requests, written to the store page by page.
+//!
+//! A page is named by the incarnation and a number and is only ever created, so writing it again
+//! after a lost answer changes nothing, and each request stands on one bill. A box that loses
+//! power loses the bills of its last seconds; their tokens count as spent all the same.
+
+use std::{sync::Arc, time::Duration};
+
+use ledger::{BILLS, Bill, Ended, Evidence, Incarnation, Page, Part};
+use objects::Expect;
+use parking_lot::Mutex;
+use platform::store::{Client, Put};
+use tokio::time::Instant;
+
+/// Time between two pages of a box, so that few bills are lost with it and few calls made.
+const PAGE_EVERY: Duration = Duration::from_secs(10);
+/// Bills on one page at most: some 200 bytes each, a fifth of the largest value.
+const PAGE_BILLS: usize = 1_000;
+
+/// Bills of this box that are not written yet.
+#[derive(Debug, Clone)]
+pub struct Bills(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    by: Incarnation,
+    open: Vec<Bill>,
+    n: u64,
+    page: u64,
+    written: Instant,
+}
+
+impl Bills {
+    /// No bills yet.
+    pub fn open(by: Incarnation) -> Bills {
+        let state = State { by, open: Vec::new(), n: 0, page: 0, written: Instant::now() };
+        Bills(Arc::new(Mutex::new(state)))
+    }
+
+    /// Bills a request that ended.
+    pub fn add(&self, customer: &Arc<str>, key: &Arc<str>, tokens: u64, ended: Ended) {
+        let mut state = self.0.lock();
+        state.n += 1;
+        let bill = Bill {
+            key: key.clone(),
+            customer: customer.clone(),
+            by: state.by.clone(),
+            n: state.n,
+            part: Part::Offline,
+            tokens,
+            ended,
+            evidence: Evidence::Recorded,
+        };
+        state.open.push(bill);
+    }
+
+    /// Bills that are not written yet.
+    pub fn waiting(&self) -> usize {
+        self.0.lock().open.len()
+    }
+
+    fn next(&self, all: bool) -> Option<(String, usize, String)> {
+        let state = self.0.lock();
+        let due = all || state.written.elapsed() >= PAGE_EVERY || state.open.len() >= PAGE_BILLS;
+        if state.open.is_empty() || !due {
+            return None;
+        }
+        let bills = state.open[..state.open.len().min(PAGE_BILLS)].to_vec();
+        let name = format!("{}.{:06}", state.by, state.page);
+        let count = bills.len();
+        let text = serde_json::to_string(&Page { bills }).expect("bills always serialize");
+        Some((name, count, text))
+    }
+
+    /// Writes pages that are due, or all there are; stops at the first that fails.
+    ///
+    /// Only one task may do this: what is written goes by position.
+    pub async fn write(&self, store: &Client, all: bool) {
+        while let Some((name, count, text)) = self.next(all) {
+            let put = store.replace(BILLS, &name, &text, Expect::Absent).await;
+            match put {
+                // A page that is there already was written by an earlier call of this box.
+                Put::Landed(_) | Put::Refused(_) => {
+                    let mut state = self.0.lock();
+                    state.open.drain(..count);
+                    state.page += 1;
+                    state.written = Instant::now();
+                    tracing::info!(event = "bills_written", page = name, count);
+                }
+                Put::Failed(reason) | Put::Unknown(reason) => {
+                    let waiting = self.waiting();
+                    tracing::warn!(event = "bills_wait", page = name, waiting, reason);
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    bills::Bills,
     endpoints::Endpoints,
     follow::{self, EndpointFollower},
     funds::Funds,
@@ -31,7 +32,7 @@
     peers::{Desk, Peers},
     serve::{self, Bounds},
     settings::Settings,
-    settle::Settler,
+    settle::{Settler, Setup},
 };
 
 /// Connections of the balancer and of scrapers at once.
@@ -88,6 +89,7 @@
         let endpoints = Arc::new(Endpoints::new(settings.zone.clone(), random.random()));
         let links = Links::new(settings.links());
         let funds = Funds::open();
+        let bills = Bills::open(incarnation.clone());
         let peers = Peers::open(incarnation.clone(), settings.listen.peers, random.random());
         let lending = Desk::new(incarnation.clone(), funds.clone(), peers.clone());
         let lender = match settings.listen.peers {
@@ -104,6 +106,7 @@
             endpoints: endpoints.clone(),
             links: links.clone(),
             funds: funds.clone(),
+            bills: bills.clone(),
             peers: peers.clone(),
             retries: Mutex::default(),
             metrics: metrics.clone(),
@@ -122,16 +125,16 @@
         let tasks = TaskTracker::new();
         let leaving = CancellationToken::new();
         let contact = Contact::new();
-        let (policy, money) = (settings.policy(), settings.money.clone());
-        let settler = Settler::new(
-            store.clone(),
-            funds.clone(),
+        let setup = Setup {
+            store: store.clone(),
+            funds: funds.clone(),
             peers,
-            incarnation.clone(),
-            policy,
-            money,
-            contact.clone(),
-        );
+            bills,
+            holder: incarnation.clone(),
+            policy: settings.policy(),
+            money: settings.money.clone(),
+        };
+        let settler = Settler::new(setup, contact.clone());
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
         let follower =
             EndpointFollower::new(store.clone(), endpoints, links, lapse, contact.clone());
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    bills::Bills,
     endpoints::{Chosen, Endpoints},
     funds::{Funds, Lack},
     metrics::Metrics,
@@ -61,6 +62,7 @@
     pub links: Links,
     pub funds: Funds,
     pub peers: Peers,
+    pub bills: Bills,
     pub retries: Mutex<Retries>,
     pub metrics: Metrics,
     /// Bytes of request bodies that may still be held.
@@ -106,7 +108,7 @@
         let came = Instant::now();
         let head = Head::read(request.headers());
         let until = came + head.deadline.unwrap_or(LONGEST);
-        let mut trip = Trip::begin(&head, came, until, self.metrics.clone());
+        let mut trip = Trip::begin(&head, came, until, self.metrics.clone(), self.bills.clone());
         let mut response = match self.answer(request, head, &mut trip).await {
             Ok((answer, flight)) => relayed(*answer, flight, trip),
             Err(refusal) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,8 +4,9 @@
 //! [`handle`]: find its route and customer (`table`), hold its worst case in tokens (`funds`),
 //! choose an endpoint (`endpoints`), pass the answer on (`relay`) and settle (`trip`). Beside it,
 //! `follow` keeps the configuration and the list of endpoints, and `settle` the box's part of all
-//! budgets, each from the platform's store. Nothing is kept on the box.
+//! budgets and its `bills`, each from the platform's store. Nothing is kept on the box.
 
+mod bills;
 mod directory;
 mod endpoints;
 mod follow;
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -5,21 +5,20 @@
 
 use std::time::Duration;
 
-use ledger::{Book, Granted, Incarnation, Policy, Settlement, Writer};
+use ledger::{BOOK, Book, Granted, Incarnation, Policy, Settlement, Writer};
 use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use snafu::Snafu;
 use tokio::time::Instant;
 
 use crate::{
+    bills::Bills,
     funds::Funds,
     outage::{Contact, Outage},
     peers::Peers,
     settings,
 };
 
-/// Kind and name of the object that holds the book.
-pub const BOOK: (&str, &str) = ("books", "main");
 /// Time between two log lines on the calls of the store.
 const TELL: Duration = Duration::from_secs(10);
 /// First pause after a call that failed; doubles up to [`PAUSE_MOST`].
@@ -42,15 +41,22 @@
     Write { reason: String },
 }
 
-/// Settles accounts with the book.
-pub struct Settler {
+/// What a settler works with.
+pub struct Setup {
     pub store: Client,
     pub funds: Funds,
     pub peers: Peers,
+    pub bills: Bills,
+    /// This start of the box.
     pub holder: Incarnation,
     pub policy: Policy,
     pub money: settings::Money,
-    pub outage: Outage,
+}
+
+/// Settles accounts with the book.
+pub struct Settler {
+    setup: Setup,
+    outage: Outage,
     /// The book as it was last read or written, with its version; 0 where there is none.
     known: Option<(Book, u64)>,
     /// Whether a book was ever seen: it is not made anew then.
@@ -64,24 +70,10 @@
 
 impl Settler {
     /// Nothing is read yet.
-    pub fn new(
-        store: Client,
-        funds: Funds,
-        peers: Peers,
-        holder: Incarnation,
-        policy: Policy,
-        money: settings::Money,
-        contact: Contact,
-    ) -> Settler {
-        let outage = Outage::new("book", contact);
+    pub fn new(setup: Setup, contact: Contact) -> Settler {
         Settler {
-            store,
-            funds,
-            peers,
-            holder,
-            policy,
-            money,
-            outage,
+            setup,
+            outage: Outage::new("book", contact),
             known: None,
             seen: false,
             write: 0,
@@ -97,22 +89,25 @@
         self.wait(REGISTER).await;
         loop {
             self.settle(false).await;
+            self.setup.bills.write(&self.setup.store, false).await;
             if told.elapsed() >= TELL {
                 told = Instant::now();
-                report_calls(&self.store);
+                report_calls(&self.setup.store);
             }
-            let spacing = Duration::from_millis(self.money.spacing_ms);
-            let settle = Duration::from_millis(self.money.settle_ms);
+            let spacing = Duration::from_millis(self.setup.money.spacing_ms);
+            let settle = Duration::from_millis(self.setup.money.settle_ms);
             let began = Instant::now();
-            while !self.funds.is_urgent() && began.elapsed() < self.funds.pause(spacing, settle) {
+            while !self.setup.funds.is_urgent()
+                && began.elapsed() < self.setup.funds.pause(spacing, settle)
+            {
                 self.wait(spacing).await;
             }
         }
     }
 
     async fn wait(&self, pause: Duration) {
-        if !self.funds.is_urgent() {
-            let _ = tokio::time::timeout(pause, self.funds.wanted()).await;
+        if !self.setup.funds.is_urgent() {
+            let _ = tokio::time::timeout(pause, self.setup.funds.wanted()).await;
         }
     }
 
@@ -122,8 +117,8 @@
             Some(pending) => pending,
             None => {
                 self.write += 1;
-                let writer = Writer { write: self.write, peer: self.peers.address() };
-                self.funds.plan(&self.holder, writer, leaves)
+                let writer = Writer { write: self.write, peer: self.setup.peers.address() };
+                self.setup.funds.plan(&self.setup.holder, writer, leaves)
             }
         };
         self.pending = Some(settlement.clone());
@@ -133,7 +128,7 @@
                 Ok(Some(granted)) => break granted,
                 Ok(None) => {}
                 Err(fault) => {
-                    self.funds.set_reachable(false);
+                    self.setup.funds.set_reachable(false);
                     self.outage.failed(&fault);
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(PAUSE_MOST);
@@ -142,13 +137,13 @@
         };
         self.pending = None;
         self.outage.answered();
-        self.funds.set_reachable(true);
+        self.setup.funds.set_reachable(true);
         let boxes = self.known.as_ref().map_or(1, |(book, _)| {
-            self.peers.update(&book.writers);
+            self.setup.peers.update(&book.writers);
             book.boxes()
         });
         report(&settlement, &granted);
-        self.funds.landed(&settlement, granted, boxes);
+        self.setup.funds.landed(&settlement, granted, boxes);
     }
 
     /// One call; `None` where the book had changed meanwhile.
@@ -162,10 +157,10 @@
             return Ok(Some(self.last.take().unwrap_or_default()));
         }
         let mut next = book.clone();
-        let granted = next.settle(settlement, self.policy);
+        let granted = next.settle(settlement, self.setup.policy);
         self.last = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
-        match self.store.replace(BOOK.0, BOOK.1, &next.to_json(), expect).await {
+        match self.setup.store.replace(BOOK.0, BOOK.1, &next.to_json(), expect).await {
             Put::Landed(version) => {
                 self.known = Some((next, version));
                 self.seen = true;
@@ -187,7 +182,7 @@
     }
 
     async fn read(&mut self) -> Result<(Book, u64), Fault> {
-        let found = self.store.get(BOOK.0, BOOK.1).await;
+        let found = self.setup.store.get(BOOK.0, BOOK.1).await;
         match found.map_err(|source| Fault::Store { source })? {
             Some(object) => {
                 self.take_over(&object)?;
@@ -213,6 +208,7 @@
                 self.settle(false).await;
             }
             self.settle(true).await;
+            self.setup.bills.write(&self.setup.store, true).await;
         };
         let done = tokio::time::timeout(limit, all).await.is_ok();
         tracing::info!(
--- a/crates/gateway/src/trip.rs
+++ b/crates/gateway/src/trip.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use ledger::Ended;
 use platform::{
     config::Kind,
     request::{Head, Tokens},
@@ -9,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    bills::Bills,
     funds::Hold,
     metrics::{Finished, Metrics},
     refusal::Refusal,
@@ -57,12 +59,19 @@
     pub first_byte: Option<Duration>,
     hold: Option<Hold>,
     metrics: Metrics,
+    bills: Bills,
     ended: bool,
 }
 
 impl Trip {
     /// A request that was just read.
-    pub fn begin(head: &Head, came: Instant, until: Instant, metrics: Metrics) -> Trip {
+    pub fn begin(
+        head: &Head,
+        came: Instant,
+        until: Instant,
+        metrics: Metrics,
+        bills: Bills,
+    ) -> Trip {
         metrics.under_way.inc();
         Trip {
             id: head.id.clone(),
@@ -81,6 +90,7 @@
             first_byte: None,
             hold: None,
             metrics,
+            bills,
             ended: false,
         }
     }
@@ -118,6 +128,7 @@
         let worst = self.hold.as_ref().map_or(0, Hold::tokens);
         let charge = self.charge(&end, events);
         let charged = self.hold.take().map_or(0, |hold| hold.settle(charge));
+        self.bill(&end, charged);
         let (outcome, reason) = match &end {
             End::Answered { .. } => ("answered", "-"),
             End::Refused(refusal) if refusal.reason.is_not_run() => {
@@ -156,6 +167,19 @@
         );
     }
 
+    fn bill(&self, end: &End, charged: u64) {
+        let ended = match end {
+            End::Answered { .. } => Ended::Answered,
+            End::Refused(_) | End::Broken { .. } | End::Left => Ended::Broken,
+        };
+        match (&self.customer, &self.id) {
+            (Some(customer), Some(id)) if charged > 0 => {
+                self.bills.add(customer, id, charged, ended);
+            }
+            _ => {}
+        }
+    }
+
     fn count(&self, outcome: &'static str, reason: &'static str, charged: u64) {
         self.metrics.under_way.dec();
         self.metrics.tokens.inc_by(charged);
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -223,4 +223,34 @@
     assert!(book.writers.is_empty() && of.grants.is_empty(), "{book:?}");
     assert_eq!((of.lost, of.spent, of.statement.tokens), (0, of.spent, of.spent));
     assert!(of.spent >= 140, "100 of the prompt and 20 events of 2 tokens");
+    let pages = objects::Store::list(world.platform.memory(), ledger::BILLS, "").await;
+    let pages = pages.expect("memory answers");
+    let read = |page: &objects::Object| serde_json::from_str::<ledger::Page>(&page.value);
+    let bills = pages.iter().flat_map(|page| read(page).expect("a page").bills);
+    let bills: Vec<ledger::Bill> = bills.collect();
+    let audit = ledger::audit(&book, &bills);
+    assert!(audit.findings.is_empty(), "{audit:?}");
+    let line = audit.lines.iter().find(|line| &*line.customer == "bornova").expect("a line");
+    assert_eq!((line.billed_requests, line.billed), (line.requests, line.settled));
+}
+
+#[tokio::test]
+async fn the_audit_finds_what_does_not_fit() {
+    let by = ledger::Incarnation::new("box-1", 1);
+    let bill = |key: &str, n| ledger::Bill {
+        key: key.into(),
+        customer: "bornova".into(),
+        by: by.clone(),
+        n,
+        part: ledger::Part::Offline,
+        tokens: 5,
+        ended: ledger::Ended::Answered,
+        evidence: ledger::Evidence::Recorded,
+    };
+    let mut book = ledger::Book::default();
+    let of = book.ledgers.entry("bornova".into()).or_default();
+    (of.paid, of.spent) = (10, 12);
+    let audit = ledger::audit(&book, &[bill("a", 1), bill("a", 2), bill("b", 2)]);
+    assert_eq!(audit.findings.len(), 3, "{audit:?}");
+    assert_eq!((audit.lines[0].billed_requests, audit.lines[0].billed), (3, 15));
 }
--- a/crates/ledger/src/bill.rs
+++ b/crates/ledger/src/bill.rs
@@ -6,6 +6,9 @@
 
 use crate::{Ended, Incarnation, Part, Record};
 
+/// Kind of the objects that hold pages of bills.
+pub const BILLS: &str = "bills";
+
 /// What a bill rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -20,6 +20,9 @@
 /// next requests come to first has some.
 const EVEN: u64 = 300;
 
+/// Kind and name of the object that holds the book.
+pub const BOOK: (&str, &str) = ("books", "main");
+
 /// Ledgers of several budgets.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,6 +10,7 @@
 //! `reserved + charged <= given`, where what an account is given has landed in the ledger first.
 
 mod account;
+mod audit;
 mod bill;
 mod book;
 mod budget;
@@ -21,8 +22,9 @@
 mod sizing;
 
 pub use account::{Account, Need, Part, Reservation, Tokens};
-pub use bill::{Bill, Evidence, Page, Statement};
-pub use book::{Book, Granted, Item, Settlement, Writer};
+pub use audit::{Audit, Finding, Line, audit};
+pub use bill::{BILLS, Bill, Evidence, Page, Statement};
+pub use book::{BOOK, Book, Granted, Item, Settlement, Writer};
 pub use budget::{Closing, Draw, Error, Folded, Ledger, PAGE_BILLS, page_name};
 pub use grant::{Grant, Transfer};
 pub use incarnation::Incarnation;
