A settlement that brought too little is not repeated at once

Change: a purse whose source was dry a moment ago is not urgent, and its request is refused at once. The test was seen failing without the change. Ruled out: spacing (these were urgent ones).

--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -208,7 +208,7 @@
                 return Some(hold);
             }
             // One settlement may have been under way without this request.
-            if changed.is_err() || now >= joined + 2 {
+            if changed.is_err() || now >= joined + 2 || self.is_dry(customer, worst) {
                 return None;
             }
             self.0.wanted.notify_one();
@@ -269,8 +269,7 @@
         let now = Instant::now();
         let state = self.0.state.lock();
         state.purses.get(customer).is_some_and(|purse| {
-            let dry = purse.dry_until.is_some_and(|until| until > now);
-            dry && purse.account.free() + purse.granted.left < worst
+            purse.is_dry(now) && purse.account.free() + purse.granted.left < worst
         })
     }
 
@@ -323,9 +322,11 @@
         self.0.wanted.notified().await;
     }
 
-    /// Whether a request waits for tokens.
+    /// Whether a request waits for tokens that a settlement may bring.
     pub fn is_urgent(&self) -> bool {
-        self.0.state.lock().purses.values().any(|purse| purse.waiting > 0)
+        let now = Instant::now();
+        let state = self.0.state.lock();
+        state.purses.values().any(|purse| purse.waiting > 0 && !purse.is_dry(now))
     }
 
     /// Whether a settlement would change much: tokens run low, or too many are held.
@@ -394,6 +395,11 @@
 }
 
 impl Purse {
+    /// Whether the book had too little left for what waited here a moment ago.
+    fn is_dry(&self, now: Instant) -> bool {
+        self.dry_until.is_some_and(|until| until > now)
+    }
+
     fn item(&mut self, customer: &Arc<str>, boxes: u64, leaves: bool, now: Instant) -> Item {
         if leaves {
             // Work that is given up may have used all that it held.
--- a/crates/gateway/tests/money.rs
+++ b/crates/gateway/tests/money.rs
@@ -311,3 +311,31 @@
         assert!(caught, "{broken:?} was not caught");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_settlement_that_brought_too_little_is_not_repeated_at_once() {
+    let mut node = Node::start(0, 1);
+    let mut book = Book::default();
+    let mut settle = |node: &mut Node| {
+        node.write += 1;
+        let writer = Writer { write: node.write, peer: None };
+        let settlement = node.funds.plan(&node.name, writer, false);
+        let granted = book.settle(&settlement, POLICY);
+        node.funds.landed(&settlement, granted, 1);
+    };
+    settle(&mut node);
+    let until = tokio::time::Instant::now() + std::time::Duration::from_secs(60);
+    let funds = node.funds.clone();
+    let waits =
+        tokio::spawn(async move { funds.hold(&customer(), PAID + 1, until).await.is_some() });
+    tokio::task::yield_now().await;
+    assert!(node.funds.is_urgent(), "a request waits");
+    settle(&mut node);
+    assert!(!node.funds.is_urgent(), "the book has not that many");
+    assert!(!waits.await.expect("no panic"), "it is refused at once, not after its 60 s");
+    let funds = node.funds.clone();
+    let small = tokio::spawn(async move { funds.hold(&customer(), 100, until).await.is_some() });
+    tokio::task::yield_now().await;
+    settle(&mut node);
+    assert!(small.await.expect("no panic"), "smaller requests are not held up");
+}
