--- /dev/null
+++ b/crates/gateway/src/admit.rs
@@ -0,0 +1,200 @@
+//! From the head of a request to a call that may be sent: route, customer, body, tokens.
+
+use std::{sync::Arc, time::Duration};
+
+use balance::Prefix;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use platform::{
+    config::Route,
+    request::{self, Head},
+};
+use tokio::{sync::OwnedSemaphorePermit, time::Instant};
+
+use crate::{
+    funds::Lack,
+    gate::Gate,
+    refusal::{Reason, Refusal, SOON},
+    trip::Trip,
+};
+
+/// When to come back where the box lacks tokens or its configuration: a settlement or a read
+/// later.
+const LATER: Duration = Duration::from_millis(1_000);
+/// Connections to one endpoint that a box may hold even where its share is smaller.
+const LEAST_CONNECTIONS: u64 = 4;
+/// Connections to one endpoint where the configuration does not bound them.
+const CONNECTIONS: u64 = 256;
+/// Bytes set aside for a body whose length the head does not tell; the largest on the sheets of
+/// the deployments has less than half of that.
+const UNTOLD_BODY: usize = 256 << 10;
+
+/// A request that was read and admitted.
+pub struct Call {
+    pub method: Method,
+    pub target: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Room for the body, given back when the request ends.
+    _room: OwnedSemaphorePermit,
+    pub head: Head,
+    pub prefix: Prefix,
+    pub route: Route,
+    pub service: Arc<str>,
+    /// Connections that this box may hold to one endpoint.
+    pub connections: usize,
+    pub rank: Option<u8>,
+}
+
+impl Gate {
+    /// Finds where a request goes and reads its body.
+    pub async fn admit(
+        &self,
+        request: Request<Incoming>,
+        head: Head,
+        trip: &mut Trip,
+    ) -> Result<Call, Refusal> {
+        let table = self.table.borrow().clone();
+        let table =
+            table.ok_or_else(|| Reason::NoConfig.after(LATER, "no configuration was read yet"))?;
+        trip.version = table.version();
+        let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+        let route = table
+            .route(host.unwrap_or_default(), request.uri().path())
+            .ok_or_else(|| Reason::NoRoute.with("no route for this host and path"))?
+            .clone();
+        trip.route = Some(route.name.clone());
+        trip.kind = Some(route.kind);
+        if let Some(timeout) = route.timeout {
+            trip.until = trip.until.min(trip.came + timeout);
+        }
+        let customer = match table.needs_keys() && !route.public {
+            false => None,
+            true => {
+                let customer = head.key.as_deref().and_then(|key| table.customer(key));
+                let unknown = || Reason::NoCustomer.with("no customer holds this key");
+                Some(customer.ok_or_else(unknown)?)
+            }
+        };
+        trip.customer = customer.map(|customer| customer.name.clone());
+        let paid = customer.is_some_and(|customer| customer.paid.is_some());
+        trip.tokens = head.tokens.filter(|_| paid);
+        let id = head.id.as_deref().unwrap_or_default();
+        let service = table
+            .target(&route, id)
+            .ok_or_else(|| Reason::NoEndpoint.after(LATER, "the route has no service"))?
+            .clone();
+        trip.service = Some(service.clone());
+        let of = table.service(&service);
+        let engine = of.and_then(|service| service.engine.as_ref());
+        trip.event_tokens = engine.map_or(1, |engine| engine.event_tokens);
+        let all = of.and_then(|service| service.connections).map_or(CONNECTIONS, u64::from);
+        let connections = (all / self.funds.boxes()).max(LEAST_CONNECTIONS.min(all)) as usize;
+        let rank = engine.map(|_| rank(customer.map_or(0, |c| c.priority), route.priority));
+        let limit = table.config().limits.body_bytes;
+        let (parts, body) = request.into_parts();
+        let room = self.room(&body, limit)?;
+        let body = self.read_body(body, limit, trip.until).await?;
+        let prefix = Prefix::of_parts(head.parts.iter().map(|part| (part.id, part.tokens)));
+        let (method, target, headers) = (parts.method, parts.uri, parts.headers);
+        Ok(Call {
+            method,
+            target,
+            headers,
+            body,
+            _room: room,
+            head,
+            prefix,
+            route,
+            service,
+            connections,
+            rank,
+        })
+    }
+
+    /// Room for a body, by its length where the head tells it.
+    fn room(&self, body: &Incoming, limit: usize) -> Result<OwnedSemaphorePermit, Refusal> {
+        let told = http_body::Body::size_hint(body).exact().map(|bytes| bytes as usize);
+        if told.is_some_and(|bytes| bytes > limit) {
+            return Err(Reason::TooLarge.with(format!("more than {limit} bytes")));
+        }
+        let bytes = told.unwrap_or(UNTOLD_BODY.min(limit)) as u32;
+        let room = self.bodies.clone().try_acquire_many_owned(bytes);
+        room.map_err(|_| Reason::Memory.after(SOON, "too many bodies are held"))
+    }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        until: Instant,
+    ) -> Result<Bytes, Refusal> {
+        let read = tokio::time::timeout_at(until, Limited::new(body, limit).collect()).await;
+        let late = Reason::BodyLate.with("the body did not arrive in time");
+        match read.map_err(|_| late)? {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => {
+                Err(Reason::TooLarge.with(format!("more than {limit} bytes")))
+            }
+            Err(error) => Err(Reason::Malformed.with(format!("the body broke off: {error}"))),
+        }
+    }
+
+    /// Holds the worst case of a request that costs tokens.
+    pub async fn hold(&self, call: &Call, trip: &mut Trip) -> Result<(), Refusal> {
+        let (Some(tokens), Some(customer)) = (trip.tokens, trip.customer.clone()) else {
+            return Ok(());
+        };
+        let worst = tokens.prompt + tokens.most_output;
+        let money = &self.settings.money;
+        let patience = Duration::from_millis(money.wait_ms);
+        let patience = call.route.target.map_or(patience, |target| patience.min(target / 2));
+        let now = Instant::now();
+        let until = (now + patience).min(trip.until);
+        let from_store = (now + Duration::from_millis(money.store_ms)).min(until);
+        let hold = match self.funds.hold(&customer, worst, from_store).await {
+            Some(hold) => Some(hold),
+            None => self.peers.borrow_for(&self.funds, &customer, worst, until).await,
+        };
+        if let Some(hold) = hold {
+            trip.pay_with(hold);
+            return Ok(());
+        }
+        Err(match self.funds.lack(&customer, worst) {
+            Lack::Exhausted => {
+                let detail = format!("what remains of the budget cannot hold {worst} tokens");
+                Reason::BudgetExhausted.with(detail)
+            }
+            Lack::Short => {
+                Reason::TokensShort.after(LATER, format!("this box lacks tokens for {worst}"))
+            }
+        })
+    }
+}
+
+/// Refuses heads that two readers could understand in two ways.
+pub fn check(request: &Request<Incoming>) -> Result<(), Refusal> {
+    let headers = request.headers();
+    let several = |name: &header::HeaderName| headers.get_all(name).iter().count() > 1;
+    let twice = headers.keys().find(|name| several(name) && request::is_single(name));
+    if let Some(name) = twice {
+        return Err(Reason::Malformed.with(format!("`{name}` stands there more than once")));
+    }
+    let both = headers.contains_key(header::CONTENT_LENGTH)
+        && headers.contains_key(header::TRANSFER_ENCODING);
+    if both {
+        return Err(Reason::Malformed.with("both a length and an encoding of the body"));
+    }
+    let origin_form = request.uri().authority().is_none() && request.uri().path().starts_with('/');
+    match origin_form && request.method() != Method::CONNECT {
+        true => Ok(()),
+        false => Err(Reason::Malformed.with("the target must be a path")),
+    }
+}
+
+/// Rank at an engine: the customer's comes before the route's.
+fn rank(customer: u8, route: u8) -> u8 {
+    customer.saturating_mul(3).saturating_add(route.min(2)).min(9)
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,212 @@
+//! From a call to the answer of an endpoint: tries, and what each of them came to.
+
+use std::sync::Arc;
+
+use balance::Failure;
+use forward::{Answer, Fault};
+use http::StatusCode;
+use platform::{
+    answer,
+    config::{Kind, Route},
+    request::{self, Order},
+};
+
+use crate::{
+    admit::Call,
+    endpoints::Chosen,
+    gate::Gate,
+    refusal::{Reason, Refusal, SOON},
+    relay::Flight,
+    trip::Trip,
+};
+
+/// Endpoints tried where none of them got the request, besides the route's own bound.
+const MOST_TRIED: usize = 4;
+
+/// What one try at an endpoint came to.
+enum Try {
+    /// An answer for the caller.
+    Answer(Box<Answer>, Flight),
+    /// The endpoint did not run it.
+    NotRun(String),
+    /// Another incarnation answers at the address: the endpoint that was meant is gone.
+    Gone(String),
+    /// Nothing was sent to the endpoint.
+    Unsent(String),
+    /// It may have run there.
+    Unknown(Refusal),
+}
+
+impl Gate {
+    /// Sends a request to endpoints until one of them answers or no more may be tried.
+    pub async fn dispatch(
+        &self,
+        call: &Call,
+        trip: &mut Trip,
+    ) -> Result<(Box<Answer>, Flight), Refusal> {
+        let now_s = self.started.elapsed().as_secs();
+        self.retries.lock().request(&call.service, now_s, &self.settings.retries);
+        let mut tried: Vec<Arc<str>> = Vec::new();
+        let mut arrived = 0;
+        let mut last = Reason::NoEndpoint.after(SOON, "no endpoint of the service is known");
+        while tried.len() < MOST_TRIED {
+            if trip.left().is_zero() {
+                return Err(Reason::TooLate.with("its time was over before it was sent"));
+            }
+            let Some(chosen) = self.endpoints.choose(&call.service, &call.prefix, &tried) else {
+                break;
+            };
+            if trip.sent >= call.route.attempts || (arrived > 0 && !self.may_repeat(call)) {
+                break;
+            }
+            tried.push(chosen.id.clone());
+            let outcome = self.attempt(call, &chosen, trip).await;
+            arrived += u32::from(!matches!(outcome, Try::Unsent(_)));
+            match outcome {
+                Try::Answer(answer, flight) => return Ok((answer, flight)),
+                Try::Unsent(reason) => last = Reason::NoEndpoint.after(SOON, reason),
+                Try::NotRun(reason) | Try::Gone(reason) => {
+                    last = Reason::NoEndpoint.after(SOON, reason);
+                }
+                Try::Unknown(refusal) if !is_repeatable(&call.route) => return Err(refusal),
+                Try::Unknown(refusal) => last = refusal,
+            }
+        }
+        match trip.may_have_run && last.reason.is_not_run() {
+            true => Err(Reason::Lost.with(last.detail)),
+            false => Err(last),
+        }
+    }
+
+    fn may_repeat(&self, call: &Call) -> bool {
+        let now_s = self.started.elapsed().as_secs();
+        let taken = self.retries.lock().take(&call.service, now_s, &self.settings.retries);
+        if taken {
+            self.metrics.repeats.inc();
+        }
+        taken
+    }
+
+    /// One try at one endpoint.
+    async fn attempt(&self, call: &Call, chosen: &Chosen, trip: &mut Trip) -> Try {
+        trip.endpoint = Some(chosen.id.clone());
+        let left = trip.left();
+        let order = Order {
+            instance: &chosen.id,
+            customer: trip.customer.as_deref(),
+            left: Some(left),
+            rank: call.rank,
+            resume_after: call.head.resumed_after,
+        };
+        let headers = request::towards_endpoint(&call.headers, &order, call.body.len());
+        let request = forward::Request {
+            method: call.method.clone(),
+            target: call.target.clone(),
+            headers,
+            body: call.body.clone(),
+        };
+        tracing::info!(
+            event = "dispatched",
+            id = trip.id.as_deref(),
+            endpoint = &*chosen.id,
+            service = &*call.service,
+            load = chosen.load,
+            cached = chosen.held,
+            prompt = call.prefix.size(),
+            config = trip.version,
+            left_ms = left.as_millis() as u64,
+            sent_before = trip.sent,
+        );
+        let endpoints = self.endpoints.clone();
+        let mut flight = Flight::start(endpoints, call.service.clone(), chosen, &call.prefix);
+        // From here on the endpoint may have it, also when this future is dropped.
+        let (had_run, had_sent) = (trip.may_have_run, trip.sent);
+        (trip.may_have_run, trip.sent) = (true, trip.sent + 1);
+        let sending = self.links.send(chosen.address, call.connections, request);
+        let outcome = match tokio::time::timeout_at(trip.until, sending).await {
+            Err(_) => Try::Unknown(Reason::Silent.with("the endpoint did not answer in time")),
+            Ok(Err(fault)) => lost(fault, &mut flight),
+            Ok(Ok(answer)) => self.judge(call, chosen, trip, answer, flight),
+        };
+        match outcome {
+            // An endpoint that is gone is none that the route's bound counts.
+            Try::Unsent(_) | Try::Gone(_) => (trip.may_have_run, trip.sent) = (had_run, had_sent),
+            Try::NotRun(_) => trip.may_have_run = had_run,
+            _ => {}
+        }
+        if let Try::Unsent(reason) | Try::NotRun(reason) | Try::Gone(reason) = &outcome {
+            tracing::info!(
+                event = "not_taken",
+                id = trip.id.as_deref(),
+                endpoint = &*chosen.id,
+                reason,
+            );
+        }
+        outcome
+    }
+
+    /// Decides what an answer's head means.
+    fn judge(
+        &self,
+        call: &Call,
+        chosen: &Chosen,
+        trip: &mut Trip,
+        answer: Answer,
+        mut flight: Flight,
+    ) -> Try {
+        let status = answer.head.status;
+        let head = answer::Head::read(status, &answer.head.headers);
+        let foreign = head.id.is_some() && head.id != call.head.id;
+        if foreign {
+            flight.fail(Failure::Broken);
+            return Try::Unknown(Reason::Lost.with("the connection carried another answer"));
+        }
+        if let Some(load) = head.load {
+            self.endpoints.report(&call.service, &chosen.id, load);
+        }
+        if head.not_run {
+            let reason = format!("the endpoint declined with {status}");
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                flight.fail(Failure::Silent);
+                return Try::Gone(reason);
+            }
+            flight.fail(Failure::Refused);
+            return Try::NotRun(reason);
+        }
+        let again = is_repeatable(&call.route)
+            && status.is_server_error()
+            && trip.sent < call.route.attempts
+            && self.endpoints.count(&call.service) > 1
+            && self.may_repeat_later(call);
+        if again {
+            return Try::Unknown(Reason::Lost.with(format!("the endpoint failed with {status}")));
+        }
+        trip.first_byte = Some(trip.came.elapsed());
+        flight.begin();
+        Try::Answer(Box::new(answer), flight)
+    }
+
+    /// Whether a repeat is left, without taking it.
+    fn may_repeat_later(&self, call: &Call) -> bool {
+        let now_s = self.started.elapsed().as_secs();
+        self.retries.lock().has(&call.service, now_s, &self.settings.retries)
+    }
+}
+
+fn lost(fault: Fault, flight: &mut Flight) -> Try {
+    match fault {
+        Fault::Full { .. } => Try::Unsent(fault.to_string()),
+        Fault::Unsent { reason } => {
+            flight.fail(Failure::Silent);
+            Try::Unsent(reason)
+        }
+        Fault::Unknown { reason } => {
+            flight.fail(Failure::Broken);
+            Try::Unknown(Reason::Lost.with(reason))
+        }
+    }
+}
+
+fn is_repeatable(route: &Route) -> bool {
+    route.kind == Kind::Repeatable || (route.kind == Kind::Streaming && route.resumable)
+}
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,34 @@
+//! What every step of a request's way needs.
+
+use std::sync::Arc;
+
+use forward::Links;
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
+
+use crate::{
+    bills::Bills, endpoints::Endpoints, funds::Funds, metrics::Metrics, peers::Peers,
+    retries::Retries, settings::Settings, table::Table,
+};
+
+/// All that the way of a request needs.
+pub struct Gate {
+    pub settings: Settings,
+    pub table: watch::Receiver<Option<Arc<Table>>>,
+    pub endpoints: Arc<Endpoints>,
+    pub links: Links,
+    pub funds: Funds,
+    pub peers: Peers,
+    pub bills: Bills,
+    pub retries: Mutex<Retries>,
+    pub metrics: Metrics,
+    /// Bytes of request bodies that may still be held.
+    pub bodies: Arc<Semaphore>,
+    pub stopping: watch::Receiver<bool>,
+    pub started: Instant,
+    /// Counts the log lines that were dropped.
+    pub dropped_lines: Mutex<Option<Box<dyn Fn() -> usize + Send + Sync>>>,
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,7 +26,7 @@
     endpoints::Endpoints,
     follow::{self, EndpointFollower},
     funds::Funds,
-    handle::Gate,
+    gate::Gate,
     metrics::{Budget, Metrics, Purpose},
     outage::Contact,
     peers::{Desk, Peers},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,16 +1,20 @@
 //! A box on the users' platform: plain requests in, plain requests out to endpoints.
 //!
 //! [`Gateway::spawn`] starts one, [`Gateway::stop`] is the planned stop. The way of a request is
-//! [`handle`]: find its route and customer (`table`), hold its worst case in tokens (`funds`),
-//! choose an endpoint (`endpoints`), pass the answer on (`relay`) and settle (`trip`). Beside it,
+//! `handle`: `admit` finds its route and customer (`table`) and holds its worst case in tokens
+//! (`funds`), `dispatch` chooses an endpoint (`endpoints`) and sends, `relay` passes the answer on
+//! and `trip` settles. Beside it,
 //! `follow` keeps the configuration and the list of endpoints, and `settle` the box's part of all
 //! budgets and its `bills`, each from the platform's store. Nothing is kept on the box.
 
+mod admit;
 mod bills;
 mod directory;
+mod dispatch;
 mod endpoints;
 mod follow;
 mod funds;
+mod gate;
 mod gateway;
 mod handle;
 mod meter;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -5,6 +5,10 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde_json::json;
 
+/// When to come back where an endpoint, a connection or the box was full: some requests end
+/// meanwhile.
+pub const SOON: Duration = Duration::from_millis(100);
+
 /// Why a request got no answer of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Reason {
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -246,7 +246,7 @@
                 returned = item.returned,
                 free = item.free,
                 need = item.need(),
-                target = granted.target,
+                should_hold = granted.target,
                 unspent = granted.unspent,
                 left = granted.left,
                 used = granted.used,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -13,12 +13,12 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
-    let text = r#"{"version": 1, "routes": [
-        {"name": "all", "host": "Desk.example", "path_prefix": "/", "kind": "safe", "service": "a"},
-        {"name": "long", "host": "desk.example", "path_prefix": "/x/y/", "kind": "safe", "service": "b"},
-        {"name": "short", "host": "desk.example", "path_prefix": "/x/", "kind": "safe", "service": "c"}
-    ], "a_field_of_tomorrow": {"kept": true}}"#;
-    let table = Table::new(Config::read(text).expect("unknown fields are passed over"));
+    let text = played::routes(&[
+        ("all", "Desk.example", "/", &[("a", 1)]),
+        ("long", "desk.example", "/x/y/", &[("b", 1)]),
+        ("short", "desk.example", "/x/", &[("c", 1)]),
+    ]);
+    let table = Table::new(Config::read(&text).expect("unknown fields are passed over"));
     let cases = [
         ("desk.example", "/x/y/z", Some("long")),
         ("desk.example:8080", "/x/yz", Some("short")),
@@ -44,11 +44,9 @@
 
 #[test]
 fn a_split_follows_its_weights_and_the_id() {
-    let text = r#"{"version": 1, "routes": [{"name": "r", "host": "h", "path_prefix": "/",
-        "kind": "safe", "traffic_split": [
-            {"service": "a", "weight": 90}, {"service": "b", "weight": 10},
-            {"service": "never", "weight": 0}]}]}"#;
-    let table = Table::new(Config::read(text).expect("valid"));
+    let services = [("a", 90), ("b", 10), ("never", 0)];
+    let text = played::routes(&[("r", "h", "/", &services)]);
+    let table = Table::new(Config::read(&text).expect("valid"));
     let route = table.route("h", "/").expect("a route").clone();
     let ids: Vec<String> = (0..2_000).map(|n| format!("id-{n}")).collect();
     let to = |id: &String| table.target(&route, id).expect("a service").clone();
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -70,11 +70,16 @@
     let failed = |arrived: &Arrived| {
         Reply::Whole(StatusCode::INTERNAL_SERVER_ERROR, id_of(arrived), "failed".into())
     };
+    let gone = |arrived: &Arrived| {
+        let (status, headers) = played::misdirected(&arrived.told.id);
+        Reply::Whole(status, headers, String::new())
+    };
     type Script = Box<dyn Fn(&Arrived) -> Reply + Send + Sync>;
     // The route, what the first endpoint does, what the caller gets, and how often it was sent.
     let cases: Vec<(&str, &str, Script, u16, usize)> = vec![
         ("declined, once only", "confirm", Box::new(declined), 503, 1),
         ("declined, repeatable", "cancel", Box::new(declined), 200, 2),
+        ("gone, once only", "confirm", Box::new(gone), 200, 2),
         ("no answer, once only", "confirm", Box::new(|_| Reply::Close), 502, 1),
         ("no answer, repeatable", "cancel", Box::new(|_| Reply::Close), 200, 2),
         ("another's answer, once only", "confirm", Box::new(foreign), 502, 1),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -32,3 +32,32 @@
         assert!(error.contains(want), "{to}: {error}");
     }
 }
+
+#[test]
+fn the_example_is_valid_and_says_the_defaults() {
+    let text = include_str!("../../../examples/gateway.jsonc");
+    let example = Settings::read(text).expect("valid");
+    assert_eq!(example.money, gateway::settings::Money::default());
+    assert_eq!(example.store.timeout_ms, 1_000);
+}
+
+#[test]
+fn the_template_renders_to_valid_settings() {
+    let template = include_str!("../../../deploy/settings.jsonc");
+    let fields = [
+        ("{{node_name|json}}", "\"front-1\""),
+        ("{{zone|json}}", "\"z1\""),
+        ("{{listen.front|json}}", "\"10.1.0.40:8227\""),
+        ("{{listen.ready|json}}", "\"10.1.0.40:8220\""),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{internal_ports.0}}", "7340"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
+    ];
+    let rendered = fields.iter().fold(template.to_owned(), |text, (gap, value)| {
+        assert!(text.contains(gap), "{gap} is not used any more");
+        text.replace(gap, value)
+    });
+    assert!(!rendered.contains("{{"), "a gap is not filled: {rendered}");
+    let settings = Settings::read(&rendered).expect("valid");
+    assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
+}
