An entry that goes while the store answers means that the endpoint left, at once

Ruled out: a late watch (the event came within 4 ms). Also: transfers that the book does not count are logged, an unused field is gone.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -66,7 +66,6 @@
             .ok_or_else(|| Reason::NoRoute.with("no route for this host and path"))?
             .clone();
         trip.route = Some(route.name.clone());
-        trip.kind = Some(route.kind);
         if let Some(timeout) = route.timeout {
             trip.until = trip.until.min(trip.came + timeout);
         }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,8 +1,8 @@
 //! Which endpoints there are, from the entries in the store.
 //!
 //! An entry that goes while the store answers means that the endpoint left. Entries also lapse
-//! while the store is away, so what is missing shortly after its return is kept until the
-//! platform had time to put it back.
+//! while the store is away, so what a list lacks shortly after its return is kept until the
+//! platform had time to put it back. What a watch reports afterwards did not lapse.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -50,7 +50,7 @@
         let gone: Vec<Arc<str>> =
             self.known.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in gone {
-            self.remove(&id, now);
+            self.miss(&id, now);
         }
         self.confirmed = now;
     }
@@ -63,14 +63,24 @@
         }
     }
 
-    /// An entry went.
-    pub fn remove(&mut self, id: &str, now: u64) {
+    /// A list lacks an entry.
+    fn miss(&mut self, id: &str, now: u64) {
         match self.known.get_mut(id) {
             Some(known) if now < self.lenient_until => known.missing = true,
             _ => drop(self.known.remove(id)),
         }
     }
 
+    /// A watch reported that an entry went.
+    pub fn remove(&mut self, id: &str) {
+        self.known.remove(id);
+    }
+
+    /// Time until what is missing counts as gone; `None` if nothing is missing.
+    pub fn lenient_for(&self, now: u64) -> Option<u64> {
+        self.keeps_missing().then(|| self.lenient_until.saturating_sub(now))
+    }
+
     /// Forgets what is still missing once the time is over; says whether anything went.
     pub fn sweep(&mut self, now: u64) -> bool {
         let before = self.known.len();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -179,9 +179,12 @@
 
     async fn watch(&mut self, mut from: u64) {
         loop {
-            let watched = match self.directory.keeps_missing() {
-                true => tokio::time::timeout(self.lapse, self.watch_once(from)).await,
-                false => Ok(self.watch_once(from).await),
+            let watched = match self.directory.lenient_for(self.now()) {
+                Some(rest) => {
+                    let rest = Duration::from_millis(rest);
+                    tokio::time::timeout(rest, self.watch_once(from)).await
+                }
+                None => Ok(self.watch_once(from).await),
             };
             match watched {
                 Err(_) => {
@@ -220,7 +223,7 @@
             let entry = change.value.as_deref().and_then(|text| read_entry(&change.name, text));
             match entry {
                 Some(entry) => self.directory.set(change.name, change.version, entry),
-                None => self.directory.remove(&change.name, now),
+                None => self.directory.remove(&change.name),
             }
         }
         self.directory.confirm(now);
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -231,6 +231,10 @@
 
 fn report(settlement: &Settlement, granted: &[Granted]) {
     for (item, granted) in settlement.items.iter().zip(granted) {
+        if granted.misfits > 0 {
+            let customer = &*item.customer;
+            tracing::error!(event = "transfers_misfit", customer, count = granted.misfits);
+        }
         let changed = item.charged > 0
             || granted.tokens > 0
             || item.returned > 0
--- a/crates/gateway/src/trip.rs
+++ b/crates/gateway/src/trip.rs
@@ -3,10 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ledger::Ended;
-use platform::{
-    config::Kind,
-    request::{Head, Tokens},
-};
+use platform::request::{Head, Tokens};
 use tokio::time::Instant;
 
 use crate::{
@@ -41,7 +38,6 @@
     pub id: Option<Arc<str>>,
     pub customer: Option<Arc<str>>,
     pub route: Option<Arc<str>>,
-    pub kind: Option<Kind>,
     pub service: Option<Arc<str>>,
     /// Version of the configuration that decided.
     pub version: u64,
@@ -77,7 +73,6 @@
             id: head.id.clone(),
             customer: None,
             route: None,
-            kind: None,
             service: None,
             version: 0,
             came,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -103,6 +103,8 @@
     pub used: u64,
     /// Tokens that count as spent because boxes died with them.
     pub lost: u64,
+    /// Transfers that were not counted, since their giver never had the tokens: a broken rule.
+    pub misfits: usize,
 }
 
 impl Book {
@@ -130,11 +132,11 @@
             let gone: Vec<bool> =
                 item.transfers.iter().map(|transfer| self.is_replaced(&transfer.to)).collect();
             let ledger = self.ledgers.entry(item.customer.clone()).or_default();
-            for (transfer, gone) in item.transfers.iter().zip(gone) {
-                // Refused only if the giver never had the tokens, which its own account excludes.
-                let _ = ledger.pass_on(transfer, gone);
-            }
-            granted.push(settle_item(ledger, settlement, item, policy, first));
+            let passed = item.transfers.iter().zip(gone);
+            let passed = passed.map(|(transfer, gone)| ledger.pass_on(transfer, gone));
+            let misfits = passed.filter(Result::is_err).count();
+            let settled = settle_item(ledger, settlement, item, policy, first);
+            granted.push(Granted { misfits, ..settled });
         }
         if settlement.leaves {
             self.writers.remove(holder);
@@ -205,6 +207,7 @@
         left: ledger.left().min(unspent),
         used: ledger.spent - ledger.lost,
         lost: ledger.lost,
+        misfits: 0,
     }
 }
 
