--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -14,8 +14,6 @@
     known: HashMap<Arc<str>, Known>,
     /// Missing entries are kept until then.
     lenient_until: u64,
-    /// When the store last confirmed the list.
-    confirmed: u64,
 }
 
 #[derive(Debug)]
@@ -31,16 +29,6 @@
         self.lenient_until = until;
     }
 
-    /// When the store last confirmed the list.
-    pub fn confirmed(&self) -> u64 {
-        self.confirmed
-    }
-
-    /// The list as a watch confirms it.
-    pub fn confirm(&mut self, now: u64) {
-        self.confirmed = now;
-    }
-
     /// Takes over a whole list.
     pub fn list(&mut self, entries: Vec<(Arc<str>, u64, Entry)>, now: u64) {
         let listed: Vec<Arc<str>> = entries.iter().map(|(id, ..)| id.clone()).collect();
@@ -52,7 +40,6 @@
         for id in gone {
             self.miss(&id, now);
         }
-        self.confirmed = now;
     }
 
     /// An entry was written.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -226,7 +226,6 @@
                 None => self.directory.remove(&change.name),
             }
         }
-        self.directory.confirm(now);
         let swept = self.directory.sweep(now);
         if changed || swept {
             self.publish("watch", watch.next);
