Use is averaged over the time that was observed

Test: funds::the_use_of_a_box_that_just_started_is_not_taken_for_less_than_it_is, seen failing (390).

--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -19,6 +19,9 @@
 
 /// Time over which the rate of use is averaged, in seconds.
 const RATE_S: f64 = 6.0;
+/// Shortest time over which use is averaged, in seconds: one large request that comes first says
+/// little about the ones after it.
+const LEAST_OBSERVED_S: f64 = 2.0;
 /// A box asks for more once it holds less than this share of its target.
 const LOW: f64 = 0.6;
 /// A box gives tokens back once it holds more than this multiple of its target.
@@ -94,15 +97,22 @@
     asking: Arc<tokio::sync::Mutex<()>>,
 }
 
+/// Use a second, averaged over the last seconds.
+///
+/// The sum fades with [`RATE_S`]. It is divided by the part of that window that was observed, so
+/// that the use of a box that just started isn't taken for less than it is.
 #[derive(Debug, Default)]
 struct Rate {
     sum: f64,
+    /// When the first use was seen.
+    since: Option<Instant>,
     at: Option<Instant>,
 }
 
 impl Rate {
     fn add(&mut self, tokens: u64, now: Instant) {
         self.decay(now);
+        self.since.get_or_insert(now);
         self.sum += tokens as f64;
     }
 
@@ -114,7 +124,10 @@
 
     fn per_second(&mut self, now: Instant) -> u64 {
         self.decay(now);
-        (self.sum / RATE_S) as u64
+        let Some(since) = self.since else { return 0 };
+        let observed = now.saturating_duration_since(since).as_secs_f64().max(LEAST_OBSERVED_S);
+        let window = RATE_S * (1.0 - (-observed / RATE_S).exp());
+        (self.sum / window) as u64
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/funds.rs
@@ -0,0 +1,65 @@
+//! What one box holds of a budget and whom it gives it to, on a paused clock.
+
+use std::{sync::Arc, time::Duration};
+
+use gateway::{Funds, Table};
+use ledger::{Book, Incarnation, Item, Policy, Writer};
+use platform::{config::Config, played};
+
+const PAID: u64 = 1_000_000;
+const POLICY: Policy =
+    Policy { offline_share: 500, online_horizon: 0, offline_horizon: 10, boxes: 1 };
+
+/// One box and the book.
+struct Desk {
+    funds: Funds,
+    name: Incarnation,
+    write: u64,
+    book: Book,
+}
+
+impl Desk {
+    /// A box that has settled twice: it holds its first tokens.
+    fn open() -> Desk {
+        let funds = Funds::open();
+        let text = played::config(1, PAID, &["stream"]);
+        funds.configure(&Table::new(Config::read(&text).expect("valid")));
+        let name = Incarnation::new("box-0", 1);
+        let mut desk = Desk { funds, name, write: 0, book: Book::default() };
+        desk.settle();
+        desk.settle();
+        desk
+    }
+
+    /// One settlement that lands.
+    fn settle(&mut self) -> Item {
+        self.write += 1;
+        let writer = Writer { write: self.write, peer: None };
+        let settlement = self.funds.plan(&self.name, writer, false);
+        let granted = self.book.settle(&settlement, POLICY);
+        self.funds.landed(&settlement, granted, 1);
+        let mine = settlement.items.iter().find(|item| item.customer == customer());
+        mine.expect("the customer's budget is settled").clone()
+    }
+}
+
+fn customer() -> Arc<str> {
+    "bornova".into()
+}
+
+async fn pass(time: Duration) {
+    tokio::time::advance(time).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_use_of_a_box_that_just_started_is_not_taken_for_less_than_it_is() {
+    let mut desk = Desk::open();
+    for _ in 0..30 {
+        let hold = desk.funds.try_hold(&customer(), 100).expect("enough is held");
+        hold.settle(100);
+        pass(Duration::from_millis(100)).await;
+        desk.settle();
+    }
+    let rate = desk.settle().observed.rate;
+    assert!((850..=1_150).contains(&rate), "1,000 tokens a second for 3 s, taken for {rate}");
+}
