Boxes promise a witness what they keep untouched; less is lost with one that dies

Cause: nobody knew how much of a grant a dead box had used, so all of it counted as spent. Change: a box names another one in the book as its witness, promises it to keep its free tokens but for 1.5 s of use, and takes a promise back only with the witness's word or by naming another one in a write that landed. Whoever starts on that box seals the promise and gives the tokens back. No clock is read; a paused, cut off or renamed box cannot use what it promised (namings are numbered). What all boxes hold that die together is lost as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
     bills::Bills,
     endpoints::Endpoints,
     follow::{self, EndpointFollower},
-    funds::Funds,
+    funds::{Balance, Funds},
     gate::Gate,
     metrics::{Budget, Metrics, Purpose},
     outage::Contact,
@@ -33,6 +33,7 @@
     serve::{self, Bounds},
     settings::Settings,
     settle::{Settler, Setup},
+    witness::{Keeper, Naming},
 };
 
 /// Connections of the balancer and of scrapers at once.
@@ -125,10 +126,13 @@
         let tasks = TaskTracker::new();
         let leaving = CancellationToken::new();
         let contact = Contact::new();
+        let naming = Naming::open();
+        let keeper = Keeper { funds: funds.clone(), peers: peers.clone(), naming: naming.clone() };
         let setup = Setup {
             store: store.clone(),
             funds: funds.clone(),
             peers,
+            naming,
             bills,
             holder: incarnation.clone(),
             policy: settings.policy(),
@@ -154,6 +158,7 @@
         let loops = vec![
             tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds, contact)),
             tokio::spawn(follower.run()),
+            tokio::spawn(keeper.run()),
             tokio::spawn(serve::accept(
                 ready,
                 few.clone(),
@@ -228,10 +233,10 @@
         &self.calls
     }
 
-    /// Tokens of a customer that are free in this box.
-    pub fn free(&self, customer: &str) -> u64 {
-        let all = self.gate.funds.overview();
-        all.iter().find(|line| &*line.0 == customer).map_or(0, |line| line.1)
+    /// What this box holds of a customer's budget.
+    pub fn balance(&self, customer: &str) -> Balance {
+        let all = self.gate.funds.balances();
+        all.into_iter().find(|balance| &*balance.customer == customer).unwrap_or_default()
     }
 
     /// Number of other boxes that this one can ask for tokens.
@@ -263,6 +268,7 @@
         let limit = Duration::from_millis(limits.stop_ms);
         tracing::info!(event = "stopping", limit_ms = limits.stop_ms);
         self.stopping.send_replace(true);
+        self.gate.peers.forget_promises();
         self.tasks.close();
         let notice = Duration::from_millis(limits.notice_ms);
         // The balancer sends connections until it has noticed; they are all served.
@@ -330,10 +336,11 @@
             let purpose = Purpose { operation: format!("{operation:?}"), kind: kind.to_string() };
             metrics.calls.get_or_create(&purpose).set(count.calls as i64);
         }
-        for (customer, free, _, unspent) in gate.funds.overview() {
-            let budget = Budget { customer: customer.to_string() };
-            metrics.free.get_or_create(&budget).set(free as i64);
-            metrics.unspent.get_or_create(&budget).set(unspent as i64);
+        for balance in gate.funds.balances() {
+            let budget = Budget { customer: balance.customer.to_string() };
+            metrics.free.get_or_create(&budget).set(balance.free as i64);
+            metrics.kept.get_or_create(&budget).set(balance.kept as i64);
+            metrics.unspent.get_or_create(&budget).set(balance.unspent as i64);
         }
         let dropped = gate.dropped_lines.lock().as_ref().map_or(0, |count| count());
         metrics.dropped_lines.set(dropped as i64);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub free: Family<Budget, Gauge>,
     /// Tokens paid and not known to be spent, by customer.
     pub unspent: Family<Budget, Gauge>,
+    /// Free tokens that are kept untouched by a promise.
+    pub kept: Family<Budget, Gauge>,
     /// Log lines dropped because the reader was too slow.
     pub dropped_lines: Gauge,
 }
@@ -80,6 +82,7 @@
             calls: Family::default(),
             free: Family::default(),
             unspent: Family::default(),
+            kept: Family::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register();
@@ -105,6 +108,11 @@
         registry.register("caller_connections", "Connections of callers", self.callers.clone());
         registry.register("store_calls", "Calls to the store by purpose", self.calls.clone());
         registry.register("tokens_free", "Tokens free in this box", self.free.clone());
+        registry.register(
+            "tokens_kept",
+            "Free tokens that this box promised its witness to keep untouched",
+            self.kept.clone(),
+        );
         registry.register(
             "tokens_unspent",
             "Tokens paid and not known to be spent",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,21 +13,30 @@
 };
 
 use futures_util::future::join_all;
-use ledger::{Incarnation, Transfer, Writer};
+use ledger::{Incarnation, Promise, Transfer, Writer};
 use parking_lot::Mutex;
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use timeline::Stamp;
 use tokio::time::Instant;
 use wire::{Frame, Message, Peer};
 
-use crate::funds::{Funds, Hold};
+use crate::{
+    funds::{Funds, Hold},
+    witness::{Records, Taken},
+};
 
 /// Time after which the next boxes are asked: many times the way there and back between
 /// availability zones, with room for a box that is busy.
 const NEXT: Duration = Duration::from_millis(50);
 /// Longest wait for an answer. What arrives until then is taken over, also if the request that
 /// asked has gone: tokens passed on would be stranded otherwise.
-const WITHIN: Duration = Duration::from_millis(1_000);
+const LENT_WITHIN: Duration = Duration::from_millis(1_000);
+/// Longest wait for the witness to take a promise; a request may be waiting for it. Many times
+/// the way there and back between availability zones.
+const PROMISE_WITHIN: Duration = Duration::from_millis(150);
+/// Longest wait of a start for the witness of the box's earlier life: the boxes know each other
+/// for longer than this before the first tokens are granted.
+const SEAL_WITHIN: Duration = Duration::from_millis(400);
 /// Boxes asked at once.
 const ASKED: usize = 3;
 /// Boxes asked for one request.
@@ -41,6 +50,32 @@
     me: Incarnation,
     source: IpAddr,
     state: Arc<Mutex<State>>,
+    /// What others promised this box.
+    records: Records,
+}
+
+/// Whether a box knows what it was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// It does.
+    Taken,
+    /// It certainly does not; what it was told before, it knows.
+    Not,
+    /// It knows nothing of this box any more: it is about to stop, or a later start of it answers.
+    Gone,
+    /// It may.
+    Unknown,
+}
+
+/// What came of asking a box.
+#[derive(Debug)]
+enum Heard {
+    /// It answered.
+    Frame(Frame),
+    /// Another start of the box answered: the one that was asked has ended.
+    Replaced,
+    /// No answer.
+    Nothing,
 }
 
 struct State {
@@ -60,7 +95,7 @@
         let source = address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |address| address.ip());
         let random = SmallRng::seed_from_u64(seed);
         let state = State { address: None, known: HashMap::new(), random };
-        Peers { me, source, state: Arc::new(Mutex::new(state)) }
+        Peers { me, source, state: Arc::new(Mutex::new(state)), records: Records::default() }
     }
 
     /// This box answers at an address.
@@ -75,6 +110,7 @@
 
     /// Takes over who stands in the book.
     pub fn update(&self, writers: &BTreeMap<Incarnation, Writer>) {
+        self.records.retain(|name| writers.contains_key(name));
         let mut state = self.state.lock();
         state.known.retain(|name, _| writers.contains_key(name));
         for (name, writer) in writers.iter().filter(|(name, _)| **name != self.me) {
@@ -99,6 +135,50 @@
         self.state.lock().known.contains_key(name)
     }
 
+    /// A box that stands in the book and did not fail to answer lately, other than `not`.
+    pub fn any_in_reach(&self, not: Option<&Incarnation>) -> Option<Incarnation> {
+        let others = self.in_reach().into_iter().map(|(name, _)| name);
+        others.into_iter().find(|name| Some(name) != not)
+    }
+
+    /// Tells a box what this one keeps untouched from now on.
+    pub async fn promise(&self, witness: &Incarnation, promise: Promise) -> Told {
+        let number = promise.number;
+        let Some(peer) = self.peer(witness) else { return Told::Not };
+        match self.ask(witness, &peer, Frame::Promise(promise), PROMISE_WITHIN).await {
+            Heard::Frame(Frame::Promised { number: taken }) if taken == number => Told::Taken,
+            Heard::Frame(Frame::Sealed { tokens: None }) | Heard::Replaced => Told::Gone,
+            Heard::Frame(Frame::Refused { .. }) => Told::Not,
+            Heard::Frame(_) | Heard::Nothing => Told::Unknown,
+        }
+    }
+
+    /// This box is about to stop: it is nobody's witness any more.
+    pub fn forget_promises(&self) {
+        self.records.close();
+    }
+
+    /// Asks the witness of a box that died what that one had kept, and to take no more promises
+    /// from it; `None` if it does not say.
+    pub async fn seal(
+        &self,
+        witness: &Incarnation,
+        address: SocketAddr,
+        holder: Incarnation,
+        term: u64,
+    ) -> Option<BTreeMap<Arc<str>, u64>> {
+        let peer = Peer::new(address, self.source);
+        let answer = self.ask(witness, &peer, Frame::Seal { holder, term }, SEAL_WITHIN).await;
+        match answer {
+            Heard::Frame(Frame::Sealed { tokens }) => tokens,
+            Heard::Frame(_) | Heard::Replaced | Heard::Nothing => None,
+        }
+    }
+
+    fn peer(&self, name: &Incarnation) -> Option<Peer> {
+        self.state.lock().known.get(name).map(|known| known.peer.clone())
+    }
+
     /// Holds the worst case of a request with tokens of other boxes, until `until`.
     pub async fn borrow_for(
         &self,
@@ -126,7 +206,7 @@
                     let (peers, funds, customer) = (self.clone(), funds.clone(), customer.clone());
                     let (name, peer) = (name.clone(), peer.clone());
                     tokio::spawn(async move {
-                        let lent = peers.ask(&name, &peer, &customer, wanted).await;
+                        let lent = peers.borrow(&name, &peer, &customer, wanted).await;
                         lent.into_iter().for_each(|transfer| funds.receive(&customer, transfer));
                     })
                 });
@@ -165,7 +245,7 @@
         peers
     }
 
-    async fn ask(
+    async fn borrow(
         &self,
         name: &Incarnation,
         peer: &Peer,
@@ -173,13 +253,31 @@
         tokens: u64,
     ) -> Option<Transfer> {
         let frame = Frame::Lend { budget: customer.clone(), tokens };
-        match peer.ask(&self.message(frame), WITHIN).await {
-            Ok(Message { frame: Frame::Lent { transfer }, .. }) => {
+        match self.ask(name, peer, frame, LENT_WITHIN).await {
+            Heard::Frame(Frame::Lent { transfer }) => {
                 transfer.filter(|transfer| transfer.from == *name && transfer.to == self.me)
             }
+            Heard::Frame(_) | Heard::Replaced | Heard::Nothing => None,
+        }
+    }
+
+    /// Asks a box.
+    async fn ask(&self, name: &Incarnation, peer: &Peer, frame: Frame, within: Duration) -> Heard {
+        match peer.ask(&self.message(frame), within).await {
+            Ok(answer) if answer.from != *name => {
+                let (peer, now) = (name.as_str(), answer.from.as_str());
+                tracing::info!(event = "peer_replaced", peer, now);
+                Heard::Replaced
+            }
             Ok(answer) => {
-                tracing::warn!(event = "peer_refused", peer = name.as_str(), answer = ?answer.frame);
-                None
+                if let Frame::Refused { reason } = &answer.frame {
+                    tracing::info!(
+                        event = "peer_refused",
+                        peer = name.as_str(),
+                        reason = &**reason
+                    );
+                }
+                Heard::Frame(answer.frame)
             }
             Err(error) => {
                 tracing::info!(event = "peer_silent", peer = name.as_str(), %error);
@@ -187,7 +285,7 @@
                 if let Some(known) = self.state.lock().known.get_mut(name) {
                     known.rests_until = rests_until;
                 }
-                None
+                Heard::Nothing
             }
         }
     }
@@ -210,27 +308,57 @@
     pub fn new(me: Incarnation, funds: Funds, peers: Peers) -> Desk {
         Desk { me, funds, peers }
     }
+
+    async fn lend(&self, to: &Incarnation, customer: &Arc<str>, wanted: u64) -> Frame {
+        self.funds.free_kept(customer, wanted, Instant::now() + NEXT / 2).await;
+        let transfer = self.funds.lend(customer, wanted, &self.me, to);
+        tracing::info!(
+            event = "tokens_passed_on",
+            customer = &**customer,
+            to = to.as_str(),
+            wanted,
+            passed = transfer.as_ref().map_or(0, |transfer| transfer.tokens),
+        );
+        Frame::Lent { transfer }
+    }
+
+    /// Only a later life of the same box asks; it knows the whole name of the earlier one, of
+    /// which 64 bits are random, from the book.
+    fn seal(&self, from: &Incarnation, holder: &Incarnation, term: u64) -> Frame {
+        if from.box_name() != holder.box_name() || from == holder {
+            return Frame::Refused { reason: "only a later start of the box may seal".into() };
+        }
+        let tokens = self.peers.records.seal(holder, term);
+        tracing::info!(
+            event = "promise_sealed",
+            holder = holder.as_str(),
+            term,
+            kept = tokens.as_ref().map(|tokens| tokens.values().sum::<u64>()),
+        );
+        Frame::Sealed { tokens }
+    }
 }
 
 #[async_trait::async_trait]
 impl wire::Answer for Desk {
     async fn answer(&self, question: Message) -> Message {
         let frame = match question.frame {
-            Frame::Lend { .. } if !self.peers.knows(&question.from) => {
+            Frame::Lend { .. } | Frame::Promise(_) if !self.peers.knows(&question.from) => {
                 Frame::Refused { reason: "this box does not stand in the book".into() }
             }
-            Frame::Lend { budget, tokens } => {
-                let transfer = self.funds.lend(&budget, tokens, &self.me, &question.from);
-                tracing::info!(
-                    event = "tokens_passed_on",
-                    customer = &*budget,
-                    to = question.from.as_str(),
-                    wanted = tokens,
-                    passed = transfer.as_ref().map_or(0, |transfer| transfer.tokens),
-                );
-                Frame::Lent { transfer }
+            Frame::Lend { budget, tokens } => self.lend(&question.from, &budget, tokens).await,
+            Frame::Promise(promise) => {
+                let number = promise.number;
+                match self.peers.records.take(&question.from, promise) {
+                    Taken::Newest => Frame::Promised { number },
+                    Taken::Not => {
+                        Frame::Refused { reason: "a newer promise or a seal is known".into() }
+                    }
+                    Taken::Closed => Frame::Sealed { tokens: None },
+                }
             }
-            _ => Frame::Refused { reason: "boxes ask each other for tokens only".into() },
+            Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
+            _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
         };
         self.peers.message(frame)
     }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ledger::{BOOK, Book, Granted, Incarnation, Policy, Settlement, Writer};
+use ledger::{BOOK, Book, Granted, Incarnation, Policy, Settlement, Untouched, Writer};
 use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use snafu::Snafu;
@@ -17,6 +17,7 @@
     outage::{Contact, Outage},
     peers::Peers,
     settings,
+    witness::Naming,
 };
 
 /// Time between two log lines on the calls of the store.
@@ -46,6 +47,7 @@
     pub store: Client,
     pub funds: Funds,
     pub peers: Peers,
+    pub naming: Naming,
     pub bills: Bills,
     /// This start of the box.
     pub holder: Incarnation,
@@ -85,7 +87,7 @@
     /// Settles as need arises, for as long as the box runs.
     pub async fn run(&mut self) {
         let mut told = Instant::now();
-        self.settle(false).await;
+        self.settle_first().await;
         self.wait(REGISTER).await;
         loop {
             self.settle(false).await;
@@ -97,14 +99,64 @@
             let spacing = Duration::from_millis(self.setup.money.spacing_ms);
             let settle = Duration::from_millis(self.setup.money.settle_ms);
             let began = Instant::now();
-            while !self.setup.funds.is_urgent()
-                && began.elapsed() < self.setup.funds.pause(spacing, settle)
-            {
+            while !self.setup.funds.is_urgent() && began.elapsed() < self.pause(spacing, settle) {
                 self.wait(spacing).await;
             }
         }
     }
 
+    /// Time of the next settlement that no request waits for, after the last one.
+    fn pause(&self, spacing: Duration, settle: Duration) -> Duration {
+        match self.setup.funds.is_due() || self.setup.naming.is_due(&self.setup.peers) {
+            true => spacing,
+            false => settle,
+        }
+    }
+
+    /// The first settlement, with what witnesses know of earlier lives of this box.
+    async fn settle_first(&mut self) {
+        let mut pause = PAUSE;
+        let book = loop {
+            match self.read().await {
+                Ok(known) => break self.known.insert(known).0.clone(),
+                Err(fault) => self.failed(&fault, &mut pause).await,
+            }
+        };
+        let mut earlier = Vec::new();
+        for (holder, witness) in book.earlier(&self.setup.holder) {
+            let Some(witness) = witness else { continue };
+            let address = book.writers.get(&witness.by).and_then(|writer| writer.peer);
+            let Some(address) = address else { continue };
+            let asked = self.setup.peers.seal(&witness.by, address, holder.clone(), witness.term);
+            let tokens = asked.await;
+            tracing::info!(
+                event = "earlier_life",
+                holder = holder.as_str(),
+                witness = witness.by.as_str(),
+                untouched = tokens.as_ref().map(|tokens| tokens.values().sum::<u64>()),
+            );
+            earlier.extend(tokens.map(|tokens| Untouched { holder, witness, tokens }));
+        }
+        let writer = self.writer();
+        self.pending = Some(self.setup.funds.plan_first(&self.setup.holder, writer, earlier));
+        self.settle(false).await;
+    }
+
+    fn writer(&mut self) -> Writer {
+        self.write += 1;
+        Writer {
+            write: self.write,
+            peer: self.setup.peers.address(),
+            witness: self.setup.naming.choose(&self.setup.peers, self.write),
+        }
+    }
+
+    async fn failed(&mut self, fault: &Fault, pause: &mut Duration) {
+        self.outage.failed(fault);
+        tokio::time::sleep(*pause).await;
+        *pause = (*pause * 2).min(PAUSE_MOST);
+    }
+
     async fn wait(&self, pause: Duration) {
         if !self.setup.funds.is_urgent() {
             let _ = tokio::time::timeout(pause, self.setup.funds.wanted()).await;
@@ -116,8 +168,7 @@
         let settlement = match self.pending.take() {
             Some(pending) => pending,
             None => {
-                self.write += 1;
-                let writer = Writer { write: self.write, peer: self.setup.peers.address() };
+                let writer = self.writer();
                 self.setup.funds.plan(&self.setup.holder, writer, leaves)
             }
         };
@@ -127,23 +178,18 @@
             match self.attempt(&settlement).await {
                 Ok(Some(granted)) => break granted,
                 Ok(None) => {}
-                Err(fault) => {
-                    self.setup.funds.set_reachable(false);
-                    self.outage.failed(&fault);
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MOST);
-                }
+                Err(fault) => self.failed(&fault, &mut pause).await,
             }
         };
         self.pending = None;
         self.outage.answered();
-        self.setup.funds.set_reachable(true);
         let boxes = self.known.as_ref().map_or(1, |(book, _)| {
             self.setup.peers.update(&book.writers);
             book.boxes()
         });
         report(&settlement, &granted);
         self.setup.funds.landed(&settlement, granted, boxes);
+        self.setup.naming.landed(&settlement.writer.witness, &self.setup.funds);
     }
 
     /// One call; `None` where the book had changed meanwhile.
--- /dev/null
+++ b/crates/gateway/src/witness.rs
@@ -0,0 +1,195 @@
+//! What boxes promise each other to keep untouched, so that little is lost with one that dies.
+//!
+//! [`Records`] is the witness's side. [`Naming`] is the choice of this box's own witness, which
+//! counts once the book says so, and [`Keeper`] tells that one what this box keeps. While neither
+//! the store nor the witness answers, what was promised last stays untouched.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use ledger::{Incarnation, Promise, Witness};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::{
+    funds::Funds,
+    peers::{Peers, Told},
+};
+
+/// Pause after a promise that the witness did not take, so that a box that is down is not asked
+/// without end.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What other boxes promised this one.
+#[derive(Debug, Clone, Default)]
+pub struct Records(Arc<Mutex<Kept>>);
+
+#[derive(Debug, Default)]
+struct Kept {
+    records: HashMap<Incarnation, Record>,
+    /// Nothing is taken any more, and nothing known.
+    closed: bool,
+}
+
+#[derive(Debug)]
+struct Record {
+    promise: Promise,
+    /// The box died: nothing newer is taken.
+    sealed: bool,
+}
+
+/// What became of a promise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It counts now.
+    Newest,
+    /// A newer one counts, or the box that promised counts as dead.
+    Not,
+    /// This box is no witness any more: no promise counts.
+    Closed,
+}
+
+impl Records {
+    /// Takes a promise.
+    pub fn take(&self, holder: &Incarnation, promise: Promise) -> Taken {
+        let mut kept = self.0.lock();
+        let is_newer = kept.records.get(holder).is_none_or(|known| {
+            let (old, new) = (&known.promise, &promise);
+            !known.sealed && (new.term, new.number) > (old.term, old.number)
+        });
+        match is_newer {
+            _ if kept.closed => Taken::Closed,
+            false => Taken::Not,
+            true => {
+                kept.records.insert(holder.clone(), Record { promise, sealed: false });
+                Taken::Newest
+            }
+        }
+    }
+
+    /// What a box that died had promised last under a naming. Nothing newer is taken from then on.
+    pub fn seal(&self, holder: &Incarnation, term: u64) -> Option<BTreeMap<Arc<str>, u64>> {
+        let mut kept = self.0.lock();
+        let record = kept.records.get_mut(holder)?;
+        record.sealed = true;
+        (record.promise.term == term).then(|| record.promise.tokens.clone())
+    }
+
+    /// Forgets boxes that do not stand in the book any more.
+    pub fn retain(&self, stands: impl Fn(&Incarnation) -> bool) {
+        self.0.lock().records.retain(|name, _| stands(name));
+    }
+
+    /// Forgets everything for good.
+    pub fn close(&self) {
+        let mut kept = self.0.lock();
+        (kept.closed, kept.records) = (true, HashMap::new());
+    }
+}
+
+/// The choice of this box's witness.
+#[derive(Debug, Clone)]
+pub struct Naming {
+    /// The one that the book names, as far as this box knows.
+    named: Arc<watch::Sender<Option<Witness>>>,
+    /// It did not answer, or is none any more.
+    lost: Arc<Mutex<bool>>,
+}
+
+impl Naming {
+    /// None yet.
+    pub fn open() -> Naming {
+        Naming { named: Arc::new(watch::channel(None).0), lost: Arc::default() }
+    }
+
+    /// Whom a settlement with this number names: the same as before, unless it is gone or lost.
+    pub fn choose(&self, peers: &Peers, number: u64) -> Option<Witness> {
+        let named = self.named.borrow().clone();
+        let lost = *self.lost.lock();
+        let stays = |witness: &Witness| !lost && peers.knows(&witness.by);
+        if let Some(witness) = named.as_ref().filter(|witness| stays(witness)) {
+            return Some(witness.clone());
+        }
+        let other = peers.any_in_reach(named.as_ref().map(|witness| &witness.by));
+        other.map(|by| Witness { by, term: number })
+    }
+
+    /// A settlement landed that names this one: what was promised another one counts no more.
+    pub fn landed(&self, witness: &Option<Witness>, funds: &Funds) {
+        if *self.named.borrow() == *witness {
+            return;
+        }
+        *self.lost.lock() = false;
+        self.named.send_replace(witness.clone());
+        funds.release();
+        tracing::info!(
+            event = "witness_named",
+            witness = witness.as_ref().map(|witness| witness.by.as_str()),
+            term = witness.as_ref().map(|witness| witness.term),
+        );
+    }
+
+    /// The witness did not answer, or is none any more.
+    fn note_lost(&self, witness: &Witness) {
+        *self.lost.lock() = true;
+        tracing::info!(event = "witness_lost", witness = witness.by.as_str());
+    }
+
+    /// Whether another one is to be named.
+    pub fn is_due(&self, peers: &Peers) -> bool {
+        let is_gone = |witness: &Witness| !peers.knows(&witness.by);
+        *self.lost.lock() || self.named.borrow().as_ref().is_some_and(is_gone)
+    }
+}
+
+/// Tells the witness what this box keeps.
+pub struct Keeper {
+    pub funds: Funds,
+    pub peers: Peers,
+    pub naming: Naming,
+}
+
+impl Keeper {
+    /// Tells it for as long as the box runs.
+    pub async fn run(self) {
+        let mut number = 0;
+        // What the witness took last, and under which naming.
+        let mut taken = (0, BTreeMap::new());
+        loop {
+            self.funds.promise_due().await;
+            let Some(witness) = self.naming.named.borrow().clone() else { continue };
+            let Some(tokens) = self.funds.promise() else { continue };
+            if taken.0 != witness.term {
+                taken = (witness.term, BTreeMap::new());
+            }
+            number += 1;
+            let promise = Promise { term: witness.term, number, tokens: tokens.clone() };
+            let told = self.peers.promise(&witness.by, promise).await;
+            tracing::debug!(
+                event = "promised",
+                witness = witness.by.as_str(),
+                term = witness.term,
+                number,
+                kept = tokens.values().sum::<u64>(),
+                outcome = ?told,
+            );
+            match told {
+                Told::Taken => {
+                    self.funds.promised(&tokens);
+                    taken.1 = tokens;
+                    continue;
+                }
+                Told::Not => self.funds.promised(&taken.1),
+                Told::Gone => {
+                    self.naming.note_lost(&witness);
+                    self.funds.release();
+                }
+                Told::Unknown => self.naming.note_lost(&witness),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
--- a/crates/gateway/tests/funds.rs
+++ b/crates/gateway/tests/funds.rs
@@ -34,7 +34,7 @@
     /// One settlement that lands.
     fn settle(&mut self) -> Item {
         self.write += 1;
-        let writer = Writer { write: self.write, peer: None };
+        let writer = Writer { write: self.write, peer: None, witness: None };
         let settlement = self.funds.plan(&self.name, writer, false);
         let granted = self.book.settle(&settlement, POLICY);
         self.funds.landed(&settlement, granted, 1);
--- /dev/null
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -0,0 +1,67 @@
+//! Boxes that die without a word.
+
+use std::time::Duration;
+
+use crate::world::{World, answers, call, until, until_served};
+
+const PAID: u64 = 1_000_000;
+/// What may be lost with one box: 3% of what is paid.
+const LOST: u64 = PAID * 3 / 100;
+
+#[tokio::test]
+async fn little_is_lost_with_a_box_whose_witness_lives() {
+    let world = World::open(PAID, &["stream", "open"]).await;
+    let _plain = world.endpoint("i-1", "plain", answers).await;
+    let _engine = world.endpoint("i-2", "engines", answers).await;
+    let one = world.gateway("box-1").await;
+    let two = world.gateway("box-2").await;
+    until_served(&world, &one, "/stream/x").await;
+    until_served(&world, &two, "/open/x").await;
+    until("box 1 holds much and keeps most of it", async || {
+        call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let balance = one.balance("bornova");
+        balance.free > 3 * LOST / 2 && balance.free - balance.kept < LOST / 2
+    })
+    .await;
+    let first = one.incarnation().clone();
+    drop(one);
+    let again = world.gateway("box-1").await;
+    until("the earlier life is settled", async || {
+        let book = world.book().await;
+        !book.writers.contains_key(&first) && book.writers.contains_key(again.incarnation())
+    })
+    .await;
+    let book = world.book().await;
+    let of = &book.ledgers["bornova"];
+    assert!(of.lost < LOST, "{} of {PAID} tokens lost", of.lost);
+    assert!(of.is_sound(), "{of:?}");
+    drop(two);
+}
+
+#[tokio::test]
+async fn what_two_boxes_held_that_die_together_counts_as_spent() {
+    let world = World::open(PAID, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", answers).await;
+    let one = world.gateway("box-1").await;
+    let two = world.gateway("box-2").await;
+    until_served(&world, &one, "/stream/x").await;
+    until("box 1 keeps tokens", async || {
+        call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        one.balance("bornova").kept > LOST
+    })
+    .await;
+    let held = one.balance("bornova").kept;
+    let firsts = [one.incarnation().clone(), two.incarnation().clone()];
+    drop((one, two));
+    let again = [world.gateway("box-1").await, world.gateway("box-2").await];
+    until("the earlier lives are settled", async || {
+        let book = world.book().await;
+        firsts.iter().all(|first| !book.writers.contains_key(first))
+    })
+    .await;
+    let lost = world.book().await.ledgers["bornova"].lost;
+    assert!(lost >= held, "nobody can tell that {held} tokens were not used: {lost} lost");
+    drop(again);
+}
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! Real gateways over loopback, between the stand-in store and scripted endpoints.
 
+mod crash;
 mod outage;
 mod path;
 mod world;
--- a/crates/gateway/tests/loopback/outage.rs
+++ b/crates/gateway/tests/loopback/outage.rs
@@ -38,14 +38,14 @@
         call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
         call(two.callers(), "/stream/x", &world.asked("key-b", 1, 1)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
-        one.free("bornova") > 9_000 && two.knows_peers() > 0 && one.knows_peers() > 0
+        one.balance("bornova").free > 9_000 && two.knows_peers() > 0 && one.knows_peers() > 0
     })
     .await;
     world.platform.set(|faults| faults.down = true);
-    let worst = two.free("bornova") + 2_000;
+    let worst = two.balance("bornova").free + 2_000;
     let got = call(two.callers(), "/stream/x", &world.asked("key-b", worst - 10, 10)).await;
     assert_eq!(got.status, StatusCode::OK, "{got:?}");
-    let all = one.free("bornova") + two.free("bornova");
+    let all = one.balance("bornova").free + two.balance("bornova").free;
     let got = call(two.callers(), "/stream/x", &world.asked("key-b", all + 1, 1)).await;
     assert_eq!(got.status, StatusCode::TOO_MANY_REQUESTS, "nobody has that many: {got:?}");
     assert!(got.headers.contains_key("retry-after"));
@@ -87,9 +87,7 @@
         let line = charged.lines().find_map(|l| l.strip_prefix("flintstall_tokens_charged_total "));
         let charged: u64 = line.expect("a counter").parse().expect("a number");
         until("the last settlement landed", async || {
-            let book = objects::Store::get(world.platform.memory(), "books", "main").await;
-            let book = book.expect("memory answers").expect("a book").value;
-            let book: ledger::Book = serde_json::from_str(&book).expect("a book");
+            let book = world.book().await;
             let of = &book.ledgers["bornova"];
             of.statement.tokens == charged && of.spent == charged && of.grants.is_empty()
         })
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -221,9 +221,7 @@
     let got = stream.await.expect("no panic");
     assert_eq!(got.body.expect("a whole stream").matches("id:").count(), 20);
     stop.await.expect("it stops");
-    let book = objects::Store::get(world.platform.memory(), "books", "main").await;
-    let book = book.expect("memory answers").expect("a book").value;
-    let book: ledger::Book = serde_json::from_str(&book).expect("a book");
+    let book = world.book().await;
     let of = &book.ledgers["bornova"];
     assert!(book.writers.is_empty() && of.grants.is_empty(), "{book:?}");
     assert_eq!((of.lost, of.spent, of.statement.tokens), (0, of.spent, of.spent));
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -54,6 +54,13 @@
         memory.put(kind, name, value, expect).await;
     }
 
+    /// The book as it stands.
+    pub async fn book(&self) -> ledger::Book {
+        let (kind, name) = ledger::BOOK;
+        let book = self.platform.memory().get(kind, name).await.expect("memory answers");
+        serde_json::from_str(&book.expect("a book").value).expect("it can be read")
+    }
+
     /// Writes a version of the configuration.
     pub async fn configure(&self, version: u64, paid: u64, routes: &[&str]) {
         let (kind, name) = platform::CONFIG;
--- a/crates/gateway/tests/money.rs
+++ b/crates/gateway/tests/money.rs
@@ -1,14 +1,17 @@
 //! Random orders of everything that touches a budget, with several boxes and one book.
 //!
 //! Boxes hold and charge tokens, settle with answers that are lost and writes that land late,
-//! lend to each other with answers that are lost, die, start again and leave. Whatever the
-//! order, what was charged and what is still held never exceed what was paid, and what living
-//! boxes reported is counted once. Broken variants must be caught, or the check could not fail.
+//! lend to each other with answers that are lost, promise witnesses what they keep untouched, die,
+//! start again and leave. Whatever the order, what was charged and what is still held never exceed
+//! what was paid, and what living boxes reported is counted once. Broken variants must be caught,
+//! or the check could not fail.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
-use gateway::{Funds, Hold, Table};
-use ledger::{Book, Granted, Incarnation, Policy, Settlement, Transfer, Writer};
+use gateway::{Funds, Hold, Records, Table, Taken};
+use ledger::{
+    Book, Granted, Incarnation, Policy, Promise, Settlement, Transfer, Untouched, Witness, Writer,
+};
 use platform::{config::Config, played};
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -31,6 +34,12 @@
     ForgetTransfers,
     /// A box that leaves gives back what requests under way hold, too.
     LeaveEarly,
+    /// A promise whose answer was lost is taken as known to the witness.
+    PromiseBlind,
+    /// A witness tells what it was promised under an earlier naming.
+    OldNaming,
+    /// Tokens that a promise keeps are spent all the same.
+    SpendKept,
 }
 
 #[derive(Debug, Clone)]
@@ -45,8 +54,12 @@
     Write { at: usize, answered: bool },
     /// One box asks another; the answer may be lost, or arrive twice.
     Lend { from: usize, to: usize, tokens: u64, arrives: usize },
-    /// A box dies and starts again.
-    Die { at: usize },
+    /// The next settlement of a box names another one as its witness.
+    Name { at: usize, witness: usize },
+    /// A box promises its witness what it keeps; question and answer may be lost.
+    Promise { at: usize, arrives: bool, answered: bool },
+    /// A box dies and starts again; its witness may be out of reach then.
+    Die { at: usize, asked: bool },
     /// A box ends by plan and starts again.
     Leave { at: usize },
 }
@@ -59,6 +72,15 @@
     pending: Option<Settlement>,
     /// What the newest write of it would grant, while nobody knows whether it landed.
     unsure: Option<Vec<Granted>>,
+    /// The witness that the book names, as far as the box knows.
+    named: Option<Witness>,
+    /// The witness that its next settlement names.
+    names: Option<Witness>,
+    promises: u64,
+    /// What others promised it.
+    records: Records,
+    /// What its earlier life left untouched, until its first settlement tells.
+    earlier: Vec<Untouched>,
 }
 
 impl Node {
@@ -67,7 +89,19 @@
         let text = played::config(1, PAID, &["stream"]);
         funds.configure(&Table::new(Config::read(&text).expect("valid")));
         let name = Incarnation::new(&format!("box-{at}"), life);
-        Node { name, funds, holds: Vec::new(), write: 0, pending: None, unsure: None }
+        Node {
+            name,
+            funds,
+            holds: Vec::new(),
+            write: 0,
+            pending: None,
+            unsure: None,
+            named: None,
+            names: None,
+            promises: 0,
+            records: Records::default(),
+            earlier: Vec::new(),
+        }
     }
 }
 
@@ -78,6 +112,8 @@
     /// Tokens that requests really used, by the boxes' own word or at worst.
     used: u64,
     broken: Broken,
+    /// Naming under which a box last promised another one something.
+    terms: HashMap<(Incarnation, Incarnation), u64>,
 }
 
 fn customer() -> Arc<str> {
@@ -87,20 +123,33 @@
 impl World {
     fn new(broken: Broken) -> World {
         let nodes = (0..BOXES).map(|at| Node::start(at, at as u64)).collect();
-        World { book: Book::default(), nodes, lives: BOXES as u64, used: 0, broken }
+        let book = Book::default();
+        let lives = BOXES as u64;
+        let mut world = World { book, nodes, lives, used: 0, broken, terms: HashMap::new() };
+        (0..BOXES).for_each(|at| world.name(at, (at + 1) % BOXES));
+        world
     }
 
     fn step(&mut self, step: &Step) {
         match *step {
             Step::Hold { at, tokens } => {
+                if self.broken == Broken::SpendKept {
+                    self.nodes[at].funds.release();
+                }
                 let hold = self.nodes[at].funds.try_hold(&customer(), tokens);
+                if hold.is_none() {
+                    // The next promise frees them.
+                    drop(self.nodes[at].funds.want_kept(&customer(), tokens));
+                }
                 self.nodes[at].holds.extend(hold);
             }
             Step::End { at, percent } => self.end(at, percent),
             Step::Plan { at } => self.plan(at, false),
             Step::Write { at, answered } => self.write(at, answered),
             Step::Lend { from, to, tokens, arrives } => self.lend(from, to, tokens, arrives),
-            Step::Die { at } => self.die(at),
+            Step::Name { at, witness } => self.name(at, witness),
+            Step::Promise { at, arrives, answered } => self.promise(at, arrives, answered),
+            Step::Die { at, asked } => self.die(at, asked),
             Step::Leave { at } => self.leave(at),
         }
     }
@@ -120,8 +169,54 @@
             return;
         }
         node.write += 1;
-        let writer = Writer { write: node.write, peer: None };
-        node.pending = Some(node.funds.plan(&node.name, writer, leaves));
+        let writer = Writer { write: node.write, peer: None, witness: node.names.clone() };
+        let earlier = std::mem::take(&mut node.earlier);
+        let plan = node.funds.plan(&node.name, writer, leaves);
+        node.pending = Some(Settlement { earlier, ..plan });
+    }
+
+    fn name(&mut self, at: usize, witness: usize) {
+        if at != witness {
+            let by = self.nodes[witness].name.clone();
+            let node = &mut self.nodes[at];
+            node.names = Some(Witness { by, term: node.write + 1 });
+        }
+    }
+
+    fn promise(&mut self, at: usize, arrives: bool, answered: bool) {
+        let node = &mut self.nodes[at];
+        let Some(witness) = node.named.clone() else { return };
+        let Some(tokens) = node.funds.promise() else { return };
+        node.promises += 1;
+        let promise = Promise { term: witness.term, number: node.promises, tokens: tokens.clone() };
+        let (name, blind) = (node.name.clone(), self.broken == Broken::PromiseBlind);
+        let Some(by) = self.nodes.iter().position(|node| node.name == witness.by) else {
+            // Another start answers there: what the witness knew is gone with it.
+            if answered {
+                self.nodes[at].funds.release();
+            }
+            return;
+        };
+        let taken = arrives && self.nodes[by].records.take(&name, promise) == Taken::Newest;
+        if taken {
+            self.terms.insert((name, witness.by), witness.term);
+        }
+        if (taken && answered) || blind {
+            self.nodes[at].funds.promised(&tokens);
+        }
+    }
+
+    /// What the witness of a box that died says of it.
+    fn untouched(&self, holder: &Incarnation) -> Option<Untouched> {
+        let witness = self.book.writers.get(holder)?.witness.clone()?;
+        let by = self.nodes.iter().find(|node| node.name == witness.by)?;
+        let newest = self.terms.get(&(holder.clone(), witness.by.clone())).copied();
+        let term = match self.broken {
+            Broken::OldNaming => newest.unwrap_or(witness.term),
+            _ => witness.term,
+        };
+        let tokens = by.records.seal(holder, term)?;
+        Some(Untouched { holder: holder.clone(), witness, tokens })
     }
 
     fn write(&mut self, at: usize, answered: bool) {
@@ -140,11 +235,15 @@
             true => {
                 node.unsure = None;
                 node.funds.landed(&settlement, granted, self.book.boxes());
+                if node.named != settlement.writer.witness {
+                    node.named = settlement.writer.witness.clone();
+                    node.funds.release();
+                }
             }
             false if broken == Broken::Blind => {
                 // The same again, under a new number, as if nothing had happened.
                 node.write += 1;
-                let writer = Writer { write: node.write, ..settlement.writer };
+                let writer = Writer { write: node.write, ..settlement.writer.clone() };
                 node.pending = Some(Settlement { writer, ..settlement });
             }
             false => {
@@ -168,7 +267,7 @@
         }
     }
 
-    fn die(&mut self, at: usize) {
+    fn die(&mut self, at: usize, asked: bool) {
         // Nobody knows what its requests used; the truth may be all of it.
         let lost: u64 = self.nodes[at].holds.iter().map(Hold::tokens).sum();
         self.used += lost;
@@ -178,7 +277,10 @@
                 ledger.end(&name);
             }
         }
+        let name = self.nodes[at].name.clone();
+        let untouched = if asked { self.untouched(&name) } else { None };
         self.restart(at);
+        self.nodes[at].earlier.extend(untouched);
     }
 
     fn leave(&mut self, at: usize) {
@@ -203,6 +305,7 @@
     fn restart(&mut self, at: usize) {
         self.lives += 1;
         self.nodes[at] = Node::start(at, self.lives);
+        self.name(at, (at + 1) % BOXES);
     }
 
     /// Tokens used, and those that requests under way may still use.
@@ -216,6 +319,12 @@
         if committed > PAID {
             return Err(format!("{committed} tokens used or held of {PAID} paid"));
         }
+        // What a box uses is spent or granted in the book, too, or others could be given it.
+        let ledger = self.book.ledgers.get(&customer());
+        let counted = ledger.map_or(0, |ledger| ledger.spent + ledger.granted());
+        if committed > counted {
+            return Err(format!("{committed} tokens used or held of {counted} spent or granted"));
+        }
         match self.book.ledgers.values().find(|ledger| !ledger.is_sound()) {
             Some(ledger) => Err(format!("unsound: {ledger:?}")),
             None => Ok(()),
@@ -244,15 +353,21 @@
 
 fn step() -> impl Strategy<Value = Step> {
     let at = 0..BOXES;
+    // Boxes hold little at first: small requests find some, and make them hold more.
+    let size = || prop_oneof![2 => 20u64..400, 1 => 100u64..9_000];
     prop_oneof![
-        6 => (at.clone(), 100u64..9_000).prop_map(|(at, tokens)| Step::Hold { at, tokens }),
+        6 => (at.clone(), size()).prop_map(|(at, tokens)| Step::Hold { at, tokens }),
         4 => (at.clone(), 0u64..=100).prop_map(|(at, percent)| Step::End { at, percent }),
         5 => at.clone().prop_map(|at| Step::Plan { at }),
         7 => (at.clone(), prop::bool::weighted(0.7))
             .prop_map(|(at, answered)| Step::Write { at, answered }),
         4 => (at.clone(), at.clone(), 100u64..9_000, 0usize..3)
             .prop_map(|(from, to, tokens, arrives)| Step::Lend { from, to, tokens, arrives }),
-        1 => at.clone().prop_map(|at| Step::Die { at }),
+        2 => (at.clone(), at.clone()).prop_map(|(at, witness)| Step::Name { at, witness }),
+        5 => (at.clone(), prop::bool::weighted(0.8), prop::bool::weighted(0.7))
+            .prop_map(|(at, arrives, answered)| Step::Promise { at, arrives, answered }),
+        1 => (at.clone(), prop::bool::weighted(0.8))
+            .prop_map(|(at, asked)| Step::Die { at, asked }),
         1 => at.prop_map(|at| Step::Leave { at }),
     ]
 }
@@ -312,13 +427,44 @@
     }
 }
 
+/// Random orders seldom meet these, so their steps are given.
+#[test]
+fn broken_promises_are_caught() {
+    let settle = |at| [Step::Plan { at }, Step::Write { at, answered: true }];
+    let promise = |arrives| Step::Promise { at: 0, arrives, answered: arrives };
+    let large = || Step::Hold { at: 0, tokens: 8_000 };
+    let dies = [Step::Die { at: 0, asked: true }].into_iter().chain(settle(0));
+    // A request that finds too little makes the box hold more, all of which it promises to keep.
+    let keeps = || [large()].into_iter().chain(settle(0)).chain([promise(true)]);
+    let named = |witness| [Step::Name { at: 0, witness }].into_iter().chain(settle(0));
+    let cases: [(Broken, Vec<Step>); 3] = [
+        (Broken::SpendKept, keeps().chain([large()]).chain(dies.clone()).collect()),
+        (
+            Broken::PromiseBlind,
+            keeps().chain([large(), promise(false), large()]).chain(dies.clone()).collect(),
+        ),
+        (
+            Broken::OldNaming,
+            keeps().chain(named(2)).chain(named(1)).chain([large()]).chain(dies).collect(),
+        ),
+    ];
+    for (broken, steps) in cases {
+        assert_eq!(
+            run(&steps, Broken::Nothing),
+            Ok(()),
+            "the rules hold where {broken:?} does not"
+        );
+        assert!(run(&steps, broken).is_err(), "{broken:?} was not caught");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_settlement_that_brought_too_little_is_not_repeated_at_once() {
     let mut node = Node::start(0, 1);
     let mut book = Book::default();
     let mut settle = |node: &mut Node| {
         node.write += 1;
-        let writer = Writer { write: node.write, peer: None };
+        let writer = Writer { write: node.write, peer: None, witness: None };
         let settlement = node.funds.plan(&node.name, writer, false);
         let granted = book.settle(&settlement, POLICY);
         node.funds.landed(&settlement, granted, 1);
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -4,7 +4,8 @@
 //! conditional update: what it charged since its last one, what it gives back, and what it would
 //! like to hold. [`Book::settle`] grants from what is really left, so a stale view in the box can
 //! only ask too much or too little. A grant can be spent with no word from the platform; what a
-//! box that died had left of it counts as spent for good.
+//! box that died had left of it counts as spent for good, but for what its witness knows to be
+//! untouched.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer};
+use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer, Untouched, Witness};
 
 /// Part of what all boxes may hold that is split evenly, in thousandths: a box that a customer's
 /// next requests come to first has some.
@@ -35,12 +36,15 @@
 }
 
 /// A box that writes here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Writer {
     /// Number of its newest write.
     pub write: u64,
     /// Where other boxes ask it for tokens.
     pub peer: Option<SocketAddr>,
+    /// Who knows what it keeps untouched.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub witness: Option<Witness>,
 }
 
 /// What a box settles of one budget.
@@ -82,6 +86,8 @@
     pub writer: Writer,
     /// Budgets.
     pub items: Vec<Item>,
+    /// What earlier lives of the same box left untouched; read with its first write.
+    pub earlier: Vec<Untouched>,
     /// The box ends by plan: its grants end too, and nothing of them can come later.
     pub leaves: bool,
 }
@@ -122,9 +128,9 @@
     /// Carries a settlement out and says what it gave, budget by budget.
     pub fn settle(&mut self, settlement: &Settlement, policy: Policy) -> Vec<Granted> {
         let holder = &settlement.holder;
-        let first = self.writers.insert(holder.clone(), settlement.writer).is_none();
+        let first = self.writers.insert(holder.clone(), settlement.writer.clone()).is_none();
         if first {
-            self.replace_earlier(holder);
+            self.replace_earlier(holder, &settlement.earlier);
         }
         let policy = Policy { boxes: self.boxes(), ..policy };
         let mut granted = Vec::with_capacity(settlement.items.len());
@@ -150,14 +156,27 @@
         !self.writers.contains_key(holder) && self.writers.keys().any(newer)
     }
 
-    /// What an earlier life of the same box held counts as spent: nobody knows how much of it was.
-    fn replace_earlier(&mut self, holder: &Incarnation) {
-        let same = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
-        self.writers.retain(|name, _| !same(name));
-        for ledger in self.ledgers.values_mut() {
-            let earlier: Vec<_> = ledger.grants.keys().filter(|name| same(name)).cloned().collect();
-            for name in earlier {
-                ledger.write_off(&name);
+    /// Earlier lives of the box of `holder` that stand in the book, with their witnesses.
+    pub fn earlier(&self, holder: &Incarnation) -> Vec<(Incarnation, Option<Witness>)> {
+        let earlier = self.writers.iter().filter(|(name, _)| is_earlier(name, holder));
+        earlier.map(|(name, writer)| (name.clone(), writer.witness.clone())).collect()
+    }
+
+    /// What an earlier life of the same box held counts as spent, but for what its witness knows
+    /// to be untouched: nobody knows how much of the rest was used.
+    fn replace_earlier(&mut self, holder: &Incarnation, told: &[Untouched]) {
+        let named: BTreeMap<_, _> = self.earlier(holder).into_iter().collect();
+        self.writers.retain(|name, _| !is_earlier(name, holder));
+        let believed = |untouched: &&Untouched| {
+            named.get(&untouched.holder).and_then(Option::as_ref) == Some(&untouched.witness)
+        };
+        let told: Vec<&Untouched> = told.iter().filter(believed).collect();
+        for (customer, ledger) in &mut self.ledgers {
+            let names = ledger.grants.keys().filter(|name| is_earlier(name, holder));
+            for name in names.cloned().collect::<Vec<_>>() {
+                let untouched = told.iter().find(|untouched| untouched.holder == name);
+                let tokens = untouched.and_then(|untouched| untouched.tokens.get(customer));
+                ledger.write_off(&name, tokens.copied().unwrap_or_default());
             }
         }
     }
@@ -168,6 +187,11 @@
     }
 }
 
+/// Whether `name` is another life of the box of `holder`: a box has one life at a time.
+fn is_earlier(name: &Incarnation, holder: &Incarnation) -> bool {
+    name != holder && name.box_name() == holder.box_name()
+}
+
 fn settle_item(
     ledger: &mut Ledger,
     settlement: &Settlement,
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -307,11 +307,14 @@
         Ok(())
     }
 
-    /// Counts all that `holder` had as spent: it died, and nobody knows what it used of it.
-    pub fn write_off(&mut self, holder: &Incarnation) -> u64 {
-        let lost = self.grants.remove(holder).map_or(0, |grant| grant.total());
+    /// Counts what `holder` had as spent, but for `untouched` tokens that it certainly did not
+    /// use: it died, and nobody knows what it used of the rest. Returns the tokens lost.
+    pub fn write_off(&mut self, holder: &Incarnation, untouched: u64) -> u64 {
+        let held = self.grants.remove(holder).map_or(0, |grant| grant.total());
+        let lost = held.saturating_sub(untouched);
         self.spent += lost;
         self.lost += lost;
+        self.lower_paid();
         lost
     }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -20,6 +20,7 @@
 mod number;
 mod record;
 mod sizing;
+mod witness;
 
 pub use account::{Account, Need, Part, Reservation, Tokens};
 pub use audit::{Audit, Finding, Line, audit};
@@ -32,3 +33,4 @@
 pub use number::Numbers;
 pub use record::{Ended, Entry, Outcome, Record};
 pub use sizing::{Observed, Policy, Prefer, Target, target};
+pub use witness::{Promise, Untouched, Witness};
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -77,7 +77,13 @@
         | Frame::Lent { .. }
         | Frame::There(_)
         | Frame::Done
+        | Frame::Promised { .. }
+        | Frame::Sealed { .. }
         | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
+        // Boxes of this kind keep journals, which say exactly what is unused.
+        Frame::Promise(_) | Frame::Seal { .. } => {
+            Frame::Refused { reason: "this box is nobody's witness".into() }
+        }
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,9 +1,9 @@
 //! The frames.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use balance::Snapshot;
-use ledger::{Entry, Incarnation, Transfer};
+use ledger::{Entry, Incarnation, Promise, Transfer};
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
 
@@ -129,4 +129,12 @@
     Done,
     /// The question made no sense to this box.
     Refused { reason: Arc<str> },
+    /// Tokens that the sender keeps untouched until its witness, who is asked, knows better.
+    Promise(Promise),
+    /// The promise with this number counts now.
+    Promised { number: u64 },
+    /// The holder died: take no more promises from it. What had it promised under this naming?
+    Seal { holder: Incarnation, term: u64 },
+    /// Tokens by customer that it had promised last; nothing if no promise is known.
+    Sealed { tokens: Option<BTreeMap<Arc<str>, u64>> },
 }
