Settings read again are in force; a header that cannot be sent is an error; refusals name their inputs

Grant sizes, repeats and the times of a planned stop are in force at once, what needs a start is named in the log line.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -147,7 +147,8 @@
             return Ok(());
         };
         let worst = tokens.prompt + tokens.most_output;
-        let money = &self.settings.money;
+        let settings = self.settings();
+        let money = &settings.money;
         let patience = Duration::from_millis(money.wait_ms);
         let patience = call.route.target.map_or(patience, |target| patience.min(target / 2));
         let now = Instant::now();
@@ -166,8 +167,9 @@
                 let detail = format!("what remains of the budget cannot hold {worst} tokens");
                 Reason::BudgetExhausted.with(detail)
             }
-            Lack::Short => {
-                Reason::TokensShort.after(LATER, format!("this box lacks tokens for {worst}"))
+            lack @ Lack::Short { .. } => {
+                let detail = format!("this box lacks tokens for {worst}: {lack}");
+                Reason::TokensShort.after(LATER, detail)
             }
         })
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -45,7 +45,7 @@
         trip: &mut Trip,
     ) -> Result<(Box<Answer>, Flight), Refusal> {
         let now_s = self.started.elapsed().as_secs();
-        self.retries.lock().request(&call.service, now_s, &self.settings.retries);
+        self.retries.lock().request(&call.service, now_s, &self.settings().retries);
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut arrived = 0;
         let mut last = Reason::NoEndpoint.after(SOON, "no endpoint of the service is known");
@@ -80,7 +80,7 @@
 
     fn may_repeat(&self, call: &Call) -> bool {
         let now_s = self.started.elapsed().as_secs();
-        let taken = self.retries.lock().take(&call.service, now_s, &self.settings.retries);
+        let taken = self.retries.lock().take(&call.service, now_s, &self.settings().retries);
         if taken {
             self.metrics.repeats.inc();
         }
@@ -98,7 +98,10 @@
             rank: call.rank,
             resume_after: call.head.resumed_after,
         };
-        let headers = request::towards_endpoint(&call.headers, &order, call.body.len());
+        let headers = match request::towards_endpoint(&call.headers, &order, call.body.len()) {
+            Ok(headers) => headers,
+            Err(unfit) => return Try::Unsent(unfit.to_string()),
+        };
         let request = forward::Request {
             method: call.method.clone(),
             target: call.target.clone(),
@@ -189,7 +192,7 @@
     /// Whether a repeat is left, without taking it.
     fn may_repeat_later(&self, call: &Call) -> bool {
         let now_s = self.started.elapsed().as_secs();
-        self.retries.lock().has(&call.service, now_s, &self.settings.retries)
+        self.retries.lock().has(&call.service, now_s, &self.settings().retries)
     }
 }
 
--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     sync::Arc,
     time::Duration,
 };
@@ -30,7 +31,29 @@
     /// What remains of the budget cannot hold the request.
     Exhausted,
     /// The budget may have tokens, but this box did not get them in time.
-    Short,
+    Short {
+        /// Free in this box.
+        free: u64,
+        /// Part of them that a promise keeps.
+        kept: u64,
+        /// Held by no box, as the last settlement saw it.
+        left: u64,
+        /// Time since that settlement; `None` before the first one.
+        age: Option<Duration>,
+    },
+}
+
+impl fmt::Display for Lack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Lack::Exhausted => f.write_str("the budget is used up"),
+            Lack::Short { free, kept, left, age: Some(age) } => {
+                let ago = age.as_millis();
+                write!(f, "{free} free here, {kept} of them kept, {left} left {ago} ms ago")
+            }
+            Lack::Short { free, age: None, .. } => write!(f, "{free} free here, none settled yet"),
+        }
+    }
 }
 
 /// What a box holds of one budget.
@@ -66,6 +89,8 @@
 struct State {
     purses: HashMap<Arc<str>, Purse>,
     boxes: u64,
+    /// When the last settlement landed.
+    landed: Option<Instant>,
 }
 
 /// Tokens held for one request.
@@ -258,8 +283,16 @@
     /// Why a request of this size cannot be paid for now.
     pub fn lack(&self, customer: &str, worst: u64) -> Lack {
         let state = self.0.state.lock();
-        let exhausted = state.purses.get(customer).is_some_and(|purse| purse.is_exhausted(worst));
-        if exhausted { Lack::Exhausted } else { Lack::Short }
+        match state.purses.get(customer) {
+            Some(purse) if purse.is_exhausted(worst) => Lack::Exhausted,
+            Some(purse) => Lack::Short {
+                free: purse.free(),
+                kept: purse.kept(),
+                left: purse.granted.left,
+                age: state.landed.map(|at| at.elapsed()),
+            },
+            None => Lack::Short { free: 0, kept: 0, left: 0, age: None },
+        }
     }
 
     /// Waits until a request lacks tokens or the configuration changed.
@@ -305,7 +338,7 @@
     /// Takes over what a settlement that landed gave.
     pub fn landed(&self, settlement: &Settlement, granted: Vec<Granted>, boxes: u64) {
         let mut state = self.0.state.lock();
-        state.boxes = boxes;
+        (state.boxes, state.landed) = (boxes, Some(Instant::now()));
         for item in &settlement.items {
             let brought = granted.iter().find(|granted| granted.customer == item.customer);
             let purse = state.purses.entry(item.customer.clone()).or_default();
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -16,7 +16,8 @@
 
 /// All that the way of a request needs.
 pub struct Gate {
-    pub settings: Settings,
+    /// The settings in force.
+    pub settings: watch::Sender<Arc<Settings>>,
     pub table: watch::Receiver<Option<Arc<Table>>>,
     pub endpoints: Arc<Endpoints>,
     pub links: Links,
@@ -32,3 +33,10 @@
     /// Counts the log lines that were dropped.
     pub dropped_lines: Mutex<Option<Box<dyn Fn() -> usize + Send + Sync>>>,
 }
+
+impl Gate {
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -102,6 +102,7 @@
             }
             None => None,
         };
+        let (in_force_settings, read_settings) = watch::channel(Arc::new(settings.clone()));
         let gate = Arc::new(Gate {
             table,
             endpoints: endpoints.clone(),
@@ -115,7 +116,7 @@
             stopping: stops,
             started: Instant::now(),
             dropped_lines: Mutex::default(),
-            settings: settings.clone(),
+            settings: in_force_settings,
         });
         let listeners = [settings.listen.callers, settings.listen.ready, settings.listen.operators]
             .map(|address| serve::bind(address).context(BindSnafu { address }));
@@ -135,8 +136,7 @@
             naming,
             bills,
             holder: incarnation.clone(),
-            policy: settings.policy(),
-            money: settings.money.clone(),
+            settings: read_settings,
         };
         let settler = Settler::new(setup, contact.clone());
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
@@ -254,17 +254,20 @@
         *self.gate.dropped_lines.lock() = Some(Box::new(count));
     }
 
-    /// Takes over settings that were read again. Those in force stay so until the next start of
-    /// the process: what the platform changes in them concerns addresses, which are bound.
+    /// Takes over settings that were read again: sizes of grants, repeats, and the times of a
+    /// planned stop are in force at once; the rest is at the next start of the process.
     pub fn reload(&self, settings: Settings) {
-        let changed = settings != self.gate.settings;
-        tracing::info!(event = "settings_read_again", changed, in_force = "at the next start");
+        let later = self.gate.settings().read_at_start(&settings);
+        let changed = *self.gate.settings() != settings;
+        tracing::info!(event = "settings_read_again", changed, at_next_start = later.join(","));
+        self.gate.settings.send_replace(Arc::new(settings));
     }
 
     /// The planned stop: not ready first, then every request to its end, then all tokens returned.
     pub async fn stop(mut self) {
         let began = Instant::now();
-        let limits = &self.gate.settings.limits;
+        let settings = self.gate.settings();
+        let limits = &settings.limits;
         let limit = Duration::from_millis(limits.stop_ms);
         tracing::info!(event = "stopping", limit_ms = limits.stop_ms);
         self.stopping.send_replace(true);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -225,6 +225,22 @@
         found
     }
 
+    /// Groups of settings in which `next` differs and which are read at a start alone: addresses
+    /// are bound then, and connections and buffers made.
+    pub fn read_at_start(&self, next: &Settings) -> Vec<&'static str> {
+        let limits =
+            |settings: &Settings| Limits { stop_ms: 0, notice_ms: 0, ..settings.limits.clone() };
+        let groups = [
+            ("box", self.box_name != next.box_name),
+            ("zone", self.zone != next.zone),
+            ("listen", self.listen != next.listen),
+            ("store", self.store != next.store),
+            ("limits", limits(self) != limits(next)),
+            ("log", self.log != next.log),
+        ];
+        groups.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
     /// Connections to endpoints.
     pub fn links(&self) -> forward::Options {
         let ms = Duration::from_millis;
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -3,20 +3,20 @@
 //! One settlement is under way at a time. It is written until it is known to have landed: a
 //! refusal brings the book as it stands, and a lost answer is resolved by the writer's number.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use ledger::{BOOK, Book, Granted, Incarnation, Policy, Settlement, Untouched, Writer};
+use ledger::{BOOK, Book, Granted, Incarnation, Settlement, Untouched, Writer};
 use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use snafu::Snafu;
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
     bills::Bills,
     funds::Funds,
     outage::{Contact, Outage},
     peers::Peers,
-    settings,
+    settings::Settings,
     witness::Naming,
 };
 
@@ -51,8 +51,8 @@
     pub bills: Bills,
     /// This start of the box.
     pub holder: Incarnation,
-    pub policy: Policy,
-    pub money: settings::Money,
+    /// The settings in force.
+    pub settings: watch::Receiver<Arc<Settings>>,
 }
 
 /// Settles accounts with the book.
@@ -96,8 +96,9 @@
                 told = Instant::now();
                 report_calls(&self.setup.store);
             }
-            let spacing = Duration::from_millis(self.setup.money.spacing_ms);
-            let settle = Duration::from_millis(self.setup.money.settle_ms);
+            let settings = self.setup.settings.borrow().clone();
+            let spacing = Duration::from_millis(settings.money.spacing_ms);
+            let settle = Duration::from_millis(settings.money.settle_ms);
             let began = Instant::now();
             while !self.setup.funds.is_urgent() && began.elapsed() < self.pause(spacing, settle) {
                 self.wait(spacing).await;
@@ -202,8 +203,9 @@
             self.known = Some((book, version));
             return Ok(Some(self.last.take().unwrap_or_default()));
         }
+        let policy = self.setup.settings.borrow().policy();
         let mut next = book.clone();
-        let granted = next.settle(settlement, self.setup.policy);
+        let granted = next.settle(settlement, policy);
         self.last = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
         match self.setup.store.replace(BOOK.0, BOOK.1, &next.to_json(), expect).await {
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::world::{World, answers, call, finish, request, shared, until, until_served};
+use crate::world::{World, answers, call, finish, request, settings, shared, until, until_served};
 use http::{HeaderMap, StatusCode};
 use platform::played;
 use standin::{Arrived, Reply};
@@ -131,6 +131,40 @@
     }
 }
 
+#[tokio::test]
+async fn settings_read_again_are_in_force_at_once() {
+    let world = World::open(1_000_000, &["cancel", "open"]).await;
+    let declined = |arrived: &Arrived| match arrived.line.contains("/open/") {
+        true => answers(arrived),
+        false => {
+            let (status, headers) = played::declined(&arrived.told.id);
+            Reply::Whole(status, headers, String::new())
+        }
+    };
+    let declined = shared(declined);
+    let endpoints = [
+        world.endpoint("i-1", "plain", declined.clone()).await,
+        world.endpoint("i-2", "plain", declined).await,
+    ];
+    let gateway = world.gateway("box-1").await;
+    until("both are known", async || {
+        call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        endpoints.iter().all(|endpoint| !endpoint.arrived().is_empty())
+    })
+    .await;
+    let sent = |endpoints: &[standin::Scripted; 2]| -> usize {
+        let arrived = endpoints.iter().flat_map(|endpoint| endpoint.arrived());
+        arrived.filter(|arrived| arrived.line.contains("/cancel/")).count()
+    };
+    call(gateway.callers(), "/cancel/x", &world.asked("key-b", 1, 1)).await;
+    assert_eq!(sent(&endpoints), 2, "it is sent once more");
+    let mut settings = settings("box-1", world.platform.socket());
+    (settings.retries.ratio, settings.retries.extra) = (0.0, 0);
+    gateway.reload(settings);
+    call(gateway.callers(), "/cancel/x", &world.asked("key-b", 1, 1)).await;
+    assert_eq!(sent(&endpoints), 3, "nothing may be sent once more now");
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_never_looks_whole() {
     let events: Vec<String> = (1..4).map(|n| format!("id: {n}\ndata: x\n\n")).collect();
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -104,22 +104,28 @@
     }
 
     async fn gateway_at(&self, name: &str, store: SocketAddr) -> Gateway {
-        let text = format!(
-            r#"{{
-                "box": "{name}", "zone": "z1",
-                "listen": {{
-                    "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
-                    "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
-                }},
-                "store": {{ "address": "{store}", "timeout_ms": 300 }},
-                "limits": {{ "notice_ms": 200, "stop_ms": 5000 }},
-            }}"#
-        );
-        let settings = Settings::read(&text).expect("valid settings");
         let seed = self.ids.fetch_add(1, Ordering::Relaxed);
-        Gateway::spawn(settings, seed).await.expect("it starts")
+        Gateway::spawn(settings(name, store), seed).await.expect("it starts")
     }
+}
+
+/// Settings of a gateway that takes any free port.
+pub fn settings(name: &str, store: SocketAddr) -> Settings {
+    let text = format!(
+        r#"{{
+            "box": "{name}", "zone": "z1",
+            "listen": {{
+                "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+                "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
+            }},
+            "store": {{ "address": "{store}", "timeout_ms": 300 }},
+            "limits": {{ "notice_ms": 200, "stop_ms": 5000 }},
+        }}"#
+    );
+    Settings::read(&text).expect("valid settings")
+}
 
+impl World {
     /// A fresh request of a customer that costs tokens.
     pub fn asked(&self, key: &str, prompt: u64, most_output: u64) -> Asked {
         Asked {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -33,6 +33,23 @@
     }
 }
 
+#[test]
+fn what_a_reload_leaves_to_the_next_start_is_named() {
+    let cases = [
+        (r#""zone": "bornova""#, r#""zone": "buca""#, vec!["zone"]),
+        (r#""store": {"#, r#""limits": { "bodies": 100000 }, "store": {"#, vec!["limits"]),
+        (r#""store": {"#, r#""limits": { "stop_ms": 900 }, "store": {"#, vec![]),
+        (r#""store": {"#, r#""money": { "share": 100 }, "store": {"#, vec![]),
+        (r#""store": {"#, r#""log": { "level": "warn" }, "store": {"#, vec!["log"]),
+    ];
+    let before = Settings::read(GOOD).expect("valid");
+    for (from, to, want) in cases {
+        let after = Settings::read(&GOOD.replace(from, to)).expect("valid");
+        assert_ne!(before, after);
+        assert_eq!(before.read_at_start(&after), want, "{to}");
+    }
+}
+
 #[test]
 fn the_example_is_valid_and_says_the_defaults() {
     let text = include_str!("../../../examples/gateway.jsonc");
