Boxes tell each other of large prompts; what a prompt makes an engine read weighs twice

A box knew of others' prompts only from the load that answers carry. Change: a prompt of which 2,000 tokens or more are to be read is told to up to twelve boxes, and that it was read; a lost word counts for 2 s at most. Tests: prompts::a_box_passes_over_an_engine_that_reads_a_long_prompt_of_another_box (fails without the word), choose.rs: two on what was told and on what is read again.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -19,6 +19,9 @@
 /// A reported queue fades to a third in this time, in milliseconds: about what an engine needs to
 /// read a long prompt.
 const BACKLOG_MS: f64 = 300.0;
+/// A prompt of another box counts for so long at most, in milliseconds, if nobody tells that it was
+/// read: longer than an engine takes to read the longest one.
+const PROMPT_MOST_MS: u64 = 2_000;
 /// Age at which a report counts for nothing, in milliseconds.
 const REPORT_MOST_MS: u64 = 15_000;
 
@@ -35,6 +38,17 @@
     pub slots: u32,
 }
 
+/// A prompt that another box sent to an endpoint, which has to read it before others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prompt {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Number of the prompt at the box that sent it.
+    pub number: u64,
+    /// Size of what is to be read; 0 once it was.
+    pub size: u64,
+}
+
 /// Why a dispatch did not end well.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -65,6 +79,16 @@
     /// Requests of this box whose answer has not begun, and what of their prompts is to be read.
     unanswered: u32,
     unread: u64,
+    prompts: Vec<Told>,
+}
+
+/// A prompt that another box told of.
+#[derive(Debug, Clone)]
+struct Told {
+    by: Arc<str>,
+    number: u64,
+    size: u64,
+    at: u64,
 }
 
 /// What others should know of an endpoint.
@@ -92,6 +116,7 @@
             new_since: (!warm).then_some(now),
             unanswered: 0,
             unread: 0,
+            prompts: Vec::new(),
         }
     }
 
@@ -113,15 +138,29 @@
         self.unread = self.unread.saturating_sub(size);
     }
 
-    /// Size of prompts that are to be read before a new one: those of this box, and for each
-    /// request of others that waits there a `typical` one. What was reported fades with its age.
+    /// Another box told of a prompt that it sent, or that it was read.
+    pub fn told(&mut self, by: &Arc<str>, prompt: &Prompt, now: u64) {
+        let same = |told: &Told| told.by == *by && told.number == prompt.number;
+        self.prompts.retain(|told| !same(told) && told.at + PROMPT_MOST_MS > now);
+        if prompt.size > 0 {
+            let (by, number, size) = (by.clone(), prompt.number, prompt.size);
+            self.prompts.push(Told { by, number, size, at: now });
+        }
+    }
+
+    /// Size of prompts that are to be read before a new one: those of this box, and those of
+    /// others. They tell of large ones; besides, a `typical` one is counted for each request of
+    /// others that the endpoint reported to wait, which fades with the age of the report.
     pub fn backlog(&self, typical: f64, now: u64) -> f64 {
-        let others = self.report.map_or(0.0, |report| {
+        let waiting = self.report.map_or(0.0, |report| {
             let waiting = f64::from(report.waiting.saturating_sub(self.unanswered));
             let age = now.saturating_sub(report.at) as f64;
             waiting * (-age / BACKLOG_MS).exp()
         });
-        self.unread as f64 + others * typical
+        let told = self.prompts.iter().filter(|told| told.at + PROMPT_MOST_MS > now);
+        let told: u64 = told.map(|told| told.size).sum();
+        // Those that were told of may be the ones that wait.
+        self.unread as f64 + (waiting * typical).max(told as f64)
     }
 
     /// A request ended.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,6 @@
 mod pool;
 mod prefix;
 
-pub use endpoint::{Endpoint, Failure, Report, Snapshot};
+pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use pool::{Choice, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -13,6 +13,9 @@
     /// Prompt to prefill that weighs as much as one request under way, in the unit of the
     /// prefixes.
     pub size_per_request: f64,
+    /// Weight of what this prompt makes an endpoint read, beside prompts that it has to read
+    /// before: it also delays everybody else's, and displaces what is cached there.
+    pub reading: f64,
     /// Weight of a request under way, beside prompts that are to be read.
     pub under_way: f64,
     /// Requests under way that another availability zone weighs.
@@ -30,6 +33,7 @@
     fn default() -> Weights {
         Weights {
             size_per_request: 1_024.0,
+            reading: 1.0,
             under_way: 1.0,
             other_zone: 1.0,
             bounded_load: 1.5,
@@ -167,7 +171,7 @@
         let away = if endpoint.zone == self.zone { 0.0 } else { self.weights.other_zone };
         let backlog = endpoint.backlog(self.typical, now);
         let cost = (load + 1.0) * self.weights.under_way * endpoint.slow_start(now)
-            + (missing as f64 + backlog) / self.weights.size_per_request
+            + (missing as f64 * self.weights.reading + backlog) / self.weights.size_per_request
             + away;
         (cost, Choice { name: endpoint.name.clone(), held, load })
     }
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balance::{Failure, Pool, Prefix, Report, Weights};
+use balance::{Failure, Pool, Prefix, Prompt, Report, Weights};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -150,3 +150,62 @@
     }
     assert!(homes.len() >= 7, "the parts are spread: {homes:?}");
 }
+
+/// Two engines without anything to read, as one box sees them.
+fn engines() -> Pool {
+    let weights = Weights {
+        size_per_request: 2_000.0,
+        under_way: 0.05,
+        reading: 2.0,
+        draws: 9,
+        ..Weights::default()
+    };
+    let mut pool = Pool::new("z1".into(), weights);
+    pool.update(["e1", "e2"].map(|name| (name.into(), "z1".into())), 0);
+    pool
+}
+
+#[test]
+fn a_prompt_that_another_box_told_of_counts_until_it_was_read() {
+    let mut pool = engines();
+    let short = Prefix::of_parts([(2, 500)]);
+    let by: Arc<str> = "box-2".into();
+    let prompt = |number, size| Prompt { endpoint: "e1".into(), number, size };
+    let mut random = random();
+    let mut chosen = |pool: &Pool, now| {
+        let names = (0..40).map(|_| pool.choose(&short, &[], now, &mut random).expect("one").name);
+        names.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    assert_eq!(chosen(&pool, 10), 2, "both are alike");
+    let e1 = |pool: &mut Pool, prompt, now| {
+        pool.get_mut("e1").expect("it is there").told(&by, &prompt, now);
+    };
+    e1(&mut pool, prompt(1, 30_000), 10);
+    assert_eq!(chosen(&pool, 10), 1, "e1 has a long prompt of another box to read");
+    e1(&mut pool, prompt(2, 9_000), 20);
+    e1(&mut pool, prompt(1, 0), 30);
+    assert_eq!(chosen(&pool, 30), 1, "one of two was read");
+    e1(&mut pool, prompt(2, 0), 40);
+    assert_eq!(chosen(&pool, 40), 2, "both were read");
+    e1(&mut pool, prompt(3, 30_000), 50);
+    assert_eq!(chosen(&pool, 2_049), 1);
+    assert_eq!(chosen(&pool, 2_051), 2, "the word that it was read was lost");
+}
+
+#[test]
+fn a_shared_part_is_read_again_only_where_that_saves_much() {
+    let mut pool = engines();
+    let shared = |own| Prefix::of_parts([(7, 6_000), (own, 900)]);
+    pool.start(&"e1".into(), &shared(1), 0);
+    let mut random = random();
+    let mut chosen = |pool: &Pool| pool.choose(&shared(2), &[], 0, &mut random).expect("one").name;
+    assert_eq!(&*chosen(&pool), "e1", "it holds the shared part");
+    let waits = |pool: &mut Pool, size| {
+        let prompt = Prompt { endpoint: "e1".into(), number: 1, size };
+        pool.get_mut("e1").expect("it is there").told(&"box-2".into(), &prompt, 0);
+    };
+    waits(&mut pool, 9_000);
+    assert_eq!(&*chosen(&pool), "e1", "waiting is better than to read 6,000 again");
+    waits(&mut pool, 15_000);
+    assert_eq!(&*chosen(&pool), "e2", "too much is waiting there");
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -121,7 +121,8 @@
             sent_before = trip.sent,
         );
         let endpoints = self.endpoints.clone();
-        let mut flight = Flight::start(endpoints, call.service.clone(), chosen, &call.prefix);
+        let service = call.service.clone();
+        let mut flight = Flight::start(endpoints, service, chosen, &call.prefix, &self.peers);
         // From here on the endpoint may have it, also when this future is dropped.
         let (had_run, had_sent) = (trip.may_have_run, trip.sent);
         (trip.may_have_run, trip.sent) = (true, trip.sent + 1);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use balance::{Failure, Pool, Prefix, Report, Weights};
+use balance::{Failure, Pool, Prefix, Prompt, Report, Weights};
 use parking_lot::Mutex;
 use platform::answer::Load;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -18,6 +18,9 @@
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
 /// everything beside them by ten steps.
 const TOKENS_PER_REQUEST: f64 = 2_000.0;
+/// Weight of a token of the prompt that an engine would have to read, beside one that waits there:
+/// of 1, 2 and 3, tried on the users' bench, 2 served best (design note 0005).
+const READING: f64 = 2.0;
 /// Weight of a request that an engine is answering: one more in a batch makes a step longer by
 /// less than a hundredth.
 const UNDER_WAY: f64 = 0.05;
@@ -126,6 +129,16 @@
         pool.read(&chosen.id, prefix, chosen.held)
     }
 
+    /// Another box told of a prompt.
+    pub fn told(&self, by: &Arc<str>, prompt: &Prompt) {
+        let now = self.now();
+        let services = &mut self.state.lock().services;
+        let endpoint = services.values_mut().find_map(|pool| pool.get_mut(&prompt.endpoint));
+        if let Some(endpoint) = endpoint {
+            endpoint.told(by, prompt, now);
+        }
+    }
+
     /// The answer of a request began, or it ended without one.
     pub fn has_read(&self, service: &str, id: &str, missing: u64) {
         if let Some(pool) = self.state.lock().services.get_mut(service) {
@@ -162,6 +175,7 @@
         false => Weights::default(),
         true => Weights {
             size_per_request: TOKENS_PER_REQUEST,
+            reading: READING,
             under_way: UNDER_WAY,
             other_zone: OTHER_ZONE,
             bounded_load: BOUNDED_LOAD,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,7 +92,8 @@
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
         let peers = Peers::open(incarnation.clone(), settings.listen.peers, random.random());
-        let lending = Desk::new(incarnation.clone(), funds.clone(), peers.clone());
+        let lending =
+            Desk::new(incarnation.clone(), funds.clone(), peers.clone(), endpoints.clone());
         let lender = match settings.listen.peers {
             Some(address) => {
                 let server = wire::Server::bind(address, Arc::new(lending)).await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,11 +7,16 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use balance::Prompt;
 use futures_util::future::join_all;
 use ledger::{Incarnation, Promise, Transfer, Writer};
 use parking_lot::Mutex;
@@ -21,6 +26,7 @@
 use wire::{Frame, Message, Peer};
 
 use crate::{
+    endpoints::Endpoints,
     funds::{Funds, Hold},
     witness::{Records, Taken},
 };
@@ -37,9 +43,11 @@
 /// Longest wait of a start for the witness of the box's earlier life: the boxes know each other
 /// for longer than this before the first tokens are granted.
 const SEAL_WITHIN: Duration = Duration::from_millis(400);
+/// Longest wait until another box heard of a prompt, which an engine reads in less.
+const TOLD_WITHIN: Duration = Duration::from_millis(200);
 /// Boxes asked at once.
 const ASKED: usize = 3;
-/// Boxes asked for one request.
+/// Boxes asked for one request, or told of one prompt.
 const MOST_ASKED: usize = 12;
 /// A box that did not answer is passed over for this long: shorter than outages are.
 const REST: Duration = Duration::from_millis(2_000);
@@ -52,6 +60,28 @@
     state: Arc<Mutex<State>>,
     /// What others promised this box.
     records: Records,
+    /// Number of the next prompt that others are told of.
+    prompts: Arc<AtomicU64>,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Peers").field("me", &self.me).finish_non_exhaustive()
+    }
+}
+
+/// A prompt that other boxes were told of, until it was read.
+#[derive(Debug)]
+pub struct Reading {
+    peers: Peers,
+    prompt: Prompt,
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.prompt.size = 0;
+        self.peers.tell(&self.prompt);
+    }
 }
 
 /// Whether a box knows what it was told.
@@ -95,7 +125,13 @@
         let source = address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |address| address.ip());
         let random = SmallRng::seed_from_u64(seed);
         let state = State { address: None, known: HashMap::new(), random };
-        Peers { me, source, state: Arc::new(Mutex::new(state)), records: Records::default() }
+        Peers {
+            me,
+            source,
+            state: Arc::new(Mutex::new(state)),
+            records: Records::default(),
+            prompts: Arc::default(),
+        }
     }
 
     /// This box answers at an address.
@@ -135,6 +171,24 @@
         self.state.lock().known.contains_key(name)
     }
 
+    /// Tells other boxes of a large prompt that this one sent to an endpoint; those that do not
+    /// answer do not matter. When what is returned is dropped, they are told that it was read.
+    pub fn tell_prompt(&self, endpoint: &Arc<str>, size: u64) -> Reading {
+        let number = self.prompts.fetch_add(1, Ordering::Relaxed);
+        let prompt = Prompt { endpoint: endpoint.clone(), number, size };
+        self.tell(&prompt);
+        Reading { peers: self.clone(), prompt }
+    }
+
+    fn tell(&self, prompt: &Prompt) {
+        // There is none while the process ends.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        for (name, peer) in self.in_reach() {
+            let (peers, frame) = (self.clone(), Frame::Prompt(prompt.clone()));
+            runtime.spawn(async move { peers.ask(&name, &peer, frame, TOLD_WITHIN).await });
+        }
+    }
+
     /// A box that stands in the book and did not fail to answer lately, other than `not`.
     pub fn any_in_reach(&self, not: Option<&Incarnation>) -> Option<Incarnation> {
         let others = self.in_reach().into_iter().map(|(name, _)| name);
@@ -296,17 +350,18 @@
     }
 }
 
-/// Answers other boxes that ask for tokens.
+/// Answers other boxes.
 pub struct Desk {
     me: Incarnation,
     funds: Funds,
     peers: Peers,
+    endpoints: Arc<Endpoints>,
 }
 
 impl Desk {
     /// Answers from the accounts of this box.
-    pub fn new(me: Incarnation, funds: Funds, peers: Peers) -> Desk {
-        Desk { me, funds, peers }
+    pub fn new(me: Incarnation, funds: Funds, peers: Peers, endpoints: Arc<Endpoints>) -> Desk {
+        Desk { me, funds, peers, endpoints }
     }
 
     async fn lend(&self, to: &Incarnation, customer: &Arc<str>, wanted: u64) -> Frame {
@@ -343,7 +398,9 @@
 impl wire::Answer for Desk {
     async fn answer(&self, question: Message) -> Message {
         let frame = match question.frame {
-            Frame::Lend { .. } | Frame::Promise(_) if !self.peers.knows(&question.from) => {
+            Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_)
+                if !self.peers.knows(&question.from) =>
+            {
                 Frame::Refused { reason: "this box does not stand in the book".into() }
             }
             Frame::Lend { budget, tokens } => self.lend(&question.from, &budget, tokens).await,
@@ -357,6 +414,10 @@
                     Taken::Closed => Frame::Sealed { tokens: None },
                 }
             }
+            Frame::Prompt(prompt) => {
+                self.endpoints.told(&question.from.as_str().into(), &prompt);
+                Frame::Done
+            }
             Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
             _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,9 +15,14 @@
 use crate::{
     endpoints::{Chosen, Endpoints},
     meter::Meter,
+    peers::{Peers, Reading},
     trip::{End, Trip},
 };
 
+/// Tokens of a prompt that are to be read from which on other boxes are told: an engine of the
+/// deployments takes some 50 ms for them, a tenth of what callers may wait.
+const TOLD_FROM: u64 = 2_000;
+
 /// Why a body breaks off. The connection to the caller is closed then, so that what arrived does
 /// not look whole.
 #[derive(Debug, Snafu)]
@@ -38,25 +43,31 @@
     endpoint: Arc<str>,
     /// What of its prompt the endpoint has to read, until the answer begins.
     unread: Option<u64>,
+    /// Other boxes were told of its prompt.
+    told: Option<Reading>,
     failure: Option<Failure>,
 }
 
 impl Flight {
-    /// Counts a request at an endpoint.
+    /// Counts a request at an endpoint, and tells other boxes if its prompt is large.
     pub fn start(
         endpoints: Arc<Endpoints>,
         service: Arc<str>,
         chosen: &Chosen,
         prefix: &balance::Prefix,
+        peers: &Peers,
     ) -> Flight {
-        let unread = Some(endpoints.start(&service, chosen, prefix));
-        Flight { endpoints, service, endpoint: chosen.id.clone(), unread, failure: None }
+        let unread = endpoints.start(&service, chosen, prefix);
+        let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, unread));
+        let endpoint = chosen.id.clone();
+        Flight { endpoints, service, endpoint, unread: Some(unread), told, failure: None }
     }
 
     /// Its answer began.
     pub fn begin(&mut self) {
         if let Some(unread) = self.unread.take() {
             self.endpoints.has_read(&self.service, &self.endpoint, unread);
+            self.told.take();
         }
     }
 
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -3,4 +3,5 @@
 mod crash;
 mod outage;
 mod path;
+mod prompts;
 mod world;
--- /dev/null
+++ b/crates/gateway/tests/loopback/prompts.rs
@@ -0,0 +1,54 @@
+//! What boxes tell each other of prompts.
+
+use crate::world::{World, answers, call, shared, until, until_served};
+use platform::request::Part;
+use standin::{Arrived, Reply, Scripted};
+
+/// Requests in a row that would hardly all go to one of two engines by chance.
+const IN_A_ROW: usize = 20;
+
+fn long(engine: &Scripted) -> bool {
+    engine.arrived().iter().any(|arrived| arrived.line.contains("/stream/long"))
+}
+
+#[tokio::test]
+async fn a_box_passes_over_an_engine_that_reads_a_long_prompt_of_another_box() {
+    let world = World::open(10_000_000, &["stream", "open"]).await;
+    let _plain = world.endpoint("p-1", "plain", answers).await;
+    // An engine that reads a long prompt says nothing until it has.
+    let script = shared(|arrived: &Arrived| match arrived.line.contains("/stream/long") {
+        true => Reply::Silent,
+        false => answers(arrived),
+    });
+    let engines = [
+        world.endpoint("e-1", "engines", script.clone()).await,
+        world.endpoint("e-2", "engines", script).await,
+    ];
+    let one = world.gateway("box-1").await;
+    let two = world.gateway("box-2").await;
+    until_served(&world, &one, "/stream/x").await;
+    until_served(&world, &two, "/stream/x").await;
+    until("both know each other and both engines", async || {
+        call(two.callers(), "/stream/x", &world.asked("key-b", 10, 1)).await;
+        let known = engines.iter().all(|engine| !engine.arrived().is_empty());
+        known && one.knows_peers() > 0 && two.knows_peers() > 0
+    })
+    .await;
+    let mut asked = world.asked("key-b", 50_000, 10);
+    asked.parts = vec![Part { id: 1, tokens: 50_000 }];
+    let callers = one.callers();
+    let waits = tokio::spawn(async move { call(callers, "/stream/long", &asked).await });
+    until("an engine has it", async || engines.iter().any(long)).await;
+    let other = engines.iter().find(|engine| !long(engine)).expect("one has it");
+    until("box 2 uses the other engine alone", async || {
+        let before = other.arrived().len();
+        for id in 0..IN_A_ROW as u64 {
+            let mut asked = world.asked("key-b", 10, 1);
+            asked.parts = vec![Part { id: 100 + id, tokens: 10 }];
+            call(two.callers(), "/stream/x", &asked).await;
+        }
+        other.arrived().len() == before + IN_A_ROW
+    })
+    .await;
+    waits.abort();
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -80,6 +80,8 @@
         | Frame::Promised { .. }
         | Frame::Sealed { .. }
         | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
+        // A hint; boxes of this kind tell what they have under way regularly.
+        Frame::Prompt(_) => Frame::Done,
         // Boxes of this kind keep journals, which say exactly what is unused.
         Frame::Promise(_) | Frame::Seal { .. } => {
             Frame::Refused { reason: "this box is nobody's witness".into() }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use balance::Snapshot;
+use balance::{Prompt, Snapshot};
 use ledger::{Entry, Incarnation, Promise, Transfer};
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
@@ -137,4 +137,6 @@
     Seal { holder: Incarnation, term: u64 },
     /// Tokens by customer that it had promised last; nothing if no promise is known.
     Sealed { tokens: Option<BTreeMap<Arc<str>, u64>> },
+    /// A large prompt that the sender sent to an endpoint, or that was read there.
+    Prompt(Prompt),
 }
