Connections of callers have the bounds that the operator set; starting a box in smaller steps

Cause: heads were bounded by 16,384 bytes and rests by 15 s, the values of the two deployments known, whatever the configuration said: elsewhere a larger head would have been refused with 431. A connection now has the bounds in force when it is accepted. Gateway::spawn binds its sockets and its server for other boxes in functions of their own; the tests of crashes share their start. Test: path::heads_may_be_as_large_as_the_operator_allows, seen failing (431).

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -4,6 +4,7 @@
 
 use forward::Links;
 use parking_lot::Mutex;
+use platform::config::Limits;
 use tokio::{
     sync::{Semaphore, watch},
     time::Instant,
@@ -11,7 +12,7 @@
 
 use crate::{
     bills::Bills, endpoints::Endpoints, funds::Funds, metrics::Metrics, peers::Peers,
-    retries::Retries, settings::Settings, table::Table,
+    retries::Retries, serve::Bounds, settings::Settings, table::Table,
 };
 
 /// All that the way of a request needs.
@@ -35,6 +36,15 @@
 }
 
 impl Gate {
+    /// Bounds on a connection of a caller that comes now: the operator's, as far as one is known.
+    pub fn bounds(&self) -> Bounds {
+        let table = self.table.borrow();
+        match &*table {
+            Some(table) => Bounds::of(&table.config().limits),
+            None => Bounds::of(&Limits::default()),
+        }
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Arc<Settings> {
         self.settings.borrow().clone()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use snafu::{ResultExt, Snafu};
 use tokio::{
+    net::TcpListener,
     sync::{Semaphore, watch},
     task::JoinHandle,
     time::Instant,
@@ -31,18 +32,13 @@
     outage::Contact,
     peers::{Desk, Peers},
     serve::{self, Bounds},
-    settings::Settings,
+    settings::{Listen, Settings},
     settle::{Settler, Setup},
     witness::{Keeper, Naming},
 };
 
 /// Connections of the balancer and of scrapers at once.
 const FEW: usize = 64;
-/// Rest of callers' connections: what both deployments allow. The bound of the configuration is
-/// not known before the first one is read, and callers reuse connections for less than this.
-const IDLE: Duration = Duration::from_secs(15);
-/// Bytes of a head: what both deployments allow.
-const HEAD_BYTES: usize = 16_384;
 /// Time for the last settlement of a planned stop.
 const LEAVE: Duration = Duration::from_millis(600);
 
@@ -54,6 +50,48 @@
     Bind { address: SocketAddr, source: std::io::Error },
 }
 
+/// The sockets of a box, but for the one that other boxes ask.
+struct Sockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    operators: TcpListener,
+}
+
+impl Sockets {
+    fn bind(listen: &Listen) -> Result<Sockets, Error> {
+        let bind = |address| serve::bind(address).context(BindSnafu { address });
+        Ok(Sockets {
+            callers: bind(listen.callers)?,
+            ready: bind(listen.ready)?,
+            operators: bind(listen.operators)?,
+        })
+    }
+
+    fn addresses(&self) -> [SocketAddr; 3] {
+        [&self.callers, &self.ready, &self.operators]
+            .map(|socket| socket.local_addr().expect("a bound socket has an address"))
+    }
+}
+
+/// Answers other boxes, if they may ask.
+async fn bind_lender(
+    address: Option<SocketAddr>,
+    desk: Desk,
+    peers: &Peers,
+) -> Result<Option<wire::Server>, Error> {
+    let Some(address) = address else { return Ok(None) };
+    let server = wire::Server::bind(address, Arc::new(desk)).await;
+    let server = server.context(BindSnafu { address })?;
+    peers.listens_at(server.address());
+    Ok(Some(server))
+}
+
+/// Bounds on connections of the balancer and of scrapers: those of the platform where nothing
+/// else is configured.
+fn few_bounds() -> Bounds {
+    Bounds::of(&platform::config::Limits::default())
+}
+
 /// A running box.
 pub struct Gateway {
     gate: Arc<Gate>,
@@ -92,17 +130,8 @@
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
         let peers = Peers::open(incarnation.clone(), settings.listen.peers, random.random());
-        let lending =
-            Desk::new(incarnation.clone(), funds.clone(), peers.clone(), endpoints.clone());
-        let lender = match settings.listen.peers {
-            Some(address) => {
-                let server = wire::Server::bind(address, Arc::new(lending)).await;
-                let server = server.context(BindSnafu { address })?;
-                peers.listens_at(server.address());
-                Some(server)
-            }
-            None => None,
-        };
+        let desk = Desk::new(incarnation.clone(), funds.clone(), peers.clone(), endpoints.clone());
+        let lender = bind_lender(settings.listen.peers, desk, &peers).await?;
         let (in_force_settings, read_settings) = watch::channel(Arc::new(settings.clone()));
         let gate = Arc::new(Gate {
             table,
@@ -119,12 +148,8 @@
             dropped_lines: Mutex::default(),
             settings: in_force_settings,
         });
-        let listeners = [settings.listen.callers, settings.listen.ready, settings.listen.operators]
-            .map(|address| serve::bind(address).context(BindSnafu { address }));
-        let [callers, ready, operators] = listeners;
-        let (callers, ready, operators) = (callers?, ready?, operators?);
-        let addresses = [&callers, &ready, &operators]
-            .map(|listener| listener.local_addr().expect("a bound socket has an address"));
+        let sockets = Sockets::bind(&settings.listen)?;
+        let [callers, ready, operators] = sockets.addresses();
         let tasks = TaskTracker::new();
         let leaving = CancellationToken::new();
         let contact = Contact::new();
@@ -143,49 +168,49 @@
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
         let follower =
             EndpointFollower::new(store.clone(), endpoints, links, lapse, contact.clone());
-        let bounds =
-            Bounds { connections: settings.limits.connections, head_bytes: HEAD_BYTES, idle: IDLE };
-        let few = Bounds { connections: FEW, ..bounds.clone() };
-        let serving = gate.clone();
-        let handle = move |request| serving.clone().handle(request);
+        let (serving, bounding) = (gate.clone(), gate.clone());
         let accepting = tokio::spawn(serve::accept(
-            callers,
-            bounds,
+            sockets.callers,
+            settings.limits.connections,
+            move || bounding.bounds(),
             tasks.clone(),
             closes.clone(),
             metrics.clone(),
-            handle,
+            move |request| serving.clone().handle(request),
         ));
+        let for_balancer = serve::accept(
+            sockets.ready,
+            FEW,
+            few_bounds,
+            TaskTracker::new(),
+            closes.clone(),
+            metrics.clone(),
+            answer_ready(gate.clone()),
+        );
+        let for_operators = serve::accept(
+            sockets.operators,
+            FEW,
+            few_bounds,
+            TaskTracker::new(),
+            closes,
+            metrics,
+            answer_metrics(gate.clone(), calls.clone()),
+        );
         let loops = vec![
             tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds, contact)),
             tokio::spawn(follower.run()),
             tokio::spawn(keeper.run()),
-            tokio::spawn(serve::accept(
-                ready,
-                few.clone(),
-                TaskTracker::new(),
-                closes.clone(),
-                metrics.clone(),
-                answer_ready(gate.clone()),
-            )),
-            tokio::spawn(serve::accept(
-                operators,
-                few,
-                TaskTracker::new(),
-                closes,
-                metrics,
-                answer_metrics(gate.clone(), calls.clone()),
-            )),
+            tokio::spawn(for_balancer),
+            tokio::spawn(for_operators),
         ];
         let settler = Some(tokio::spawn(settle(settler, leaving.clone())));
         tracing::info!(
             event = "started",
             incarnation = incarnation.as_str(),
             zone = &*settings.zone,
-            callers = %addresses[0],
+            %callers,
             store = %settings.store.address,
         );
-        let [callers, ready, operators] = addresses;
         Ok(Gateway {
             gate,
             callers,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,8 @@
 };
 use tokio_util::task::TaskTracker;
 
+use platform::config::Limits;
+
 use crate::metrics::Metrics;
 
 /// Connections that may wait to be accepted.
@@ -23,17 +25,22 @@
 /// Smallest buffer for a head that the library allows, in bytes.
 const LEAST_HEAD: usize = 8_192;
 
-/// Bounds on the connections of a listener.
+/// Bounds on a connection.
 #[derive(Debug, Clone)]
 pub struct Bounds {
-    /// Connections at once; more wait to be accepted.
-    pub connections: usize,
     /// Bytes of a head.
     pub head_bytes: usize,
     /// Time in which a head must arrive, which includes the rest before it.
     pub idle: Duration,
 }
 
+impl Bounds {
+    /// What the operator allows.
+    pub fn of(limits: &Limits) -> Bounds {
+        Bounds { head_bytes: limits.head_bytes, idle: Duration::from_millis(limits.idle_ms) }
+    }
+}
+
 /// Binds a listener; port 0 takes any free one.
 pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address.is_ipv4() {
@@ -45,12 +52,14 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until its task is aborted; every connection is tracked in `tasks`.
+/// Accepts connections until its task is aborted; every connection is tracked in `tasks`, and has
+/// the bounds of the moment at which it was accepted.
 ///
 /// Once `closing` holds, each connection ends after the answer under way, or at once if it rests.
 pub async fn accept<S, F, B>(
     listener: TcpListener,
-    bounds: Bounds,
+    connections: usize,
+    bounds: impl Fn() -> Bounds,
     tasks: TaskTracker,
     closing: watch::Receiver<bool>,
     metrics: Metrics,
@@ -62,7 +71,7 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let places = Arc::new(Semaphore::new(bounds.connections));
+    let places = Arc::new(Semaphore::new(connections));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
@@ -73,7 +82,7 @@
                 continue;
             }
         };
-        let connection = connection(stream, bounds.clone(), closing.clone(), serve.clone());
+        let connection = connection(stream, bounds(), closing.clone(), serve.clone());
         let metrics = metrics.clone();
         tasks.spawn(async move {
             metrics.callers.inc();
--- a/crates/gateway/tests/loopback/crash.rs
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -2,21 +2,51 @@
 
 use std::time::Duration;
 
+use gateway::Gateway;
+use ledger::Incarnation;
+use standin::Scripted;
+
 use crate::world::{World, answers, call, charged, until, until_served};
 
 const PAID: u64 = 1_000_000;
 /// What may be lost with one box: 3% of what is paid.
 const LOST: u64 = PAID * 3 / 100;
 
+/// Two boxes that serve, and what they need.
+struct Fleet {
+    world: World,
+    one: Gateway,
+    two: Gateway,
+    _endpoints: [Scripted; 2],
+}
+
+impl Fleet {
+    async fn start() -> Fleet {
+        let world = World::open(PAID, &["stream", "open"]).await;
+        let _endpoints = [
+            world.endpoint("i-1", "plain", answers).await,
+            world.endpoint("i-2", "engines", answers).await,
+        ];
+        let one = world.gateway("box-1").await;
+        let two = world.gateway("box-2").await;
+        until_served(&world, &one, "/stream/x").await;
+        until_served(&world, &two, "/open/x").await;
+        Fleet { world, one, two, _endpoints }
+    }
+}
+
+/// Waits until the book knows of no earlier life of a box that started again.
+async fn until_replaced(world: &World, first: &Incarnation, again: &Gateway) {
+    until("the earlier life is settled", async || {
+        let book = world.book().await;
+        !book.writers.contains_key(first) && book.writers.contains_key(again.incarnation())
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn little_is_lost_with_a_box_whose_witness_lives() {
-    let world = World::open(PAID, &["stream", "open"]).await;
-    let _plain = world.endpoint("i-1", "plain", answers).await;
-    let _engine = world.endpoint("i-2", "engines", answers).await;
-    let one = world.gateway("box-1").await;
-    let two = world.gateway("box-2").await;
-    until_served(&world, &one, "/stream/x").await;
-    until_served(&world, &two, "/open/x").await;
+    let Fleet { world, one, two, _endpoints } = Fleet::start().await;
     until("box 1 holds much and keeps most of it", async || {
         call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
@@ -27,11 +57,7 @@
     let first = one.incarnation().clone();
     drop(one);
     let again = world.gateway("box-1").await;
-    until("the earlier life is settled", async || {
-        let book = world.book().await;
-        !book.writers.contains_key(&first) && book.writers.contains_key(again.incarnation())
-    })
-    .await;
+    until_replaced(&world, &first, &again).await;
     let book = world.book().await;
     let of = &book.ledgers["bornova"];
     assert!(of.lost < LOST, "{} of {PAID} tokens lost", of.lost);
@@ -41,13 +67,7 @@
 
 #[tokio::test]
 async fn nothing_is_lost_with_a_box_that_stops_by_plan_while_the_store_is_down() {
-    let world = World::open(PAID, &["stream", "open"]).await;
-    let _plain = world.endpoint("i-1", "plain", answers).await;
-    let _engine = world.endpoint("i-2", "engines", answers).await;
-    let one = world.gateway("box-1").await;
-    let two = world.gateway("box-2").await;
-    until_served(&world, &one, "/stream/x").await;
-    until_served(&world, &two, "/open/x").await;
+    let Fleet { world, one, two, _endpoints } = Fleet::start().await;
     until("box 1 holds much and has a witness", async || {
         call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
@@ -65,11 +85,7 @@
     one.stop().await;
     world.platform.set(|faults| faults.down = false);
     let again = world.gateway("box-1").await;
-    until("the earlier life is settled", async || {
-        let book = world.book().await;
-        !book.writers.contains_key(&first) && book.writers.contains_key(again.incarnation())
-    })
-    .await;
+    until_replaced(&world, &first, &again).await;
     let lost = world.book().await.ledgers["bornova"].lost;
     // A settlement under way when the store went down may leave a little.
     assert!(lost < LOST / 10, "{lost} of {PAID} tokens lost");
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -131,6 +131,19 @@
     }
 }
 
+#[tokio::test]
+async fn heads_may_be_as_large_as_the_operator_allows() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let endpoint = world.endpoint("i-1", "plain", answers).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let before = endpoint.arrived().len();
+    let asked = world.asked("key-b", 1, 1);
+    let large = "x".repeat(24_000);
+    let got = finish(request(gateway.callers(), "/open/x", &asked).header("x-large", large)).await;
+    assert_eq!((got.status, endpoint.arrived().len()), (StatusCode::OK, before + 1));
+}
+
 #[tokio::test]
 async fn settings_read_again_are_in_force_at_once() {
     let world = World::open(1_000_000, &["cancel", "open"]).await;
