A promise whose answer was lost binds until the witness's word; another box at its address proves nothing

Cause: after a promise without an answer, one that was certainly not taken put the box back to the last promise known to be taken, below the one that the witness may have. No way was found in which a witness takes the first and refuses the second of a living box, so this is caution. And an answer of any other process at the witness's address ended the bond; now only a later start of the same box does.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -321,7 +321,11 @@
             Ok(answer) if answer.from != *name => {
                 let (peer, now) = (name.as_str(), answer.from.as_str());
                 tracing::info!(event = "peer_replaced", peer, now);
-                Heard::Replaced
+                // A box has one life at a time; of another box at its address nothing follows.
+                match answer.from.box_name() == name.box_name() {
+                    true => Heard::Replaced,
+                    false => Heard::Nothing,
+                }
             }
             Ok(answer) => {
                 if let Frame::Refused { reason } = &answer.frame {
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -170,14 +170,14 @@
     /// Tells it for as long as the box runs.
     pub async fn run(self) {
         let mut number = 0;
-        // What the witness took last, and under which naming.
-        let mut taken = (0, BTreeMap::new());
+        // The most that the witness may believe, and under which naming.
+        let mut believed: (u64, BTreeMap<Arc<str>, u64>) = (0, BTreeMap::new());
         loop {
             self.funds.promise_due().await;
             let Some(witness) = self.naming.named.borrow().clone() else { continue };
             let Some(tokens) = self.funds.promise() else { continue };
-            if taken.0 != witness.term {
-                taken = (witness.term, BTreeMap::new());
+            if believed.0 != witness.term {
+                believed = (witness.term, BTreeMap::new());
             }
             number += 1;
             let promise = Promise { term: witness.term, number, tokens: tokens.clone() };
@@ -193,15 +193,22 @@
             match told {
                 Told::Taken => {
                     self.funds.promised(&tokens);
-                    taken.1 = tokens;
+                    believed.1 = tokens;
                     continue;
                 }
-                Told::Not => self.funds.promised(&taken.1),
+                Told::Not => self.funds.promised(&believed.1),
                 Told::Gone => {
                     self.naming.note_lost(&witness);
                     self.funds.release();
+                    believed.1.clear();
+                }
+                Told::Unknown => {
+                    self.naming.note_lost(&witness);
+                    for (customer, tokens) in tokens {
+                        let most = believed.1.entry(customer).or_default();
+                        *most = tokens.max(*most);
+                    }
                 }
-                Told::Unknown => self.naming.note_lost(&witness),
             }
             tokio::time::sleep(PAUSE).await;
         }
