--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,13 +24,14 @@
 
 use crate::{
     bills::Bills,
+    desk::Desk,
     endpoints::Endpoints,
     follow::{self, EndpointFollower},
     funds::{Balance, Funds},
     gate::Gate,
     metrics::{Budget, Metrics, Purpose},
     outage::Contact,
-    peers::{Desk, Peers},
+    peers::Peers,
     serve::{self, Bounds},
     settings::{Listen, Settings},
     settle::{Settler, Setup},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,12 +3,14 @@
 //! [`Gateway::spawn`] starts one, [`Gateway::stop`] is the planned stop. The way of a request is
 //! `handle`: `admit` finds its route and customer (`table`) and holds its worst case in tokens
 //! (`funds`), `dispatch` chooses an endpoint (`endpoints`) and sends, `relay` passes the answer on
-//! and `trip` settles. Beside it,
-//! `follow` keeps the configuration and the list of endpoints, and `settle` the box's part of all
-//! budgets and its `bills`, each from the platform's store. Nothing is kept on the box.
+//! and `trip` settles. Beside it, `follow` keeps the configuration and the list of endpoints, and
+//! `settle` the box's part of all budgets and its `bills`, each from the platform's store. `peers`
+//! asks other boxes, `desk` answers them, and `witness` promises one of them what stays untouched.
+//! Nothing is kept on the box.
 
 mod admit;
 mod bills;
+mod desk;
 mod directory;
 mod dispatch;
 mod endpoints;
@@ -33,11 +35,12 @@
 mod trip;
 mod witness;
 
+pub use desk::Desk;
 pub use directory::Directory;
 pub use funds::{Balance, Funds, Hold, Lack};
 pub use gateway::{Error, Gateway};
 pub use meter::Meter;
-pub use peers::{Desk, Peers};
+pub use peers::Peers;
 pub use refusal::{Reason, Refusal};
 pub use retries::Retries;
 pub use settings::Settings;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,9 +1,9 @@
-//! Other boxes: passing tokens on while the store cannot give them.
+//! Other boxes, and asking them.
 //!
-//! A box knows the others from the book. It asks a few at a time, and what they pass on is told
-//! to the book by both sides. Nothing is agreed between boxes: a lost answer strands tokens in a
-//! grant and never doubles them. Only boxes that stand in the book are answered; the name of an
-//! incarnation holds 64 random bits that only the store and the fleet know.
+//! A box knows the others from the book. It asks a few at a time for tokens while the store cannot
+//! give them, tells its witness what it keeps, and tells some of the large prompts that it sends.
+//! Nothing is agreed between boxes: of tokens passed on, a lost answer strands some in a grant and
+//! never doubles them.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -26,9 +26,8 @@
 use wire::{Frame, Message, Peer};
 
 use crate::{
-    endpoints::Endpoints,
     funds::{Funds, Hold},
-    witness::{Records, Taken},
+    witness::Records,
 };
 
 /// Time after which the next boxes are asked: many times the way there and back between
@@ -59,7 +58,7 @@
     source: IpAddr,
     state: Arc<Mutex<State>>,
     /// What others promised this box.
-    records: Records,
+    pub records: Records,
     /// Number of the next prompt that others are told of.
     prompts: Arc<AtomicU64>,
 }
@@ -348,83 +347,9 @@
         }
     }
 
-    fn message(&self, frame: Frame) -> Message {
+    /// A frame of this box's.
+    pub fn message(&self, frame: Frame) -> Message {
         // The order of events does not matter here: log lines carry the times.
         Message { from: self.me.clone(), stamp: Stamp::default(), frame }
     }
 }
-
-/// Answers other boxes.
-pub struct Desk {
-    me: Incarnation,
-    funds: Funds,
-    peers: Peers,
-    endpoints: Arc<Endpoints>,
-}
-
-impl Desk {
-    /// Answers from the accounts of this box.
-    pub fn new(me: Incarnation, funds: Funds, peers: Peers, endpoints: Arc<Endpoints>) -> Desk {
-        Desk { me, funds, peers, endpoints }
-    }
-
-    async fn lend(&self, to: &Incarnation, customer: &Arc<str>, wanted: u64) -> Frame {
-        self.funds.free_kept(customer, wanted, Instant::now() + NEXT / 2).await;
-        let transfer = self.funds.lend(customer, wanted, &self.me, to);
-        tracing::info!(
-            event = "tokens_passed_on",
-            customer = &**customer,
-            to = to.as_str(),
-            wanted,
-            passed = transfer.as_ref().map_or(0, |transfer| transfer.tokens),
-        );
-        Frame::Lent { transfer }
-    }
-
-    /// Only a later life of the same box asks; it knows the whole name of the earlier one, of
-    /// which 64 bits are random, from the book.
-    fn seal(&self, from: &Incarnation, holder: &Incarnation, term: u64) -> Frame {
-        if from.box_name() != holder.box_name() || from == holder {
-            return Frame::Refused { reason: "only a later start of the box may seal".into() };
-        }
-        let tokens = self.peers.records.seal(holder, term);
-        tracing::info!(
-            event = "promise_sealed",
-            holder = holder.as_str(),
-            term,
-            kept = tokens.as_ref().map(|tokens| tokens.values().sum::<u64>()),
-        );
-        Frame::Sealed { tokens }
-    }
-}
-
-#[async_trait::async_trait]
-impl wire::Answer for Desk {
-    async fn answer(&self, question: Message) -> Message {
-        let frame = match question.frame {
-            Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_)
-                if !self.peers.knows(&question.from) =>
-            {
-                Frame::Refused { reason: "this box does not stand in the book".into() }
-            }
-            Frame::Lend { budget, tokens } => self.lend(&question.from, &budget, tokens).await,
-            Frame::Promise(promise) => {
-                let number = promise.number;
-                match self.peers.records.take(&question.from, promise) {
-                    Taken::Newest => Frame::Promised { number },
-                    Taken::Not => {
-                        Frame::Refused { reason: "a newer promise or a seal is known".into() }
-                    }
-                    Taken::Closed => Frame::Sealed { tokens: None },
-                }
-            }
-            Frame::Prompt(prompt) => {
-                self.endpoints.told(&question.from.as_str().into(), &prompt);
-                Frame::Done
-            }
-            Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
-            _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
-        };
-        self.peers.message(frame)
-    }
-}
