--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::pace::Pace;
+
 /// Own counts remembered, one each [`SAMPLE_MS`].
 const SAMPLES: usize = 128;
 /// Milliseconds between two remembered counts.
@@ -80,6 +82,8 @@
     unanswered: u32,
     unread: u64,
     prompts: Vec<Told>,
+    /// How fast it makes events of streams.
+    pub pace: Pace,
 }
 
 /// A prompt that another box told of.
@@ -117,6 +121,7 @@
             unanswered: 0,
             unread: 0,
             prompts: Vec::new(),
+            pace: Pace::default(),
         }
     }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 //! longest part of the prompt in their cache. All times are milliseconds of a monotonic clock.
 
 mod endpoint;
+mod pace;
 mod pool;
 mod prefix;
 
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one pool, and the choice among them.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -27,6 +27,8 @@
     /// Endpoints compared because the shared part of the prompt hashes to them on every box. The
     /// first of them counts as holding it: whichever box came before sent it there.
     pub homes: usize,
+    /// Size of the shared part of a prompt from which on its homes are not at slow endpoints.
+    pub large: u64,
 }
 
 impl Default for Weights {
@@ -39,6 +41,7 @@
             bounded_load: 1.5,
             draws: 2,
             homes: 0,
+            large: u64::MAX,
         }
     }
 }
@@ -63,10 +66,18 @@
     zone: Arc<str>,
     /// Mean size of what was to be read of a prompt.
     typical: f64,
+    /// Median of the paces of all endpoints, as of `paced` times between events, in milliseconds.
+    pace_ms: Option<f64>,
+    paced: u32,
 }
 
 /// Gain of the mean size of prompts that are to be read: the last twenty or so count.
 const TYPICAL_GAIN: f64 = 0.05;
+/// An endpoint is slow if its pace is so many times the pool's median. Engines of one make differ
+/// by less than a tenth as seen from one box, those of another make by a third.
+const SLOW: f64 = 1.2;
+/// Times between events after which the median of the paces is taken again.
+const PACED_EVERY: u32 = 64;
 /// Prompt blocks remembered by pool.
 const PREFIX_BLOCKS: usize = 65_536;
 
@@ -74,7 +85,15 @@
     /// An empty pool seen from a box in `zone`.
     pub fn new(zone: Arc<str>, weights: Weights) -> Pool {
         let prefixes = Prefixes::new(PREFIX_BLOCKS);
-        Pool { endpoints: Vec::new(), prefixes, weights, zone, typical: 0.0 }
+        Pool {
+            endpoints: Vec::new(),
+            prefixes,
+            weights,
+            zone,
+            typical: 0.0,
+            pace_ms: None,
+            paced: 0,
+        }
     }
 
     /// Takes over the pool's list; known endpoints keep their state.
@@ -148,18 +167,22 @@
         judged.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
     }
 
-    /// Endpoints that the shared part of a prompt hashes to, the first one first.
+    /// Endpoints that the shared part of a prompt hashes to, the first one first. Prompts with a
+    /// large shared part are at home at endpoints that are not slow.
     fn homes<'a>(
         &self,
         usable: impl Iterator<Item = &'a Endpoint>,
         prefix: &Prefix,
     ) -> Vec<&'a Endpoint> {
-        let Some((hash, _)) = prefix.shared().filter(|_| self.weights.homes > 0) else {
+        let Some((hash, size)) = prefix.shared().filter(|_| self.weights.homes > 0) else {
             return Vec::new();
         };
-        let mut homes: Vec<(u64, &Endpoint)> =
-            usable.map(|e| (xxh3_64_with_seed(e.name.as_bytes(), hash), e)).collect();
-        homes.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let large = size >= self.weights.large;
+        let rank = |e: &Endpoint| {
+            (large && self.is_slow(e), Reverse(xxh3_64_with_seed(e.name.as_bytes(), hash)))
+        };
+        let mut homes: Vec<_> = usable.map(|e| (rank(e), e)).collect();
+        homes.sort_unstable_by_key(|(rank, _)| *rank);
         homes.into_iter().take(self.weights.homes).map(|(_, endpoint)| endpoint).collect()
     }
 
@@ -215,6 +238,29 @@
         }
     }
 
+    /// A stream of an endpoint brought an event so many milliseconds after the one before.
+    pub fn paced(&mut self, name: &str, gap_ms: f64) {
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.pace.see(gap_ms);
+        }
+        self.paced += 1;
+        if self.paced.is_multiple_of(PACED_EVERY) {
+            self.pace_ms = self.median_pace();
+        }
+    }
+
+    fn median_pace(&self) -> Option<f64> {
+        let mut paces: Vec<f64> = self.endpoints.iter().filter_map(|e| e.pace.ms()).collect();
+        paces.sort_unstable_by(f64::total_cmp);
+        paces.get(paces.len().saturating_sub(1) / 2).copied()
+    }
+
+    /// Whether an endpoint makes events much more slowly than most others.
+    fn is_slow(&self, endpoint: &Endpoint) -> bool {
+        let paces = endpoint.pace.ms().zip(self.pace_ms);
+        paces.is_some_and(|(pace, median)| pace > median * SLOW)
+    }
+
     /// A peer told what it has under way.
     pub fn peer(&mut self, peer: &Arc<str>, told: &[Snapshot], now: u64) {
         for endpoint in &mut self.endpoints {
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -209,3 +209,34 @@
     waits(&mut pool, 15_000);
     assert_eq!(&*chosen(&pool), "e2", "too much is waiting there");
 }
+
+/// A pool of engines, some of which make events in `slow_ms` instead of 20 ms.
+fn paced(slow: &[&str], slow_ms: f64) -> Pool {
+    let weights = Weights { homes: 1, large: 2_000, draws: 4, ..Weights::default() };
+    let mut pool = Pool::new("z1".into(), weights);
+    let names: Vec<Arc<str>> = (0..9).map(|i| format!("e{i}").into()).collect();
+    pool.update(names.iter().map(|name| (name.clone(), Arc::from("z1"))), 0);
+    for _ in 0..100 {
+        for name in &names {
+            pool.paced(name, if slow.contains(&&**name) { slow_ms } else { 20.0 });
+            // Events that come together say nothing.
+            pool.paced(name, 0.1);
+        }
+    }
+    pool
+}
+
+#[test]
+fn large_shared_parts_are_at_home_at_engines_that_are_not_slow() {
+    let cases = [(6_000, 27.0, 0), (6_000, 22.0, 1), (200, 27.0, 1)];
+    for (shared, slow_ms, least) in cases {
+        let pool = paced(&["e1", "e4", "e7"], slow_ms);
+        let at_slow = (0..60).filter(|id| {
+            let prefix = Prefix::of_parts([(*id, shared), (1_000 + id, 100)]);
+            let choice = pool.choose(&prefix, &[], 0, &mut random()).expect("all take work");
+            choice.held > 0 && ["e1", "e4", "e7"].contains(&&*choice.name)
+        });
+        let at_slow = at_slow.count().min(1);
+        assert_eq!(at_slow, least, "{shared} shared, {slow_ms} ms");
+    }
+}
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use balance::{Failure, Pool, Prefix, Prompt, Report, Weights};
@@ -35,6 +36,10 @@
 /// Endpoints that a shared part of a prompt hashes to: one, and another for when it is busy.
 const HOMES: usize = 2;
 
+/// Tokens of the shared part of a prompt from which on it is kept at engines that are not slow: an
+/// engine of the deployments needs some 50 ms to read as many.
+const LARGE: u64 = 2_000;
+
 /// A chosen endpoint.
 #[derive(Debug, Clone)]
 pub struct Chosen {
@@ -146,6 +151,13 @@
         }
     }
 
+    /// A stream of an endpoint brought an event so long after the one before.
+    pub fn paced(&self, service: &str, id: &str, gap: Duration) {
+        if let Some(pool) = self.state.lock().services.get_mut(service) {
+            pool.paced(id, gap.as_secs_f64() * 1_000.0);
+        }
+    }
+
     /// A request ended there.
     pub fn end(&self, service: &str, id: &str, failure: Option<Failure>) {
         let now = self.now();
@@ -181,6 +193,7 @@
             bounded_load: BOUNDED_LOAD,
             draws: DRAWS,
             homes: HOMES,
+            large: LARGE,
         },
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,13 +4,14 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use balance::Failure;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use snafu::Snafu;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use crate::{
     endpoints::{Chosen, Endpoints},
@@ -45,6 +46,8 @@
     unread: Option<u64>,
     /// Other boxes were told of its prompt.
     told: Option<Reading>,
+    /// When its last event came.
+    paced: Option<Instant>,
     failure: Option<Failure>,
 }
 
@@ -60,7 +63,8 @@
         let unread = endpoints.start(&service, chosen, prefix);
         let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, unread));
         let endpoint = chosen.id.clone();
-        Flight { endpoints, service, endpoint, unread: Some(unread), told, failure: None }
+        let unread = Some(unread);
+        Flight { endpoints, service, endpoint, unread, told, paced: None, failure: None }
     }
 
     /// Its answer began.
@@ -71,6 +75,15 @@
         }
     }
 
+    /// So many events of its stream arrived together; returns the time since the ones before.
+    fn pace(&mut self, events: u64) -> Option<Duration> {
+        let now = Instant::now();
+        let pause = now.saturating_duration_since(self.paced.replace(now)?);
+        let each = pause / events.clamp(1, u64::from(u32::MAX)) as u32;
+        self.endpoints.paced(&self.service, &self.endpoint, each);
+        Some(pause)
+    }
+
     /// It failed there.
     pub fn fail(&mut self, failure: Failure) {
         self.failure = Some(failure);
@@ -113,6 +126,12 @@
         self.trip.end(End::Answered { status: self.status }, self.meter.events());
     }
 
+    /// So many events arrived together.
+    fn pace(&mut self, events: u64) {
+        let pause = (events > 0).then(|| self.flight.pace(events)).flatten();
+        self.trip.longest_pause = self.trip.longest_pause.max(pause);
+    }
+
     fn break_off(&mut self, reason: String) {
         self.trip.end(End::Broken { reason }, self.meter.events());
     }
@@ -141,7 +160,10 @@
             }
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
+                    let before = self.meter.events();
                     self.meter.pass(data);
+                    let events = self.meter.events() - before;
+                    self.pace(events);
                 }
                 self.end_if_whole();
                 Poll::Ready(Some(Ok(frame)))
--- a/crates/gateway/src/trip.rs
+++ b/crates/gateway/src/trip.rs
@@ -53,6 +53,8 @@
     pub may_have_run: bool,
     /// Time until the first byte of the answer.
     pub first_byte: Option<Duration>,
+    /// Longest time between two events of its stream.
+    pub longest_pause: Option<Duration>,
     hold: Option<Hold>,
     metrics: Metrics,
     bills: Bills,
@@ -83,6 +85,7 @@
             sent: 0,
             may_have_run: false,
             first_byte: None,
+            longest_pause: None,
             hold: None,
             metrics,
             bills,
@@ -157,6 +160,7 @@
             charged,
             events,
             first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64),
+            longest_pause_ms = self.longest_pause.map(|time| time.as_millis() as u64),
             took_ms = self.came.elapsed().as_millis() as u64,
             left_ms = self.left().as_millis() as u64,
         );
