--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -49,6 +49,8 @@
     pub number: u64,
     /// Size of what is to be read; 0 once it was.
     pub size: u64,
+    /// Hashes of its blocks, which the endpoint holds from then on.
+    pub blocks: Arc<[u64]>,
 }
 
 /// Why a dispatch did not end well.
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Endpoint, Failure, Prefix, Prefixes, Report, Snapshot, pace::Pace};
+use crate::{Endpoint, Failure, Prefix, Prefixes, Prompt, Report, Snapshot, pace::Pace};
 
 /// What weighs how much in a choice.
 #[derive(Debug, Clone, Copy)]
@@ -25,7 +25,8 @@
     /// Endpoints drawn at random to compare.
     pub draws: usize,
     /// Endpoints compared because the shared part of the prompt hashes to them on every box. The
-    /// first of them counts as holding it: whichever box came before sent it there.
+    /// first of them counts as holding it where no holder is known: whichever box came before sent
+    /// it there.
     pub homes: usize,
     /// Size of the shared part of a prompt from which on its homes are not at slow endpoints.
     pub large: u64,
@@ -181,7 +182,8 @@
         candidates.extend(homes.iter().filter(|e| e.load(now) <= bound));
         let judged = candidates.into_iter().map(|endpoint| {
             let home = homes.first().is_some_and(|home| home.name == endpoint.name);
-            let shared = prefix.shared().filter(|_| home).map_or(0, |(_, size)| size);
+            let unknown = |(hash, _): &(u64, u64)| home && !self.prefixes.is_known(*hash);
+            let shared = prefix.shared().filter(unknown).map_or(0, |(_, size)| size);
             self.judge(endpoint, prefix, shared, now)
         });
         judged.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
@@ -244,6 +246,15 @@
         missing
     }
 
+    /// Another box told of a prompt that it sent, or that it was read.
+    pub fn told(&mut self, by: &Arc<str>, prompt: &Prompt, now: u64) {
+        let Some(endpoint) = self.get_mut(&prompt.endpoint) else { return };
+        endpoint.told(by, prompt, now);
+        for block in prompt.blocks.iter() {
+            self.prefixes.add(*block, &prompt.endpoint);
+        }
+    }
+
     /// The answer of a request began, or it ended without one.
     pub fn has_read(&mut self, name: &str, missing: u64) {
         if let Some(endpoint) = self.get_mut(name) {
--- a/crates/balance/src/prefix.rs
+++ b/crates/balance/src/prefix.rs
@@ -61,6 +61,11 @@
         self.0.iter().map(|block| u64::from(block.size)).sum()
     }
 
+    /// The hashes of all blocks.
+    pub fn hashes(&self) -> Arc<[u64]> {
+        self.0.iter().map(|block| block.hash).collect()
+    }
+
     /// The part that other prompts may share, all but the last block: its hash and size.
     pub fn shared(&self) -> Option<(u64, u64)> {
         let (_, shared) = self.0.split_last()?;
@@ -105,6 +110,11 @@
         }
     }
 
+    /// Whether some endpoint probably holds a block.
+    pub fn is_known(&self, block: u64) -> bool {
+        self.holders.get(&block).is_some_and(|holders| !holders.is_empty())
+    }
+
     /// An endpoint published that it dropped a block.
     pub fn remove(&mut self, block: u64, endpoint: &str) {
         if let Some(holders) = self.holders.get_mut(&block) {
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -170,7 +170,8 @@
     let mut pool = engines();
     let short = Prefix::of_parts([(2, 500)]);
     let by: Arc<str> = "box-2".into();
-    let prompt = |number, size| Prompt { endpoint: "e1".into(), number, size };
+    let prompt =
+        |number, size| Prompt { endpoint: "e1".into(), number, size, blocks: Arc::default() };
     let mut random = random();
     let mut chosen = |pool: &Pool, now| {
         let names = (0..40).map(|_| pool.choose(&short, &[], now, &mut random).expect("one").name);
@@ -201,7 +202,7 @@
     let mut chosen = |pool: &Pool| pool.choose(&shared(2), &[], 0, &mut random).expect("one").name;
     assert_eq!(&*chosen(&pool), "e1", "it holds the shared part");
     let waits = |pool: &mut Pool, size| {
-        let prompt = Prompt { endpoint: "e1".into(), number: 1, size };
+        let prompt = Prompt { endpoint: "e1".into(), number: 1, size, blocks: Arc::default() };
         pool.get_mut("e1").expect("it is there").told(&"box-2".into(), &prompt, 0);
     };
     waits(&mut pool, 9_000);
@@ -262,3 +263,20 @@
     pool.longest_pause_ms = 600.0;
     assert!(slow(&pool, 5_500) > 20, "streams that may pause for longer are not harmed");
 }
+
+#[test]
+fn a_prompt_goes_to_the_engine_where_another_box_sent_its_shared_part() {
+    let mut pool = paced(&[], 20.0);
+    let prefix = Prefix::of_parts([(1, 6_000), (2, 100)]);
+    let home = pool.choose(&prefix, &[], 0, &mut random()).expect("all take work");
+    assert_eq!(home.held, 6_000, "nobody told: it counts as held at its home");
+    let other: Arc<str> = if &*home.name == "e0" { "e1".into() } else { "e0".into() };
+    let mut prompt =
+        Prompt { endpoint: other.clone(), number: 1, size: 6_100, blocks: prefix.hashes() };
+    pool.told(&"box-2".into(), &prompt, 0);
+    (prompt.size, prompt.blocks) = (0, Arc::default());
+    pool.told(&"box-2".into(), &prompt, 200);
+    let again = Prefix::of_parts([(1, 6_000), (3, 100)]);
+    let choice = pool.choose(&again, &[], 300, &mut random()).expect("all take work");
+    assert_eq!((choice.name, choice.held), (other, 6_000));
+}
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -146,9 +146,9 @@
     pub fn told(&self, by: &Arc<str>, prompt: &Prompt) {
         let now = self.now();
         let services = &mut self.state.lock().services;
-        let endpoint = services.values_mut().find_map(|pool| pool.get_mut(&prompt.endpoint));
-        if let Some(endpoint) = endpoint {
-            endpoint.told(by, prompt, now);
+        let mut pools = services.values_mut();
+        if let Some(pool) = pools.find(|pool| pool.get(&prompt.endpoint).is_some()) {
+            pool.told(by, prompt, now);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use balance::Prompt;
+use balance::{Prefix, Prompt};
 use futures_util::future::join_all;
 use ledger::{Incarnation, Promise, Transfer, Writer};
 use parking_lot::Mutex;
@@ -79,6 +79,7 @@
 impl Drop for Reading {
     fn drop(&mut self) {
         self.prompt.size = 0;
+        self.prompt.blocks = Arc::default();
         self.peers.tell(&self.prompt);
     }
 }
@@ -172,9 +173,10 @@
 
     /// Tells other boxes of a large prompt that this one sent to an endpoint; those that do not
     /// answer do not matter. When what is returned is dropped, they are told that it was read.
-    pub fn tell_prompt(&self, endpoint: &Arc<str>, size: u64) -> Reading {
+    pub fn tell_prompt(&self, endpoint: &Arc<str>, prefix: &Prefix, size: u64) -> Reading {
         let number = self.prompts.fetch_add(1, Ordering::Relaxed);
-        let prompt = Prompt { endpoint: endpoint.clone(), number, size };
+        let (endpoint, blocks) = (endpoint.clone(), prefix.hashes());
+        let prompt = Prompt { endpoint, number, size, blocks };
         self.tell(&prompt);
         Reading { peers: self.clone(), prompt }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,7 +62,7 @@
         peers: &Peers,
     ) -> Flight {
         let unread = endpoints.start(&service, chosen, prefix);
-        let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, unread));
+        let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, prefix, unread));
         let endpoint = chosen.id.clone();
         let (unread, sent) = (Some(unread), Instant::now());
         Flight { endpoints, service, endpoint, unread, told, sent, paced: None, failure: None }
