--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -104,10 +104,10 @@
 }
 
 impl Default for Money {
-    /// Weighed in `docs/design/0005-platform.md`.
+    /// Weighed in `docs/design/0005-platform.md` and `docs/DECISIONS.md`.
     fn default() -> Money {
         Money {
-            share: 330,
+            share: 420,
             horizon_s: 10,
             settle_ms: 3_000,
             spacing_ms: 700,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -239,14 +239,15 @@
 /// what is unspent.
 const PLENTY: u64 = 500;
 
-/// What a box should hold free: enough for an outage as long as the policy says, and one large
-/// request, but no more than its part of what is unspent. What a budget has little of, a box holds
-/// little of: tokens that were not used in an outage can be used after it, those that a box held
-/// when it died cannot.
+/// What a box should hold free: enough for an outage as long as the policy says, and its part of
+/// one large request, since boxes lend to each other, but no more than its part of what is unspent.
+/// What a budget has little of, a box holds little of: tokens that were not used in an outage can
+/// be used after it, those that a box held when it died cannot.
 fn target(unspent: u64, paid: u64, portion: u64, observed: Observed, policy: Policy) -> u64 {
     let plenty = (paid * PLENTY / 1_000).max(1);
     let part = unspent * portion / 1_000 * unspent.min(plenty) / plenty;
-    part.min(observed.rate * policy.offline_horizon + observed.peak)
+    let large = observed.peak / policy.boxes.max(1);
+    part.min(observed.rate * policy.offline_horizon + large)
 }
 
 /// A box's part, in thousandths, of what is unspent: some of what all boxes may hold is split
