--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -146,6 +146,13 @@
     }
 }
 
+impl Drop for Relay {
+    /// The caller went away first, unless it has ended.
+    fn drop(&mut self) {
+        self.trip.end(End::Left, self.meter.events());
+    }
+}
+
 impl Body for Relay {
     type Data = Bytes;
     type Error = Broken;
--- a/crates/gateway/src/trip.rs
+++ b/crates/gateway/src/trip.rs
@@ -13,6 +13,10 @@
     refusal::Refusal,
 };
 
+/// Events that an endpoint may make after the last one that was passed on, until it sees that its
+/// connection was closed: those of some 200 ms, a hundred times the way there.
+const UNSEEN_EVENTS: u64 = 10;
+
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum End {
@@ -104,17 +108,21 @@
     }
 
     /// Tokens to charge when it ends now with `events` events passed on.
+    ///
+    /// An answer that ended before its end was made as far as it was passed on, and as far as the
+    /// endpoint came until it saw that its connection was closed. How much was made of an answer
+    /// that was lost is not known.
     fn charge(&self, end: &End, events: u64) -> u64 {
         let Some(tokens) = self.tokens else { return 0 };
-        let worst = tokens.prompt + tokens.most_output;
+        let made = |events: u64| {
+            let output = events.saturating_mul(self.event_tokens);
+            tokens.prompt + output.min(tokens.most_output)
+        };
         match end {
             _ if !self.may_have_run => 0,
-            End::Answered { status } if (200..300).contains(status) => {
-                let output = events.saturating_mul(self.event_tokens).min(tokens.most_output);
-                tokens.prompt + output
-            }
-            // How much the endpoint made is not known.
-            _ => worst,
+            End::Answered { status } if (200..300).contains(status) => made(events),
+            End::Left | End::Broken { .. } if self.sent == 1 => made(events + UNSEEN_EVENTS),
+            _ => made(u64::MAX),
         }
     }
 
