--- a/crates/gateway/tests/loopback/outage.rs
+++ b/crates/gateway/tests/loopback/outage.rs
@@ -104,3 +104,34 @@
     let ready = reqwest::get(format!("http://{}/ready", gateway.ready())).await.expect("an answer");
     assert_eq!(ready.status(), StatusCode::SERVICE_UNAVAILABLE);
 }
+
+#[tokio::test]
+async fn an_endpoint_that_was_heard_to_leave_gets_nothing_while_the_store_is_away() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let leaving = world.endpoint("i-1", "plain", answers).await;
+    let stays = world.endpoint("i-2", "plain", answers).await;
+    let (gateway, link) = world.cut_gateway("box-1").await;
+    until("both are used", async || {
+        call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        !leaving.arrived().is_empty() && !stays.arrived().is_empty()
+    })
+    .await;
+    world.list("i-1", "plain", leaving.address(), false).await;
+    let mut quiet = 0;
+    until("the box heard of it", async || {
+        let before = leaving.arrived().len();
+        call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        quiet = if leaving.arrived().len() == before { quiet + 1 } else { 0 };
+        quiet > 20
+    })
+    .await;
+    link.set_cut(true);
+    let before = leaving.arrived().len();
+    // Until after the calls that are under way have failed.
+    let cut = tokio::time::Instant::now();
+    while cut.elapsed() < Duration::from_secs(2) {
+        let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        assert_eq!(got.status, StatusCode::OK);
+    }
+    assert_eq!(leaving.arrived().len(), before);
+}
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -241,6 +241,28 @@
     until("the endpoint sees it", async || endpoint.closed() > closed).await;
 }
 
+#[tokio::test]
+async fn a_caller_that_leaves_without_reading_its_answer_ends_it_at_the_endpoint() {
+    // More than the buffers on the way hold, so that the box cannot pass it on.
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(1 << 20));
+    let events = vec![event; 64];
+    let script = move |arrived: &Arrived| match arrived.line.contains("/stream/") {
+        true => Reply::Events(id_of(arrived), events.clone(), Duration::ZERO),
+        false => answers(arrived),
+    };
+    let world = World::open(1_000_000, &["stream", "open"]).await;
+    let _plain = world.endpoint("p-1", "plain", answers).await;
+    let engine = world.endpoint("i-1", "engines", script).await;
+    let gateway = world.gateway("box-1").await;
+    until_served(&world, &gateway, "/open/x").await;
+    let asked = world.asked("key-b", 10, 1_000);
+    let answer = request(gateway.callers(), "/stream/x", &asked).send().await.expect("a head");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(engine.closed(), 0, "the endpoint waits for the caller");
+    drop(answer);
+    until("the endpoint sees it", async || engine.closed() > 0).await;
+}
+
 #[tokio::test]
 async fn a_leaving_endpoint_gets_no_new_work() {
     let world = World::open(1_000_000, &["open"]).await;
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -106,3 +106,46 @@
     let gone = peer.ask(&message(Frame::Done), Duration::from_secs(5)).await;
     assert!(gone.is_err(), "{gone:?}");
 }
+
+/// Forwards to `target`, but for connections that were open when `lost` last grew: they stay open
+/// and carry nothing more.
+async fn lossy_link(
+    target: std::net::SocketAddr,
+    lost: tokio::sync::watch::Receiver<u64>,
+) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut lost = lost.clone();
+            tokio::spawn(async move {
+                let opened = *lost.borrow_and_update();
+                let mut far =
+                    tokio::net::TcpStream::connect(target).await.expect("the target listens");
+                let silent = async { lost.wait_for(|now| *now > opened).await.is_ok() };
+                let silent = tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => false,
+                    silent = silent => silent,
+                };
+                if silent {
+                    // Both ends stay open.
+                    std::future::pending::<()>().await;
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_connection_that_went_silent_is_replaced() {
+    let server =
+        Server::bind((Ipv4Addr::LOCALHOST, 0).into(), Arc::new(Echo)).await.expect("a port");
+    let (lose, lost) = tokio::sync::watch::channel(0);
+    let peer = Peer::new(lossy_link(server.address(), lost).await, IpAddr::V4(Ipv4Addr::LOCALHOST));
+    let ask = async |within| peer.ask(&message(Frame::Done), Duration::from_millis(within)).await;
+    assert!(ask(5_000).await.is_ok());
+    lose.send_replace(1);
+    assert!(matches!(ask(100).await, Err(Error::Late)), "it went silent");
+    assert!(ask(5_000).await.is_ok(), "a new one is opened");
+}
