--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod pool;
 mod prefix;
+mod speed;
 
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use pool::{Choice, Pool, Weights};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Endpoint, Failure, Prefix, Prefixes, Prompt, Report, Snapshot, pace::Pace};
+use crate::{Endpoint, Failure, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed};
 
 /// What weighs how much in a choice.
 #[derive(Debug, Clone, Copy)]
@@ -67,30 +67,16 @@
     zone: Arc<str>,
     /// Mean size of what was to be read of a prompt.
     typical: f64,
-    /// Median of the paces of all endpoints, as of `paced` times between events, in milliseconds.
-    pace_ms: Option<f64>,
-    paced: u32,
-    /// Time to the first event of prompts with little to read, at a typical endpoint.
-    start: Pace,
-    /// Time to read one more unit of a prompt, at a typical endpoint.
-    unit: Pace,
+    speed: Speed,
     /// Longest pause that the streams of the pool may have, in milliseconds.
     pub longest_pause_ms: f64,
 }
 
 /// Gain of the mean size of prompts that are to be read: the last twenty or so count.
 const TYPICAL_GAIN: f64 = 0.05;
-/// An endpoint is slow if its pace is so many times the pool's median. Engines of one make differ
-/// by less than a tenth as seen from one box, those of another make by a third.
-const SLOW: f64 = 1.2;
-/// Times between events after which the median of the paces is taken again.
-const PACED_EVERY: u32 = 64;
 /// Shortest time between two events that says something, in milliseconds: below it they came
 /// together.
 const SHORTEST_MS: f64 = 1.0;
-/// Size of what is to be read of a prompt below which its first event tells the time to start, and
-/// four times above which it tells the time to read.
-const LITTLE: u64 = 500;
 /// Part of the longest pause from which on a prompt harms the streams that run where it is read.
 const HARM_FROM: f64 = 0.9;
 /// Weight of pausing streams for twice their longest pause, in requests under way. It takes streams
@@ -109,10 +95,7 @@
             weights,
             zone,
             typical: 0.0,
-            pace_ms: None,
-            paced: 0,
-            start: Pace::default(),
-            unit: Pace::default(),
+            speed: Speed::default(),
             longest_pause_ms: f64::INFINITY,
         }
     }
@@ -201,7 +184,7 @@
         };
         let large = size >= self.weights.large;
         let rank = |e: &Endpoint| {
-            (large && self.is_slow(e), Reverse(xxh3_64_with_seed(e.name.as_bytes(), hash)))
+            (large && self.speed.is_slow(e), Reverse(xxh3_64_with_seed(e.name.as_bytes(), hash)))
         };
         let mut homes: Vec<_> = usable.map(|e| (rank(e), e)).collect();
         homes.sort_unstable_by_key(|(rank, _)| *rank);
@@ -224,7 +207,7 @@
 
     /// Cost of making the streams at an endpoint pause while it reads so much in a row.
     fn harm(&self, endpoint: &Endpoint, size: f64) -> f64 {
-        let pause = self.pause_ms(endpoint, size) / self.longest_pause_ms;
+        let pause = self.speed.pause_ms(endpoint, size) / self.longest_pause_ms;
         (pause - HARM_FROM).max(0.0) * HARM
     }
 
@@ -284,47 +267,17 @@
         if let Some(endpoint) = self.get_mut(name) {
             endpoint.pace.see(gap_ms);
         }
-        self.paced += 1;
-        if self.paced.is_multiple_of(PACED_EVERY) {
-            self.pace_ms = self.median_pace();
-        }
+        self.speed.note_event(&self.endpoints);
     }
 
     /// An endpoint that had `missing` of a prompt to read began its answer after this long.
     pub fn began(&mut self, name: &str, missing: u64, took_ms: f64) {
-        let Some(endpoint) = self.get(name) else { return };
-        let took_ms = took_ms / self.slowness(endpoint);
-        match (missing, self.start.ms()) {
-            (..LITTLE, _) => self.start.see(took_ms),
-            (missing, Some(start)) if missing >= 4 * LITTLE => {
-                self.unit.see((took_ms - start).max(0.0) / missing as f64);
-            }
-            _ => {}
+        let endpoint = self.endpoints.iter().find(|endpoint| &*endpoint.name == name);
+        if let Some(endpoint) = endpoint {
+            self.speed.note_first_event(endpoint, missing, took_ms);
         }
     }
 
-    /// Longest pause of streams at an endpoint that reads so much in a row, in milliseconds.
-    fn pause_ms(&self, endpoint: &Endpoint, size: f64) -> f64 {
-        let event = self.pace_ms.unwrap_or(0.0);
-        (self.unit.ms().unwrap_or(0.0) * size + event) * self.slowness(endpoint)
-    }
-
-    /// How many times as long as the median an endpoint takes.
-    fn slowness(&self, endpoint: &Endpoint) -> f64 {
-        endpoint.pace.ms().zip(self.pace_ms).map_or(1.0, |(pace, median)| pace / median)
-    }
-
-    fn median_pace(&self) -> Option<f64> {
-        let mut paces: Vec<f64> = self.endpoints.iter().filter_map(|e| e.pace.ms()).collect();
-        paces.sort_unstable_by(f64::total_cmp);
-        paces.get(paces.len().saturating_sub(1) / 2).copied()
-    }
-
-    /// Whether an endpoint makes events much more slowly than most others.
-    fn is_slow(&self, endpoint: &Endpoint) -> bool {
-        self.slowness(endpoint) > SLOW
-    }
-
     /// A peer told what it has under way.
     pub fn peer(&mut self, peer: &Arc<str>, told: &[Snapshot], now: u64) {
         for endpoint in &mut self.endpoints {
