--- a/crates/flintbench/src/cli.rs
+++ b/crates/flintbench/src/cli.rs
@@ -34,6 +34,10 @@
     #[argh(switch)]
     pub json: bool,
 
+    /// take the figures from a JSON object in this file, and run nothing
+    #[argh(option)]
+    pub figures: Option<PathBuf>,
+
     /// draw the figures into an SVG file
     #[argh(option)]
     pub plot: Option<PathBuf>,
--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -4,7 +4,7 @@
     capacity,
     cli::Options,
     exit::Code,
-    herd, money, path,
+    herd, money, path, plot,
     report::{self, Report},
     serve, slopes,
 };
@@ -143,6 +143,9 @@
         println!("flintbench {}", env!("CARGO_PKG_VERSION"));
         return Ok(Code::Success);
     }
+    if let Some(file) = &options.figures {
+        return plot::draw_file(file, options.plot.as_deref()).map(|()| Code::Success);
+    }
     let name = options.experiment.as_deref().unwrap_or("list");
     if name == "list" {
         for experiment in Experiment::ALL {
--- a/crates/flintbench/src/plot.rs
+++ b/crates/flintbench/src/plot.rs
@@ -8,10 +8,23 @@
 /// Size of the picture, in pixels.
 const SIZE: (u32, u32) = (960, 540);
 
+/// Draws the figures of a file into another one, under the name of the first.
+pub fn draw_file(figures: &Path, picture: Option<&Path>) -> Result<(), String> {
+    let picture = picture.ok_or("`--figures` needs `--plot`, where to draw them")?;
+    let unread =
+        |error: &dyn std::fmt::Display| format!("cannot read {}: {error}", figures.display());
+    let text = std::fs::read_to_string(figures).map_err(|error| unread(&error))?;
+    let object = serde_json::from_str(&text).map_err(|error| unread(&error))?;
+    let title = figures.file_stem().unwrap_or_default().to_string_lossy();
+    draw(picture, &title, &object)
+}
+
 /// Draws all plain numbers of a report, with those of its baselines beside them.
 pub fn draw(path: &Path, title: &str, figures: &Map<String, Value>) -> Result<(), String> {
     let bars = bars(figures);
-    let most = bars.iter().map(|(_, value)| *value).fold(1.0, f64::max);
+    let most = bars.iter().map(|(_, value)| *value).fold(0.0, f64::max);
+    let least = bars.iter().map(|(_, value)| *value).fold(0.0, f64::min);
+    let most = if most > least { most } else { 1.0 };
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     let drawn = (|| -> Result<(), Box<dyn std::error::Error>> {
         root.fill(&WHITE)?;
@@ -20,7 +33,7 @@
             .margin(16)
             .x_label_area_size(24)
             .y_label_area_size(240)
-            .build_cartesian_2d(0.0..most * 1.1, 0..bars.len())?;
+            .build_cartesian_2d(least * 1.1..most * 1.1, 0..bars.len())?;
         let label =
             |index: &usize| bars.get(*index).map_or(String::new(), |(name, _)| name.clone());
         chart
