--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -68,8 +68,6 @@
     /// Mean size of what was to be read of a prompt.
     typical: f64,
     speed: Speed,
-    /// Longest pause that the streams of the pool may have, in milliseconds.
-    pub longest_pause_ms: f64,
 }
 
 /// Gain of the mean size of prompts that are to be read: the last twenty or so count.
@@ -77,11 +75,6 @@
 /// Shortest time between two events that says something, in milliseconds: below it they came
 /// together.
 const SHORTEST_MS: f64 = 1.0;
-/// Part of the longest pause from which on a prompt harms the streams that run where it is read.
-const HARM_FROM: f64 = 0.9;
-/// Weight of pausing streams for twice their longest pause, in requests under way. It takes streams
-/// that pause for too long from 8% to 6% on a calm day; twice the weight brings no more.
-const HARM: f64 = 12.0;
 /// Prompt blocks remembered by pool.
 const PREFIX_BLOCKS: usize = 65_536;
 
@@ -96,7 +89,6 @@
             zone,
             typical: 0.0,
             speed: Speed::default(),
-            longest_pause_ms: f64::INFINITY,
         }
     }
 
@@ -200,17 +192,10 @@
         let backlog = endpoint.backlog(self.typical, now);
         let cost = (load + 1.0) * self.weights.under_way * endpoint.slow_start(now)
             + (missing as f64 * self.weights.reading + backlog) / self.weights.size_per_request
-            + self.harm(endpoint, missing as f64 + backlog)
             + away;
         (cost, Choice { name: endpoint.name.clone(), held, load })
     }
 
-    /// Cost of making the streams at an endpoint pause while it reads so much in a row.
-    fn harm(&self, endpoint: &Endpoint, size: f64) -> f64 {
-        let pause = self.speed.pause_ms(endpoint, size) / self.longest_pause_ms;
-        (pause - HARM_FROM).max(0.0) * HARM
-    }
-
     /// A request goes to an endpoint.
     pub fn start(&mut self, name: &Arc<str>, prefix: &Prefix, now: u64) {
         self.prefixes.sent(prefix, name);
@@ -270,14 +255,6 @@
         self.speed.note_event(&self.endpoints);
     }
 
-    /// An endpoint that had `missing` of a prompt to read began its answer after this long.
-    pub fn began(&mut self, name: &str, missing: u64, took_ms: f64) {
-        let endpoint = self.endpoints.iter().find(|endpoint| &*endpoint.name == name);
-        if let Some(endpoint) = endpoint {
-            self.speed.note_first_event(endpoint, missing, took_ms);
-        }
-    }
-
     /// A peer told what it has under way.
     pub fn peer(&mut self, peer: &Arc<str>, told: &[Snapshot], now: u64) {
         for endpoint in &mut self.endpoints {
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -43,8 +43,6 @@
     pub prefix: Prefix,
     pub route: Route,
     pub service: Arc<str>,
-    /// Longest pause that any stream of the service may have.
-    pub pause: Option<Duration>,
     /// Connections that this box may hold to one endpoint.
     pub connections: usize,
     pub rank: Option<u8>,
@@ -109,7 +107,6 @@
             head,
             prefix,
             route,
-            pause: table.pause(&service),
             service,
             connections,
             rank,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -53,7 +53,7 @@
             if trip.left().is_zero() {
                 return Err(Reason::TooLate.with("its time was over before it was sent"));
             }
-            let Some(chosen) = self.choose(call, &tried) else {
+            let Some(chosen) = self.endpoints.choose(&call.service, &call.prefix, &tried) else {
                 break;
             };
             if trip.sent >= call.route.attempts || (arrived > 0 && !self.may_repeat(call)) {
@@ -78,10 +78,6 @@
         }
     }
 
-    fn choose(&self, call: &Call, tried: &[Arc<str>]) -> Option<Chosen> {
-        self.endpoints.choose(&call.service, &call.prefix, call.pause, tried)
-    }
-
     fn may_repeat(&self, call: &Call) -> bool {
         let now_s = self.started.elapsed().as_secs();
         let taken = self.retries.lock().take(&call.service, now_s, &self.settings().retries);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -116,19 +116,11 @@
         unused
     }
 
-    /// Chooses an endpoint of a service that is not in `tried`. No stream there should pause for
-    /// longer than `pause`.
-    pub fn choose(
-        &self,
-        service: &str,
-        prefix: &Prefix,
-        pause: Option<Duration>,
-        tried: &[Arc<str>],
-    ) -> Option<Chosen> {
+    /// Chooses an endpoint of a service that is not in `tried`.
+    pub fn choose(&self, service: &str, prefix: &Prefix, tried: &[Arc<str>]) -> Option<Chosen> {
         let now = self.now();
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
-        pool.longest_pause_ms = pause.map_or(f64::INFINITY, |pause| pause.as_secs_f64() * 1_000.0);
         let choice = pool.choose(prefix, tried, now, &mut state.random)?;
         let address = *state.addresses.get(&choice.name)?;
         Some(Chosen { id: choice.name, address, held: choice.held, load: choice.load })
@@ -153,13 +145,6 @@
         }
     }
 
-    /// The answer of a request began so long after it was sent.
-    pub fn began(&self, service: &str, id: &str, missing: u64, took: Duration) {
-        if let Some(pool) = self.state.lock().services.get_mut(service) {
-            pool.began(id, missing, took.as_secs_f64() * 1_000.0);
-        }
-    }
-
     /// The answer of a request began, or it ended without one.
     pub fn has_read(&self, service: &str, id: &str, missing: u64) {
         if let Some(pool) = self.state.lock().services.get_mut(service) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -46,7 +46,6 @@
     unread: Option<u64>,
     /// Other boxes were told of its prompt.
     told: Option<Reading>,
-    sent: Instant,
     /// When its last event came.
     paced: Option<Instant>,
     failure: Option<Failure>,
@@ -64,20 +63,12 @@
         let unread = endpoints.start(&service, chosen, prefix);
         let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, prefix, unread));
         let endpoint = chosen.id.clone();
-        let (unread, sent) = (Some(unread), Instant::now());
-        Flight { endpoints, service, endpoint, unread, told, sent, paced: None, failure: None }
+        let unread = Some(unread);
+        Flight { endpoints, service, endpoint, unread, told, paced: None, failure: None }
     }
 
     /// Its answer began.
     pub fn begin(&mut self) {
-        if let Some(unread) = self.unread {
-            let took = self.sent.elapsed();
-            self.endpoints.began(&self.service, &self.endpoint, unread, took);
-        }
-        self.has_read();
-    }
-
-    fn has_read(&mut self) {
         if let Some(unread) = self.unread.take() {
             self.endpoints.has_read(&self.service, &self.endpoint, unread);
             self.told.take();
@@ -101,7 +92,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.has_read();
+        self.begin();
         self.endpoints.end(&self.service, &self.endpoint, self.failure);
     }
 }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, prepared for look-ups.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc};
 
 use platform::config::{Config, Customer, Route, Service};
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,8 +14,6 @@
     /// Customers by API key.
     keys: HashMap<Arc<str>, usize>,
     services: HashMap<Arc<str>, usize>,
-    /// Longest pause that any stream of a service may have.
-    pauses: HashMap<Arc<str>, Duration>,
 }
 
 impl Table {
@@ -34,8 +32,7 @@
         let keys = keys.map(|(key, at)| (key.clone(), at)).collect();
         let services = config.services.iter().enumerate();
         let services = services.map(|(at, service)| (service.name.clone(), at)).collect();
-        let pauses = pauses(&config.routes);
-        Table { hosts, keys, services, pauses, config }
+        Table { hosts, keys, services, config }
     }
 
     /// Version of the configuration.
@@ -72,11 +69,6 @@
         self.services.get(name).map(|at| &self.config.services[*at])
     }
 
-    /// Longest pause that any stream of a service may have.
-    pub fn pause(&self, service: &str) -> Option<Duration> {
-        self.pauses.get(service).copied()
-    }
-
     /// The service that a request goes to, by weight; the same id always gives the same one.
     pub fn target<'a>(&self, route: &'a Route, id: &str) -> Option<&'a Arc<str>> {
         let sum: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
@@ -90,15 +82,3 @@
         chosen.or(route.targets.first()).map(|target| &target.service)
     }
 }
-
-fn pauses(routes: &[Route]) -> HashMap<Arc<str>, Duration> {
-    let mut pauses: HashMap<Arc<str>, Duration> = HashMap::new();
-    for route in routes {
-        let Some(pause) = route.pause else { continue };
-        for target in &route.targets {
-            let least = pauses.entry(target.service.clone()).or_insert(pause);
-            *least = pause.min(*least);
-        }
-    }
-    pauses
-}
