--- a/bench/sizes/derive.py
+++ b/bench/sizes/derive.py
@@ -26,6 +26,19 @@
     return re.sub(rf"\b{field} = ([\d.]+)", lambda m: f"{field} = {float(m[1]) * factor:g}", text)
 
 
+def engines(text, factor):
+    """Multiplies the number of engines in each zone."""
+    def line(match):
+        return re.sub(r"count = (\d+)", lambda m: f"count = {max(1, round(int(m[1]) * factor))}", match[0])
+
+    return re.sub(r'\{ name = "[^"]*", model = "llm", servers = \[.*?\]', line, text)
+
+
+def speeds(text, list_of_speeds):
+    """Sets how many times as long as the fastest the engines of a service take, drawn from a list."""
+    return re.sub(r'(model = "llm",.*?speeds = )\[[^\]]*\]', rf"\g<1>{list_of_speeds}", text)
+
+
 VARIANTS = {
     "three-boxes": lambda text: boxes(text, [1, 1, 1]),
     "twenty-boxes": lambda text: boxes(text, [7, 7, 6, 5]),
@@ -34,6 +47,10 @@
     "small-budgets": lambda text: scaled(text, "prepaid_x", 0.5),
     "large-budgets": lambda text: scaled(text, "prepaid_x", 3),
     "short-deadlines": lambda text: scaled(text, "deadline_ms", 0.5),
+    "other-speeds": lambda text: speeds(text, [1.0, 1.8, 1.1, 1.0]),
+    "half-the-engines": lambda text: engines(text, 0.5),
+    "three-times-the-engines": lambda text: engines(text, 3),
+    "short-pauses": lambda text: scaled(text, "gap_aim_ms", 0.6),
     "slow-store": lambda text: scaled(text, "writes_per_s", 0.25),
 }
 
