Each settlement says how often it met another write, and how long it took

Cause: lines could not tell a book that is written by too many from a book that is too large for the links. Change: a line settlement_landed with the tries that another write made void, the time from the first try, and the writers that stand in the book. No decision changes.

--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -178,14 +178,22 @@
         };
         self.pending = Some(settlement.clone());
         let mut pause = PAUSE;
+        let (began, mut met) = (Instant::now(), 0);
         let granted = loop {
             match self.attempt(&settlement).await {
                 Ok(Some(granted)) => break granted,
-                Ok(None) => {}
+                Ok(None) => met += 1,
                 Err(fault) => self.failed(&fault, &mut pause).await,
             }
         };
         self.pending = None;
+        tracing::info!(
+            event = "settlement_landed",
+            write = settlement.writer.write,
+            met,
+            took_ms = began.elapsed().as_millis() as u64,
+            writers = self.known.as_ref().map(|(book, _)| book.writers.len()),
+        );
         if self.outage.answered().is_some() {
             self.in_touch_since = Instant::now();
         }
