--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -90,7 +90,7 @@
         let engine = of.and_then(|service| service.engine.as_ref());
         trip.event_tokens = engine.map_or(1, |engine| engine.event_tokens);
         let all = of.and_then(|service| service.connections).map_or(CONNECTIONS, u64::from);
-        let connections = (all / self.funds.boxes()).max(LEAST_CONNECTIONS.min(all)) as usize;
+        let connections = (all / self.peers.boxes()).max(LEAST_CONNECTIONS.min(all)) as usize;
         let rank = engine.map(|_| rank(customer.map_or(0, |c| c.priority), route.priority));
         let limit = table.config().limits.body_bytes;
         let (parts, body) = request.into_parts();
@@ -153,12 +153,8 @@
         let patience = call.route.target.map_or(patience, |target| patience.min(target / 2));
         let now = Instant::now();
         let until = (now + patience).min(trip.until);
-        let from_store = (now + Duration::from_millis(money.store_ms)).min(until);
-        let hold = match self.funds.hold(&customer, worst, from_store).await {
-            Some(hold) => Some(hold),
-            None => self.peers.borrow_for(&self.funds, &customer, worst, until).await,
-        };
-        if let Some(hold) = hold {
+        let from_store = Duration::from_millis(money.store_ms);
+        if let Some(hold) = self.draws.hold(&customer, worst, from_store, until).await {
             trip.pay_with(hold);
             return Ok(());
         }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,19 +1,24 @@
 //! Answering other boxes.
 //!
-//! Only boxes that stand in the book are answered, and whoever seals a promise must know the whole
-//! name of the box that made it; 64 random bits of a name are known to the store and the fleet alone.
+//! Only boxes that are known are answered, but for one that draws tokens: a box may have started a
+//! moment ago, and it names this life of the keeper, of which 64 random bits are known to the store
+//! and the fleet alone. Whoever seals a promise must know the
+//! whole name of the box that made it, for the same reason.
 
 use std::{sync::Arc, time::Duration};
 
-use ledger::Incarnation;
-use tokio::time::Instant;
-use wire::{Frame, Message};
+use ledger::{Incarnation, Told};
+use tokio::{sync::watch, time::Instant};
+use wire::{Draw, Drawn, Frame, Message};
 
 use crate::{endpoints::Endpoints, funds::Funds, peers::Peers, witness::Taken};
 
 /// Longest wait of a box that asks for tokens, while this one frees some that it promised to keep:
 /// half of the time after which that box asks the next ones.
 const WITHIN: Duration = Duration::from_millis(25);
+/// Time for a settlement that brings what another box draws: a few calls of the store. Then other
+/// keepers are asked.
+const FROM_STORE: Duration = Duration::from_millis(40);
 
 /// Answers other boxes.
 pub struct Desk {
@@ -21,12 +26,57 @@
     funds: Funds,
     peers: Peers,
     endpoints: Arc<Endpoints>,
+    stopping: watch::Receiver<bool>,
 }
 
 impl Desk {
     /// Answers from the accounts of this box.
-    pub fn new(me: Incarnation, funds: Funds, peers: Peers, endpoints: Arc<Endpoints>) -> Desk {
-        Desk { me, funds, peers, endpoints }
+    pub fn new(
+        me: Incarnation,
+        funds: Funds,
+        peers: Peers,
+        endpoints: Arc<Endpoints>,
+        stopping: watch::Receiver<bool>,
+    ) -> Desk {
+        Desk { me, funds, peers, endpoints, stopping }
+    }
+
+    /// Takes over what another box tells, and passes on what it needs.
+    async fn draw(&self, from: &Incarnation, draw: Draw) -> Frame {
+        if draw.keeper != self.me {
+            return Frame::Refused { reason: "another life of this box is meant".into() };
+        }
+        let believed = self.funds.hear(from, &draw.items);
+        if !believed {
+            tracing::warn!(event = "totals_not_believed", of = from.as_str());
+        }
+        let leaves = *self.stopping.borrow();
+        if !draw.leaves && !leaves {
+            let until = Instant::now() + Duration::from_millis(draw.within_ms);
+            for told in draw.items.iter().filter(|told| told.need > 0) {
+                self.pass_on(from, told, until).await;
+            }
+        }
+        Frame::Drawn(Drawn { items: self.funds.given(from, &draw.items), leaves })
+    }
+
+    async fn pass_on(&self, to: &Incarnation, told: &Told, until: Instant) {
+        let from_store = until.min(Instant::now() + FROM_STORE);
+        if self.funds.give(to, told, from_store).await {
+            return;
+        }
+        let give = || self.funds.try_give(to, told).then_some(());
+        let (funds, customer) = (&self.funds, &told.customer);
+        let borrowed = self.peers.borrow_until(funds, customer, told.least, until, give).await;
+        if borrowed.is_none() {
+            tracing::info!(
+                event = "tokens_not_passed_on",
+                customer = &**customer,
+                to = to.as_str(),
+                least = told.least,
+                lack = %self.funds.lack(customer, told.least),
+            );
+        }
     }
 
     async fn lend(&self, to: &Incarnation, customer: &Arc<str>, wanted: u64) -> Frame {
@@ -66,7 +116,8 @@
             Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_)
                 if !self.peers.knows(&question.from) =>
             {
-                Frame::Refused { reason: "this box does not stand in the book".into() }
+                self.peers.note_unknown();
+                Frame::Refused { reason: "this box is not known here yet".into() }
             }
             Frame::Lend { budget, tokens } => self.lend(&question.from, &budget, tokens).await,
             Frame::Promise(promise) => {
@@ -83,6 +134,7 @@
                 self.endpoints.told(&question.from.as_str().into(), &prompt);
                 Frame::Done
             }
+            Frame::Draw(draw) => self.draw(&question.from, draw).await,
             Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
             _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
         };
--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -12,7 +12,9 @@
     time::Duration,
 };
 
-use ledger::{Granted, Incarnation, Reservation, Settlement, Transfer, Untouched, Writer};
+use ledger::{
+    Given, Granted, Incarnation, Reservation, Settlement, Told, Transfer, Untouched, Writer,
+};
 use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, watch},
@@ -56,12 +58,25 @@
     }
 }
 
+/// Whether a box goes on drawing from the book.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ends {
+    /// It does.
+    Not,
+    /// It gives back what it can: another box keeps tokens now.
+    Retires,
+    /// It ends by plan.
+    Leaves,
+}
+
 /// What a box holds of one budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Balance {
     pub customer: Arc<str>,
     /// Tokens that are not held for a request.
     pub free: u64,
+    /// Passed on to other boxes and not known to be used or given back.
+    pub passed: u64,
     /// Part of them that is kept untouched.
     pub kept: u64,
     /// Tokens paid and not known to be spent, whoever holds them.
@@ -89,6 +104,8 @@
 struct State {
     purses: HashMap<Arc<str>, Purse>,
     boxes: u64,
+    /// When tokens were last passed on to another box, or wanted of the book.
+    drew: Option<Instant>,
     /// When the last settlement landed.
     landed: Option<Instant>,
 }
@@ -151,36 +168,174 @@
         self.0.wanted.notify_one();
     }
 
-    /// Boxes that share the budgets, as the book knows them.
-    pub fn boxes(&self) -> u64 {
+    /// Boxes that draw from the book, as it knows them.
+    fn drawing(&self) -> u64 {
         self.0.state.lock().boxes.max(1)
     }
 
+    /// Whether this box has something to settle with the book or holds anything of it.
+    pub fn is_of_book(&self) -> bool {
+        self.0.state.lock().purses.values().any(Purse::is_of_book)
+    }
+
+    /// Time since tokens were last passed on to another box, or wanted of the book.
+    pub fn drew_ago(&self) -> Option<Duration> {
+        self.0.state.lock().drew.map(|at| at.elapsed())
+    }
+
+    /// Keeps nothing untouched any more: everything is to be given back.
+    pub fn retire(&self, retires: bool) {
+        self.0.state.lock().purses.values_mut().for_each(|purse| purse.retires = retires);
+        self.0.promise_due.notify_one();
+    }
+
+    /// What a keeper is told, and what is wanted of it for a request that waits, if there is
+    /// anything to say.
+    pub fn tell(&self, keeper: &Incarnation, asked: Option<(&Arc<str>, u64)>) -> Vec<Told> {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let all = state.purses.iter_mut().filter_map(|(customer, purse)| {
+            let worst = asked.filter(|(name, _)| *name == customer).map(|(_, worst)| worst);
+            purse.tell(customer, keeper, worst, now)
+        });
+        all.collect()
+    }
+
+    /// A keeper answered what it was told.
+    pub fn drawn(&self, keeper: &Incarnation, told: &[Told], given: &[Given]) {
+        let mut state = self.0.state.lock();
+        for (told, given) in told.iter().zip(given) {
+            let purse = state.purses.get_mut(&told.customer);
+            let purse = purse.filter(|_| told.customer == given.customer);
+            if let Some(purse) = purse {
+                purse.drawn(keeper, told.share, given);
+            }
+        }
+    }
+
+    /// Counts a request that waits for tokens of a keeper, while what is returned lives.
+    pub fn lacking(&self, customer: &Arc<str>, worst: u64) -> Lacking<'_> {
+        self.0.state.lock().purses.entry(customer.clone()).or_default().lacking += worst;
+        Lacking { funds: self, customer: customer.clone(), worst }
+    }
+
+    /// Keepers that are to be told something.
+    pub fn keepers_to_tell(&self) -> Vec<Incarnation> {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let mut keepers = Vec::new();
+        for purse in state.purses.values_mut() {
+            for keeper in purse.keepers().cloned().collect::<Vec<_>>() {
+                if !keepers.contains(&keeper) && purse.has_news(&keeper, now) {
+                    keepers.push(keeper);
+                }
+            }
+        }
+        keepers
+    }
+
+    /// Keepers that passed something on.
+    pub fn keepers(&self) -> Vec<Incarnation> {
+        let state = self.0.state.lock();
+        let mut keepers: Vec<_> = state.purses.values().flat_map(Purse::keepers).cloned().collect();
+        keepers.sort();
+        keepers.dedup();
+        keepers
+    }
+
+    /// Gives everything back to a keeper that is not held for a request; what to tell it then.
+    pub fn return_all(&self, keeper: &Incarnation) -> Vec<Told> {
+        let mut state = self.0.state.lock();
+        let purses = state.purses.iter_mut();
+        purses.filter_map(|(customer, purse)| purse.return_all(customer, keeper)).collect()
+    }
+
+    /// As a keeper: takes over what another box tells. Says whether all of it was believed.
+    pub fn hear(&self, from: &Incarnation, told: &[Told]) -> bool {
+        let mut state = self.0.state.lock();
+        state.purses.values_mut().for_each(|purse| purse.close_earlier(from));
+        let mut believed = true;
+        for told in told {
+            let purse = state.purses.entry(told.customer.clone()).or_default();
+            believed &= purse.hear(from, told.share);
+        }
+        believed
+    }
+
+    /// As a keeper: passes on what another box needs, waiting until `until` for a settlement that
+    /// brings it. Says whether it was there.
+    pub async fn give(&self, to: &Incarnation, told: &Told, until: Instant) -> bool {
+        let give = || self.try_give(to, told).then_some(());
+        self.obtain(&told.customer, told.least, until, give).await.is_some()
+    }
+
+    /// As a keeper: passes on what another box needs if it is here.
+    pub fn try_give(&self, to: &Incarnation, told: &Told) -> bool {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let purse = state.purses.entry(told.customer.clone()).or_default();
+        let given = purse.give(to, told, now);
+        let due = purse.is_promise_due(now);
+        state.drew = Some(now);
+        drop(state);
+        if due {
+            self.0.promise_due.notify_one();
+        }
+        given
+    }
+
+    /// As a keeper: what another box is answered.
+    pub fn given(&self, to: &Incarnation, told: &[Told]) -> Vec<Given> {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let given = told.iter().map(|told| {
+            let purse = state.purses.entry(told.customer.clone()).or_default();
+            purse.given(&told.customer, to, told.least, now)
+        });
+        given.collect()
+    }
+
+    /// This box ends: what is under way counts as used.
+    pub fn give_up(&self) {
+        self.0.state.lock().purses.values_mut().for_each(Purse::give_up);
+    }
+
     /// Holds the worst case of a request, waiting until `until` for a settlement that brings the
     /// tokens; `None` if none did.
     pub async fn hold(&self, customer: &Arc<str>, worst: u64, until: Instant) -> Option<Hold> {
-        if let Some(hold) = self.try_hold(customer, worst) {
-            return Some(hold);
+        self.obtain(customer, worst, until, || self.try_hold(customer, worst)).await
+    }
+
+    /// Waits until `until` for a settlement after which `attempt` finds `tokens`.
+    async fn obtain<T>(
+        &self,
+        customer: &Arc<str>,
+        tokens: u64,
+        until: Instant,
+        attempt: impl Fn() -> Option<T>,
+    ) -> Option<T> {
+        if let Some(found) = attempt() {
+            return Some(found);
         }
-        if self.free_kept(customer, worst, until).await
-            && let Some(hold) = self.try_hold(customer, worst)
+        if self.free_kept(customer, tokens, until).await
+            && let Some(found) = attempt()
         {
-            return Some(hold);
+            return Some(found);
         }
-        if self.is_dry(customer, worst) {
+        if self.is_dry(customer, tokens) {
             return None;
         }
-        let _waiting = Waiting::join(self, customer, worst);
+        let _waiting = Waiting::join(self, customer, tokens);
         let mut settled = self.0.settled.subscribe();
         let joined = *settled.borrow_and_update();
         loop {
             let changed = tokio::time::timeout_at(until, settled.changed()).await;
             let now = *settled.borrow_and_update();
-            if let Some(hold) = self.try_hold(customer, worst) {
-                return Some(hold);
+            if let Some(found) = attempt() {
+                return Some(found);
             }
             // One settlement may have been under way without this request.
-            if changed.is_err() || now >= joined + 2 || self.is_dry(customer, worst) {
+            if changed.is_err() || now >= joined + 2 || self.is_dry(customer, tokens) {
                 return None;
             }
             self.0.wanted.notify_one();
@@ -248,19 +403,19 @@
         state.purses.get(customer).is_some_and(|purse| purse.is_dry(worst))
     }
 
-    /// Whether other boxes had nothing to spare for a customer a moment ago.
-    pub fn are_others_dry(&self, customer: &str) -> bool {
+    /// Whether other boxes had too little for a request of this size a moment ago.
+    pub fn are_others_dry(&self, customer: &str, worst: u64) -> bool {
         let now = Instant::now();
         let state = self.0.state.lock();
         let purse = state.purses.get(customer);
-        purse.is_some_and(|purse| purse.are_others_dry(now))
+        purse.is_some_and(|purse| purse.are_others_dry(worst, now))
     }
 
-    /// Other boxes had nothing to spare for a customer.
-    pub fn note_others_dry(&self, customer: &str) {
+    /// Other boxes had too little for a request of this size.
+    pub fn note_others_dry(&self, customer: &str, worst: u64) {
         let mut state = self.0.state.lock();
         if let Some(purse) = state.purses.get_mut(customer) {
-            purse.note_others_dry(Instant::now());
+            purse.note_others_dry(worst, Instant::now());
         }
     }
 
@@ -310,14 +465,15 @@
 
     /// The next settlement. What it reports and returns is out of the accounts once planned, so
     /// it must land, however long that takes.
-    pub fn plan(&self, holder: &Incarnation, writer: Writer, leaves: bool) -> Settlement {
+    pub fn plan(&self, holder: &Incarnation, writer: Writer, ends: Ends) -> Settlement {
         let now = Instant::now();
+        let boxes = self.drawing();
         let mut state = self.0.state.lock();
-        let boxes = state.boxes.max(1);
         let limited = state.purses.iter_mut().filter(|(_, purse)| purse.paid.is_some());
-        let items = limited.map(|(customer, purse)| purse.item(customer, boxes, leaves, now));
+        let items = limited.map(|(customer, purse)| purse.item(customer, boxes, ends, now));
         let (items, earlier) = (items.collect(), Vec::new());
-        Settlement { holder: holder.clone(), writer, items, earlier, leaves }
+        let (retires, leaves) = (ends == Ends::Retires, ends == Ends::Leaves);
+        Settlement { holder: holder.clone(), writer, items, earlier, retires, leaves }
     }
 
     /// The first settlement of a box, with what its earlier lives left untouched.
@@ -327,7 +483,7 @@
         writer: Writer,
         earlier: Vec<Untouched>,
     ) -> Settlement {
-        Settlement { earlier, ..self.plan(holder, writer, false) }
+        Settlement { earlier, ..self.plan(holder, writer, Ends::Not) }
     }
 
     /// Takes over what a settlement that landed gave.
@@ -386,6 +542,12 @@
         self.0.promise_due.notify_one();
     }
 
+    /// What this box holds of one budget.
+    pub fn balance(&self, customer: &str) -> Balance {
+        let all = self.balances();
+        all.into_iter().find(|balance| &*balance.customer == customer).unwrap_or_default()
+    }
+
     /// What this box holds of each budget, for metrics.
     pub fn balances(&self) -> Vec<Balance> {
         let state = self.0.state.lock();
@@ -393,6 +555,7 @@
         let balance = |(customer, purse): (&Arc<str>, &Purse)| Balance {
             customer: customer.clone(),
             free: purse.free(),
+            passed: purse.outstanding(),
             kept: purse.kept(),
             unspent: purse.granted.unspent,
         };
@@ -400,7 +563,23 @@
     }
 }
 
-/// A request that waits for tokens, counted while this lives.
+/// A request that waits for tokens of a keeper, counted while this lives.
+pub struct Lacking<'a> {
+    funds: &'a Funds,
+    customer: Arc<str>,
+    worst: u64,
+}
+
+impl Drop for Lacking<'_> {
+    fn drop(&mut self) {
+        let mut state = self.funds.0.state.lock();
+        if let Some(purse) = state.purses.get_mut(&self.customer) {
+            purse.lacking = purse.lacking.saturating_sub(self.worst);
+        }
+    }
+}
+
+/// A request that waits for tokens of the book, counted while this lives.
 struct Waiting<'a> {
     funds: &'a Funds,
     customer: Arc<str>,
@@ -411,6 +590,7 @@
     fn join(funds: &'a Funds, customer: &Arc<str>, worst: u64) -> Waiting<'a> {
         let mut state = funds.0.state.lock();
         state.purses.entry(customer.clone()).or_default().waiting += worst;
+        state.drew = Some(Instant::now());
         drop(state);
         funds.0.wanted.notify_one();
         Waiting { funds, customer: customer.clone(), worst }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    bills::Bills, endpoints::Endpoints, funds::Funds, metrics::Metrics, peers::Peers,
+    bills::Bills, draws::Draws, endpoints::Endpoints, funds::Funds, metrics::Metrics, peers::Peers,
     retries::Retries, serve::Bounds, settings::Settings, table::Table,
 };
 
@@ -24,6 +24,7 @@
     pub links: Links,
     pub funds: Funds,
     pub peers: Peers,
+    pub draws: Draws,
     pub bills: Bills,
     pub retries: Mutex<Retries>,
     pub metrics: Metrics,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,13 +25,16 @@
 use crate::{
     bills::Bills,
     desk::Desk,
+    draws::Draws,
     endpoints::Endpoints,
     follow::{self, EndpointFollower},
     funds::{Balance, Funds},
     gate::Gate,
     metrics::{Budget, Metrics, Purpose},
+    order::Place,
     outage::Contact,
     peers::Peers,
+    roster::{Entry, Roster},
     serve::{self, Bounds},
     settings::{Listen, Settings},
     settle::{Settler, Setup},
@@ -130,8 +133,20 @@
         let links = Links::new(settings.links());
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
-        let peers = Peers::open(incarnation.clone(), settings.listen.peers, random.random());
-        let desk = Desk::new(incarnation.clone(), funds.clone(), peers.clone(), endpoints.clone());
+        let place = Place {
+            name: incarnation.clone(),
+            zone: settings.zone.clone(),
+            strength: settings.machine.strength(),
+        };
+        let peers = Peers::open(place, settings.listen.peers, random.random());
+        let draws = Draws::new(funds.clone(), peers.clone());
+        let desk = Desk::new(
+            incarnation.clone(),
+            funds.clone(),
+            peers.clone(),
+            endpoints.clone(),
+            stops.clone(),
+        );
         let lender = bind_lender(settings.listen.peers, desk, &peers).await?;
         let (in_force_settings, read_settings) = watch::channel(Arc::new(settings.clone()));
         let gate = Arc::new(Gate {
@@ -141,6 +156,7 @@
             funds: funds.clone(),
             bills: bills.clone(),
             peers: peers.clone(),
+            draws: draws.clone(),
             retries: Mutex::default(),
             metrics: metrics.clone(),
             bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
@@ -154,6 +170,17 @@
         let tasks = TaskTracker::new();
         let leaving = CancellationToken::new();
         let contact = Contact::new();
+        let roster = peers.address().map(|peer| {
+            let me = Entry {
+                incarnation: incarnation.clone(),
+                zone: settings.zone.clone(),
+                peer,
+                strength: settings.machine.strength(),
+            };
+            Roster::new(store.clone(), me, peers.clone(), contact.clone())
+        });
+        let registered =
+            roster.as_ref().map_or_else(|| watch::channel(None).1, |roster| roster.written());
         let naming = Naming::open();
         let keeper = Keeper { funds: funds.clone(), peers: peers.clone(), naming: naming.clone() };
         let setup = Setup {
@@ -161,6 +188,8 @@
             funds: funds.clone(),
             peers,
             naming,
+            draws: draws.clone(),
+            registered,
             bills,
             holder: incarnation.clone(),
             settings: read_settings,
@@ -197,13 +226,15 @@
             metrics,
             answer_metrics(gate.clone(), calls.clone()),
         );
-        let loops = vec![
+        let mut loops = vec![
             tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds, contact)),
             tokio::spawn(follower.run()),
             tokio::spawn(keeper.run()),
+            tokio::spawn(draws.run()),
             tokio::spawn(for_balancer),
             tokio::spawn(for_operators),
         ];
+        loops.extend(roster.map(|roster| tokio::spawn(roster.run())));
         let settler = Some(tokio::spawn(settle(settler, leaving.clone())));
         tracing::info!(
             event = "started",
@@ -262,8 +293,7 @@
 
     /// What this box holds of a customer's budget.
     pub fn balance(&self, customer: &str) -> Balance {
-        let all = self.gate.funds.balances();
-        all.into_iter().find(|balance| &*balance.customer == customer).unwrap_or_default()
+        self.gate.funds.balance(customer)
     }
 
     /// Number of other boxes that this one can ask for tokens.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Other boxes, and asking them.
 //!
-//! A box knows the others from the book. It asks a few at a time for tokens while the store cannot
+//! A box knows the others from the objects that each keeps in the store. It asks a few at a time for tokens while the store cannot
 //! give them, tells its witness what it keeps, and tells some of the large prompts that it sends.
 //! Nothing is agreed between boxes: of tokens passed on, a lost answer strands some in a grant and
 //! never doubles them.
@@ -18,15 +18,18 @@
 
 use balance::{Prefix, Prompt};
 use futures_util::future::join_all;
-use ledger::{Incarnation, Promise, Transfer, Writer};
+use ledger::{Incarnation, Promise, Transfer};
 use parking_lot::Mutex;
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use timeline::Stamp;
+use tokio::sync::Notify;
 use tokio::time::Instant;
-use wire::{Frame, Message, Peer};
+use wire::{Draw, Drawn, Frame, Message, Peer};
 
 use crate::{
     funds::{Funds, Hold},
+    order::{Place, order},
+    roster::Entry,
     witness::Records,
 };
 
@@ -50,8 +53,11 @@
 const MOST_ASKED: usize = 12;
 /// A box that did not answer is passed over for this long: shorter than outages are.
 const REST: Duration = Duration::from_millis(2_000);
+/// A keeper that ends by plan is passed over for this long: it is gone by then, and its next life
+/// has another name.
+const LEAVES: Duration = Duration::from_secs(10);
 
-/// The other boxes, as the book lists them.
+/// The other boxes, as the store lists them.
 #[derive(Clone)]
 pub struct Peers {
     me: Incarnation,
@@ -61,6 +67,8 @@
     pub records: Records,
     /// Number of the next prompt that others are told of.
     prompts: Arc<AtomicU64>,
+    /// Something shows that the list of boxes is old.
+    unknown: Arc<Notify>,
 }
 
 impl fmt::Debug for Peers {
@@ -110,27 +118,37 @@
 
 struct State {
     address: Option<SocketAddr>,
+    place: Place,
     known: HashMap<Incarnation, Known>,
     random: SmallRng,
 }
 
 struct Known {
+    entry: Entry,
     peer: Peer,
     rests_until: Option<Instant>,
 }
 
+impl Known {
+    fn is_awake(&self, now: Instant) -> bool {
+        self.rests_until.is_none_or(|end| end <= now)
+    }
+}
+
 impl Peers {
     /// No others yet; questions leave from the address at which this box answers.
-    pub fn open(me: Incarnation, address: Option<SocketAddr>, seed: u64) -> Peers {
+    pub fn open(me: Place, address: Option<SocketAddr>, seed: u64) -> Peers {
         let source = address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |address| address.ip());
         let random = SmallRng::seed_from_u64(seed);
-        let state = State { address: None, known: HashMap::new(), random };
+        let name = me.name.clone();
+        let state = State { address: None, place: me, known: HashMap::new(), random };
         Peers {
-            me,
+            me: name,
             source,
             state: Arc::new(Mutex::new(state)),
             records: Records::default(),
             prompts: Arc::default(),
+            unknown: Arc::default(),
         }
     }
 
@@ -144,29 +162,109 @@
         self.state.lock().address
     }
 
-    /// Takes over who stands in the book.
-    pub fn update(&self, writers: &BTreeMap<Incarnation, Writer>) {
-        self.records.retain(|name| writers.contains_key(name));
+    /// Takes over the list of boxes. One that may be old removes nobody and does not put an
+    /// earlier life in the place of the one known.
+    pub fn update(&self, entries: Vec<Entry>, may_be_old: bool) {
         let mut state = self.state.lock();
-        state.known.retain(|name, _| writers.contains_key(name));
-        for (name, writer) in writers.iter().filter(|(name, _)| **name != self.me) {
-            let Some(address) = writer.peer else { continue };
-            let fresh = || Known { peer: Peer::new(address, self.source), rests_until: None };
-            state.known.entry(name.clone()).or_insert_with(fresh);
+        if !may_be_old {
+            let listed = |name: &Incarnation| entries.iter().any(|e| e.incarnation == *name);
+            state.known.retain(|name, _| listed(name));
+            let box_is_listed = |name: &Incarnation| {
+                entries.iter().any(|entry| entry.incarnation.box_name() == name.box_name())
+            };
+            self.records.retain(box_is_listed);
+        }
+        for entry in entries {
+            let name = entry.incarnation.clone();
+            let is_me = name.box_name() == self.me.box_name();
+            let same_box = |known: &Incarnation| known.box_name() == name.box_name();
+            let other_life = state.known.keys().any(|known| same_box(known) && *known != name);
+            if is_me || (may_be_old && other_life) {
+                continue;
+            }
+            let peer = Peer::new(entry.peer, self.source);
+            let fresh = || Known { entry, peer, rests_until: None };
+            state.known.entry(name).or_insert_with(fresh);
         }
     }
 
-    /// Number of other boxes that stand in the book.
+    /// Waits until something shows that the list of boxes is old.
+    pub async fn unknown(&self) {
+        self.unknown.notified().await;
+    }
+
+    /// Something shows that the list of boxes is old.
+    pub fn note_unknown(&self) {
+        self.unknown.notify_one();
+    }
+
+    /// Boxes to ask for tokens, those left out that did not answer lately; this one stands where
+    /// it is its own best choice.
+    pub fn keepers(&self) -> Vec<Incarnation> {
+        let now = Instant::now();
+        let state = self.state.lock();
+        let others: Vec<Place> = state.known.values().map(|known| known.entry.place()).collect();
+        let mut keepers = order(&state.place, &others);
+        keepers.retain(|name| state.known.get(name).is_none_or(|known| known.is_awake(now)));
+        keepers
+    }
+
+    /// Whether this box keeps tokens for its availability zone.
+    pub fn am_keeper(&self) -> bool {
+        self.keepers().first() == Some(&self.me)
+    }
+
+    /// This start of the box.
+    pub fn me(&self) -> &Incarnation {
+        &self.me
+    }
+
+    /// Asks a keeper, or tells it; `None` if it did not answer, or not as this life of it.
+    pub async fn draw(&self, keeper: &Incarnation, draw: Draw, within: Duration) -> Option<Drawn> {
+        let peer = self.peer(keeper)?;
+        match self.ask(keeper, &peer, Frame::Draw(draw), within).await {
+            Heard::Frame(Frame::Drawn(drawn)) => {
+                if drawn.leaves {
+                    self.rest(keeper, LEAVES);
+                }
+                Some(drawn)
+            }
+            Heard::Frame(_) | Heard::Replaced | Heard::Nothing => None,
+        }
+    }
+
+    fn rest(&self, name: &Incarnation, time: Duration) {
+        if let Some(known) = self.state.lock().known.get_mut(name) {
+            known.rests_until = Some(Instant::now() + time);
+        }
+    }
+
+    /// Another life of a box answered: it stands in the place of the one that was asked.
+    fn replace(&self, name: &Incarnation, now: &Incarnation) {
+        let mut state = self.state.lock();
+        if let Some(Known { entry, peer, .. }) = state.known.remove(name) {
+            let entry = Entry { incarnation: now.clone(), ..entry };
+            let known = Known { entry, peer, rests_until: None };
+            state.known.entry(now.clone()).or_insert(known);
+        }
+    }
+
+    /// Number of other boxes that are known.
     pub fn len(&self) -> usize {
         self.state.lock().known.len()
     }
 
-    /// Whether no other box stands in the book.
+    /// Boxes of the fleet, this one among them.
+    pub fn boxes(&self) -> u64 {
+        self.len() as u64 + 1
+    }
+
+    /// Whether no other box is known.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Whether a box stands in the book.
+    /// Whether a box is known.
     pub fn knows(&self, name: &Incarnation) -> bool {
         self.state.lock().known.contains_key(name)
     }
@@ -190,7 +288,7 @@
         }
     }
 
-    /// A box that stands in the book and did not fail to answer lately, other than `not`.
+    /// A box that is known and did not fail to answer lately, other than `not`.
     pub fn any_in_reach(&self, not: Option<&Incarnation>) -> Option<Incarnation> {
         let others = self.in_reach().into_iter().map(|(name, _)| name);
         others.into_iter().find(|name| Some(name) != not)
@@ -218,11 +316,10 @@
     pub async fn seal(
         &self,
         witness: &Incarnation,
-        address: SocketAddr,
         holder: Incarnation,
         term: u64,
     ) -> Option<BTreeMap<Arc<str>, u64>> {
-        let peer = Peer::new(address, self.source);
+        let peer = self.peer(witness)?;
         let answer = self.ask(witness, &peer, Frame::Seal { holder, term }, SEAL_WITHIN).await;
         match answer {
             Heard::Frame(Frame::Sealed { tokens }) => tokens,
@@ -242,7 +339,19 @@
         worst: u64,
         until: Instant,
     ) -> Option<Hold> {
-        if funds.are_others_dry(customer) {
+        self.borrow_until(funds, customer, worst, until, || funds.try_hold(customer, worst)).await
+    }
+
+    /// Borrows tokens of other keepers until `attempt` finds those for a request of this size.
+    pub async fn borrow_until<T>(
+        &self,
+        funds: &Funds,
+        customer: &Arc<str>,
+        worst: u64,
+        until: Instant,
+        attempt: impl Fn() -> Option<T>,
+    ) -> Option<T> {
+        if funds.are_others_dry(customer, worst) {
             return None;
         }
         let asking = funds.asking(customer);
@@ -251,7 +360,7 @@
             let mut asked = 0;
             // Another request may have brought enough for both.
             let mut missing = funds.missing(customer, worst);
-            let others = self.in_reach();
+            let others = self.lenders();
             for few in others.chunks(ASKED) {
                 if missing == 0 {
                     break;
@@ -272,26 +381,31 @@
             asked
         };
         let asked = tokio::time::timeout_at(until, ask).await.unwrap_or(0);
-        let hold = funds.try_hold(customer, worst);
-        if hold.is_none() {
-            funds.note_others_dry(customer);
+        let found = attempt();
+        if found.is_none() {
+            funds.note_others_dry(customer, worst);
         }
         tracing::info!(
             event = "asked_other_boxes",
             customer = &**customer,
             worst,
             asked,
-            held = hold.is_some(),
+            found = found.is_some(),
         );
-        hold
+        found
+    }
+
+    /// Boxes that may lend: the keepers of the zones.
+    fn lenders(&self) -> Vec<(Incarnation, Peer)> {
+        let keepers = self.keepers().into_iter().filter(|name| *name != self.me);
+        keepers.filter_map(|name| self.peer(&name).map(|peer| (name, peer))).collect()
     }
 
     fn in_reach(&self) -> Vec<(Incarnation, Peer)> {
         let now = Instant::now();
         let mut state = self.state.lock();
         let State { known, random, .. } = &mut *state;
-        let awake =
-            known.iter().filter(|(_, known)| known.rests_until.is_none_or(|end| end <= now));
+        let awake = known.iter().filter(|(_, known)| known.is_awake(now));
         let mut peers: Vec<(Incarnation, Peer)> =
             awake.map(|(name, known)| (name.clone(), known.peer.clone())).collect();
         peers.sort_by(|a, b| a.0.cmp(&b.0));
@@ -324,8 +438,15 @@
                 tracing::info!(event = "peer_replaced", peer, now);
                 // A box has one life at a time; of another box at its address nothing follows.
                 match answer.from.box_name() == name.box_name() {
-                    true => Heard::Replaced,
-                    false => Heard::Nothing,
+                    true => {
+                        self.replace(name, &answer.from);
+                        Heard::Replaced
+                    }
+                    false => {
+                        self.rest(name, REST);
+                        self.note_unknown();
+                        Heard::Nothing
+                    }
                 }
             }
             Ok(answer) => {
@@ -340,10 +461,7 @@
             }
             Err(error) => {
                 tracing::info!(event = "peer_silent", peer = name.as_str(), %error);
-                let rests_until = Some(Instant::now() + REST);
-                if let Some(known) = self.state.lock().known.get_mut(name) {
-                    known.rests_until = rests_until;
-                }
+                self.rest(name, REST);
                 Heard::Nothing
             }
         }
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,147 @@
+//! The boxes of the fleet, each of which keeps one object in the store that says where it is.
+//!
+//! A box writes its object once a start and reads those of all others, soon after the start and
+//! then from time to time, from copies of the store that may be old: reading those is cheap, and a
+//! list that is old costs a question to a box that is gone. A later life of a box that answers in
+//! place of an earlier one is news that needs no read at all.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ledger::Incarnation;
+use objects::{Error, Expect, Object, Store};
+use platform::store::{Client, Put};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::{
+    order::Place,
+    outage::{Contact, Outage},
+    peers::Peers,
+};
+
+/// Kind of the objects, named by box.
+const BOXES: &str = "boxes";
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time after the own entry was written until the list is read again: boxes that start together
+/// do so within 0.3 s.
+const TOGETHER: Duration = Duration::from_millis(700);
+/// Time between two reads: as long as copies may be old. With 80 boxes, 20 cheap reads a second.
+const EVERY: Duration = Duration::from_secs(4);
+
+/// Where a box is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// This life of the box.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where other boxes ask it.
+    pub peer: SocketAddr,
+    /// What it can carry.
+    pub strength: u64,
+}
+
+impl Entry {
+    /// What the choice of keepers needs.
+    pub fn place(&self) -> Place {
+        let Entry { incarnation, zone, strength, .. } = self;
+        Place { name: incarnation.clone(), zone: zone.clone(), strength: *strength }
+    }
+}
+
+/// Keeps the own entry and reads those of the others.
+pub struct Roster {
+    store: Client,
+    me: Entry,
+    peers: Peers,
+    outage: Outage,
+    /// Version of the own entry, once it is written and those of others were read.
+    written: watch::Sender<Option<u64>>,
+}
+
+impl Roster {
+    /// Nothing is written or read yet.
+    pub fn new(store: Client, me: Entry, peers: Peers, contact: Contact) -> Roster {
+        let outage = Outage::new("boxes", contact);
+        Roster { store, me, peers, outage, written: watch::channel(None).0 }
+    }
+
+    /// The version of the own entry, by which it is removed.
+    pub fn written(&self) -> watch::Receiver<Option<u64>> {
+        self.written.subscribe()
+    }
+
+    /// Follows the boxes for as long as this one runs.
+    pub async fn run(mut self) {
+        let version = self.register().await;
+        self.read(false).await;
+        self.written.send_replace(Some(version));
+        tokio::time::sleep(TOGETHER).await;
+        self.read(false).await;
+        loop {
+            let asked = tokio::time::timeout(EVERY, self.peers.unknown()).await.is_ok();
+            if asked {
+                // One read answers all that is asked meanwhile.
+                tokio::time::sleep(PAUSE).await;
+            }
+            self.read(!asked).await;
+        }
+    }
+
+    /// Writes the own entry and returns its version.
+    async fn register(&mut self) -> u64 {
+        let value = serde_json::to_string(&self.me).expect("entries always serialize");
+        let name = self.me.incarnation.box_name().to_owned();
+        let mut expect = Expect::Absent;
+        loop {
+            match self.store.replace(BOXES, &name, &value, expect).await {
+                Put::Landed(version) => {
+                    self.outage.answered();
+                    tracing::info!(event = "box_registered", name, version);
+                    return version;
+                }
+                // An earlier life's, or this one's if an answer was lost: written over.
+                Put::Refused(Some(object)) => expect = Expect::Version(object.version),
+                Put::Refused(None) => expect = Expect::Absent,
+                Put::Failed(reason) | Put::Unknown(reason) => {
+                    self.outage.failed(&reason);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self, may_be_old: bool) {
+        match self.list(may_be_old).await {
+            Ok(objects) => {
+                self.outage.answered();
+                let entries: Vec<Entry> = objects.iter().filter_map(read_entry).collect();
+                self.peers.update(entries, may_be_old);
+            }
+            Err(error) => self.outage.failed(&error),
+        }
+    }
+
+    async fn list(&self, may_be_old: bool) -> Result<Vec<Object>, Error> {
+        let list = match may_be_old {
+            true => self.store.all_maybe_old(BOXES).await?,
+            false => self.store.all(BOXES).await?,
+        };
+        Ok(list.objects)
+    }
+}
+
+/// Removes the entry of a box that ends by plan.
+pub async fn remove(store: &Client, me: &Incarnation, version: u64) {
+    let removed = store.delete(BOXES, me.box_name(), version).await;
+    tracing::info!(event = "box_removed", outcome = ?removed);
+}
+
+fn read_entry(object: &Object) -> Option<Entry> {
+    let read = serde_json::from_str(&object.value);
+    read.inspect_err(|error| {
+        tracing::error!(event = "entry_unreadable", name = &*object.name, %error);
+    })
+    .ok()
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,9 @@
     pub zone: Arc<str>,
     /// Where it listens.
     pub listen: Listen,
+    /// What the box can carry.
+    #[serde(default)]
+    pub machine: Machine,
     /// The platform's store.
     pub store: Store,
     /// Grants of prepaid tokens.
@@ -46,6 +49,31 @@
     }
 }
 
+/// What the box can carry, by which boxes choose whom they ask for tokens.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// Share of a processor core.
+    pub cores: f64,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for Machine {
+    /// All boxes alike.
+    fn default() -> Machine {
+        Machine { cores: 1.0, link_mbps: 1_000.0 }
+    }
+}
+
+impl Machine {
+    /// What the box can carry: hundredths of a core or Mbit/s, whichever are less. A message of a
+    /// kilobyte takes about as much of either.
+    pub fn strength(&self) -> u64 {
+        (self.cores * 100.0).min(self.link_mbps) as u64
+    }
+}
+
 /// Addresses.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -216,6 +244,13 @@
         if self.box_name.is_empty() {
             found.push(Violation::new("box", "a name"));
         }
+        for (path, value) in
+            [("machine.cores", self.machine.cores), ("machine.link_mbps", self.machine.link_mbps)]
+        {
+            if !(value > 0.0 && value.is_finite()) {
+                found.push(Violation::new(path, "above 0"));
+            }
+        }
         if !(0.0..=1.0).contains(&self.retries.ratio) {
             found.push(Violation::new("retries.ratio", "between 0 and 1"));
         }
@@ -233,6 +268,7 @@
         let groups = [
             ("box", self.box_name != next.box_name),
             ("zone", self.zone != next.zone),
+            ("machine", self.machine != next.machine),
             ("listen", self.listen != next.listen),
             ("store", self.store != next.store),
             ("limits", limits(self) != limits(next)),
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -13,9 +13,11 @@
 
 use crate::{
     bills::Bills,
-    funds::Funds,
+    draws::Draws,
+    funds::{Ends, Funds},
     outage::{Contact, Outage},
     peers::Peers,
+    roster,
     settings::Settings,
     witness::Naming,
 };
@@ -26,6 +28,11 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two calls while the store does not answer.
 const PAUSE_MOST: Duration = Duration::from_millis(400);
+/// A box that is no keeper, and was not asked for so long, draws no more from the book: longer than
+/// it takes to start a box again, which is when others stand in for it.
+const RETIRE: Duration = Duration::from_secs(8);
+/// Longest wait for the list of boxes before the first settlement: witnesses are found by it.
+const LISTED: Duration = Duration::from_millis(2_000);
 /// Time until the first grants are asked for: the other boxes register meanwhile.
 const REGISTER: Duration = Duration::from_millis(1_500);
 
@@ -48,6 +55,9 @@
     pub funds: Funds,
     pub peers: Peers,
     pub naming: Naming,
+    pub draws: Draws,
+    /// Version of the box's entry in the store, once it is written.
+    pub registered: watch::Receiver<Option<u64>>,
     pub bills: Bills,
     /// This start of the box.
     pub holder: Incarnation,
@@ -70,6 +80,8 @@
     pending: Option<Settlement>,
     /// What the newest write of it would grant, in case its answer is lost.
     last: Option<Vec<Granted>>,
+    /// Whether this box stands in the book.
+    stands: bool,
 }
 
 impl Settler {
@@ -84,6 +96,7 @@
             write: 0,
             pending: None,
             last: None,
+            stands: false,
         }
     }
 
@@ -93,7 +106,9 @@
         self.settle_first().await;
         self.wait(REGISTER).await;
         loop {
-            self.settle(false).await;
+            if self.is_of_book() {
+                self.settle(self.ends()).await;
+            }
             self.setup.bills.write(&self.setup.store, false).await;
             if told.elapsed() >= TELL {
                 told = Instant::now();
@@ -109,6 +124,22 @@
         }
     }
 
+    /// Whether this box draws from the book: it is the keeper of its availability zone, holds
+    /// something of the book, or has something to settle.
+    fn is_of_book(&self) -> bool {
+        let Setup { peers, funds, .. } = &self.setup;
+        self.stands || self.pending.is_some() || peers.am_keeper() || funds.is_of_book()
+    }
+
+    /// Whether another box keeps the tokens now.
+    fn ends(&self) -> Ends {
+        let Setup { peers, funds, .. } = &self.setup;
+        let drew = funds.drew_ago().is_some_and(|ago| ago < RETIRE);
+        let retires = self.stands && !drew && !peers.am_keeper();
+        funds.retire(retires);
+        if retires { Ends::Retires } else { Ends::Not }
+    }
+
     /// Time of the next settlement that no request waits for, after the last one.
     fn pause(&self, spacing: Duration, settle: Duration) -> Duration {
         match self.setup.funds.is_due() || self.setup.naming.is_due(&self.setup.peers) {
@@ -117,8 +148,12 @@
         }
     }
 
-    /// The first settlement, with what witnesses know of earlier lives of this box.
+    /// The first settlement of a box whose earlier lives stand in the book, with what witnesses
+    /// know of them.
     async fn settle_first(&mut self) {
+        let mut registered = self.setup.registered.clone();
+        let listed = registered.wait_for(Option::is_some);
+        let _ = tokio::time::timeout(LISTED, listed).await;
         let mut pause = PAUSE;
         let book = loop {
             match self.read().await {
@@ -126,12 +161,14 @@
                 Err(fault) => self.failed(&fault, &mut pause).await,
             }
         };
+        let before = book.earlier(&self.setup.holder);
+        if before.is_empty() {
+            return;
+        }
         let mut earlier = Vec::new();
-        for (holder, witness) in book.earlier(&self.setup.holder) {
+        for (holder, witness) in before {
             let Some(witness) = witness else { continue };
-            let address = book.writers.get(&witness.by).and_then(|writer| writer.peer);
-            let Some(address) = address else { continue };
-            let asked = self.setup.peers.seal(&witness.by, address, holder.clone(), witness.term);
+            let asked = self.setup.peers.seal(&witness.by, holder.clone(), witness.term);
             let tokens = asked.await;
             tracing::info!(
                 event = "earlier_life",
@@ -143,7 +180,7 @@
         }
         let writer = self.writer();
         self.pending = Some(self.setup.funds.plan_first(&self.setup.holder, writer, earlier));
-        self.settle(false).await;
+        self.settle(Ends::Not).await;
     }
 
     fn writer(&mut self) -> Writer {
@@ -168,12 +205,12 @@
     }
 
     /// Writes one settlement until it has landed. May be interrupted: the next call goes on.
-    async fn settle(&mut self, leaves: bool) {
+    async fn settle(&mut self, ends: Ends) {
         let settlement = match self.pending.take() {
             Some(pending) => pending,
             None => {
                 let writer = self.writer();
-                self.setup.funds.plan(&self.setup.holder, writer, leaves)
+                self.setup.funds.plan(&self.setup.holder, writer, ends)
             }
         };
         self.pending = Some(settlement.clone());
@@ -197,10 +234,9 @@
         if self.outage.answered().is_some() {
             self.in_touch_since = Instant::now();
         }
-        let boxes = self.known.as_ref().map_or(1, |(book, _)| {
-            self.setup.peers.update(&book.writers);
-            book.boxes()
-        });
+        let book = self.known.as_ref().map(|(book, _)| book);
+        let boxes = book.map_or(1, |book| book.boxes().max(1));
+        self.stands = book.is_some_and(|book| book.writers.contains_key(&self.setup.holder));
         report(&settlement, &granted);
         self.setup.funds.landed(&settlement, granted, boxes);
         self.setup.naming.landed(&settlement.writer.witness, &self.setup.funds);
@@ -270,12 +306,19 @@
     pub async fn leave(&mut self, limit: Duration) {
         let began = Instant::now();
         let all = async {
-            let Setup { naming, funds, peers, .. } = &self.setup;
+            let Setup { naming, funds, peers, draws, .. } = &self.setup;
+            draws.leave().await;
             naming.promise_all(funds, peers).await;
             if self.pending.is_some() {
-                self.settle(false).await;
+                self.settle(Ends::Not).await;
+            }
+            if self.is_of_book() {
+                self.settle(Ends::Leaves).await;
+            }
+            let version = *self.setup.registered.borrow();
+            if let Some(version) = version {
+                roster::remove(&self.setup.store, &self.setup.holder, version).await;
             }
-            self.settle(true).await;
             self.setup.bills.write(&self.setup.store, true).await;
         };
         let done = tokio::time::timeout(limit, all).await.is_ok();
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -81,7 +81,7 @@
         (record.promise.term == term).then(|| record.promise.tokens.clone())
     }
 
-    /// Forgets boxes that do not stand in the book any more.
+    /// Forgets lives of boxes that are not listed any more.
     pub fn retain(&self, stands: impl Fn(&Incarnation) -> bool) {
         self.0.lock().records.retain(|name, _| stands(name));
     }
--- a/crates/gateway/tests/funds.rs
+++ b/crates/gateway/tests/funds.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gateway::{Funds, Table};
+use gateway::{Ends, Funds, Table};
 use ledger::{Book, Granted, Incarnation, Item, Policy, Writer};
 use platform::{config::Config, played};
 
@@ -40,7 +40,7 @@
     fn settle_under(&mut self, policy: Policy) -> (Item, Granted) {
         self.write += 1;
         let writer = Writer { write: self.write, peer: None, witness: None };
-        let settlement = self.funds.plan(&self.name, writer, false);
+        let settlement = self.funds.plan(&self.name, writer, Ends::Not);
         let granted = self.book.settle(&settlement, policy);
         let at = settlement.items.iter().position(|item| item.customer == customer());
         let at = at.expect("the customer's budget is settled");
--- a/crates/gateway/tests/money.rs
+++ b/crates/gateway/tests/money.rs
@@ -1,16 +1,17 @@
 //! Random orders of everything that touches a budget, with several boxes and one book.
 //!
 //! Boxes hold and charge tokens, settle with answers that are lost and writes that land late,
-//! lend to each other with answers that are lost, promise witnesses what they keep untouched, die,
-//! start again and leave. Whatever the order, what was charged and what is still held never exceed
+//! lend to each other with answers that are lost, promise witnesses what they keep untouched, draw
+//! from keepers with messages that are lost, late and repeated, die, start again and leave. Whatever the order, what was charged and what is still held never exceed
 //! what was paid, and what living boxes reported is counted once. Broken variants must be caught,
 //! or the check could not fail.
 
 use std::{collections::HashMap, sync::Arc};
 
-use gateway::{Funds, Hold, Records, Table, Taken};
+use gateway::{Ends, Funds, Hold, Records, Table, Taken};
 use ledger::{
-    Book, Granted, Incarnation, Policy, Promise, Settlement, Transfer, Untouched, Witness, Writer,
+    Book, Given, Granted, Incarnation, Policy, Promise, Settlement, Told, Transfer, Untouched,
+    Witness, Writer,
 };
 use platform::{config::Config, played};
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -40,6 +41,14 @@
     OldNaming,
     /// Tokens that a promise keeps are spent all the same.
     SpendKept,
+    /// A keeper passes tokens on without taking them out of its account.
+    PassTwice,
+    /// What a keeper passed on is taken over each time that it is told.
+    DrawnTwice,
+    /// Another life of a keeper believes what was told to an earlier one.
+    WrongLife,
+    /// A keeper takes back what a dead box held.
+    FreePassed,
 }
 
 #[derive(Debug, Clone)]
@@ -50,6 +59,8 @@
     End { at: usize, percent: u64 },
     /// A settlement is planned, unless one is under way.
     Plan { at: usize },
+    /// A settlement is planned in which the box draws no more.
+    Retire { at: usize },
     /// It is written; the answer may be lost.
     Write { at: usize, answered: bool },
     /// One box asks another; the answer may be lost, or arrive twice.
@@ -58,6 +69,15 @@
     Name { at: usize, witness: usize },
     /// A box promises its witness what it keeps; question and answer may be lost.
     Promise { at: usize, arrives: bool, answered: bool },
+    /// A box asks another one as its keeper; question and answer may be lost, and are kept to be
+    /// repeated.
+    Draw { at: usize, keeper: usize, need: u64, ahead: u64, arrives: bool, answered: bool },
+    /// A box tells a keeper what it used, and gives back what lies idle.
+    Tell { at: usize, keeper: usize, arrives: bool, answered: bool },
+    /// An earlier question arrives at whoever is there now, late or once more.
+    AskAgain { which: usize },
+    /// An earlier answer arrives late or once more.
+    AnswerAgain { which: usize },
     /// A box dies and starts again; its witness may be out of reach then.
     Die { at: usize, asked: bool },
     /// A box ends by plan and starts again.
@@ -105,7 +125,26 @@
     }
 }
 
+/// A question to a keeper, on its way.
+#[derive(Debug, Clone)]
+struct Question {
+    from: Incarnation,
+    keeper: Incarnation,
+    items: Vec<Told>,
+}
+
+/// A keeper's answer, on its way.
+#[derive(Debug, Clone)]
+struct Answer {
+    to: Incarnation,
+    question: Question,
+    given: Vec<Given>,
+}
+
 struct World {
+    /// All that was ever sent.
+    questions: Vec<Question>,
+    answers: Vec<Answer>,
     book: Book,
     nodes: Vec<Node>,
     lives: u64,
@@ -125,7 +164,8 @@
         let nodes = (0..BOXES).map(|at| Node::start(at, at as u64)).collect();
         let book = Book::default();
         let lives = BOXES as u64;
-        let mut world = World { book, nodes, lives, used: 0, broken, terms: HashMap::new() };
+        let (questions, answers, terms) = (Vec::new(), Vec::new(), HashMap::new());
+        let mut world = World { questions, answers, book, nodes, lives, used: 0, broken, terms };
         (0..BOXES).for_each(|at| world.name(at, (at + 1) % BOXES));
         world
     }
@@ -144,11 +184,37 @@
                 self.nodes[at].holds.extend(hold);
             }
             Step::End { at, percent } => self.end(at, percent),
-            Step::Plan { at } => self.plan(at, false),
+            Step::Plan { at } => self.plan(at, Ends::Not),
+            Step::Retire { at } => {
+                self.nodes[at].funds.retire(true);
+                self.plan(at, Ends::Retires);
+                self.nodes[at].funds.retire(false);
+            }
             Step::Write { at, answered } => self.write(at, answered),
             Step::Lend { from, to, tokens, arrives } => self.lend(from, to, tokens, arrives),
             Step::Name { at, witness } => self.name(at, witness),
             Step::Promise { at, arrives, answered } => self.promise(at, arrives, answered),
+            Step::Draw { at, keeper, need, ahead, arrives, answered } => {
+                if at != keeper {
+                    let worst = self.nodes[at].funds.balance(&customer()).free + need;
+                    self.draw(at, keeper, Some(worst), ahead, arrives, answered);
+                }
+            }
+            Step::Tell { at, keeper, arrives, answered } => {
+                if at != keeper {
+                    self.draw(at, keeper, None, 0, arrives, answered);
+                }
+            }
+            Step::AskAgain { which } => {
+                if let Some(question) = pick(&self.questions, which) {
+                    self.ask(question);
+                }
+            }
+            Step::AnswerAgain { which } => {
+                if let Some(answer) = pick(&self.answers, which) {
+                    self.answer(answer);
+                }
+            }
             Step::Die { at, asked } => self.die(at, asked),
             Step::Leave { at } => self.leave(at),
         }
@@ -163,7 +229,7 @@
         self.used += hold.settle(charge);
     }
 
-    fn plan(&mut self, at: usize, leaves: bool) {
+    fn plan(&mut self, at: usize, ends: Ends) {
         let node = &mut self.nodes[at];
         if node.pending.is_some() {
             return;
@@ -171,7 +237,7 @@
         node.write += 1;
         let writer = Writer { write: node.write, peer: None, witness: node.names.clone() };
         let earlier = std::mem::take(&mut node.earlier);
-        let plan = node.funds.plan(&node.name, writer, leaves);
+        let plan = node.funds.plan(&node.name, writer, ends);
         node.pending = Some(Settlement { earlier, ..plan });
     }
 
@@ -267,6 +333,65 @@
         }
     }
 
+    fn draw(
+        &mut self,
+        at: usize,
+        keeper: usize,
+        worst: Option<u64>,
+        ahead: u64,
+        arrives: bool,
+        answered: bool,
+    ) {
+        let (from, keeper) = (self.nodes[at].name.clone(), self.nodes[keeper].name.clone());
+        let name = customer();
+        let asked = worst.map(|worst| (&name, worst));
+        let mut items = self.nodes[at].funds.tell(&keeper, asked);
+        items.iter_mut().for_each(|told| told.ahead = ahead);
+        let question = Question { from, keeper, items };
+        self.questions.push(question.clone());
+        if arrives && let Some(answer) = self.ask(question) {
+            self.answers.push(answer.clone());
+            if answered {
+                self.answer(answer);
+            }
+        }
+    }
+
+    /// A question arrives at whoever is there now.
+    fn ask(&mut self, question: Question) -> Option<Answer> {
+        let at = self.nodes.iter().position(|node| match self.broken {
+            Broken::WrongLife => node.name.box_name() == question.keeper.box_name(),
+            _ => node.name == question.keeper,
+        })?;
+        let funds = &self.nodes[at].funds;
+        funds.hear(&question.from, &question.items);
+        for told in &question.items {
+            if told.need > 0 && funds.try_give(&question.from, told) {
+                let tokens = funds.given(&question.from, std::slice::from_ref(told))[0].given;
+                if self.broken == Broken::PassTwice {
+                    // The keeper takes them back at once, as if they had never left.
+                    let share = ledger::Share { given: tokens, returned: tokens, ..told.share };
+                    let back = Told { share, need: 0, least: 0, ..told.clone() };
+                    funds.hear(&question.from, &[back]);
+                }
+            }
+        }
+        let given = funds.given(&question.from, &question.items);
+        Some(Answer { to: question.from.clone(), question, given })
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        let Some(at) = self.nodes.iter().position(|node| node.name == answer.to) else { return };
+        let node = &self.nodes[at];
+        let Question { keeper, items, .. } = &answer.question;
+        let keeper = match self.broken {
+            // Each answer counts as that of another keeper.
+            Broken::DrawnTwice => Incarnation::new("any", self.answers.len() as u64),
+            _ => keeper.clone(),
+        };
+        node.funds.drawn(&keeper, items, &answer.given);
+    }
+
     fn die(&mut self, at: usize, asked: bool) {
         // Nobody knows what its requests used; the truth may be all of it.
         let lost: u64 = self.nodes[at].holds.iter().map(Hold::tokens).sum();
@@ -277,12 +402,32 @@
                 ledger.end(&name);
             }
         }
+        if self.broken == Broken::FreePassed {
+            self.free_passed(at);
+        }
         let name = self.nodes[at].name.clone();
         let untouched = if asked { self.untouched(&name) } else { None };
         self.restart(at);
         self.nodes[at].earlier.extend(untouched);
     }
 
+    /// Keepers take back what a dead box had, as if nothing of it was used.
+    fn free_passed(&mut self, at: usize) {
+        let name = self.nodes[at].name.clone();
+        for node in &self.nodes {
+            let told = Told {
+                customer: customer(),
+                share: Default::default(),
+                need: 0,
+                least: 0,
+                ahead: 0,
+            };
+            let given = node.funds.given(&name, std::slice::from_ref(&told))[0].given;
+            let share = ledger::Share { given, returned: given, ..Default::default() };
+            node.funds.hear(&name, &[Told { share, ..told }]);
+        }
+    }
+
     fn leave(&mut self, at: usize) {
         while self.nodes[at].pending.is_some() {
             self.write(at, true);
@@ -297,7 +442,7 @@
         }
         let held: u64 = self.nodes[at].holds.iter().map(Hold::tokens).sum();
         self.used += held;
-        self.plan(at, true);
+        self.plan(at, Ends::Leaves);
         self.write(at, true);
         self.restart(at);
     }
@@ -351,14 +496,20 @@
     }
 }
 
+fn pick<T: Clone>(of: &[T], which: usize) -> Option<T> {
+    (!of.is_empty()).then(|| of[which % of.len()].clone())
+}
+
 fn step() -> impl Strategy<Value = Step> {
     let at = 0..BOXES;
     // Boxes hold little at first: small requests find some, and make them hold more.
+    let often = || prop::bool::weighted(0.8);
     let size = || prop_oneof![2 => 20u64..400, 1 => 100u64..9_000];
     prop_oneof![
         6 => (at.clone(), size()).prop_map(|(at, tokens)| Step::Hold { at, tokens }),
         4 => (at.clone(), 0u64..=100).prop_map(|(at, percent)| Step::End { at, percent }),
         5 => at.clone().prop_map(|at| Step::Plan { at }),
+        2 => at.clone().prop_map(|at| Step::Retire { at }),
         7 => (at.clone(), prop::bool::weighted(0.7))
             .prop_map(|(at, answered)| Step::Write { at, answered }),
         4 => (at.clone(), at.clone(), 100u64..9_000, 0usize..3)
@@ -366,6 +517,16 @@
         2 => (at.clone(), at.clone()).prop_map(|(at, witness)| Step::Name { at, witness }),
         5 => (at.clone(), prop::bool::weighted(0.8), prop::bool::weighted(0.7))
             .prop_map(|(at, arrives, answered)| Step::Promise { at, arrives, answered }),
+        5 => (at.clone(), at.clone(), size(), 0u64..2_000, often(), often()).prop_map(
+            |(at, keeper, need, ahead, arrives, answered)| Step::Draw {
+                at, keeper, need, ahead, arrives, answered
+            }
+        ),
+        3 => (at.clone(), at.clone(), often(), often()).prop_map(
+            |(at, keeper, arrives, answered)| Step::Tell { at, keeper, arrives, answered }
+        ),
+        2 => (0usize..1_000).prop_map(|which| Step::AskAgain { which }),
+        2 => (0usize..1_000).prop_map(|which| Step::AnswerAgain { which }),
         1 => (at.clone(), prop::bool::weighted(0.8))
             .prop_map(|(at, asked)| Step::Die { at, asked }),
         1 => at.prop_map(|at| Step::Leave { at }),
@@ -415,6 +576,9 @@
         Broken::FreeDead,
         Broken::ForgetTransfers,
         Broken::LeaveEarly,
+        Broken::PassTwice,
+        Broken::DrawnTwice,
+        Broken::FreePassed,
     ];
     for broken in variants {
         let mut runner = TestRunner::deterministic();
@@ -439,7 +603,20 @@
     let too_large = || Step::Hold { at: 0, tokens: 3 * 8_000 };
     let keeps = || [too_large()].into_iter().chain(settle(0)).chain([promise(true)]);
     let named = |witness| [Step::Name { at: 0, witness }].into_iter().chain(settle(0));
-    let cases: [(Broken, Vec<Step>); 3] = [
+    // Everything that any box believes to have is held.
+    let holds_all = || {
+        let sizes = (0..14).rev().map(|bit| 1 << bit).cycle().take(28);
+        let all = sizes.flat_map(|tokens| (0..BOXES).map(move |at| Step::Hold { at, tokens }));
+        all.collect::<Vec<_>>()
+    };
+    let draw = Step::Draw { at: 0, keeper: 1, need: 50, ahead: 0, arrives: true, answered: true };
+    let tell = Step::Tell { at: 0, keeper: 1, arrives: true, answered: true };
+    // What was given back to one life of a keeper is told to the next one.
+    let wrong_life = [draw.clone(), tell, Step::Leave { at: 1 }];
+    let wrong_life = wrong_life.into_iter().chain(settle(1)).chain(settle(1)).chain([draw]);
+    let wrong_life = wrong_life.chain([Step::AskAgain { which: 1 }]).chain(holds_all());
+    let cases: [(Broken, Vec<Step>); 4] = [
+        (Broken::WrongLife, wrong_life.collect()),
         (Broken::SpendKept, keeps().chain([large()]).chain(dies.clone()).collect()),
         (
             Broken::PromiseBlind,
@@ -467,7 +644,7 @@
     let mut settle = |node: &mut Node| {
         node.write += 1;
         let writer = Writer { write: node.write, peer: None, witness: None };
-        let settlement = node.funds.plan(&node.name, writer, false);
+        let settlement = node.funds.plan(&node.name, writer, Ends::Not);
         let granted = book.settle(&settlement, POLICY);
         node.funds.landed(&settlement, granted, 1);
     };
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -37,6 +37,11 @@
 fn what_a_reload_leaves_to_the_next_start_is_named() {
     let cases = [
         (r#""zone": "bornova""#, r#""zone": "buca""#, vec!["zone"]),
+        (
+            r#""zone": "bornova""#,
+            r#""zone": "bornova", "machine": {"cores": 0.5}"#,
+            vec!["machine"],
+        ),
         (r#""store": {"#, r#""limits": { "bodies": 100000 }, "store": {"#, vec!["limits"]),
         (r#""store": {"#, r#""limits": { "stop_ms": 900 }, "store": {"#, vec![]),
         (r#""store": {"#, r#""money": { "share": 100 }, "store": {"#, vec![]),
@@ -67,6 +72,8 @@
         ("{{listen.front|json}}", "\"10.1.0.40:8227\""),
         ("{{listen.ready|json}}", "\"10.1.0.40:8220\""),
         ("{{ip}}", "10.1.0.40"),
+        ("{{limits.cpu_share|json}}", "0.25"),
+        ("{{limits.link_mbps|json}}", "20.0"),
         ("{{internal_ports.0}}", "7340"),
         ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
     ];
@@ -77,4 +84,5 @@
     assert!(!rendered.contains("{{"), "a gap is not filled: {rendered}");
     let settings = Settings::read(&rendered).expect("valid");
     assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
+    assert_eq!(settings.machine.strength(), 20, "the link is the least of what the box has");
 }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -58,6 +58,8 @@
     pub charged: u64,
     /// Requests charged since then.
     pub requests: u64,
+    /// Tokens passed on to boxes that died with them: nobody knows what was used of them.
+    pub lost: u64,
     /// Free tokens given back, already taken out of the box's account.
     pub returned: u64,
     /// Free tokens that the box still holds.
@@ -88,10 +90,25 @@
     pub items: Vec<Item>,
     /// What earlier lives of the same box left untouched; read with its first write.
     pub earlier: Vec<Untouched>,
+    /// The box draws no more, and gives back what it can. Once it has nothing to say and holds
+    /// nothing, it stands in the book no longer: the book stays as small as the number of boxes
+    /// that draw.
+    pub retires: bool,
     /// The box ends by plan: its grants end too, and nothing of them can come later.
     pub leaves: bool,
 }
 
+impl Settlement {
+    /// Whether it changes nothing, so that it may be carried out any number of times.
+    fn is_empty(&self) -> bool {
+        let says = |item: &Item| {
+            item.charged + item.lost + item.returned + item.waiting > 0
+                || !item.transfers.is_empty()
+        };
+        self.earlier.is_empty() && !self.items.iter().any(says)
+    }
+}
+
 /// What a box learns of one budget by a write.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Granted {
@@ -147,9 +164,21 @@
         if settlement.leaves {
             self.writers.remove(holder);
         }
+        if settlement.retires && settlement.is_empty() {
+            self.forget(holder);
+        }
         granted
     }
 
+    /// Forgets a box that holds nothing, if that is so.
+    fn forget(&mut self, holder: &Incarnation) {
+        let holds = |ledger: &Ledger| ledger.grants.get(holder).is_some_and(|g| g.total() > 0);
+        if !self.ledgers.values().any(holds) {
+            self.ledgers.values_mut().for_each(|ledger| drop(ledger.grants.remove(holder)));
+            self.writers.remove(holder);
+        }
+    }
+
     /// Whether the box of `holder` lives on as another incarnation.
     fn is_replaced(&self, holder: &Incarnation) -> bool {
         let newer = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
@@ -204,6 +233,7 @@
         ledger.apply_paid(paid, version);
     }
     ledger.charge(holder, item.charged, item.requests);
+    ledger.lose(holder, item.lost);
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
     let part = portion(ledger, holder, item, policy);
     let target = target(unspent, ledger.paid_wanted, part, item.observed, policy);
@@ -214,7 +244,8 @@
     // Before the others are known, a box takes only what waiting requests lack.
     let target_now = if first { 0 } else { target };
     let wish = (target_now + waiting).saturating_sub(item.free);
-    let tokens = if settlement.leaves { 0 } else { wish.min(left) };
+    let draws = !settlement.leaves && !settlement.retires;
+    let tokens = if draws { wish.min(left) } else { 0 };
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
     if let Some(grant) = ledger.grants.get_mut(holder) {
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -274,6 +274,15 @@
         self.statement.tokens += tokens;
     }
 
+    /// Counts tokens of `holder` as spent that it passed on to boxes which died with them.
+    pub fn lose(&mut self, holder: &Incarnation, tokens: u64) {
+        let Some(held) = self.grants.get_mut(holder) else { return };
+        let lost = tokens.min(held.offline);
+        held.offline -= lost;
+        self.spent += lost;
+        self.lost += lost;
+    }
+
     /// Counts offline tokens that one box passed on to another, once, whichever of them tells.
     ///
     /// `gone` says that the receiver died: the tokens are lost with it then.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -19,6 +19,7 @@
 mod journal;
 mod number;
 mod record;
+mod share;
 mod sizing;
 mod witness;
 
@@ -32,5 +33,6 @@
 pub use journal::{Journal, Refusal, State};
 pub use number::Numbers;
 pub use record::{Ended, Entry, Outcome, Record};
+pub use share::{Given, News, Share, Told};
 pub use sizing::{Observed, Policy, Prefer, Target, target};
 pub use witness::{Promise, Untouched, Witness};
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -19,6 +19,7 @@
         writer: Writer { write, peer: None, witness: None },
         items: vec![item],
         earlier: Vec::new(),
+        retires: false,
         leaves: false,
     };
     book.settle(&settlement, POLICY).remove(0)
--- a/crates/objects/src/call.rs
+++ b/crates/objects/src/call.rs
@@ -11,6 +11,8 @@
     Get,
     /// Reads all objects of a kind.
     List,
+    /// Reads all objects of a kind as they stood a little earlier, which is cheaper.
+    OldList,
     /// Writes or deletes an object.
     Put,
     /// Waits for changes.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use balance::{Prompt, Snapshot};
-use ledger::{Entry, Incarnation, Promise, Transfer};
+use ledger::{Entry, Given, Incarnation, Promise, Transfer};
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
 
@@ -92,6 +92,28 @@
     Delete { kind: Arc<str>, name: Arc<str>, version: u64 },
 }
 
+/// What a box tells its keeper and wants of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draw {
+    /// The life of the keeper that is meant: another one knows nothing of these totals.
+    pub keeper: Incarnation,
+    /// Customers of whom there is something to tell or to ask.
+    pub items: Vec<ledger::Told>,
+    /// How long the keeper may look for tokens, in milliseconds.
+    pub within_ms: u64,
+    /// The sender ends by plan: nothing comes after this.
+    pub leaves: bool,
+}
+
+/// A keeper's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drawn {
+    /// Customers asked for.
+    pub items: Vec<Given>,
+    /// The keeper ends by plan: it wants back what is not used, and another one is to be asked.
+    pub leaves: bool,
+}
+
 /// One question or answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -139,4 +161,8 @@
     Sealed { tokens: Option<BTreeMap<Arc<str>, u64>> },
     /// A large prompt that the sender sent to an endpoint, or that was read there.
     Prompt(Prompt),
+    /// Asks a keeper for tokens, and tells what became of those it passed on before.
+    Draw(Draw),
+    /// Totals of what the keeper passed on.
+    Drawn(Drawn),
 }
