Tasks that lost the store wait longer, and keepers say that they are cut off

A box whose keeper had too little asked the next one of its zone, which then drew from the book as well. A keeper that has too little and reaches the store is the last one asked. One large request is guessed for all keepers together.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -18,7 +18,7 @@
 const WITHIN: Duration = Duration::from_millis(25);
 /// Time for a settlement that brings what another box draws: a few calls of the store. Then other
 /// keepers are asked.
-const FROM_STORE: Duration = Duration::from_millis(40);
+const FROM_STORE: Duration = Duration::from_millis(60);
 
 /// Answers other boxes.
 pub struct Desk {
@@ -57,7 +57,8 @@
                 self.pass_on(from, told, until).await;
             }
         }
-        Frame::Drawn(Drawn { items: self.funds.given(from, &draw.items), leaves })
+        let (items, cut) = (self.funds.given(from, &draw.items), self.funds.is_cut());
+        Frame::Drawn(Drawn { items, cut, leaves })
     }
 
     async fn pass_on(&self, to: &Incarnation, told: &Told, until: Instant) {
--- a/crates/gateway/src/draws.rs
+++ b/crates/gateway/src/draws.rs
@@ -34,8 +34,10 @@
 enum Drew {
     /// The tokens of the request.
     Hold(Hold),
-    /// An answer, and too few tokens.
+    /// An answer, and too few tokens in reach of that keeper.
     TooLittle,
+    /// The same, and the keeper does not reach the store.
+    Cut,
     /// No answer in time.
     Nothing,
 }
@@ -72,7 +74,9 @@
             }
             match self.hold_by(&keeper, customer, worst, until).await {
                 Drew::Hold(hold) => return Some(hold),
-                Drew::TooLittle => answered = true,
+                // Others write the same book.
+                Drew::TooLittle => return None,
+                Drew::Cut => answered = true,
                 Drew::Nothing => {}
             }
             if self.funds.are_others_dry(customer, worst) || Instant::now() >= until {
@@ -130,7 +134,11 @@
             if given.is_some_and(|given| given.dry) {
                 self.funds.note_others_dry(customer, worst);
             }
-            self.funds.try_hold(customer, worst).map_or(Drew::TooLittle, Drew::Hold)
+            match self.funds.try_hold(customer, worst) {
+                Some(hold) => Drew::Hold(hold),
+                None if drawn.cut || drawn.leaves => Drew::Cut,
+                None => Drew::TooLittle,
+            }
         };
         let drew = tokio::time::timeout_at(until, asked).await.unwrap_or(Drew::Nothing);
         tracing::info!(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,8 +14,6 @@
     table::Table,
 };
 
-/// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(200);
 /// Pause after news of endpoints: what comes meanwhile is told by the next watch, so that a hundred
 /// endpoints that start together cost a few calls a box instead of one each. An eighth of the time
 /// within which a leaving endpoint may get no more work.
@@ -36,7 +34,7 @@
             Ok(list) => list,
             Err(error) => {
                 outage.failed(&error);
-                tokio::time::sleep(PAUSE).await;
+                outage.pause().await;
                 continue;
             }
         };
@@ -145,7 +143,7 @@
                 Ok(from) => self.watch(from).await,
                 Err(error) => {
                     self.outage.failed(&error);
-                    tokio::time::sleep(PAUSE).await;
+                    self.outage.pause().await;
                 }
             }
         }
--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -103,7 +103,8 @@
 #[derive(Debug, Default)]
 struct State {
     purses: HashMap<Arc<str>, Purse>,
-    boxes: u64,
+    /// The store does not answer: no settlement brings anything.
+    cut: bool,
     /// When tokens were last passed on to another box, or wanted of the book.
     drew: Option<Instant>,
     /// When the last settlement landed.
@@ -168,16 +169,21 @@
         self.0.wanted.notify_one();
     }
 
-    /// Boxes that draw from the book, as it knows them.
-    fn drawing(&self) -> u64 {
-        self.0.state.lock().boxes.max(1)
-    }
-
     /// Whether this box has something to settle with the book or holds anything of it.
     pub fn is_of_book(&self) -> bool {
         self.0.state.lock().purses.values().any(Purse::is_of_book)
     }
 
+    /// Whether the store answers settlements.
+    pub fn set_cut(&self, cut: bool) {
+        self.0.state.lock().cut = cut;
+    }
+
+    /// Whether the store does not answer.
+    pub fn is_cut(&self) -> bool {
+        self.0.state.lock().cut
+    }
+
     /// Time since tokens were last passed on to another box, or wanted of the book.
     pub fn drew_ago(&self) -> Option<Duration> {
         self.0.state.lock().drew.map(|at| at.elapsed())
@@ -322,7 +328,7 @@
         {
             return Some(found);
         }
-        if self.is_dry(customer, tokens) {
+        if self.is_cut() || self.is_dry(customer, tokens) {
             return None;
         }
         let _waiting = Waiting::join(self, customer, tokens);
@@ -467,10 +473,9 @@
     /// it must land, however long that takes.
     pub fn plan(&self, holder: &Incarnation, writer: Writer, ends: Ends) -> Settlement {
         let now = Instant::now();
-        let boxes = self.drawing();
         let mut state = self.0.state.lock();
         let limited = state.purses.iter_mut().filter(|(_, purse)| purse.paid.is_some());
-        let items = limited.map(|(customer, purse)| purse.item(customer, boxes, ends, now));
+        let items = limited.map(|(customer, purse)| purse.item(customer, ends, now));
         let (items, earlier) = (items.collect(), Vec::new());
         let (retires, leaves) = (ends == Ends::Retires, ends == Ends::Leaves);
         Settlement { holder: holder.clone(), writer, items, earlier, retires, leaves }
@@ -487,9 +492,9 @@
     }
 
     /// Takes over what a settlement that landed gave.
-    pub fn landed(&self, settlement: &Settlement, granted: Vec<Granted>, boxes: u64) {
+    pub fn landed(&self, settlement: &Settlement, granted: Vec<Granted>) {
         let mut state = self.0.state.lock();
-        (state.boxes, state.landed) = (boxes, Some(Instant::now()));
+        state.landed = Some(Instant::now());
         for item in &settlement.items {
             let brought = granted.iter().find(|granted| granted.customer == item.customer);
             let purse = state.purses.entry(item.customer.clone()).or_default();
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -31,7 +31,7 @@
 /// request lacks.
 const RESERVE_S: f64 = 1.0;
 /// Until use was observed, a box counts on requests as large as this fraction of what is unspent,
-/// split over the boxes.
+/// one of them for all boxes that draw.
 const GUESS: u64 = 64;
 /// Seconds of use that a box leaves out of a promise, so that most requests need not wait for a
 /// new one: it is lost with the box, and 3% of a budget is what may be lost.
@@ -247,13 +247,13 @@
 
     /// What the next settlement says of this customer. What it reports and returns is out of the
     /// account once planned.
-    pub fn item(&mut self, customer: &Arc<str>, boxes: u64, ends: Ends, now: Instant) -> Item {
+    pub fn item(&mut self, customer: &Arc<str>, ends: Ends, now: Instant) -> Item {
         if ends == Ends::Leaves {
             self.give_up();
         }
         let returned = self.surplus(ends);
         let returned = self.account.take(Part::Offline, returned);
-        let guess = self.granted.unspent.max(self.paid.map_or(0, |(paid, _)| paid)) / GUESS / boxes;
+        let guess = self.granted.unspent.max(self.paid.map_or(0, |(paid, _)| paid)) / GUESS;
         Item {
             customer: customer.clone(),
             paid: self.paid,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -21,8 +21,8 @@
 
 /// Kind of the objects, named by box.
 const BOXES: &str = "boxes";
-/// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(200);
+/// Time for which questions for a new list are gathered.
+const GATHER: Duration = Duration::from_millis(200);
 /// Time after the own entry was written until the list is read again: boxes that start together
 /// do so within 0.3 s.
 const TOGETHER: Duration = Duration::from_millis(700);
@@ -83,7 +83,7 @@
             let asked = tokio::time::timeout(EVERY, self.peers.unknown()).await.is_ok();
             if asked {
                 // One read answers all that is asked meanwhile.
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(GATHER).await;
             }
             self.read(!asked).await;
         }
@@ -106,7 +106,7 @@
                 Put::Refused(None) => expect = Expect::Absent,
                 Put::Failed(reason) | Put::Unknown(reason) => {
                     self.outage.failed(&reason);
-                    tokio::time::sleep(PAUSE).await;
+                    self.outage.pause().await;
                 }
             }
         }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -194,6 +194,7 @@
 
     async fn failed(&mut self, fault: &Fault, pause: &mut Duration) {
         self.outage.failed(fault);
+        self.setup.funds.set_cut(true);
         tokio::time::sleep(*pause).await;
         *pause = (*pause * 2).min(PAUSE_MOST);
     }
@@ -224,6 +225,7 @@
             }
         };
         self.pending = None;
+        self.setup.funds.set_cut(false);
         tracing::info!(
             event = "settlement_landed",
             write = settlement.writer.write,
@@ -235,10 +237,9 @@
             self.in_touch_since = Instant::now();
         }
         let book = self.known.as_ref().map(|(book, _)| book);
-        let boxes = book.map_or(1, |book| book.boxes().max(1));
         self.stands = book.is_some_and(|book| book.writers.contains_key(&self.setup.holder));
         report(&settlement, &granted);
-        self.setup.funds.landed(&settlement, granted, boxes);
+        self.setup.funds.landed(&settlement, granted);
         self.setup.naming.landed(&settlement.writer.witness, &self.setup.funds);
     }
 
--- a/crates/gateway/tests/funds.rs
+++ b/crates/gateway/tests/funds.rs
@@ -45,7 +45,7 @@
         let at = settlement.items.iter().position(|item| item.customer == customer());
         let at = at.expect("the customer's budget is settled");
         let mine = (settlement.items[at].clone(), granted[at].clone());
-        self.funds.landed(&settlement, granted, 1);
+        self.funds.landed(&settlement, granted);
         mine
     }
 }
--- a/crates/gateway/tests/money.rs
+++ b/crates/gateway/tests/money.rs
@@ -300,7 +300,7 @@
         match answered {
             true => {
                 node.unsure = None;
-                node.funds.landed(&settlement, granted, self.book.boxes());
+                node.funds.landed(&settlement, granted);
                 if node.named != settlement.writer.witness {
                     node.named = settlement.writer.witness.clone();
                     node.funds.release();
@@ -646,7 +646,7 @@
         let writer = Writer { write: node.write, peer: None, witness: None };
         let settlement = node.funds.plan(&node.name, writer, Ends::Not);
         let granted = book.settle(&settlement, POLICY);
-        node.funds.landed(&settlement, granted, 1);
+        node.funds.landed(&settlement, granted);
     };
     let until = tokio::time::Instant::now() + std::time::Duration::from_secs(60);
     let funds = node.funds.clone();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -110,6 +110,8 @@
 pub struct Drawn {
     /// Customers asked for.
     pub items: Vec<Given>,
+    /// The keeper does not reach the store: another one may.
+    pub cut: bool,
     /// The keeper ends by plan: it wants back what is not used, and another one is to be asked.
     pub leaves: bool,
 }
