A box whose link fills up sends its callers elsewhere

Cause: the balancer's hash gives one box of 73 a quarter of all requests over a link of 10 Mbit/s. Ruled out: the keeper (other boxes of the zone drew in 1 to 10 ms). Change: from 60% of the link on, the box is not ready and ends kept connections after an answer, until 30%. Nothing is refused for it. Tests: gateway/tests/link.rs, and a loopback test with a narrow link (both fail without: neither exists).

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -96,6 +96,7 @@
         let (parts, body) = request.into_parts();
         let room = self.room(&body, limit)?;
         let body = self.read_body(body, limit, trip.until).await?;
+        self.link.request(body.len());
         let prefix = Prefix::of_parts(head.parts.iter().map(|part| (part.id, part.tokens)));
         let (method, target, headers) = (parts.method, parts.uri, parts.headers);
         Ok(Call {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    bills::Bills, draws::Draws, endpoints::Endpoints, funds::Funds, metrics::Metrics, peers::Peers,
-    retries::Retries, serve::Bounds, settings::Settings, table::Table,
+    bills::Bills, draws::Draws, endpoints::Endpoints, funds::Funds, link::Link, metrics::Metrics,
+    peers::Peers, retries::Retries, serve::Bounds, settings::Settings, table::Table,
 };
 
 /// All that the way of a request needs.
@@ -25,6 +25,8 @@
     pub funds: Funds,
     pub peers: Peers,
     pub draws: Draws,
+    /// Use of the box's own link.
+    pub link: Arc<Link>,
     pub bills: Bills,
     pub retries: Mutex<Retries>,
     pub metrics: Metrics,
@@ -46,6 +48,16 @@
         }
     }
 
+    /// Whether the box takes connections.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && !*self.stopping.borrow() && !self.link.sheds()
+    }
+
+    /// Whether a caller's connection is to end after the answer under way.
+    pub fn ends_connections(&self) -> bool {
+        *self.stopping.borrow() || self.link.sheds()
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Arc<Settings> {
         self.settings.borrow().clone()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     follow::{self, EndpointFollower},
     funds::{Balance, Funds},
     gate::Gate,
+    link::Link,
     metrics::{Budget, Metrics, Purpose},
     order::Place,
     outage::Contact,
@@ -157,6 +158,7 @@
             bills: bills.clone(),
             peers: peers.clone(),
             draws: draws.clone(),
+            link: Arc::new(Link::new(settings.machine.link_mbps)),
             retries: Mutex::default(),
             metrics: metrics.clone(),
             bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
@@ -373,13 +375,13 @@
     response
 }
 
-/// Whether the box takes requests: it has a configuration and is not being stopped.
+/// Whether the box takes connections: it has a configuration, room on its link, and is not being
+/// stopped.
 fn answer_ready(
     gate: Arc<Gate>,
 ) -> impl Fn(Request<Incoming>) -> std::future::Ready<Page> + Clone + Send + 'static {
     move |_| {
-        let ready = gate.table.borrow().is_some() && !*gate.stopping.borrow();
-        std::future::ready(match ready {
+        std::future::ready(match gate.is_ready() {
             true => page(StatusCode::OK, "ready\n"),
             false => page(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         })
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,6 +13,7 @@
 use crate::{
     admit,
     gate::Gate,
+    link::Link,
     refusal::Refusal,
     relay::{Flight, Relay},
     trip::{End, Trip},
@@ -32,14 +33,14 @@
         let until = came + head.deadline.unwrap_or(LONGEST);
         let mut trip = Trip::begin(&head, came, until, self.metrics.clone(), self.bills.clone());
         let mut response = match self.answer(request, head, &mut trip).await {
-            Ok((answer, flight)) => relayed(*answer, flight, trip),
+            Ok((answer, flight)) => relayed(*answer, flight, trip, self.link.clone()),
             Err(refusal) => {
                 let response = refusal.response(trip.id.as_deref());
                 trip.end(End::Refused(refusal), 0);
                 response.map(|text| Either::Left(Full::new(Bytes::from(text))))
             }
         };
-        if *self.stopping.borrow() {
+        if self.ends_connections() {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -59,10 +60,10 @@
     }
 }
 
-fn relayed(answer: Answer, flight: Flight, trip: Trip) -> Response<Body> {
+fn relayed(answer: Answer, flight: Flight, trip: Trip, link: Arc<Link>) -> Response<Body> {
     let headers = answer::towards_caller(&answer.head.headers);
     let status = answer.head.status;
-    let relay = Relay::new(answer.body, status.as_u16(), flight, trip);
+    let relay = Relay::new(answer.body, status.as_u16(), flight, trip, link);
     let mut response = Response::new(Either::Right(relay));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     endpoints::{Chosen, Endpoints},
+    link::Link,
     meter::Meter,
     peers::{Peers, Reading},
     trip::{End, Trip},
@@ -105,13 +106,21 @@
     timeout: Pin<Box<Sleep>>,
     flight: Flight,
     trip: Trip,
+    link: Arc<Link>,
 }
 
 impl Relay {
     /// Passes on the body of an answer with this status.
-    pub fn new(body: forward::Body, status: u16, flight: Flight, trip: Trip) -> Relay {
+    pub fn new(
+        body: forward::Body,
+        status: u16,
+        flight: Flight,
+        trip: Trip,
+        link: Arc<Link>,
+    ) -> Relay {
         let timeout = Box::pin(tokio::time::sleep_until(trip.until));
-        let mut relay = Relay { body, meter: Meter::default(), status, timeout, flight, trip };
+        let mut relay =
+            Relay { body, meter: Meter::default(), status, timeout, flight, trip, link };
         relay.end_if_whole();
         relay
     }
@@ -167,6 +176,7 @@
             }
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
+                    self.link.piece(data.len());
                     let before = self.meter.events();
                     self.meter.pass(data);
                     let events = self.meter.events() - before;
--- /dev/null
+++ b/crates/gateway/tests/link.rs
@@ -0,0 +1,50 @@
+//! When a box sends its callers elsewhere, on a paused clock.
+
+use std::time::Duration;
+
+use gateway::Link;
+
+/// 10 Mbit/s.
+const BYTES_PER_S: usize = 1_250_000;
+
+/// Passes so many bytes a second, in pieces, for some seconds; whether the link sheds after each.
+async fn pass(link: &Link, bytes_per_s: usize, seconds: u32) -> Vec<bool> {
+    let mut sheds = Vec::new();
+    for _ in 0..seconds {
+        for _ in 0..20 {
+            link.piece(bytes_per_s / 20);
+            tokio::time::advance(Duration::from_millis(50)).await;
+        }
+        sheds.push(link.sheds());
+    }
+    sheds
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_link_sheds_until_it_is_well_free() {
+    let link = Link::new(10.0);
+    let cases = [
+        ("half full", BYTES_PER_S / 2, false),
+        ("nearly full", BYTES_PER_S * 9 / 10, true),
+        ("half full again", BYTES_PER_S / 2, true),
+        ("a fifth", BYTES_PER_S / 5, false),
+        ("half full once more", BYTES_PER_S / 2, false),
+    ];
+    for (what, rate, sheds) in cases {
+        let seen = pass(&link, rate, 4).await;
+        assert_eq!(seen.last(), Some(&sheds), "{what}: {seen:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wide_link_does_not_shed_under_the_same_load() {
+    let link = Link::new(200.0);
+    assert_eq!(pass(&link, BYTES_PER_S, 5).await, vec![false; 5]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_large_request_fills_no_link() {
+    let link = Link::new(10.0);
+    link.request(100_000);
+    assert!(!link.sheds());
+}
--- a/crates/gateway/tests/loopback/path.rs
+++ b/crates/gateway/tests/loopback/path.rs
@@ -371,3 +371,25 @@
     let most = 2 + began.elapsed().as_millis() as u64 / 250;
     assert!(made <= most, "{made} calls for 51 changes, {most} at most");
 }
+
+#[tokio::test]
+async fn a_box_whose_link_is_full_sends_callers_elsewhere_and_refuses_nothing() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let _endpoint = world.endpoint("i-1", "plain", answers).await;
+    let gateway = world.narrow_gateway("box-1", 0.02).await;
+    until_served(&world, &gateway, "/open/x").await;
+    let ready = async || {
+        let answer = reqwest::get(format!("http://{}/ready", gateway.ready())).await;
+        answer.expect("an answer").status() == StatusCode::OK
+    };
+    until("its link is full", async || {
+        let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+        assert_eq!(got.status, StatusCode::OK);
+        !ready().await
+    })
+    .await;
+    let got = call(gateway.callers(), "/open/x", &world.asked("key-b", 1, 1)).await;
+    assert_eq!(got.status, StatusCode::OK, "what comes all the same is served");
+    assert_eq!(got.headers.get("connection").map(|value| value.as_bytes()), Some(&b"close"[..]));
+    until("it takes connections again once it is free", ready).await;
+}
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -103,6 +103,14 @@
         (self.gateway_at(name, link.address()).await, link)
     }
 
+    /// Starts a gateway with a link of so many Mbit/s.
+    pub async fn narrow_gateway(&self, name: &str, link_mbps: f64) -> Gateway {
+        let mut settings = settings(name, self.platform.socket());
+        settings.machine.link_mbps = link_mbps;
+        let seed = self.ids.fetch_add(1, Ordering::Relaxed);
+        Gateway::spawn(settings, seed).await.expect("it starts")
+    }
+
     async fn gateway_at(&self, name: &str, store: SocketAddr) -> Gateway {
         let seed = self.ids.fetch_add(1, Ordering::Relaxed);
         Gateway::spawn(settings(name, store), seed).await.expect("it starts")
