--- /dev/null
+++ b/crates/gateway/tests/order.rs
@@ -0,0 +1,71 @@
+//! Whom boxes ask for tokens.
+
+use std::collections::BTreeSet;
+
+use gateway::{Place, order};
+use ledger::Incarnation;
+
+fn place(name: &str, zone: &str, strength: u64) -> Place {
+    Place { name: Incarnation::new(name, 1), zone: zone.into(), strength }
+}
+
+/// Names of the boxes that one box of a fleet asks, in order.
+fn asked(fleet: &[Place], me: usize) -> Vec<String> {
+    let others: Vec<Place> = fleet.iter().filter(|place| **place != fleet[me]).cloned().collect();
+    order(&fleet[me], &others).iter().map(|name| name.box_name().to_owned()).collect()
+}
+
+/// Zones of so many boxes each, the first box of each zone the strongest.
+fn fleet(zones: &[(&str, usize)]) -> Vec<Place> {
+    let boxes = zones.iter().flat_map(|(zone, count)| {
+        (0..*count).map(move |n| place(&format!("{zone}-{n}"), zone, if n == 0 { 50 } else { 10 }))
+    });
+    boxes.collect()
+}
+
+#[test]
+fn the_strongest_box_of_the_zone_comes_first() {
+    let fleet = fleet(&[("bornova", 19), ("buca", 16), ("cigli", 18)]);
+    for me in 0..fleet.len() {
+        let asked = asked(&fleet, me);
+        assert_eq!(asked[0], format!("{}-0", fleet[me].zone), "{}", fleet[me].name);
+    }
+}
+
+#[test]
+fn boxes_of_a_zone_agree_and_the_other_zones_come_last() {
+    let fleet = fleet(&[("bornova", 19), ("buca", 16), ("cigli", 18)]);
+    let of_buca = |me: &usize| &*fleet[*me].zone == "buca";
+    let orders: BTreeSet<Vec<String>> =
+        (0..fleet.len()).filter(of_buca).map(|me| asked(&fleet, me)).collect();
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    let order = orders.first().expect("one");
+    let zones: Vec<&str> =
+        order.iter().map(|name| name.split('-').next().expect("a zone")).collect();
+    assert_eq!(zones[..3], ["buca"; 3]);
+    assert_eq!(zones[3..].iter().collect::<BTreeSet<_>>().len(), 2, "{zones:?}");
+}
+
+#[test]
+fn small_fleets_are_ordered_by_the_same_rule() {
+    let cases: [(&[(&str, usize)], usize, &[&str]); 3] = [
+        (&[("a", 1)], 0, &["a-0"]),
+        (&[("a", 2)], 1, &["a-0", "a-1"]),
+        (&[("a", 1), ("b", 1)], 1, &["b-0", "a-0"]),
+    ];
+    for (zones, me, want) in cases {
+        assert_eq!(asked(&fleet(zones), me), want, "{zones:?}");
+    }
+}
+
+#[test]
+fn boxes_that_are_alike_share_the_work_over_zones() {
+    // Names decide: the first box by name is not the keeper of every zone.
+    let boxes =
+        |zone: &str| (0..8).map(|n| place(&format!("box-{n}"), zone, 10)).collect::<Vec<_>>();
+    let firsts: BTreeSet<String> = ["a", "b", "c", "d", "e", "f"]
+        .into_iter()
+        .map(|zone| asked(&boxes(zone), 0)[0].clone())
+        .collect();
+    assert!(firsts.len() > 1, "{firsts:?}");
+}
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -37,3 +37,35 @@
         assert!((LARGEST * 9 / 10..=LARGEST).contains(&held), "{boxes} boxes hold {held}");
     }
 }
+
+#[test]
+fn a_box_that_retires_stands_in_the_book_until_it_holds_nothing() {
+    let mut book = Book::default();
+    let held = (1..=2).map(|write| settle(&mut book, 0, write).tokens).sum::<u64>();
+    assert!(held > 0, "it draws");
+    let holder = Incarnation::new("box-0", 1);
+    let mut retire = |write, returned| {
+        let item = Item {
+            customer: "bornova".into(),
+            paid: Some((PAID, 1)),
+            returned,
+            free: held - returned,
+            ..Item::default()
+        };
+        let settlement = Settlement {
+            holder: holder.clone(),
+            writer: Writer { write, peer: None, witness: None },
+            items: vec![item],
+            earlier: Vec::new(),
+            retires: true,
+            leaves: false,
+        };
+        let granted = book.settle(&settlement, POLICY).remove(0);
+        assert_eq!(granted.tokens, 0, "it draws no more");
+        (book.writers.contains_key(&holder), book.ledgers["bornova"].granted())
+    };
+    assert_eq!(retire(3, held / 2), (true, held - held / 2), "some is still out");
+    assert_eq!(retire(4, held - held / 2), (true, 0), "the answer may be lost: read it back");
+    assert_eq!(retire(5, 0), (false, 0));
+    assert_eq!(retire(5, 0), (false, 0), "again, since its answer was lost");
+}
