--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -18,7 +18,7 @@
 const WITHIN: Duration = Duration::from_millis(25);
 /// Time for a settlement that brings what another box draws: a few calls of the store. Then other
 /// keepers are asked.
-const FROM_STORE: Duration = Duration::from_millis(60);
+const FROM_STORE: Duration = Duration::from_millis(100);
 
 /// Answers other boxes.
 pub struct Desk {
--- a/crates/gateway/src/draws.rs
+++ b/crates/gateway/src/draws.rs
@@ -19,9 +19,9 @@
     peers::Peers,
 };
 
-/// Longest time that a keeper looks for tokens before it answers: a few calls of the store, and
-/// half of what a request waits at most.
-const KEEPER_WITHIN: Duration = Duration::from_millis(100);
+/// Longest time that a keeper looks for tokens before it answers: a settlement that waits for the one
+/// before it, and a question to other keepers.
+const KEEPER_WITHIN: Duration = Duration::from_millis(150);
 /// Time for the answer to come besides: many times the way there and back, with room for a box
 /// that is busy.
 const ON_THE_WAY: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -125,6 +125,8 @@
 
 struct Known {
     entry: Entry,
+    /// Version of the entry in the store.
+    version: u64,
     peer: Peer,
     rests_until: Option<Instant>,
 }
@@ -162,29 +164,26 @@
         self.state.lock().address
     }
 
-    /// Takes over the list of boxes. One that may be old removes nobody and does not put an
-    /// earlier life in the place of the one known.
-    pub fn update(&self, entries: Vec<Entry>, may_be_old: bool) {
+    /// Takes over the list of boxes as it stood at a version of the store, with the version of each
+    /// entry. What is known of a box only goes forwards, however old the list is.
+    pub fn update(&self, entries: Vec<(Entry, u64)>, at: u64) {
+        let is_listed = |name: &Incarnation| {
+            entries.iter().any(|(entry, _)| entry.incarnation.box_name() == name.box_name())
+        };
         let mut state = self.state.lock();
-        if !may_be_old {
-            let listed = |name: &Incarnation| entries.iter().any(|e| e.incarnation == *name);
-            state.known.retain(|name, _| listed(name));
-            let box_is_listed = |name: &Incarnation| {
-                entries.iter().any(|entry| entry.incarnation.box_name() == name.box_name())
-            };
-            self.records.retain(box_is_listed);
-        }
-        for entry in entries {
+        state.known.retain(|name, known| known.version > at || is_listed(name));
+        self.records.retain(|name| state.known.contains_key(name) || is_listed(name));
+        for (entry, version) in entries {
             let name = entry.incarnation.clone();
-            let is_me = name.box_name() == self.me.box_name();
-            let same_box = |known: &Incarnation| known.box_name() == name.box_name();
-            let other_life = state.known.keys().any(|known| same_box(known) && *known != name);
-            if is_me || (may_be_old && other_life) {
+            let is_same = |known: &Incarnation| known.box_name() == name.box_name();
+            let is_old =
+                |(known, of): (&Incarnation, &Known)| is_same(known) && of.version >= version;
+            if is_same(&self.me) || state.known.iter().any(is_old) {
                 continue;
             }
+            state.known.retain(|known, _| !is_same(known));
             let peer = Peer::new(entry.peer, self.source);
-            let fresh = || Known { entry, peer, rests_until: None };
-            state.known.entry(name).or_insert_with(fresh);
+            state.known.insert(name, Known { entry, version, peer, rests_until: None });
         }
     }
 
@@ -242,9 +241,9 @@
     /// Another life of a box answered: it stands in the place of the one that was asked.
     fn replace(&self, name: &Incarnation, now: &Incarnation) {
         let mut state = self.state.lock();
-        if let Some(Known { entry, peer, .. }) = state.known.remove(name) {
+        if let Some(Known { entry, version, peer, .. }) = state.known.remove(name) {
             let entry = Entry { incarnation: now.clone(), ..entry };
-            let known = Known { entry, peer, rests_until: None };
+            let known = Known { entry, version, peer, rests_until: None };
             state.known.entry(now.clone()).or_insert(known);
         }
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -8,7 +8,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use ledger::Incarnation;
-use objects::{Error, Expect, Object, Store};
+use objects::{Expect, Object, Store};
 use platform::store::{Client, Put};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -50,6 +50,15 @@
     }
 }
 
+/// How new a list has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Freshness {
+    /// As the store has it.
+    Newest,
+    /// A copy, some seconds old at worst, at a tenth of the price.
+    Any,
+}
+
 /// Keeps the own entry and reads those of the others.
 pub struct Roster {
     store: Client,
@@ -75,17 +84,17 @@
     /// Follows the boxes for as long as this one runs.
     pub async fn run(mut self) {
         let version = self.register().await;
-        self.read(false).await;
+        self.read(Freshness::Newest).await;
         self.written.send_replace(Some(version));
         tokio::time::sleep(TOGETHER).await;
-        self.read(false).await;
+        self.read(Freshness::Newest).await;
         loop {
             let asked = tokio::time::timeout(EVERY, self.peers.unknown()).await.is_ok();
             if asked {
                 // One read answers all that is asked meanwhile.
                 tokio::time::sleep(GATHER).await;
             }
-            self.read(!asked).await;
+            self.read(Freshness::Any).await;
         }
     }
 
@@ -112,24 +121,22 @@
         }
     }
 
-    async fn read(&mut self, may_be_old: bool) {
-        match self.list(may_be_old).await {
-            Ok(objects) => {
+    async fn read(&mut self, freshness: Freshness) {
+        let list = match freshness {
+            Freshness::Newest => self.store.all(BOXES).await,
+            Freshness::Any => self.store.all_maybe_old(BOXES).await,
+        };
+        match list {
+            Ok(list) => {
                 self.outage.answered();
-                let entries: Vec<Entry> = objects.iter().filter_map(read_entry).collect();
-                self.peers.update(entries, may_be_old);
+                let entries = list.objects.iter();
+                let entries =
+                    entries.filter_map(|object| Some((read_entry(object)?, object.version)));
+                self.peers.update(entries.collect(), list.version);
             }
             Err(error) => self.outage.failed(&error),
         }
     }
-
-    async fn list(&self, may_be_old: bool) -> Result<Vec<Object>, Error> {
-        let list = match may_be_old {
-            true => self.store.all_maybe_old(BOXES).await?,
-            false => self.store.all(BOXES).await?,
-        };
-        Ok(list.objects)
-    }
 }
 
 /// Removes the entry of a box that ends by plan.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -135,7 +135,7 @@
     /// Weighed in `docs/design/0005-platform.md` and `docs/DECISIONS.md`.
     fn default() -> Money {
         Money {
-            share: 420,
+            share: 600,
             horizon_s: 10,
             settle_ms: 3_000,
             spacing_ms: 700,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -243,7 +243,9 @@
     let waiting = if need <= left { item.waiting } else { 0 };
     // Before the others are known, a box takes only what waiting requests lack.
     let target_now = if first { 0 } else { target };
-    let wish = (target_now + waiting).saturating_sub(item.free);
+    let ahead =
+        if waiting > 0 { ahead(left - waiting.min(left), item.observed, policy) } else { 0 };
+    let wish = (target_now.max(ahead) + waiting).saturating_sub(item.free);
     let draws = !settlement.leaves && !settlement.retires;
     let tokens = if draws { wish.min(left) } else { 0 };
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
@@ -282,6 +284,17 @@
     part.min(observed.rate * policy.offline_horizon + large)
 }
 
+/// Seconds of use that a settlement brings which requests wait for, whatever a box should hold: the
+/// ones after them would each wait for another settlement.
+const AHEAD_S: u64 = 1;
+
+/// What to grant ahead to a box whose requests wait: its use for a moment, but no more than half of
+/// its even part of what nobody holds. Of the last eighth of a budget each request was granted by a
+/// settlement of its own before, 88 in a second, and each landed after two that were void.
+fn ahead(left: u64, observed: Observed, policy: Policy) -> u64 {
+    (observed.rate * AHEAD_S).min(left / (2 * policy.boxes.max(1)))
+}
+
 /// A box's part, in thousandths, of what is unspent: some of what all boxes may hold is split
 /// evenly, the rest by use.
 fn portion(ledger: &Ledger, holder: &Incarnation, item: &Item, policy: Policy) -> u64 {
