A soak: real daemons as processes, under load and random faults from outside

Change: crates/soak plays a seed: the daemon once for each box, each behind a link to the store that is cut or silenced; a store that is down, slow or loses answers; processes killed, paused, stopped and started again, told to read settings; endpoints that leave, close, tear, say more; top-ups and new configurations, in series and overlapping; callers that keep connections until a process is gone. What callers got and endpoints ran is compared with the book and the bills.

--- /dev/null
+++ b/crates/soak/src/daemon.rs
@@ -0,0 +1,109 @@
+//! One process of the daemon.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
+    process::{Child, Command},
+};
+
+/// Longest wait for a process to start.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+
+/// What went wrong with a process.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A file or the program cannot be used.
+    #[snafu(display("{}: {source}", path.display()))]
+    File { path: PathBuf, source: std::io::Error },
+    /// It did not say where it listens.
+    #[snafu(display("the process did not start; its lines are in {}", log.display()))]
+    Start { log: PathBuf },
+    /// It cannot be signalled.
+    #[snafu(display("cannot signal the process: {source}"))]
+    Signal { source: rustix::io::Errno },
+}
+
+/// A running daemon; it is killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    pid: Pid,
+    callers: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts the program with settings; its lines go to `log`.
+    pub async fn spawn(program: &Path, settings: &Path, log: &Path) -> Result<Daemon, Error> {
+        let mut child = Command::new(program)
+            .arg("--gateway")
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .context(FileSnafu { path: program })?;
+        let started = StartSnafu { log };
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context(started.clone())?;
+        let out = child.stdout.take().context(started.clone())?;
+        let file = tokio::fs::File::create(log).await.context(FileSnafu { path: log })?;
+        let (told, callers) = tokio::sync::oneshot::channel();
+        tokio::spawn(keep_lines(BufReader::new(out), file, told));
+        let callers = tokio::time::timeout(STARTS_WITHIN, callers).await;
+        let callers = callers.ok().and_then(Result::ok).context(started)?;
+        Ok(Daemon { child, pid, callers })
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        kill_process(self.pid, signal).context(SignalSnafu)
+    }
+
+    /// Waits until it has ended; says whether it did in time.
+    pub async fn ended(&mut self, within: Duration) -> bool {
+        tokio::time::timeout(within, self.child.wait()).await.is_ok()
+    }
+}
+
+/// Copies lines to the log, and tells the address that the process says it listens at.
+async fn keep_lines(
+    out: BufReader<tokio::process::ChildStdout>,
+    mut file: tokio::fs::File,
+    told: tokio::sync::oneshot::Sender<SocketAddr>,
+) {
+    let mut told = Some(told);
+    let mut lines = out.lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if told.is_some()
+            && let Some(address) = listens_at(&line)
+        {
+            let _ = told.take().map(|told| told.send(address));
+        }
+        if file.write_all(line.as_bytes()).await.is_err() || file.write_all(b"\n").await.is_err() {
+            return;
+        }
+    }
+    let _ = file.flush().await;
+}
+
+fn listens_at(line: &str) -> Option<SocketAddr> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    match line["event"].as_str() {
+        Some("started") => line["callers"].as_str()?.parse().ok(),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/endpoint.rs
@@ -0,0 +1,153 @@
+//! The endpoints of a soak, and what they ran.
+//!
+//! What an endpoint does with a request follows from its number, which its id tells: most are
+//! answered whole, some in ways that break the protocol.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::StatusCode;
+use parking_lot::Mutex;
+use platform::played;
+use standin::{Arrived, Reply, Scripted};
+use tokio::time::Instant;
+
+/// Tokens that one event holds, as the configuration of the stand-ins says.
+pub const EVENT_TOKENS: u64 = 2;
+/// Pause between two events.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// A request of the soak, as its id tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id {
+    /// Number of the try, given once.
+    pub number: u64,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Events of the answer.
+    pub events: u64,
+}
+
+impl Id {
+    /// The id as text.
+    pub fn text(&self) -> String {
+        format!("soak-{}-{}-{}", self.number, self.prompt, self.events)
+    }
+
+    /// Reads an id.
+    pub fn read(text: &str) -> Option<Id> {
+        let mut numbers = text.strip_prefix("soak-")?.split('-').map(|n| n.parse().ok());
+        let (number, prompt, events) = (numbers.next()??, numbers.next()??, numbers.next()??);
+        Some(Id { number, prompt, events })
+    }
+
+    /// What an endpoint does with it.
+    pub fn conduct(&self) -> Conduct {
+        match self.number {
+            n if n % 41 == 0 => Conduct::Closes,
+            n if n % 43 == 0 => Conduct::Tears,
+            n if n % 47 == 0 => Conduct::SaysMore,
+            n if n % 31 == 0 => Conduct::Declines,
+            _ => Conduct::Answers,
+        }
+    }
+
+    /// Tokens that the customer owes for the whole answer.
+    pub fn tokens(&self) -> u64 {
+        self.prompt + self.events * EVENT_TOKENS
+    }
+
+    /// One event of the answer.
+    pub fn event(&self, number: u64) -> String {
+        format!("data: {} {number}\n\n", self.text())
+    }
+
+    /// The plain answer.
+    pub fn answer(&self) -> String {
+        format!("done {}", self.text())
+    }
+}
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conduct {
+    /// Answers whole.
+    Answers,
+    /// Answers whole, and sends the answer to another request after it.
+    SaysMore,
+    /// Runs it and closes without an answer.
+    Closes,
+    /// Runs it and breaks its answer off.
+    Tears,
+    /// Says that it does not run it.
+    Declines,
+}
+
+/// A request that arrived and was not declined.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Which request.
+    pub id: Id,
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// All that endpoints ran.
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
+/// A running endpoint.
+pub struct Endpoint {
+    /// Its id in the store.
+    pub name: Arc<str>,
+    /// Its service.
+    pub service: &'static str,
+    scripted: Scripted,
+}
+
+impl Endpoint {
+    /// Starts one that records what it runs.
+    pub async fn spawn(name: &str, service: &'static str, runs: Runs) -> Endpoint {
+        let name: Arc<str> = name.into();
+        let endpoint = name.clone();
+        let scripted = Scripted::spawn(move |arrived| {
+            let Some(id) = Id::read(&arrived.told.id) else { return Reply::Close };
+            if id.conduct() != Conduct::Declines {
+                let run = Run { id, endpoint: endpoint.clone(), at: Instant::now() };
+                runs.lock().push(run);
+            }
+            reply(&id, arrived, service)
+        })
+        .await;
+        Endpoint { name, service, scripted }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.scripted.address()
+    }
+}
+
+fn reply(id: &Id, arrived: &Arrived, service: &str) -> Reply {
+    let headers = played::answered(&arrived.told.id, None);
+    let events = |count: u64| (0..count).map(|number| id.event(number)).collect::<Vec<_>>();
+    match id.conduct() {
+        Conduct::Closes => Reply::Close,
+        Conduct::Declines => {
+            let (status, headers) = played::declined(&arrived.told.id);
+            Reply::Whole(status, headers, "full".into())
+        }
+        Conduct::Tears => Reply::Torn(headers, events(id.events / 2)),
+        Conduct::Answers if service == "engines" => {
+            Reply::Events(headers, events(id.events), PAUSE)
+        }
+        Conduct::Answers => Reply::Whole(StatusCode::OK, headers, id.answer()),
+        Conduct::SaysMore => {
+            let other = Id { number: id.number + 1, ..*id };
+            let body = other.answer();
+            let length = body.len();
+            let extra = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+            Reply::Extra(StatusCode::OK, headers, id.answer(), extra)
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,46 @@
+//! `flintsoak`: plays seeds of the soak and prints what broke.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::parse();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            return ExitCode::from(1);
+        }
+    };
+    match runtime.block_on(play(&options)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays each seed; returns how many broke a promise.
+async fn play(options: &cli::Options) -> Result<usize, soak::Error> {
+    let (mut broken, played) = (0, options.run());
+    for seed in options.seeds() {
+        let report = soak::run(seed, &played).await?;
+        let (calls, answered, refused) = report.calls;
+        println!(
+            "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {} runs, {} faults, \
+             {} breaches",
+            report.runs,
+            report.faults,
+            report.breaches.len()
+        );
+        for breach in report.breaches.iter().take(5) {
+            println!("  {}: {}", breach.promise, breach.detail);
+        }
+        broken += usize::from(!report.breaches.is_empty());
+    }
+    println!("{broken} of {} seeds broke a promise", options.count);
+    Ok(broken)
+}
--- /dev/null
+++ b/crates/soak/src/verdict.rs
@@ -0,0 +1,187 @@
+//! What must hold, judged by what callers got, what endpoints ran, and what the store has.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use http::StatusCode;
+use ledger::{Bill, Book};
+use tokio::time::Instant;
+
+use crate::{
+    call::{Call, End, Life, Route},
+    endpoint::{Conduct, Id, Run},
+};
+
+/// Time within which boxes in touch give a leaving endpoint no more work: 2 s, and a call that was
+/// under way.
+const LEAVES_WITHIN: Duration = Duration::from_secs(4);
+
+/// Everything that a run left.
+pub struct Evidence<'a> {
+    pub calls: &'a [Call],
+    pub runs: &'a [Run],
+    pub book: &'a Book,
+    pub bills: &'a [Bill],
+    /// What each customer paid in the end, by key.
+    pub paid: u64,
+    /// Lives that ended by plan, from the signal to the moment when nothing more is taken.
+    pub stopped: &'a BTreeMap<Life, (Instant, Instant)>,
+    /// Lives that were killed or stood still: their connections may break.
+    pub harmed: &'a BTreeSet<Life>,
+    /// Endpoints that left, and from when on every box was in touch to hear of it.
+    pub left: &'a BTreeMap<Arc<str>, Instant>,
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Breach {
+    /// Which one.
+    pub promise: &'static str,
+    /// By what.
+    pub detail: String,
+}
+
+/// Name of the customer that holds a key.
+pub fn customer(key: &str) -> &'static str {
+    if key == "key-b" { "bornova" } else { "pasila" }
+}
+
+/// Every promise that was broken.
+pub fn breaches(evidence: &Evidence) -> Vec<Breach> {
+    let checks: [(&'static str, Vec<String>); 8] = [
+        ("no customer spends past what it paid", overspent(evidence)),
+        ("what was served is spent in the book", forgotten(evidence)),
+        ("each request is billed once", billed(evidence)),
+        ("each caller gets its own whole answer", crossed(evidence)),
+        ("a refused request has not run and never will", lied(evidence)),
+        ("unrepeatable requests run at most once", repeated(evidence)),
+        ("a leaving endpoint gets no new work", kept_working(evidence)),
+        ("planned stops cut off nothing, configuration goes forwards", cut_off(evidence)),
+    ];
+    let named = checks.into_iter().flat_map(|(promise, found)| {
+        found.into_iter().map(move |detail| Breach { promise, detail })
+    });
+    named.collect()
+}
+
+fn served(evidence: &Evidence) -> BTreeMap<&'static str, u64> {
+    let mut served = BTreeMap::new();
+    let streams = evidence.calls.iter().filter(|call| call.route == Route::Stream);
+    for call in streams {
+        *served.entry(customer(call.key)).or_default() += call.served();
+    }
+    served
+}
+
+fn overspent(evidence: &Evidence) -> Vec<String> {
+    let over = served(evidence).into_iter().filter(|(_, tokens)| *tokens > evidence.paid);
+    over.map(|(name, tokens)| format!("{name}: {tokens} of {}", evidence.paid)).collect()
+}
+
+fn forgotten(evidence: &Evidence) -> Vec<String> {
+    let counted = |name: &str| {
+        let of = evidence.book.ledgers.get(name);
+        of.map_or(0, |ledger| ledger.spent + ledger.granted())
+    };
+    let unsound = evidence.book.ledgers.iter().filter(|(_, ledger)| !ledger.is_sound());
+    let unsound = unsound.map(|(name, ledger)| format!("{name} is unsound: {ledger:?}"));
+    let less = served(evidence).into_iter().filter(|(name, tokens)| counted(name) < *tokens);
+    let less = less.map(|(name, tokens)| {
+        format!("{name}: {tokens} served, {} spent or granted", counted(name))
+    });
+    unsound.chain(less).collect()
+}
+
+fn billed(evidence: &Evidence) -> Vec<String> {
+    let mut bills: HashMap<&str, usize> = HashMap::new();
+    evidence.bills.iter().for_each(|bill| *bills.entry(&bill.key).or_default() += 1);
+    let twice = bills.iter().filter(|(_, count)| **count > 1);
+    let twice = twice.map(|(id, count)| format!("{id} stands on {count} bills"));
+    // A life that was killed takes the bills of its last seconds with it.
+    let answered = evidence.calls.iter().filter(|call| {
+        let whole = matches!(call.end, End::Answered { .. });
+        whole && call.route == Route::Stream && !evidence.harmed.contains(&call.life)
+    });
+    let missing = answered.filter(|call| !bills.contains_key(&*call.id.text()));
+    let missing =
+        missing.map(|call| format!("{} of {:?} is on no bill", call.id.text(), call.life));
+    twice.chain(missing).collect()
+}
+
+fn crossed(evidence: &Evidence) -> Vec<String> {
+    let wrong = evidence.calls.iter().filter_map(|call| match &call.end {
+        End::Answered { own: false, body } => Some(format!("{}: {body:?}", call.id.text())),
+        End::Answered { .. } if call.id.conduct() == Conduct::Tears => {
+            Some(format!("{}: torn, and taken for whole", call.id.text()))
+        }
+        _ => None,
+    });
+    wrong.collect()
+}
+
+fn lied(evidence: &Evidence) -> Vec<String> {
+    let ran: BTreeSet<Id> = evidence.runs.iter().map(|run| run.id).collect();
+    let promise = |status: &StatusCode| matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    let refused = evidence.calls.iter().filter_map(|call| match &call.end {
+        End::Refused(status) if promise(status) && ran.contains(&call.id) => {
+            Some(format!("{}: {status}, and it ran", call.id.text()))
+        }
+        _ => None,
+    });
+    refused.collect()
+}
+
+fn repeated(evidence: &Evidence) -> Vec<String> {
+    let mut runs: HashMap<Id, usize> = HashMap::new();
+    evidence.runs.iter().for_each(|run| *runs.entry(run.id).or_default() += 1);
+    let once = evidence.calls.iter().filter(|call| !call.route.is_repeatable());
+    let twice = once.filter_map(|call| {
+        let count = runs.get(&call.id).copied().unwrap_or_default();
+        (count > 1).then(|| format!("{} ran {count} times", call.id.text()))
+    });
+    twice.collect()
+}
+
+fn kept_working(evidence: &Evidence) -> Vec<String> {
+    let late = evidence.runs.iter().filter_map(|run| {
+        let from = *evidence.left.get(&run.endpoint)? + LEAVES_WITHIN;
+        let late = run.at.checked_duration_since(from)?;
+        Some(format!("{} ran at {} {late:?} too late", run.id.text(), run.endpoint))
+    });
+    late.collect()
+}
+
+/// Calls that a planned stop broke, and routes that a life forgot.
+fn cut_off(evidence: &Evidence) -> Vec<String> {
+    let sound = |call: &&Call| {
+        matches!(call.id.conduct(), Conduct::Answers | Conduct::Declines)
+            && !evidence.harmed.contains(&call.life)
+    };
+    let cut = evidence.calls.iter().filter(sound).filter_map(|call| {
+        let (from, until) = evidence.stopped.get(&call.life)?;
+        let around = call.ended >= *from && call.sent < *until;
+        match &call.end {
+            End::Failed { reason, .. } if around && !reason.contains("deadline") => {
+                Some(format!("{} of {:?} was cut off: {reason}", call.id.text(), call.life))
+            }
+            _ => None,
+        }
+    });
+    let mut known: BTreeMap<Life, Instant> = BTreeMap::new();
+    let of_late = evidence.calls.iter().filter(|call| call.route == Route::Late);
+    for call in of_late.clone() {
+        if matches!(call.end, End::Answered { .. }) {
+            let first = known.entry(call.life).or_insert(call.ended);
+            *first = call.ended.min(*first);
+        }
+    }
+    let forgot = of_late.filter(|call| {
+        let after = known.get(&call.life).is_some_and(|first| call.sent > *first);
+        after && call.end == End::Refused(StatusCode::NOT_FOUND)
+    });
+    let forgot = forgot.map(|call| format!("{:?} forgot a route", call.life));
+    cut.chain(forgot).collect()
+}
