Bills of a box that stops by plan without the store are written by another box

Change: bills are written first; what the store does not take within 600 ms goes to another box as pages, whose names are the writer's, so writing twice changes nothing; the last settlement is tried until the stop has to end. Test: crash::the_bills_of_a_box_that_stops_by_plan_without_the_store_are_ written_by_another, seen failing without the hand-over (0 bills).

--- a/crates/gateway/src/bills.rs
+++ b/crates/gateway/src/bills.rs
@@ -2,7 +2,8 @@
 //!
 //! A page is named by the incarnation and a number and is only ever created, so writing it again
 //! after a lost answer changes nothing, and each request stands on one bill. A box that loses
-//! power loses the bills of its last seconds; their tokens count as spent all the same.
+//! power loses the bills of its last seconds; their tokens count as spent all the same. One that
+//! stops by plan while the store is away hands its pages to another box, which writes them.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,6 +12,7 @@
 use parking_lot::Mutex;
 use platform::store::{Client, Put};
 use tokio::time::Instant;
+use wire::Sheet;
 
 /// Time between two pages of a box, so that few bills are lost with it and few calls made.
 const PAGE_EVERY: Duration = Duration::from_secs(10);
@@ -28,12 +30,15 @@
     n: u64,
     page: u64,
     written: Instant,
+    /// Pages of other boxes that this one writes.
+    carried: Vec<Sheet>,
 }
 
 impl Bills {
     /// No bills yet.
     pub fn open(by: Incarnation) -> Bills {
-        let state = State { by, open: Vec::new(), n: 0, page: 0, written: Instant::now() };
+        let (open, carried) = (Vec::new(), Vec::new());
+        let state = State { by, open, n: 0, page: 0, written: Instant::now(), carried };
         Bills(Arc::new(Mutex::new(state)))
     }
 
@@ -56,27 +61,61 @@
 
     /// Bills that are not written yet.
     pub fn waiting(&self) -> usize {
-        self.0.lock().open.len()
+        let state = self.0.lock();
+        state.open.len() + state.carried.len()
+    }
+
+    /// Takes over pages of a box that ends.
+    pub fn carry(&self, pages: Vec<Sheet>) {
+        self.0.lock().carried.extend(pages);
     }
 
-    fn next(&self, all: bool) -> Option<(String, usize, String)> {
+    /// Takes out all that is not written, as pages for another box to write.
+    pub fn hand_over(&self) -> Vec<Sheet> {
+        let mut state = self.0.lock();
+        let mut pages = std::mem::take(&mut state.carried);
+        let open = std::mem::take(&mut state.open);
+        for bills in open.chunks(PAGE_BILLS) {
+            pages.push(sheet(&state.by, state.page, bills.to_vec()));
+            state.page += 1;
+        }
+        pages
+    }
+
+    fn next(&self, all: bool) -> Option<(Sheet, usize)> {
         let state = self.0.lock();
         let due = all || state.written.elapsed() >= PAGE_EVERY || state.open.len() >= PAGE_BILLS;
         if state.open.is_empty() || !due {
             return None;
         }
         let bills = state.open[..state.open.len().min(PAGE_BILLS)].to_vec();
-        let name = format!("{}.{:06}", state.by, state.page);
         let count = bills.len();
-        let text = serde_json::to_string(&Page { bills }).expect("bills always serialize");
-        Some((name, count, text))
+        Some((sheet(&state.by, state.page, bills), count))
+    }
+
+    /// Writes pages of other boxes; stops at the first that fails.
+    async fn write_carried(&self, store: &Client) {
+        loop {
+            let Some(Sheet { name, text }) = self.0.lock().carried.last().cloned() else { return };
+            match store.replace(BILLS, &name, &text, Expect::Absent).await {
+                Put::Landed(_) | Put::Refused(_) => {
+                    self.0.lock().carried.retain(|page| page.name != name);
+                    tracing::info!(event = "bills_written_for_another", page = name);
+                }
+                Put::Failed(reason) | Put::Unknown(reason) => {
+                    tracing::warn!(event = "bills_wait", page = name, reason);
+                    return;
+                }
+            }
+        }
     }
 
     /// Writes pages that are due, or all there are; stops at the first that fails.
     ///
     /// Only one task may do this: what is written goes by position.
     pub async fn write(&self, store: &Client, all: bool) {
-        while let Some((name, count, text)) = self.next(all) {
+        self.write_carried(store).await;
+        while let Some((Sheet { name, text }, count)) = self.next(all) {
             let put = store.replace(BILLS, &name, &text, Expect::Absent).await;
             match put {
                 // A page that is there already was written by an earlier call of this box.
@@ -96,3 +135,8 @@
         }
     }
 }
+
+fn sheet(by: &Incarnation, page: u64, bills: Vec<Bill>) -> Sheet {
+    let text = serde_json::to_string(&Page { bills }).expect("bills always serialize");
+    Sheet { name: format!("{by}.{page:06}"), text }
+}
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::watch, time::Instant};
 use wire::{Draw, Drawn, Frame, Message};
 
-use crate::{endpoints::Endpoints, funds::Funds, peers::Peers, witness::Taken};
+use crate::{bills::Bills, endpoints::Endpoints, funds::Funds, peers::Peers, witness::Taken};
 
 /// Longest wait of a box that asks for tokens, while this one frees some that it promised to keep:
 /// half of the time after which that box asks the next ones.
@@ -26,6 +26,7 @@
     funds: Funds,
     peers: Peers,
     endpoints: Arc<Endpoints>,
+    bills: Bills,
     stopping: watch::Receiver<bool>,
 }
 
@@ -36,9 +37,10 @@
         funds: Funds,
         peers: Peers,
         endpoints: Arc<Endpoints>,
+        bills: Bills,
         stopping: watch::Receiver<bool>,
     ) -> Desk {
-        Desk { me, funds, peers, endpoints, stopping }
+        Desk { me, funds, peers, endpoints, bills, stopping }
     }
 
     /// Takes over what another box tells, and passes on what it needs.
@@ -114,7 +116,7 @@
 impl wire::Answer for Desk {
     async fn answer(&self, question: Message) -> Message {
         let frame = match question.frame {
-            Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_)
+            Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_) | Frame::Bills { .. }
                 if !self.peers.knows(&question.from) =>
             {
                 self.peers.note_unknown();
@@ -135,6 +137,18 @@
                 self.endpoints.told(&question.from.as_str().into(), &prompt);
                 Frame::Done
             }
+            Frame::Bills { .. } if *self.stopping.borrow() => {
+                Frame::Refused { reason: "this box is about to stop itself".into() }
+            }
+            Frame::Bills { pages } => {
+                tracing::info!(
+                    event = "bills_taken_over",
+                    of = question.from.as_str(),
+                    pages = pages.len()
+                );
+                self.bills.carry(pages);
+                Frame::Done
+            }
             Frame::Draw(draw) => self.draw(&question.from, draw).await,
             Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
             _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
     task::JoinHandle,
     time::Instant,
 };
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::task::TaskTracker;
 
 use crate::{
     bills::Bills,
@@ -44,7 +44,7 @@
 
 /// Connections of the balancer and of scrapers at once.
 const FEW: usize = 64;
-/// Time for the last settlement of a planned stop.
+/// Time for the last settlement of a planned stop, beyond the time for requests.
 const LEAVE: Duration = Duration::from_millis(600);
 
 /// Why a box did not start.
@@ -109,7 +109,8 @@
     closing: watch::Sender<bool>,
     /// Connections of callers.
     tasks: TaskTracker,
-    leaving: CancellationToken,
+    /// When the last settlement is given up, once this box leaves.
+    leaving: watch::Sender<Option<Instant>>,
     settler: Option<JoinHandle<()>>,
     /// Answers other boxes; it ends when dropped.
     lender: Option<wire::Server>,
@@ -146,6 +147,7 @@
             funds.clone(),
             peers.clone(),
             endpoints.clone(),
+            bills.clone(),
             stops.clone(),
         );
         let lender = bind_lender(settings.listen.peers, desk, &peers).await?;
@@ -170,7 +172,7 @@
         let sockets = Sockets::bind(&settings.listen)?;
         let [callers, ready, operators] = sockets.addresses();
         let tasks = TaskTracker::new();
-        let leaving = CancellationToken::new();
+        let (leaving, leaves) = watch::channel(None);
         let contact = Contact::new();
         let roster = peers.address().map(|peer| {
             let me = Entry {
@@ -237,7 +239,7 @@
             tokio::spawn(for_operators),
         ];
         loops.extend(roster.map(|roster| tokio::spawn(roster.run())));
-        let settler = Some(tokio::spawn(settle(settler, leaving.clone())));
+        let settler = Some(tokio::spawn(settle(settler, leaves)));
         tracing::info!(
             event = "started",
             incarnation = incarnation.as_str(),
@@ -339,7 +341,7 @@
         self.closing.send_replace(true);
         let rest = limit.saturating_sub(began.elapsed());
         let finished = tokio::time::timeout(rest, self.tasks.wait()).await.is_ok();
-        self.leaving.cancel();
+        self.leaving.send_replace(Some(began + limit + LEAVE));
         if let Some(settler) = self.settler.take() {
             // It bounds itself in time; a panic in it was printed already.
             let _ = settler.await;
@@ -359,12 +361,14 @@
     }
 }
 
-async fn settle(mut settler: Settler, leaving: CancellationToken) {
-    tokio::select! {
-        () = settler.run() => {}
-        () = leaving.cancelled() => {}
+async fn settle(mut settler: Settler, mut leaving: watch::Receiver<Option<Instant>>) {
+    let until = tokio::select! {
+        () = settler.run() => None,
+        until = leaving.wait_for(Option::is_some) => until.ok().and_then(|until| *until),
+    };
+    if let Some(until) = until {
+        settler.leave(until).await;
     }
-    settler.leave(LEAVE).await;
 }
 
 type Page = Response<Full<Bytes>>;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 use timeline::Stamp;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wire::{Draw, Drawn, Frame, Message, Peer};
+use wire::{Draw, Drawn, Frame, Message, Peer, Sheet};
 
 use crate::{
     funds::{Funds, Hold},
@@ -47,6 +47,8 @@
 const SEAL_WITHIN: Duration = Duration::from_millis(400);
 /// Longest wait until another box heard of a prompt, which an engine reads in less.
 const TOLD_WITHIN: Duration = Duration::from_millis(200);
+/// Longest wait until another box took pages of bills: some 200 KB each over a narrow link.
+const BILLS_WITHIN: Duration = Duration::from_millis(500);
 /// Boxes asked at once.
 const ASKED: usize = 3;
 /// Boxes asked for one request, or told of one prompt.
@@ -305,6 +307,17 @@
         }
     }
 
+    /// Gives pages of bills to a box that writes them; gives them back if none takes them.
+    pub async fn hand_bills(&self, pages: Vec<Sheet>) -> Result<Incarnation, Vec<Sheet>> {
+        for (name, peer) in self.in_reach() {
+            let frame = Frame::Bills { pages: pages.clone() };
+            if let Heard::Frame(Frame::Done) = self.ask(&name, &peer, frame, BILLS_WITHIN).await {
+                return Ok(name);
+            }
+        }
+        Err(pages)
+    }
+
     /// This box is about to stop: it is nobody's witness any more.
     pub fn forget_promises(&self) {
         self.records.close();
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -15,7 +15,7 @@
     bills::Bills,
     draws::Draws,
     funds::{Ends, Funds},
-    outage::{Contact, Outage},
+    outage::{Contact, Outage, Probe},
     peers::Peers,
     roster,
     settings::Settings,
@@ -31,6 +31,9 @@
 /// A box that is no keeper, and was not asked for so long, draws no more from the book: longer than
 /// it takes to start a box again, which is when others stand in for it.
 const RETIRE: Duration = Duration::from_secs(8);
+/// Time for the store to take the last settlement before other boxes are asked to help: longer than a
+/// slow call of it.
+const HAND_OVER: Duration = Duration::from_millis(600);
 /// Longest wait for the list of boxes before the first settlement: witnesses are found by it.
 const LISTED: Duration = Duration::from_millis(2_000);
 /// Time between two settlements that requests wait for: those that come meanwhile share the next
@@ -92,7 +95,7 @@
     pub fn new(setup: Setup, contact: Contact) -> Settler {
         Settler {
             setup,
-            outage: Outage::new("book", contact),
+            outage: Outage::new("book", Probe::Later, contact),
             known: None,
             seen: false,
             in_touch_since: Instant::now(),
@@ -307,32 +310,64 @@
         Ok(())
     }
 
-    /// Gives everything back by plan, within `limit`.
-    pub async fn leave(&mut self, limit: Duration) {
+    /// Gives everything back by plan, until `until` at the latest.
+    ///
+    /// Whatever the store does not take soon goes to other boxes: the witness knows that nothing
+    /// more is used, and pages of bills are written by another box.
+    pub async fn leave(&mut self, until: Instant) {
         let began = Instant::now();
-        let all = async {
-            let Setup { naming, funds, peers, draws, .. } = &self.setup;
-            draws.leave().await;
-            naming.promise_all(funds, peers).await;
-            if self.pending.is_some() {
-                self.settle(Ends::Not).await;
-            }
-            if self.is_of_book() {
-                self.settle(Ends::Leaves).await;
-            }
-            let version = *self.setup.registered.borrow();
-            if let Some(version) = version {
-                roster::remove(&self.setup.store, &self.setup.holder, version).await;
-            }
-            self.setup.bills.write(&self.setup.store, true).await;
-        };
-        let done = tokio::time::timeout(limit, all).await.is_ok();
+        let Setup { naming, funds, peers, draws, .. } = &self.setup;
+        draws.leave().await;
+        naming.promise_all(funds, peers).await;
+        let soon = until.min(Instant::now() + HAND_OVER);
+        let mut done = tokio::time::timeout_at(soon, self.leave_book()).await.is_ok();
+        if !done {
+            self.hand_over().await;
+            done = tokio::time::timeout_at(until, self.leave_book()).await.is_ok();
+        }
         tracing::info!(
             event = "funds_returned",
             done,
+            bills_waiting = self.setup.bills.waiting(),
             took_ms = began.elapsed().as_millis() as u64
         );
     }
+
+    /// Writes all that is left to write. May be interrupted: the next call goes on.
+    async fn leave_book(&mut self) {
+        self.setup.bills.write(&self.setup.store, true).await;
+        if self.pending.is_some() {
+            self.settle(Ends::Not).await;
+        }
+        if self.is_of_book() {
+            self.settle(Ends::Leaves).await;
+        }
+        let mut pause = PAUSE;
+        while self.setup.bills.waiting() > 0 {
+            self.setup.bills.write(&self.setup.store, true).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(PAUSE_MOST);
+        }
+        let version = *self.setup.registered.borrow();
+        if let Some(version) = version {
+            roster::remove(&self.setup.store, &self.setup.holder, version).await;
+        }
+    }
+
+    async fn hand_over(&self) {
+        let pages = self.setup.bills.hand_over();
+        if pages.is_empty() {
+            return;
+        }
+        let count = pages.len();
+        match self.setup.peers.hand_bills(pages).await {
+            Ok(to) => tracing::info!(event = "bills_handed_over", to = to.as_str(), count),
+            Err(pages) => {
+                tracing::warn!(event = "bills_not_handed_over", count);
+                self.setup.bills.carry(pages);
+            }
+        }
+    }
 }
 
 /// One line on the calls that this process made so far, by purpose.
--- a/crates/gateway/tests/loopback/crash.rs
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -118,3 +118,22 @@
     assert!(lost >= held, "nobody can tell that {held} tokens were not used: {lost} lost");
     drop(again);
 }
+
+#[tokio::test]
+async fn the_bills_of_a_box_that_stops_by_plan_without_the_store_are_written_by_another() {
+    let world = World::open(PAID, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", answers).await;
+    let (one, link) = world.cut_gateway("box-1").await;
+    let two = world.gateway("box-2").await;
+    until_served(&world, &one, "/stream/x").await;
+    until("both know each other", async || one.knows_peers() + two.knows_peers() == 2).await;
+    let asked = world.asked("key-b", 200, 10);
+    assert!(call(one.callers(), "/stream/x", &asked).await.status.is_success());
+    link.set_cut(true);
+    one.stop().await;
+    // The other box writes them with its own, which it does last when it stops.
+    two.stop().await;
+    let keys = world.billed().await;
+    let count = keys.iter().filter(|key| **key == asked.id).count();
+    assert_eq!(count, 1, "{} is on {count} bills", asked.id);
+}
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -61,6 +61,16 @@
         serde_json::from_str(&book.expect("a book").value).expect("it can be read")
     }
 
+    /// Keys of all requests that stand on a bill.
+    pub async fn billed(&self) -> Vec<String> {
+        let pages = self.platform.memory().list(ledger::BILLS, "").await.expect("memory answers");
+        let page = |object: objects::Object| -> ledger::Page {
+            serde_json::from_str(&object.value).expect("it can be read")
+        };
+        let bills = pages.into_iter().flat_map(|object| page(object).bills);
+        bills.map(|bill| bill.key.to_string()).collect()
+    }
+
     /// Writes a version of the configuration.
     pub async fn configure(&self, version: u64, paid: u64, routes: &[&str]) {
         let (kind, name) = platform::CONFIG;
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -82,8 +82,8 @@
         | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
         // A hint; boxes of this kind tell what they have under way regularly.
         Frame::Prompt(_) => Frame::Done,
-        Frame::Draw(_) | Frame::Drawn(_) => Frame::Refused {
-            reason: "boxes of this interface draw from the ledger themselves".into(),
+        Frame::Draw(_) | Frame::Drawn(_) | Frame::Bills { .. } => Frame::Refused {
+            reason: "boxes of this interface write their ledgers themselves".into(),
         },
         // Boxes of this kind keep journals, which say exactly what is unused.
         Frame::Promise(_) | Frame::Seal { .. } => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -116,6 +116,15 @@
     pub leaves: bool,
 }
 
+/// A page of bills as the store takes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sheet {
+    /// Its name, which is the writer's alone.
+    pub name: String,
+    /// JSON text.
+    pub text: String,
+}
+
 /// One question or answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -167,4 +176,6 @@
     Draw(Draw),
     /// Totals of what the keeper passed on.
     Drawn(Drawn),
+    /// Pages of bills that the sender could not write before it ends: the receiver writes them.
+    Bills { pages: Vec<Sheet> },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use error::Error;
 pub use format::{MAX_BYTES, NEWEST, OLDEST, decode, encode};
-pub use frame::{Draw, Drawn, Frame, Message, Place, Question, There, Told, Value, Write};
+pub use frame::{Draw, Drawn, Frame, Message, Place, Question, Sheet, There, Told, Value, Write};
 pub use peer::Peer;
 pub use server::{Answer, Server};
