One task of a box looks for the store often, the others wait for it

Change: the follower of the configuration looks each 300 ms and wakes the others, which look each 1.2 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,7 +10,7 @@
     directory::Directory,
     endpoints::Endpoints,
     funds::Funds,
-    outage::{Contact, Outage},
+    outage::{Contact, Outage, Probe},
     table::Table,
 };
 
@@ -28,7 +28,7 @@
 /// Follows the operator's configuration. Within the life of a box it only goes forwards.
 pub async fn follow_config(store: Client, in_force: Arc<InForce>, funds: Funds, contact: Contact) {
     let kind = platform::CONFIG.0;
-    let mut outage = Outage::new("configuration", contact.clone());
+    let mut outage = Outage::new("configuration", Probe::First, contact.clone());
     loop {
         let list = match store.all(kind).await {
             Ok(list) => list,
@@ -117,7 +117,7 @@
         contact: Contact,
     ) -> EndpointFollower {
         let directory = Directory::default();
-        let outage = Outage::new("endpoints", contact.clone());
+        let outage = Outage::new("endpoints", Probe::Later, contact.clone());
         let started = Instant::now();
         EndpointFollower {
             store,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub use link::Link;
 pub use meter::Meter;
 pub use order::{Place, order};
+pub use outage::{Contact, Outage, Probe};
 pub use peers::Peers;
 pub use refusal::{Reason, Refusal};
 pub use retries::Retries;
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -13,12 +13,29 @@
 /// then, and what was read anew at the first word needs no other read at the next ones. Shorter
 /// than an outage that a connection notices.
 const FOUND: Duration = Duration::from_secs(1);
-/// First pause after a call that failed; doubles up to [`PAUSE_MOST`].
+/// First pause after a call that failed; doubles up to the longest of the task.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause between two calls of a task while the store does not answer. A call that fails is
-/// paid for, and of the several tasks the first to find the store wakes the others: so the store is
-/// found within a third of the time that boxes have to be up to date after an outage.
-const PAUSE_MOST: Duration = Duration::from_millis(1_200);
+
+/// How soon a task looks for the store again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// It finds the store for all tasks of the box. What happened since the store's return cannot be
+    /// told from what happened before: with 1.2 s between two calls, an endpoint that left 0.5 s
+    /// after the return was taken for one whose entry had lapsed, and got work for 0.7 s too long.
+    First,
+    /// It waits for the first, and looks itself now and then.
+    Later,
+}
+
+impl Probe {
+    /// Longest pause between two calls while the store does not answer. Each call is paid for.
+    fn pause_most(self) -> Duration {
+        match self {
+            Probe::First => Duration::from_millis(300),
+            Probe::Later => Duration::from_millis(1_200),
+        }
+    }
+}
 
 /// Counts how often the store was found to answer again.
 #[derive(Debug, Clone)]
@@ -60,12 +77,13 @@
     since: Option<Instant>,
     failures: u64,
     pause: Duration,
+    probe: Probe,
 }
 
 impl Outage {
     /// A dependency that is taken to answer.
-    pub fn new(what: &'static str, contact: Contact) -> Outage {
-        Outage { what, contact, since: None, failures: 0, pause: PAUSE }
+    pub fn new(what: &'static str, probe: Probe, contact: Contact) -> Outage {
+        Outage { what, contact, since: None, failures: 0, pause: PAUSE, probe }
     }
 
     /// A call failed.
@@ -80,7 +98,7 @@
     /// Waits after a call that failed, until some other task finds the store at the longest.
     pub async fn pause(&mut self) {
         let _ = tokio::time::timeout(self.pause, self.contact.regained()).await;
-        self.pause = (self.pause * 2).min(PAUSE_MOST);
+        self.pause = (self.pause * 2).min(self.probe.pause_most());
     }
 
     /// A call was answered; returns for how many milliseconds none was.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     order::Place,
-    outage::{Contact, Outage},
+    outage::{Contact, Outage, Probe},
     peers::Peers,
 };
 
@@ -72,7 +72,7 @@
 impl Roster {
     /// Nothing is written or read yet.
     pub fn new(store: Client, me: Entry, peers: Peers, contact: Contact) -> Roster {
-        let outage = Outage::new("boxes", contact);
+        let outage = Outage::new("boxes", Probe::Later, contact);
         Roster { store, me, peers, outage, written: watch::channel(None).0 }
     }
 
