The soak judges each box by its own times out of touch

Change: a fault disturbs the box that it is about, or all; an endpoint leaves in each run; the load goes on for 8.5 s after the last fault.

--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -65,7 +65,7 @@
         })
     }
 
-    /// A keeper heard these totals. Loans of which nothing is left to tell are forgotten.
+    /// A keeper heard these totals.
     pub fn heard(&mut self, keeper: &Incarnation, share: Share) {
         self.loan_mut(keeper).heard = share;
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -36,6 +36,23 @@
     TopUp,
 }
 
+impl Kind {
+    /// Boxes that may not hear of changes while it lasts: one or all; `None` for none.
+    pub fn disturbs(self) -> Option<Option<usize>> {
+        match self {
+            Kind::StoreDown | Kind::StoreSlow | Kind::StoreLosesAnswers | Kind::KillAll => {
+                Some(None)
+            }
+            Kind::Cut { at }
+            | Kind::Silence { at }
+            | Kind::Kill { at }
+            | Kind::Pause { at }
+            | Kind::Stop { at } => Some(Some(at)),
+            Kind::Reload { .. } | Kind::Leave { .. } | Kind::Configure | Kind::TopUp => None,
+        }
+    }
+}
+
 /// A fault, and when it begins and ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fault {
@@ -60,15 +77,17 @@
     length: Duration,
 ) -> Vec<Fault> {
     let count = (length.as_millis() / EACH.as_millis()) as usize;
-    // At most one endpoint of each sort leaves, so that one stays.
-    let mut leaves = random.random_bool(0.7).then(|| random.random_range(0..endpoints));
     let mut faults: Vec<Fault> = (0..count)
         .map(|_| {
             let at = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
             let lasts = Duration::from_millis(random.random_range(LASTS_MS.0..LASTS_MS.1));
-            Fault { at, lasts, kind: kind(random, boxes, &mut leaves) }
+            Fault { at, lasts, kind: kind(random, boxes) }
         })
         .collect();
+    // One endpoint leaves, early enough to be missed.
+    let at = Duration::from_millis(random.random_range(0..length.as_millis() as u64 / 2));
+    let endpoint = random.random_range(0..endpoints);
+    faults.push(Fault { at, lasts: Duration::ZERO, kind: Kind::Leave { endpoint } });
     if random.random_bool(0.3) {
         let at = length * 3 / 4;
         faults.push(Fault { at, lasts: Duration::from_millis(300), kind: Kind::KillAll });
@@ -77,7 +96,7 @@
     faults
 }
 
-fn kind(random: &mut ChaCha8Rng, boxes: usize, leaves: &mut Option<usize>) -> Kind {
+fn kind(random: &mut ChaCha8Rng, boxes: usize) -> Kind {
     let at = random.random_range(0..boxes);
     match random.random_range(0..14) {
         0 => Kind::StoreDown,
@@ -89,7 +108,7 @@
         8 => Kind::Pause { at },
         9 | 10 => Kind::Stop { at },
         11 => Kind::Reload { at },
-        12 => leaves.take().map_or(Kind::TopUp, |endpoint| Kind::Leave { endpoint }),
+        12 => Kind::TopUp,
         _ => Kind::Configure,
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,7 +26,7 @@
     daemon::{self, Daemon},
     endpoint::{Endpoint, Id, Runs},
     fault::{self, Fault, Kind},
-    verdict::{self, Breach, Evidence},
+    verdict::{self, Breach, Disturbance, Evidence},
 };
 
 /// Callers for each box: enough that some call is under way at any moment.
@@ -47,6 +47,10 @@
 /// longest pause between two.
 const IN_TOUCH: Duration = Duration::from_millis(3_500);
 
+/// Time of load after the last fault: boxes are in touch again, and whoever still uses an endpoint
+/// that left is seen to.
+const CALM: Duration = Duration::from_millis(8_500);
+
 /// What to play.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -109,8 +113,7 @@
     stopped: BTreeMap<Life, (Instant, Instant)>,
     harmed: BTreeSet<Life>,
     left: BTreeMap<Arc<str>, Instant>,
-    /// When the last fault between boxes and store ends.
-    in_touch: Option<Instant>,
+    disturbed: Vec<Disturbance>,
 }
 
 /// Plays one seed.
@@ -247,7 +250,7 @@
                 Step::End(end) => self.undo(end).await?,
             }
         }
-        tokio::time::sleep_until(began + length + IN_TOUCH).await;
+        tokio::time::sleep_until(began + length + CALM).await;
         Ok(())
     }
 
@@ -255,18 +258,13 @@
         Life { at, number: self.nodes[at].life }
     }
 
-    /// Boxes may not have heard of what happens until `lasts` from now.
-    fn out_of_touch(&mut self, lasts: Duration) {
-        let until = Instant::now() + lasts + IN_TOUCH;
-        self.history.in_touch = self.history.in_touch.max(Some(until));
-        for left in self.history.left.values_mut() {
-            *left = (*left).max(until);
-        }
-    }
-
     /// Begins a fault; returns what is to be undone at its end.
     async fn begin(&mut self, fault: Fault) -> Result<Option<End>, Error> {
-        self.out_of_touch(fault.lasts);
+        if let Some(at) = fault.kind.disturbs() {
+            let from = Instant::now();
+            let until = from + fault.lasts + IN_TOUCH;
+            self.history.disturbed.push(Disturbance { at, from, until });
+        }
         let platform = &self.shared.platform;
         match fault.kind {
             Kind::StoreDown => platform.set(|faults| faults.down = true),
@@ -297,8 +295,7 @@
             Kind::Leave { endpoint } => {
                 let endpoint = &self.endpoints[endpoint];
                 self.list(endpoint, false).await;
-                let from = self.history.in_touch.unwrap_or_else(Instant::now);
-                self.history.left.insert(endpoint.name.clone(), from);
+                self.history.left.insert(endpoint.name.clone(), Instant::now());
                 return Ok(None);
             }
             Kind::Configure => {
@@ -436,6 +433,7 @@
             stopped: &self.history.stopped,
             harmed: &self.history.harmed,
             left: &self.history.left,
+            disturbed: &self.history.disturbed,
         });
         let count = |of: fn(&call::End) -> bool| calls.iter().filter(|call| of(&call.end)).count();
         let answered = count(|end| matches!(end, call::End::Answered { .. }));
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -31,8 +31,21 @@
     pub stopped: &'a BTreeMap<Life, (Instant, Instant)>,
     /// Lives that were killed or stood still: their connections may break.
     pub harmed: &'a BTreeSet<Life>,
-    /// Endpoints that left, and from when on every box was in touch to hear of it.
+    /// Endpoints that left, and when the store said so.
     pub left: &'a BTreeMap<Arc<str>, Instant>,
+    /// Times in which boxes might not hear of changes.
+    pub disturbed: &'a [Disturbance],
+}
+
+/// A time in which a box might not hear of changes.
+#[derive(Debug, Clone, Copy)]
+pub struct Disturbance {
+    /// Number of the box, or all of them.
+    pub at: Option<usize>,
+    /// When it began.
+    pub from: Instant,
+    /// When the box was in touch again.
+    pub until: Instant,
 }
 
 /// A promise that was broken.
@@ -146,9 +159,16 @@
 }
 
 fn kept_working(evidence: &Evidence) -> Vec<String> {
+    let lives: HashMap<Id, Life> = evidence.calls.iter().map(|call| (call.id, call.life)).collect();
     let late = evidence.runs.iter().filter_map(|run| {
-        let from = *evidence.left.get(&run.endpoint)? + LEAVES_WITHIN;
-        let late = run.at.checked_duration_since(from)?;
+        let left = *evidence.left.get(&run.endpoint)?;
+        let at = lives.get(&run.id)?.at;
+        let of = |disturbed: &&Disturbance| {
+            disturbed.at.is_none_or(|of| of == at) && disturbed.from < run.at
+        };
+        let calm = evidence.disturbed.iter().filter(of).map(|disturbed| disturbed.until);
+        let calm = calm.fold(left, Instant::max);
+        let late = run.at.checked_duration_since(calm + LEAVES_WITHIN)?;
         Some(format!("{} ran at {} {late:?} too late", run.id.text(), run.endpoint))
     });
     late.collect()
