An outage that a slow task tells of again gives entries of endpoints no more time

Ruled out: a late first list (it came 0.2 s after the store's return) and a watch that hung. Change: whoever finds the store tells since when it had lost it; a list newer than that has shown the end of the outage. Tests: decisions::an_outage_that_is_told_of_again_later_gives_no_more_time, seen failing without the rule, and outage::whoever_finds_the_store_late_tells_how_old_its_outage_is. Looked for elsewhere: the follower of the configuration reads anew at each word, which is harmless.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -14,6 +14,8 @@
     known: HashMap<Arc<str>, Known>,
     /// Missing entries are kept until then.
     lenient_until: u64,
+    /// When the newest list was read.
+    listed: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -24,9 +26,14 @@
 }
 
 impl Directory {
-    /// The store answers again after it was away: what is missing may come back until `until`.
-    pub fn returned(&mut self, until: u64) {
-        self.lenient_until = until;
+    /// The store answers again after it was away since `lost_since`: what is missing may come back
+    /// until `until`. A list that was read since then has shown the end of that outage already, and
+    /// what it lacked is gone when its own time is over: told of once more 2 s later by a task that
+    /// looks seldom, an endpoint that had left got work for 1.3 s longer than it may.
+    pub fn returned(&mut self, lost_since: u64, until: u64) {
+        if self.listed.is_none_or(|listed| listed < lost_since) {
+            self.lenient_until = until;
+        }
     }
 
     /// Takes over a whole list.
@@ -40,6 +47,7 @@
         for id in gone {
             self.miss(&id, now);
         }
+        self.listed = Some(now);
     }
 
     /// An entry was written.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,7 +44,7 @@
         loop {
             let watched = tokio::select! {
                 watched = store.changes(kind, from) => watched,
-                () = contact.regained() => break,
+                _ = contact.regained() => break,
             };
             match watched {
                 Ok(watch) if watch.gap => {
@@ -166,17 +166,17 @@
     /// The store answered: entries may have lapsed if it had not for long.
     fn heard(&mut self) {
         let now = self.now();
-        let lost = self.outage.answered();
-        if lost.is_some() && now.saturating_sub(self.answered) > AWAY_MS && self.answered > 0 {
-            self.returned();
+        let away = now.saturating_sub(self.answered) > AWAY_MS && self.answered > 0;
+        if let Some(lost_ms) = self.outage.answered().filter(|_| away) {
+            self.returned(now.saturating_sub(lost_ms));
         }
         self.answered = now;
     }
 
     /// The store is back: entries that lapsed meanwhile may come back too.
-    fn returned(&mut self) {
+    fn returned(&mut self, lost_since: u64) {
         let until = self.now() + self.lapse.as_millis() as u64;
-        self.directory.returned(until);
+        self.directory.returned(lost_since, until);
     }
 
     async fn watch(&mut self, mut from: u64) {
@@ -211,9 +211,10 @@
     async fn watch_once(&mut self, from: u64) -> Result<Option<u64>, Error> {
         let watch = tokio::select! {
             watch = self.store.changes(platform::ENDPOINTS, from) => watch?,
-            () = self.contact.regained() => {
+            lost_since = self.contact.regained() => {
                 // Another task lost the store and found it again: this watch may be dead.
-                self.returned();
+                let ago = lost_since.elapsed().as_millis() as u64;
+                self.returned(self.now().saturating_sub(ago));
                 return Ok(None);
             }
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,7 +173,7 @@
         let [callers, ready, operators] = sockets.addresses();
         let tasks = TaskTracker::new();
         let (leaving, leaves) = watch::channel(None);
-        let contact = Contact::new();
+        let contact = Contact::open();
         let roster = peers.address().map(|peer| {
             let me = Entry {
                 incarnation: incarnation.clone(),
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -37,34 +37,40 @@
     }
 }
 
-/// Counts how often the store was found to answer again.
+/// Tells all tasks of a box when one of them finds the store answering again.
 #[derive(Debug, Clone)]
 pub struct Contact(Arc<Found>);
 
 #[derive(Debug)]
 struct Found {
-    count: watch::Sender<u64>,
+    /// When the outage began that ended last, as the task saw it that found the store.
+    lost_since: watch::Sender<Option<Instant>>,
     at: Mutex<Option<Instant>>,
 }
 
 impl Contact {
     /// Nothing was lost yet.
-    pub fn new() -> Contact {
-        Contact(Arc::new(Found { count: watch::channel(0).0, at: Mutex::default() }))
+    pub fn open() -> Contact {
+        Contact(Arc::new(Found { lost_since: watch::channel(None).0, at: Mutex::default() }))
     }
 
-    /// Waits until some task finds the store answering again.
-    pub async fn regained(&self) {
-        let mut count = self.0.count.subscribe();
+    /// Waits until some task finds the store answering again; returns since when that one had not.
+    /// A task that looks seldom finds the end of an outage long after the others: what began before
+    /// they read anew is no news to them.
+    pub async fn regained(&self) -> Instant {
+        let mut lost_since = self.0.lost_since.subscribe();
+        lost_since.mark_unchanged();
         // The sender lives as long as `self`.
-        let _ = count.changed().await;
+        let _ = lost_since.changed().await;
+        let since = *lost_since.borrow();
+        since.unwrap_or_else(Instant::now)
     }
 
-    fn tell(&self) {
+    fn tell(&self, lost_since: Instant) {
         let now = Instant::now();
         let before = self.0.at.lock().replace(now);
         if before.is_none_or(|before| now.saturating_duration_since(before) > FOUND) {
-            self.0.count.send_modify(|count| *count += 1);
+            self.0.lost_since.send_replace(Some(lost_since));
         }
     }
 }
@@ -104,9 +110,10 @@
     /// A call was answered; returns for how many milliseconds none was.
     pub fn answered(&mut self) -> Option<u64> {
         self.pause = PAUSE;
-        let lost = self.since.take()?.elapsed().as_millis() as u64;
+        let since = self.since.take()?;
+        let lost = since.elapsed().as_millis() as u64;
         let failures = std::mem::take(&mut self.failures);
-        self.contact.tell();
+        self.contact.tell(since);
         tracing::info!(event = "dependency_back", what = self.what, lost_ms = lost, failures);
         Some(lost)
     }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -83,7 +83,7 @@
 fn entries_that_lapsed_with_the_store_have_time_to_come_back() {
     let mut directory = Directory::default();
     directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
-    directory.returned(12_000);
+    directory.returned(5_000, 12_000);
     directory.list(vec![("a".into(), 9, entry("ready"))], 10_000);
     assert_eq!(ready(&directory), ["a", "b"], "b may still come back");
     assert!(directory.keeps_missing());
@@ -91,7 +91,7 @@
     directory.set("b".into(), 11, entry("ready"));
     assert!(!directory.sweep(12_000), "it came back");
     assert_eq!(ready(&directory), ["a", "b"]);
-    directory.returned(20_000);
+    directory.returned(15_000, 20_000);
     directory.list(vec![("a".into(), 9, entry("ready"))], 18_000);
     assert!(!directory.sweep(19_999));
     assert!(directory.sweep(20_000), "it did not come back this time");
@@ -102,13 +102,29 @@
 fn an_entry_that_goes_after_the_return_of_the_store_did_not_lapse() {
     let mut directory = Directory::default();
     directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
-    directory.returned(12_000);
+    directory.returned(5_000, 12_000);
     directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 10_000);
     directory.remove("b");
     assert_eq!(ready(&directory), ["a"], "the store answers, so b left");
     assert!(!directory.keeps_missing());
 }
 
+#[test]
+fn an_outage_that_is_told_of_again_later_gives_no_more_time() {
+    let mut directory = Directory::default();
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.returned(5_000, 12_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 10_000);
+    // A task that looks seldom finds the store 2 s later, and has lost it at about the same time.
+    directory.returned(6_000, 14_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 11_900);
+    assert!(directory.sweep(12_000), "b did not come back in its time");
+    assert_eq!(ready(&directory), ["a"]);
+    directory.returned(13_000, 20_000);
+    directory.list(Vec::new(), 18_000);
+    assert_eq!(ready(&directory), ["a"], "another outage gives time again");
+}
+
 #[test]
 fn repeats_are_a_share_of_the_requests_of_the_window() {
     let limits = settings::Retries { ratio: 0.1, extra: 1, window_s: 10 };
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -48,13 +48,13 @@
 
 #[test]
 fn small_fleets_are_ordered_by_the_same_rule() {
-    let cases: [(&[(&str, usize)], usize, &[&str]); 3] = [
-        (&[("a", 1)], 0, &["a-0"]),
-        (&[("a", 2)], 1, &["a-0", "a-1"]),
-        (&[("a", 1), ("b", 1)], 1, &["b-0", "a-0"]),
+    let cases = [
+        (vec![("a", 1)], 0, vec!["a-0"]),
+        (vec![("a", 2)], 1, vec!["a-0", "a-1"]),
+        (vec![("a", 1), ("b", 1)], 1, vec!["b-0", "a-0"]),
     ];
     for (zones, me, want) in cases {
-        assert_eq!(asked(&fleet(zones), me), want, "{zones:?}");
+        assert_eq!(asked(&fleet(&zones), me), want, "{zones:?}");
     }
 }
 
--- a/crates/gateway/tests/outage.rs
+++ b/crates/gateway/tests/outage.rs
@@ -7,7 +7,7 @@
 
 /// The longest of many pauses of a task that finds nothing.
 async fn longest(probe: Probe) -> Duration {
-    let mut outage = Outage::new("store", probe, Contact::new());
+    let mut outage = Outage::new("store", probe, Contact::open());
     let mut longest = Duration::ZERO;
     for _ in 0..20 {
         outage.failed(&"no answer");
@@ -28,7 +28,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn whoever_finds_the_store_wakes_the_others() {
-    let contact = Contact::new();
+    let contact = Contact::open();
     let mut first = Outage::new("first", Probe::First, contact.clone());
     let mut later = Outage::new("later", Probe::Later, contact);
     first.failed(&"no answer");
@@ -47,3 +47,21 @@
     let waited = waits.await.expect("no panic");
     assert!(waited < Duration::from_millis(1_200), "woken after {waited:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn whoever_finds_the_store_late_tells_how_old_its_outage_is() {
+    let contact = Contact::open();
+    let mut first = Outage::new("first", Probe::First, contact.clone());
+    let mut later = Outage::new("later", Probe::Later, contact.clone());
+    later.failed(&"no answer");
+    first.failed(&"no answer");
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    assert!(first.answered().is_some());
+    // Others read anew now. What the later one says after that is about the time before.
+    let read = Instant::now();
+    let told = tokio::spawn(async move { contact.regained().await });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(later.answered().is_some());
+    let lost_since = told.await.expect("no panic");
+    assert!(lost_since < read, "it tells of an outage that began after the others had read");
+}
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -174,7 +174,9 @@
     fn forget(&mut self, holder: &Incarnation) {
         let holds = |ledger: &Ledger| ledger.grants.get(holder).is_some_and(|g| g.total() > 0);
         if !self.ledgers.values().any(holds) {
-            self.ledgers.values_mut().for_each(|ledger| drop(ledger.grants.remove(holder)));
+            for ledger in self.ledgers.values_mut() {
+                ledger.grants.remove(holder);
+            }
             self.writers.remove(holder);
         }
     }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -53,8 +53,8 @@
             .spawn()
             .context(FileSnafu { path: program })?;
         let started = StartSnafu { log };
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context(started.clone())?;
-        let out = child.stdout.take().context(started.clone())?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context(started)?;
+        let out = child.stdout.take().context(started)?;
         let file = tokio::fs::File::create(log).await.context(FileSnafu { path: log })?;
         let (told, callers) = tokio::sync::oneshot::channel();
         tokio::spawn(keep_lines(BufReader::new(out), file, told));
