--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,9 +1,9 @@
 //! Other boxes, and asking them.
 //!
-//! A box knows the others from the objects that each keeps in the store. It asks a few at a time for tokens while the store cannot
-//! give them, tells its witness what it keeps, and tells some of the large prompts that it sends.
-//! Nothing is agreed between boxes: of tokens passed on, a lost answer strands some in a grant and
-//! never doubles them.
+//! A box knows the others from the objects that each keeps in the store. It draws tokens from its
+//! keeper, borrows from other keepers while the store cannot give them, tells its witness what it
+//! keeps, and tells some of the large prompts that it sends. Nothing is agreed between boxes: of
+//! tokens passed on, a lost answer strands some in a grant and never doubles them.
 
 use std::{
     collections::{BTreeMap, HashMap},
