A request waits for longer than settlements are apart

Not noise: the answer says that the book was settled 51 ms ago with all of it left. Change: money.store_ms 40 to 100, as keepers wait for other boxes; under 80 it is no valid setting. Test: a case of settings::a_mistake_is_named_with_its_line, accepted before.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -112,6 +112,10 @@
     20_000
 }
 
+/// Time between two settlements that requests wait for, in milliseconds: those that come meanwhile
+/// share the next one. A tenth of what the shortest requests may take.
+pub const GATHER_MS: u64 = 40;
+
 /// How much of each budget a box holds, to serve without the store.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -127,7 +131,7 @@
     /// Longest time that a request waits for tokens, in milliseconds.
     pub wait_ms: u64,
     /// Time that a request waits for a settlement before other boxes are asked, in milliseconds:
-    /// a few calls of the store.
+    /// [`GATHER_MS`] since the one before it, and a few calls of the store.
     pub store_ms: u64,
 }
 
@@ -140,7 +144,7 @@
             settle_ms: 3_000,
             spacing_ms: 700,
             wait_ms: 250,
-            store_ms: 40,
+            store_ms: 100,
         }
     }
 }
@@ -225,7 +229,7 @@
             ("money.horizon_s", money.horizon_s, 0, 86_400),
             ("money.settle_ms", money.settle_ms, 100, 3_600_000),
             ("money.spacing_ms", money.spacing_ms, 10, 3_600_000),
-            ("money.store_ms", money.store_ms, 0, 60_000),
+            ("money.store_ms", money.store_ms, 2 * GATHER_MS, 60_000),
             ("money.wait_ms", money.wait_ms, 0, 60_000),
             ("retries.window_s", self.retries.window_s, 1, 3_600),
             ("limits.connections", limits.connections as u64, 1, 1_000_000),
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -18,7 +18,7 @@
     outage::{Contact, Outage, Probe},
     peers::Peers,
     roster,
-    settings::Settings,
+    settings::{GATHER_MS, Settings},
     witness::Naming,
 };
 
@@ -36,9 +36,6 @@
 const HAND_OVER: Duration = Duration::from_millis(600);
 /// Longest wait for the list of boxes before the first settlement: witnesses are found by it.
 const LISTED: Duration = Duration::from_millis(2_000);
-/// Time between two settlements that requests wait for: those that come meanwhile share the next
-/// one. A tenth of what the shortest requests may take.
-const GATHER: Duration = Duration::from_millis(40);
 /// Time until the first grants are asked for: the other boxes register meanwhile.
 const REGISTER: Duration = Duration::from_millis(1_500);
 
@@ -124,7 +121,7 @@
             let spacing = Duration::from_millis(settings.money.spacing_ms);
             let settle = Duration::from_millis(settings.money.settle_ms);
             let began = Instant::now();
-            tokio::time::sleep(GATHER).await;
+            tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
             while !self.setup.funds.is_urgent() && began.elapsed() < self.pause(spacing, settle) {
                 self.wait(spacing).await;
             }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -25,6 +25,12 @@
         (r#""zone": "bornova""#, r#""zone": 7"#, "line 4: `zone`"),
         (r#""store": {"#, r#""store": { "timeout_ms": 1,"#, "`store.timeout_ms`: must be between"),
         (r#""store": {"#, r#""money": { "shar": 3 }, "store": {"#, "unknown field `shar`"),
+        // A request would give up before the settlement that is made for it.
+        (
+            r#""store": {"#,
+            r#""money": { "store_ms": 40 }, "store": {"#,
+            "`money.store_ms`: must be between",
+        ),
         (r#"127.0.0.1:7000"#, r#"nowhere"#, "`store.address`: invalid socket address"),
     ];
     for (from, to, want) in cases {
