No two files of a crate need each other

Change: moves only, no logic. flintstall: error.rs, decode.rs below all commands. gateway: ends.rs, entry.rs, records.rs. router: answer.rs, flight.rs, texts.rs, reports.rs, scrape.rs; lanes.rs knows endpoints and a time instead of the whole router, and turn.rs waits. A test parses all sources and fails on a circle.

Ruled out: keeping the check outside the workspace, where nobody meets it before a landing.

--- a/crates/flintstall/src/apply.rs
+++ b/crates/flintstall/src/apply.rs
@@ -8,9 +8,10 @@
 
 use crate::{
     cli::{Apply, Check, Delete},
+    decode::{kind, text_of},
+    error::{ConflictSnafu, ContentSnafu, Error, InDoubtSnafu, MissingSnafu, PlatformSnafu},
     exit::Code,
     paint::{Tone, paint},
-    run::{ConflictSnafu, ContentSnafu, Error, InDoubtSnafu, MissingSnafu, PlatformSnafu, text_of},
 };
 
 /// Checks a file offline.
@@ -90,7 +91,7 @@
 
 /// Deletes a resource.
 pub async fn delete(client: &Client, delete: &Delete) -> Result<Code, Error> {
-    let kind = crate::read::kind(&delete.kind)?.as_str();
+    let kind = kind(&delete.kind)?.as_str();
     let name = &*delete.name;
     let found = client.get(kind, name).await.context(PlatformSnafu)?;
     let Some(object) = found else { return MissingSnafu { kind, name }.fail() };
--- a/crates/flintstall/src/audit.rs
+++ b/crates/flintstall/src/audit.rs
@@ -6,10 +6,11 @@
 use snafu::ResultExt;
 
 use crate::{
+    decode::decode,
+    error::{Error, MissingSnafu, PlatformSnafu},
     exit::Code,
     output::Form,
     paint::{Tone, paint},
-    run::{Error, MissingSnafu, PlatformSnafu, decode},
     table::Table,
 };
 
--- /dev/null
+++ b/crates/flintstall/src/decode.rs
@@ -0,0 +1,29 @@
+//! Reading what commands are given: words, files, stored objects.
+
+use std::{io::Read, path::Path};
+
+use resource::Kind;
+use snafu::ResultExt;
+
+use crate::error::{Error, FileSnafu};
+
+/// The kind of a word.
+pub fn kind(word: &str) -> Result<Kind, Error> {
+    word.parse().map_err(|reason| Error::Word { reason })
+}
+
+/// Reads a stored object.
+pub fn decode<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Error> {
+    serde_json::from_str(text).map_err(|error| Error::Stored { reason: error.to_string() })
+}
+
+/// Text of a file, or of standard input for `-`.
+pub fn text_of(path: &Path) -> Result<String, Error> {
+    let context = FileSnafu { path };
+    if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).context(context)?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(path).context(context)
+}
--- a/crates/flintstall/src/events.rs
+++ b/crates/flintstall/src/events.rs
@@ -2,12 +2,7 @@
 
 use timeline::{Event, Filter, merge, parse, render};
 
-use crate::{
-    cli::Timeline,
-    exit::Code,
-    output::Form,
-    run::{Error, text_of},
-};
+use crate::{cli::Timeline, decode::text_of, error::Error, exit::Code, output::Form};
 
 /// Prints the events of all processes in causal order.
 pub fn timeline(wanted: &Timeline, form: Form) -> Result<Code, Error> {
--- a/crates/flintstall/src/main.rs
+++ b/crates/flintstall/src/main.rs
@@ -3,6 +3,8 @@
 mod apply;
 mod audit;
 mod cli;
+mod decode;
+mod error;
 mod events;
 mod exit;
 mod output;
--- a/crates/flintstall/src/read.rs
+++ b/crates/flintstall/src/read.rs
@@ -10,18 +10,14 @@
 
 use crate::{
     cli::{Describe, Get},
+    decode::kind,
+    error::{Error, MissingSnafu, PlatformSnafu},
     exit::Code,
     output::Form,
     paint::{Tone, paint},
-    run::{Error, MissingSnafu, PlatformSnafu},
     table::Table,
 };
 
-/// The kind of a word.
-pub fn kind(word: &str) -> Result<Kind, Error> {
-    word.parse().map_err(|reason| Error::Word { reason })
-}
-
 /// Lists the resources of a kind, or shows one.
 pub async fn get(client: &Client, get: &Get, form: Form) -> Result<Code, Error> {
     let kind = kind(&get.kind)?;
--- a/crates/flintstall/src/statement.rs
+++ b/crates/flintstall/src/statement.rs
@@ -8,10 +8,11 @@
 
 use crate::{
     cli::Statement,
+    decode::decode,
+    error::{Error, MissingSnafu, PlatformSnafu},
     exit::Code,
     output::Form,
     paint::{Tone, paint},
-    run::{Error, MissingSnafu, PlatformSnafu, decode},
     table::Table,
 };
 
--- a/crates/flintstall/src/watch.rs
+++ b/crates/flintstall/src/watch.rs
@@ -11,10 +11,10 @@
 
 use crate::{
     cli::Watch,
+    decode::kind,
+    error::{Error, PlatformSnafu},
     exit::Code,
     output::Form,
-    read::kind,
-    run::{Error, PlatformSnafu},
 };
 
 /// Prints changes until the time is over.
--- /dev/null
+++ b/crates/flintstalld/tests/circles.rs
@@ -0,0 +1,147 @@
+//! No two files of a crate need each other.
+//!
+//! A file that imports another, which in turn needs the first, can only be understood and changed
+//! together with it. Found by parsing all sources of the workspace: an edge is a path that begins
+//! with `crate::` and names another file of the same crate.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::{Path, PathBuf},
+};
+
+use syn::{UseTree, visit::Visit};
+
+/// Paths into its own crate that a file names, as segments after `crate`.
+#[derive(Default)]
+struct Paths(Vec<Vec<String>>);
+
+impl Paths {
+    fn follow(&mut self, tree: &UseTree, mut so_far: Vec<String>) {
+        match tree {
+            UseTree::Path(path) => {
+                so_far.push(path.ident.to_string());
+                self.follow(&path.tree, so_far);
+            }
+            UseTree::Name(name) => {
+                so_far.push(name.ident.to_string());
+                self.0.push(so_far);
+            }
+            UseTree::Rename(rename) => {
+                so_far.push(rename.ident.to_string());
+                self.0.push(so_far);
+            }
+            UseTree::Glob(_) => self.0.push(so_far),
+            UseTree::Group(group) => {
+                group.items.iter().for_each(|item| self.follow(item, so_far.clone()));
+            }
+        }
+    }
+}
+
+impl Visit<'_> for Paths {
+    fn visit_use_tree(&mut self, tree: &UseTree) {
+        match tree {
+            UseTree::Path(path) if path.ident == "crate" => self.follow(&path.tree, Vec::new()),
+            _ => {}
+        }
+    }
+
+    fn visit_path(&mut self, path: &syn::Path) {
+        let names = path.segments.iter().map(|segment| segment.ident.to_string());
+        let names: Vec<String> = names.collect();
+        if names.first().is_some_and(|first| first == "crate") {
+            self.0.push(names[1..].to_vec());
+        }
+        syn::visit::visit_path(self, path);
+    }
+}
+
+/// Files by module path, such as `["witness"]`, below a folder of sources.
+fn modules(folder: &Path, module: &[String], found: &mut BTreeMap<Vec<String>, PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder of sources is readable") {
+        let path = entry.expect("an entry of a folder is readable").path();
+        let stem = path.file_stem().expect("files have names").to_string_lossy().to_string();
+        let mut name = module.to_vec();
+        match path.extension() {
+            None => {
+                name.push(stem);
+                modules(&path, &name, found);
+            }
+            Some(kind) if kind == "rs" && stem != "lib" && stem != "main" => {
+                if stem != "mod" {
+                    name.push(stem);
+                }
+                found.insert(name, path);
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+type Edges = BTreeMap<Vec<String>, BTreeSet<Vec<String>>>;
+
+/// Which files of a crate need which.
+fn edges(sources: &Path) -> Edges {
+    let mut files = BTreeMap::new();
+    modules(sources, &[], &mut files);
+    let needs = |module: &Vec<String>, path: &PathBuf| {
+        let text = fs::read_to_string(path).expect("a source is readable");
+        let mut paths = Paths::default();
+        paths.visit_file(&syn::parse_file(&text).expect("a source that compiles parses"));
+        let targets = paths.0.into_iter().filter_map(|path| {
+            let prefixes = (1..=path.len()).rev().map(|length| path[..length].to_vec());
+            prefixes.into_iter().find(|prefix| files.contains_key(prefix))
+        });
+        targets.filter(|target| target != module).collect()
+    };
+    files.iter().map(|(module, path)| (module.clone(), needs(module, path))).collect()
+}
+
+/// Files that can be reached from one.
+fn reach(edges: &Edges, from: &Vec<String>) -> BTreeSet<Vec<String>> {
+    let mut seen = BTreeSet::new();
+    let mut open = vec![from];
+    while let Some(module) = open.pop() {
+        for next in &edges[module] {
+            if seen.insert(next.clone()) {
+                open.push(next);
+            }
+        }
+    }
+    seen
+}
+
+fn circle(edges: &Edges) -> Vec<String> {
+    let in_circle = edges.keys().filter(|module| reach(edges, module).contains(*module));
+    in_circle.map(|module| module.join("::")).collect()
+}
+
+#[test]
+fn no_files_of_a_crate_need_each_other() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let crates = fs::read_dir(root.join("crates")).expect("the workspace has crates");
+    let mut folders: Vec<PathBuf> = crates.map(|entry| entry.unwrap().path()).collect();
+    folders.push(root.join("platform"));
+    let mut circles = Vec::new();
+    for folder in &folders {
+        let found = circle(&edges(&folder.join("src")));
+        if !found.is_empty() {
+            circles.push(format!("{}: {}", folder.display(), found.join(", ")));
+        }
+    }
+    assert!(folders.len() > 10 && circles.is_empty(), "files that need each other: {circles:#?}");
+}
+
+#[test]
+fn a_circle_is_found() {
+    let module = |name: &str| vec![name.to_owned()];
+    let needs = |names: &[&str]| names.iter().map(|name| module(name)).collect();
+    let edges = Edges::from([
+        (module("a"), needs(&["b"])),
+        (module("b"), needs(&["c"])),
+        (module("c"), needs(&["a"])),
+        (module("d"), needs(&["a"])),
+    ]);
+    assert_eq!(circle(&edges), ["a", "b", "c"]);
+}
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -11,7 +11,7 @@
 use tokio::{sync::watch, time::Instant};
 use wire::{Draw, Drawn, Frame, Message};
 
-use crate::{bills::Bills, endpoints::Endpoints, funds::Funds, peers::Peers, witness::Taken};
+use crate::{bills::Bills, endpoints::Endpoints, funds::Funds, peers::Peers, records::Taken};
 
 /// Longest wait of a box that asks for tokens, while this one frees some that it promised to keep:
 /// half of the time after which that box asks the next ones.
--- a/crates/gateway/src/funds.rs
+++ b/crates/gateway/src/funds.rs
@@ -21,7 +21,7 @@
     time::Instant,
 };
 
-use crate::{purse::Purse, table::Table};
+use crate::{ends::Ends, purse::Purse, table::Table};
 
 /// Longest wait for the witness to take a promise that frees tokens: many times the way there and
 /// back between availability zones, with room for a box that is busy.
@@ -58,17 +58,6 @@
     }
 }
 
-/// Whether a box goes on drawing from the book.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ends {
-    /// It does.
-    Not,
-    /// It gives back what it can: another box keeps tokens now.
-    Retires,
-    /// It ends by plan.
-    Leaves,
-}
-
 /// What a box holds of one budget.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Balance {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,10 +27,10 @@
 use wire::{Draw, Drawn, Frame, Message, Peer, Sheet};
 
 use crate::{
+    entry::Entry,
     funds::{Funds, Hold},
     order::{Place, order},
-    roster::Entry,
-    witness::Records,
+    records::Records,
 };
 
 /// Time after which the next boxes are asked: many times the way there and back between
--- a/crates/gateway/src/purse.rs
+++ b/crates/gateway/src/purse.rs
@@ -14,8 +14,8 @@
 };
 use tokio::time::Instant;
 
+use crate::ends::Ends;
 use crate::{
-    funds::Ends,
     rate::Rate,
     shares::{Loans, Passed},
 };
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,16 +5,15 @@
 //! list that is old costs a question to a box that is gone. A later life of a box that answers in
 //! place of an earlier one is news that needs no read at all.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::time::Duration;
 
 use ledger::Incarnation;
 use objects::{Expect, Object, Store};
 use platform::store::{Client, Put};
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::{
-    order::Place,
+    entry::Entry,
     outage::{Contact, Outage, Probe},
     peers::Peers,
 };
@@ -29,27 +28,6 @@
 /// Time between two reads: as long as copies may be old. With 80 boxes, 20 cheap reads a second.
 const EVERY: Duration = Duration::from_secs(4);
 
-/// Where a box is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// This life of the box.
-    pub incarnation: Incarnation,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// Where other boxes ask it.
-    pub peer: SocketAddr,
-    /// What it can carry.
-    pub strength: u64,
-}
-
-impl Entry {
-    /// What the choice of keepers needs.
-    pub fn place(&self) -> Place {
-        let Entry { incarnation, zone, strength, .. } = self;
-        Place { name: incarnation.clone(), zone: zone.clone(), strength: *strength }
-    }
-}
-
 /// How new a list has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Freshness {
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -14,7 +14,8 @@
 use crate::{
     bills::Bills,
     draws::Draws,
-    funds::{Ends, Funds},
+    ends::Ends,
+    funds::Funds,
     outage::{Contact, Outage, Probe},
     peers::Peers,
     roster,
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -1,16 +1,12 @@
 //! What boxes promise each other to keep untouched, so that little is lost with one that dies.
 //!
-//! [`Records`] is the witness's side. [`Naming`] is the choice of this box's own witness, which
+//! The witness's side is in `records`. [`Naming`] is the choice of this box's own witness, which
 //! counts once the book says so, and [`Keeper`] tells that one what this box keeps. While neither
 //! the store nor the witness answers, what was promised last stays untouched.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use ledger::{Incarnation, Promise, Witness};
+use ledger::{Promise, Witness};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
@@ -26,73 +22,6 @@
 /// Number of the promise before a planned stop: none comes after it.
 const LAST: u64 = u64::MAX;
 
-/// What other boxes promised this one.
-#[derive(Debug, Clone, Default)]
-pub struct Records(Arc<Mutex<Kept>>);
-
-#[derive(Debug, Default)]
-struct Kept {
-    records: HashMap<Incarnation, Record>,
-    /// Nothing is taken any more, and nothing known.
-    closed: bool,
-}
-
-#[derive(Debug)]
-struct Record {
-    promise: Promise,
-    /// The box died: nothing newer is taken.
-    sealed: bool,
-}
-
-/// What became of a promise.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Taken {
-    /// It counts now.
-    Newest,
-    /// A newer one counts, or the box that promised counts as dead.
-    Not,
-    /// This box is no witness any more: no promise counts.
-    Closed,
-}
-
-impl Records {
-    /// Takes a promise.
-    pub fn take(&self, holder: &Incarnation, promise: Promise) -> Taken {
-        let mut kept = self.0.lock();
-        let is_newer = kept.records.get(holder).is_none_or(|known| {
-            let (old, new) = (&known.promise, &promise);
-            !known.sealed && (new.term, new.number) > (old.term, old.number)
-        });
-        match is_newer {
-            _ if kept.closed => Taken::Closed,
-            false => Taken::Not,
-            true => {
-                kept.records.insert(holder.clone(), Record { promise, sealed: false });
-                Taken::Newest
-            }
-        }
-    }
-
-    /// What a box that died had promised last under a naming. Nothing newer is taken from then on.
-    pub fn seal(&self, holder: &Incarnation, term: u64) -> Option<BTreeMap<Arc<str>, u64>> {
-        let mut kept = self.0.lock();
-        let record = kept.records.get_mut(holder)?;
-        record.sealed = true;
-        (record.promise.term == term).then(|| record.promise.tokens.clone())
-    }
-
-    /// Forgets lives of boxes that are not listed any more.
-    pub fn retain(&self, stands: impl Fn(&Incarnation) -> bool) {
-        self.0.lock().records.retain(|name, _| stands(name));
-    }
-
-    /// Forgets everything for good.
-    pub fn close(&self) {
-        let mut kept = self.0.lock();
-        (kept.closed, kept.records) = (true, HashMap::new());
-    }
-}
-
 /// The choice of this box's witness.
 #[derive(Debug, Clone)]
 pub struct Naming {
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -2,10 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::Accepted;
 use ledger::Incarnation;
 use objects::{Expect, Store};
-use resource::Kind;
 use wire::{Answer, Frame, Message, Question, Told, Value};
 
 use crate::{follow::put_in_force, shared::Shared};
@@ -197,25 +195,6 @@
     }
 }
 
-/// Accepted objects as they came, for peers that are cut off from the platform.
-#[derive(Debug, Default)]
-pub struct Texts(std::collections::BTreeMap<(Kind, Arc<str>), (u64, Arc<str>)>);
-
-impl Texts {
-    /// Keeps the text of an accepted object, if it is newer.
-    pub fn keep(&mut self, accepted: &Accepted, text: &str) {
-        let id = (accepted.kind, accepted.name.clone());
-        let older = self.0.get(&id).is_none_or(|(source, _)| *source < accepted.source);
-        if older {
-            self.0.insert(id, (accepted.source, text.into()));
-        }
-    }
-
-    fn texts(&self) -> Vec<Arc<str>> {
-        self.0.values().map(|(_, text)| text.clone()).collect()
-    }
-}
-
 /// Hands in what is carried for boxes that are gone, once the platform answers.
 pub async fn hand_in(shared: Arc<Shared>) {
     let every = Duration::from_millis(shared.settings.money.seal_after_ms);
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -13,7 +13,8 @@
 use crate::{
     call::{Call, Payload},
     chat::Chat,
-    drive::{SOON, drive},
+    drive::drive,
+    flight::SOON,
     outcome::{Reason, Refusal},
     render,
     requests::{Entered, Follower, Progress},
@@ -324,7 +325,7 @@
         let shared = &self.0;
         let text = match request.uri().path() {
             "/metrics" => {
-                crate::metrics::refresh(shared);
+                crate::scrape::refresh(shared);
                 shared.metrics.render()
             }
             "/health/live" => "live\n".to_owned(),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     call::Call,
-    drive::{Flight, no_endpoint},
+    flight::{Flight, no_endpoint},
     outcome::{Reason, Unknown},
     requests::Progress,
     shared::Shared,
--- a/crates/router/src/drive.rs
+++ b/crates/router/src/drive.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use balance::Failure as EndpointFailure;
 use claim::Claim;
 use ledger::{Part, Record};
 use session::{Denied, Hold};
@@ -10,59 +9,24 @@
 use wire::There;
 
 use crate::{
+    answer::Answer,
     call::{Call, Payload},
-    claims::{self, Held, Miss},
+    claims::{self, Miss},
     endpoints::Target,
-    lanes,
+    flight::{Flight, SOON, Secured, no_endpoint},
     metrics::Finished,
     outcome::{Reason, Refusal, Unknown},
     relay,
-    requests::{Answer, Driver, Progress},
+    requests::{Driver, Progress},
     service,
     shared::Shared,
     tickets::Kind,
+    turn,
 };
 
-/// When to come back after a refusal that a moment may cure.
-pub const SOON: Duration = Duration::from_secs(1);
-
 /// Wait before asking again for a run that another box is about to start.
 const WAIT_SOON: Duration = Duration::from_millis(20);
 
-/// Everything a call needs to be dispatched.
-pub struct Secured {
-    /// Tokens held and, online, the intent landed.
-    pub hold: Hold,
-    /// The claim, if the call may not run twice.
-    pub claim: Option<Held>,
-}
-
-/// A request counted at an endpoint until it is dropped.
-pub struct Flight {
-    shared: Arc<Shared>,
-    pool: Arc<str>,
-    /// Where it goes.
-    pub target: Target,
-    /// How it went wrong, if it did.
-    pub failure: Option<EndpointFailure>,
-}
-
-impl Flight {
-    /// Chooses an endpoint other than those tried.
-    pub fn start(shared: &Arc<Shared>, call: &Call, tried: &[Arc<str>]) -> Option<Flight> {
-        let pool = call.route.pool.clone();
-        let target = shared.endpoints.start(&pool, &call.prefix, tried, shared.now())?;
-        Some(Flight { shared: shared.clone(), pool, target, failure: None })
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        self.shared.endpoints.end(&self.pool, &self.target.name, self.failure, now);
-    }
-}
-
 /// Drives a call to its end and tells its followers.
 pub async fn drive(shared: Arc<Shared>, call: Call, driver: Driver) {
     shared.metrics.under_way.inc();
@@ -77,7 +41,7 @@
     if let Some(progress) = elsewhere(shared, call, driver).await {
         return progress;
     }
-    let _permit = match lanes::enter(shared, call).await {
+    let _permit = match turn::enter(shared, call).await {
         Ok(permit) => permit,
         Err(refusal) => return Progress::Refused(refusal),
     };
@@ -110,11 +74,6 @@
     }
 }
 
-/// The refusal when no endpoint can take a call.
-pub fn no_endpoint() -> Refusal {
-    Reason::NoEndpoint.after("no endpoint can take the request", SOON)
-}
-
 async fn secure(shared: &Arc<Shared>, call: &Call, target: &Target) -> Result<Secured, Progress> {
     if call.route.repeatable {
         let hold = hold(shared, call, target).await.map_err(Progress::Refused)?;
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! All endpoints of all pools, as this box sees them.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc};
 
 use admit::Capacity;
 use balance::{Failure, Pool, Prefix, Report, Snapshot, Weights};
@@ -10,9 +10,6 @@
 use rand_chacha::ChaCha8Rng;
 use resource::Serves;
 use serde::Deserialize;
-use timeline::What;
-
-use crate::shared::Shared;
 
 /// Requests at once of an endpoint that does not say how many it takes.
 const SLOTS_UNKNOWN: f64 = 1_000.0;
@@ -60,8 +57,9 @@
     pub address: Arc<str>,
 }
 
+/// What an engine says of itself.
 #[derive(Deserialize)]
-struct Load {
+pub struct Load {
     running: u32,
     waiting: u32,
     slots: u32,
@@ -186,7 +184,8 @@
         found.into_iter().map(|(_, address)| address).collect()
     }
 
-    fn models(&self) -> Vec<Target> {
+    /// The model endpoints.
+    pub fn models(&self) -> Vec<Target> {
         let state = self.state.lock();
         let models = state.places.iter().filter(|(_, place)| place.model);
         models
@@ -194,7 +193,8 @@
             .collect()
     }
 
-    fn report(&self, endpoint: &Arc<str>, load: &Load, now: u64) -> Vec<Arc<str>> {
+    /// Takes over what an engine says; returns endpoints that are leaving since.
+    pub fn report(&self, endpoint: &Arc<str>, load: &Load, now: u64) -> Vec<Arc<str>> {
         let mut state = self.state.lock();
         let State { pools, places, .. } = &mut *state;
         let Some(place) = places.get_mut(endpoint) else { return Vec::new() };
@@ -223,49 +223,3 @@
         fresh
     }
 }
-
-/// Asks all engines for their load, for as long as the router runs.
-pub async fn poll_reports(shared: Arc<Shared>) {
-    let every = Duration::from_millis(shared.settings.money.report_ms);
-    loop {
-        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
-        let asked = shared.endpoints.models().into_iter().map(|target| ask(&shared, target));
-        let left = futures_util::future::join_all(asked).await;
-        note_leaving(&shared, left.into_iter().flatten());
-    }
-}
-
-async fn ask(shared: &Shared, target: Target) -> Vec<Arc<str>> {
-    let url = format!("http://{}/load", target.address);
-    let limit = Duration::from_millis(shared.settings.limits.connect_ms);
-    let sent = shared.http.get(url).timeout(limit).send().await;
-    let Ok(answer) = sent.and_then(reqwest::Response::error_for_status) else {
-        return Vec::new();
-    };
-    match answer.json::<Load>().await {
-        Ok(load) => shared.endpoints.report(&target.name, &load, shared.now()),
-        Err(_) => Vec::new(),
-    }
-}
-
-/// Reads the platform's list of boxes, for as long as the router runs.
-pub async fn poll_hosts(shared: Arc<Shared>) {
-    let every = Duration::from_millis(shared.settings.money.beat_ms);
-    loop {
-        tokio::time::sleep(every / 2 + shared.jitter(every)).await;
-        if !shared.health.is_up() {
-            continue;
-        }
-        match shared.store.hosts().await {
-            Ok(hosts) => note_leaving(&shared, shared.endpoints.hosts(&hosts)),
-            Err(_) => shared.health.failed(),
-        }
-    }
-}
-
-/// Notes endpoints that are leaving on the time line.
-pub fn note_leaving(shared: &Shared, endpoints: impl IntoIterator<Item = Arc<str>>) {
-    for endpoint in endpoints {
-        shared.log.add(What::Leaving { endpoint });
-    }
-}
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use timeline::What;
 
-use crate::{endpoints::note_leaving, shared::Shared};
+use crate::{reports::note_leaving, shared::Shared};
 
 /// How long the next box in line waits before it does what the home should have done.
 const NEXT_IN_LINE: Duration = Duration::from_millis(700);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`http`](self) reads it, `requests` joins retries, `drive` takes it through claim, money and
 //! dispatch, `relay` passes the answer on, and a `transcript` keeps it for whoever asks again.
 
+mod answer;
 mod answers;
 mod api;
 mod call;
@@ -12,6 +13,7 @@
 mod dispatch;
 mod drive;
 mod endpoints;
+mod flight;
 mod follow;
 mod keeper;
 mod lanes;
@@ -22,16 +24,20 @@
 mod relay;
 mod relayed;
 mod render;
+mod reports;
 mod requests;
 mod router;
 mod runs;
+mod scrape;
 mod sealer;
 mod service;
 mod settings;
 mod shared;
 mod sse;
+mod texts;
 mod tickets;
 mod transcript;
+mod turn;
 
 pub use outcome::{Reason, Refusal, Unknown};
 pub use router::{Error, Router};
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,13 +12,14 @@
 use wire::Place;
 
 use crate::{
+    answer::Answer,
     call::{Call, Payload},
     chat,
     dispatch::{Sent, dispatch, send},
-    drive::{Flight, Secured},
+    flight::{Flight, Secured},
     metrics::Stage,
     outcome::Unknown,
-    requests::{Answer, Driver, Progress},
+    requests::{Driver, Progress},
     runs::{ask_until_ended, cancel},
     shared::Shared,
     sse::{self, Event, Scanner},
--- a/crates/router/src/render.rs
+++ b/crates/router/src/render.rs
@@ -5,8 +5,8 @@
 use serde_json::json;
 
 use crate::{
+    answer::Answer,
     outcome::{Refusal, Unknown},
-    requests::Answer,
 };
 
 /// Header that tells the outcome: `answered`, `not-run` or `unknown`.
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -6,26 +6,15 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
+    answer::Answer,
     outcome::{Refusal, Unknown},
     transcript::Transcript,
 };
 
-/// A whole answer that is not a stream.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers passed on.
-    pub headers: http::HeaderMap,
-    /// Body.
-    pub body: Bytes,
-}
-
 /// How far a request has come, as its callers see it.
 #[derive(Debug, Clone)]
 pub enum Progress {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -12,7 +12,7 @@
 use crate::{
     answers::{self, Desk},
     api::{Callers, Operators},
-    endpoints, follow, keeper, sealer,
+    follow, keeper, reports, sealer,
     settings::Settings,
     shared::Shared,
 };
@@ -175,8 +175,8 @@
         tokio::spawn(keeper::fold(shared.clone())),
         tokio::spawn(keeper::renew(shared.clone())),
         tokio::spawn(sealer::wind_up(shared.clone())),
-        tokio::spawn(endpoints::poll_reports(shared.clone())),
-        tokio::spawn(endpoints::poll_hosts(shared.clone())),
+        tokio::spawn(reports::poll_reports(shared.clone())),
+        tokio::spawn(reports::poll_hosts(shared.clone())),
         tokio::spawn(answers::exchange(shared.clone())),
         tokio::spawn(answers::hand_in(shared.clone())),
         tokio::spawn(probe_direct(shared.clone())),
--- a/crates/router/src/runs.rs
+++ b/crates/router/src/runs.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use session::Hold;
 
-use crate::{drive::Flight, shared::Shared};
+use crate::{flight::Flight, shared::Shared};
 
 /// First wait between questions for how a run ended.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/router/src/scrape.rs
@@ -0,0 +1,14 @@
+//! Figures that are kept elsewhere, taken over when a scraper comes.
+
+use crate::{metrics::Purpose, shared::Shared};
+
+/// Takes over figures that are kept elsewhere.
+pub fn refresh(shared: &Shared) {
+    let metrics = &shared.metrics;
+    metrics.platform_up.set(i64::from(shared.health.is_up()));
+    for ((operation, kind), count) in shared.calls.snapshot() {
+        let operation = format!("{operation:?}").to_lowercase();
+        let purpose = Purpose { operation, kind: kind.to_string() };
+        metrics.platform.get_or_create(&purpose).set(count.calls as i64);
+    }
+}
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -9,11 +9,12 @@
 use timeline::What;
 
 use crate::{
+    answer::Answer,
     call::{Call, Payload},
     dispatch::{Sent, dispatch},
-    drive::{Flight, Secured},
+    flight::{Flight, Secured},
     outcome::Unknown,
-    requests::{Answer, Progress},
+    requests::Progress,
     runs::rule,
     shared::Shared,
 };
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -20,8 +20,8 @@
 use wire::{Frame, Place, There};
 
 use crate::{
-    answers::Texts, endpoints::Endpoints, lanes::Lanes, metrics::Metrics, peers::Peers,
-    places::Places, relayed::Relayed, requests::Requests, settings::Settings, tickets::Tickets,
+    endpoints::Endpoints, lanes::Lanes, metrics::Metrics, peers::Peers, places::Places,
+    relayed::Relayed, requests::Requests, settings::Settings, texts::Texts, tickets::Tickets,
 };
 
 /// Where questions to peers leave from, if the box takes none itself.
