A few boxes look at the store, all others hear from them

A home for each 50 boxes, two at least, by rendezvous hashing among strong boxes; the others keep one question open to one, answered with news or after 0.5 s. Versions of the store order everything, so any source may be heard at any moment. Homes look each 0.4 s, at a tenth of the price, whether the store answers them, and say so when it does not. Who hears no home asks those that stand by, then looks itself. follow, directory and outage moved into the new room.

Tests: tests/news.rs (pure; 800 random orders of store, homes and a listener) found that an entry that went must carry the version of its absence: both failing orders are kept. loopback/news.rs: 40 boxes over a counting store, calm, away and back; homes dead, all homes dead, homes alone cut off; a leaving endpoint.

Ruled out: homes in each availability zone (all boxes of a small fleet), gossip, old copies.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -11,7 +11,10 @@
 use tokio::{sync::watch, time::Instant};
 use wire::{Draw, Drawn, Frame, Message};
 
-use crate::{bills::Bills, endpoints::Endpoints, funds::Funds, peers::Peers, records::Taken};
+use crate::{
+    bills::Bills, endpoints::Endpoints, funds::Funds, news::view::View, peers::Peers,
+    records::Taken,
+};
 
 /// Longest wait of a box that asks for tokens, while this one frees some that it promised to keep:
 /// half of the time after which that box asks the next ones.
@@ -27,6 +30,7 @@
     peers: Peers,
     endpoints: Arc<Endpoints>,
     bills: Bills,
+    view: View,
     stopping: watch::Receiver<bool>,
 }
 
@@ -38,9 +42,10 @@
         peers: Peers,
         endpoints: Arc<Endpoints>,
         bills: Bills,
+        view: View,
         stopping: watch::Receiver<bool>,
     ) -> Desk {
-        Desk { me, funds, peers, endpoints, bills, stopping }
+        Desk { me, funds, peers, endpoints, bills, view, stopping }
     }
 
     /// Takes over what another box tells, and passes on what it needs.
@@ -149,6 +154,16 @@
                 self.bills.carry(pages);
                 Frame::Done
             }
+            Frame::Listen(_) if *self.stopping.borrow() => {
+                Frame::Refused { reason: "this box is about to stop itself".into() }
+            }
+            Frame::Listen(listen) if listen.teller != self.me => {
+                Frame::Refused { reason: "another life of this box is meant".into() }
+            }
+            Frame::Listen(listen) => match self.view.news(&listen).await {
+                Some(news) => Frame::News(news),
+                None => Frame::Refused { reason: "this box does not look at the store yet".into() },
+            },
             Frame::Draw(draw) => self.draw(&question.from, draw).await,
             Frame::Seal { holder, term } => self.seal(&question.from, &holder, term),
             _ => Frame::Refused { reason: "no question that boxes ask each other".into() },
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,7 +13,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
-use crate::directory::Directory;
+use crate::news::directory::Directory;
 
 /// Tokens of prompt that weigh as much as one request under way. An engine of the deployments
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,6 +7,9 @@
 
 use crate::order::Place;
 
+/// Kind of the objects, named by box.
+pub const BOXES: &str = "boxes";
+
 /// Where a box is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     bills::Bills, draws::Draws, endpoints::Endpoints, funds::Funds, link::Link, metrics::Metrics,
-    peers::Peers, retries::Retries, serve::Bounds, settings::Settings, table::Table,
+    news::view::View, peers::Peers, retries::Retries, serve::Bounds, settings::Settings,
+    table::Table,
 };
 
 /// All that the way of a request needs.
@@ -30,6 +31,8 @@
     pub bills: Bills,
     pub retries: Mutex<Retries>,
     pub metrics: Metrics,
+    /// What this box knows of what the store holds.
+    pub view: View,
     /// Bytes of request bodies that may still be held.
     pub bodies: Arc<Semaphore>,
     pub stopping: watch::Receiver<bool>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,13 +28,17 @@
     draws::Draws,
     endpoints::Endpoints,
     entry::Entry,
-    follow::{self, EndpointFollower},
     funds::{Balance, Funds},
     gate::Gate,
     link::Link,
     metrics::{Budget, Metrics, Purpose},
+    news::{
+        listen::Listener,
+        look,
+        outage::Contact,
+        view::{Uses, View},
+    },
     order::Place,
-    outage::Contact,
     peers::Peers,
     roster::Roster,
     serve::{self, Bounds},
@@ -129,6 +133,7 @@
         let store = Client::open(settings.store());
         let calls = store.calls();
         let metrics = Metrics::open();
+        let contact = Contact::open();
         let (in_force, table) = watch::channel(None);
         let (stopping, stops) = watch::channel(false);
         let (closing, closes) = watch::channel(false);
@@ -144,12 +149,21 @@
         let peers = Peers::open(place, settings.listen.peers, random.random());
         let (in_force_settings, read_settings) = watch::channel(Arc::new(settings.clone()));
         let draws = Draws::new(funds.clone(), peers.clone(), read_settings.clone());
+        let view = View::open(Uses {
+            in_force,
+            funds: funds.clone(),
+            endpoints: endpoints.clone(),
+            links: links.clone(),
+            peers: peers.clone(),
+            contact: contact.clone(),
+        });
         let desk = Desk::new(
             incarnation.clone(),
             funds.clone(),
             peers.clone(),
             endpoints.clone(),
             bills.clone(),
+            view.clone(),
             stops.clone(),
         );
         let lender = bind_lender(settings.listen.peers, desk, &peers).await?;
@@ -164,6 +178,7 @@
             link: Arc::new(Link::new(settings.machine.link_mbps)),
             retries: Mutex::default(),
             metrics: metrics.clone(),
+            view: view.clone(),
             bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
             stopping: stops,
             started: Instant::now(),
@@ -174,7 +189,6 @@
         let [callers, ready, operators] = sockets.addresses();
         let tasks = TaskTracker::new();
         let (leaving, leaves) = watch::channel(None);
-        let contact = Contact::open();
         let roster = peers.address().map(|peer| {
             let me = Entry {
                 incarnation: incarnation.clone(),
@@ -182,7 +196,7 @@
                 peer,
                 strength: settings.machine.strength(),
             };
-            Roster::new(store.clone(), me, peers.clone(), contact.clone())
+            Roster::new(store.clone(), me, peers.clone(), view.clone(), contact.clone())
         });
         let registered =
             roster.as_ref().map_or_else(|| watch::channel(None).1, |roster| roster.written());
@@ -194,15 +208,16 @@
             peers,
             naming,
             draws: draws.clone(),
-            registered,
+            registered: registered.clone(),
             bills,
             holder: incarnation.clone(),
             settings: read_settings,
         };
         let settler = Settler::new(setup, contact.clone());
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
-        let follower =
-            EndpointFollower::new(store.clone(), endpoints, links, lapse, contact.clone());
+        let name = settings.box_name.clone();
+        let looks = look::Setup { store: store.clone(), view, contact, name, lapse };
+        let listener = Listener::new(gate.peers.clone(), looks, registered, random.random());
         let (serving, bounding) = (gate.clone(), gate.clone());
         let accepting = tokio::spawn(serve::accept(
             sockets.callers,
@@ -232,8 +247,7 @@
             answer_metrics(gate.clone(), calls.clone()),
         );
         let mut loops = vec![
-            tokio::spawn(follow::follow_config(store, Arc::new(in_force), funds, contact)),
-            tokio::spawn(follower.run()),
+            tokio::spawn(listener.run()),
             tokio::spawn(keeper.run()),
             tokio::spawn(draws.run()),
             tokio::spawn(for_balancer),
@@ -411,6 +425,9 @@
         }
         let dropped = gate.dropped_lines.lock().as_ref().map_or(0, |count| count());
         metrics.dropped_lines.set(dropped as i64);
+        let standing = gate.view.standing();
+        metrics.looks.set(i64::from(standing.looks));
+        metrics.news_age.set(standing.age.map_or(-1, |age| age.as_millis() as i64));
         metrics.connections.set(gate.links.opened() as i64);
         std::future::ready(page(StatusCode::OK, metrics.text()))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Gateway::spawn`] starts one, [`Gateway::stop`] is the planned stop. The way of a request is
 //! `handle`: `admit` finds its route and customer (`table`) and holds its worst case in tokens
 //! (`funds`), `dispatch` chooses an endpoint (`endpoints`) and sends, `relay` passes the answer on
-//! and `trip` settles. Beside it, `follow` keeps the configuration and the list of endpoints, and
+//! and `trip` settles. Beside it, `news` keeps the configuration, the list of endpoints and that of boxes, and
 //! `settle` the box's part of all budgets and its `bills`, each from the platform's store. `peers`
 //! asks other boxes, `desk` answers them, and `witness` promises one of them what stays untouched.
 //! Nothing is kept on the box.
@@ -11,13 +11,11 @@
 mod admit;
 mod bills;
 mod desk;
-mod directory;
 mod dispatch;
 mod draws;
 mod endpoints;
 mod ends;
 mod entry;
-mod follow;
 mod funds;
 mod gate;
 mod gateway;
@@ -25,8 +23,8 @@
 mod link;
 mod meter;
 mod metrics;
+mod news;
 mod order;
-mod outage;
 mod peers;
 mod purse;
 mod rate;
@@ -45,14 +43,18 @@
 
 pub use bills::Bills;
 pub use desk::Desk;
-pub use directory::Directory;
 pub use ends::Ends;
 pub use funds::{Balance, Funds, Hold, Lack};
 pub use gateway::{Error, Gateway};
 pub use link::Link;
 pub use meter::Meter;
+pub use news::{
+    directory::Directory,
+    homes::{Homes, homes},
+    outage::{Contact, Outage, Probe},
+    shelf::Shelf,
+};
 pub use order::{Place, order};
-pub use outage::{Contact, Outage, Probe};
 pub use peers::Peers;
 pub use records::{Records, Taken};
 pub use refusal::{Reason, Refusal};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,10 @@
     pub kept: Family<Budget, Gauge>,
     /// Log lines dropped because the reader was too slow.
     pub dropped_lines: Gauge,
+    /// 1 while this box looks at the store itself.
+    pub looks: Gauge,
+    /// Milliseconds since the store, or a home that reaches it, was heard; -1 before that.
+    pub news_age: Gauge,
 }
 
 /// Bounds of the buckets for the first byte, in seconds: round the targets of the deployments.
@@ -84,6 +88,8 @@
             unspent: Family::default(),
             kept: Family::default(),
             dropped_lines: Gauge::default(),
+            looks: Gauge::default(),
+            news_age: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -118,6 +124,16 @@
             "Tokens paid and not known to be spent",
             self.unspent.clone(),
         );
+        registry.register(
+            "news_from_store",
+            "1 while this box looks at the store itself, 0 while it listens to another box",
+            self.looks.clone(),
+        );
+        registry.register(
+            "news_age_milliseconds",
+            "Time since the store, or a box that reaches it, was heard; -1 before that",
+            self.news_age.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped because the reader was too slow",
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/news/directory.rs
@@ -3,11 +3,20 @@
 //! An entry that goes while the store answers means that the endpoint left. Entries also lapse
 //! while the store is away, so what a list lacks shortly after its return is kept until the
 //! platform had time to put it back. What a watch reports afterwards did not lapse.
+//!
+//! Each incarnation of an endpoint has an id of its own. So an entry that went comes back only with a
+//! newer version, and what somebody tells late of an older one is not believed.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use platform::endpoint::{Entry, State};
 
+/// Entries that went, as far as they are remembered; a box tells what it knows within a second.
+const MOST_GONE: usize = 4_096;
+
 /// Endpoints by incarnation. Times are milliseconds of a monotonic clock.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -16,6 +25,10 @@
     lenient_until: u64,
     /// When the newest list was read.
     listed: Option<u64>,
+    /// Versions of the store at which entries that went were known to be gone.
+    gone: HashMap<Arc<str>, u64>,
+    /// Version of the store up to which all entries were seen.
+    at: u64,
 }
 
 #[derive(Debug)]
@@ -36,16 +49,17 @@
         }
     }
 
-    /// Takes over a whole list.
-    pub fn list(&mut self, entries: Vec<(Arc<str>, u64, Entry)>, now: u64) {
-        let listed: Vec<Arc<str>> = entries.iter().map(|(id, ..)| id.clone()).collect();
+    /// Takes over a whole list, as the store stood at version `at`.
+    pub fn list(&mut self, entries: Vec<(Arc<str>, u64, Entry)>, at: u64, now: u64) {
+        self.seen(at);
+        let listed: HashSet<Arc<str>> = entries.iter().map(|(id, ..)| id.clone()).collect();
         for (id, version, entry) in entries {
             self.set(id, version, entry);
         }
         let gone: Vec<Arc<str>> =
-            self.known.keys().filter(|id| !listed.contains(id)).cloned().collect();
+            self.known.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
-            self.miss(&id, now);
+            self.miss(&id, at, now);
         }
         self.listed = Some(now);
     }
@@ -53,22 +67,72 @@
     /// An entry was written.
     pub fn set(&mut self, id: Arc<str>, version: u64, entry: Entry) {
         let newer = self.known.get(&id).is_none_or(|known| known.version <= version);
-        if newer {
+        let went = self.gone.get(&id).is_some_and(|gone| version <= *gone);
+        if newer && !went {
+            self.gone.remove(&id);
             self.known.insert(id, Known { entry, version, missing: false });
         }
     }
 
+    /// Takes over all that another box knows, which has seen the store up to version `at`.
+    pub fn mirror(&mut self, entries: Vec<(Arc<str>, u64, Entry)>, at: u64) {
+        self.seen(at);
+        let told: HashSet<Arc<str>> = entries.iter().map(|(id, ..)| id.clone()).collect();
+        for (id, version, entry) in entries {
+            self.set(id, version, entry);
+        }
+        let is_gone = |(id, known): (&Arc<str>, &Known)| {
+            (known.version <= at && !told.contains(id)).then(|| id.clone())
+        };
+        for id in self.known.iter().filter_map(is_gone).collect::<Vec<_>>() {
+            self.remove(&id, at);
+        }
+    }
+
+    /// The version of an entry that is known.
+    pub fn version(&self, id: &str) -> Option<u64> {
+        self.known.get(id).map(|known| known.version)
+    }
+
     /// A list lacks an entry.
-    fn miss(&mut self, id: &str, now: u64) {
+    fn miss(&mut self, id: &str, at: u64, now: u64) {
         match self.known.get_mut(id) {
             Some(known) if now < self.lenient_until => known.missing = true,
-            _ => drop(self.known.remove(id)),
+            _ => self.remove(id, at),
         }
     }
 
-    /// A watch reported that an entry went.
-    pub fn remove(&mut self, id: &str) {
+    /// All entries were seen up to a version of the store.
+    pub fn seen(&mut self, at: u64) {
+        self.at = self.at.max(at);
+    }
+
+    /// Version of the store up to which all entries were seen.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// An entry is gone at version `at` of the store. What is known here may be newer: then it came back.
+    pub fn remove(&mut self, id: &str, at: u64) {
+        let known = self.known.get(id).map(|known| known.version);
+        if known.is_some_and(|version| version > at) {
+            return;
+        }
         self.known.remove(id);
+        self.note_gone(id.into(), at);
+    }
+
+    /// Version of the store at which an entry was known to be gone.
+    pub fn gone_at(&self, id: &str) -> Option<u64> {
+        self.gone.get(id).copied()
+    }
+
+    fn note_gone(&mut self, id: Arc<str>, version: u64) {
+        if self.gone.len() > MOST_GONE {
+            self.gone.clear();
+        }
+        let newest = self.gone.entry(id).or_default();
+        *newest = version.max(*newest);
     }
 
     /// Time until what is missing counts as gone; `None` if nothing is missing.
@@ -80,7 +144,10 @@
     pub fn sweep(&mut self, now: u64) -> bool {
         let before = self.known.len();
         if now >= self.lenient_until {
-            self.known.retain(|_, known| !known.missing);
+            let missing = self.known.iter().filter(|(_, known)| known.missing);
+            let missing: Vec<Arc<str>> = missing.map(|(id, _)| id.clone()).collect();
+            let at = self.at;
+            missing.iter().for_each(|id| self.remove(id, at));
         }
         self.known.len() < before
     }
--- /dev/null
+++ b/crates/gateway/src/news/homes.rs
@@ -0,0 +1,66 @@
+//! Which boxes look at the store for all others.
+//!
+//! One box for each [`SERVED`], two at least, so that the loss of one costs its listeners a question and
+//! no call of the store. Only boxes with at least half of what the strongest one can carry are chosen,
+//! by rendezvous hashing, with another word than for keepers of tokens: those have work enough. As many
+//! stand by: they begin to look once they are asked, which is when homes are silent.
+//!
+//! All boxes that know the same others choose the same homes. Where they know different ones, some more
+//! boxes look, which costs calls and nothing else.
+
+use std::{cmp::Reverse, sync::Arc};
+
+use ledger::Incarnation;
+
+use crate::order::Place;
+
+/// Boxes for which one home looks. Each of its listeners asks twice a second: 100 answers of 150 bytes
+/// are a hundredth of a narrow link.
+const SERVED: usize = 50;
+/// Homes at least.
+const LEAST: usize = 2;
+/// What boxes are hashed with.
+const WORD: &str = "news";
+
+/// Who looks, in the order in which one box asks them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Homes {
+    /// Boxes that look.
+    pub first: Vec<Incarnation>,
+    /// Boxes that look once they are asked.
+    pub standby: Vec<Incarnation>,
+}
+
+impl Homes {
+    /// Homes first, then those that stand by.
+    pub fn all(&self) -> impl Iterator<Item = &Incarnation> {
+        self.first.iter().chain(&self.standby)
+    }
+
+    /// Whether a box looks without being asked.
+    pub fn has(&self, name: &Incarnation) -> bool {
+        self.first.contains(name)
+    }
+}
+
+/// Chooses the homes of a fleet, as seen from one of its boxes.
+pub fn homes(me: &Place, others: &[Place]) -> Homes {
+    let fleet = || others.iter().chain([me]);
+    let strongest = fleet().map(|place| place.strength).max().unwrap_or_default();
+    let mut able: Vec<&Place> = fleet().filter(|place| place.strength * 2 >= strongest).collect();
+    able.sort_by_key(|place| (Reverse(member::weight(WORD, place.name.box_name())), &place.name));
+    let count = (others.len() + 1).div_ceil(SERVED).max(LEAST).min(able.len());
+    let standby = able.split_off(count);
+    let near = |mut places: Vec<&Place>| -> Vec<Incarnation> {
+        places.sort_by_key(|place| Reverse(nearness(me, place)));
+        places.into_iter().map(|place| place.name.clone()).collect()
+    };
+    Homes { first: near(able), standby: near(standby.into_iter().take(count).collect()) }
+}
+
+/// A home of the own availability zone is asked first; among others, each box has its own order, so
+/// that homes share the listeners.
+fn nearness(me: &Place, home: &Place) -> (bool, u64, Arc<str>) {
+    let name = home.name.box_name();
+    (home.zone == me.zone, member::weight(me.name.box_name(), name), name.into())
+}
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/news/outage.rs
@@ -19,8 +19,8 @@
 /// How soon a task looks for the store again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Probe {
-    /// It finds the store for all tasks of the box. What happened since the store's return cannot be
-    /// told from what happened before: with 1.2 s between two calls, an endpoint that left 0.5 s
+    /// It finds the store for all tasks of the box, and for boxes that listen to it. What happened since
+    /// the store's return cannot be told from what happened before: with 1.2 s between two calls, an endpoint that left 0.5 s
     /// after the return was taken for one whose entry had lapsed, and got work for 0.7 s too long.
     First,
     /// It waits for the first, and looks itself now and then.
@@ -66,7 +66,8 @@
         since.unwrap_or_else(Instant::now)
     }
 
-    fn tell(&self, lost_since: Instant) {
+    /// The store answers again, which it had not since `lost_since`.
+    pub fn tell(&self, lost_since: Instant) {
         let now = Instant::now();
         let before = self.0.at.lock().replace(now);
         if before.is_none_or(|before| now.saturating_duration_since(before) > FOUND) {
@@ -92,6 +93,16 @@
         Outage { what, contact, since: None, failures: 0, pause: PAUSE, probe }
     }
 
+    /// The dependency has not answered since then, as somebody else found.
+    pub fn lost_since(&mut self, since: Instant) {
+        self.since = Some(since);
+    }
+
+    /// Since when it has not answered, if it does not.
+    pub fn since(&self) -> Option<Instant> {
+        self.since
+    }
+
     /// A call failed.
     pub fn failed(&mut self, reason: &impl Display) {
         self.failures += 1;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,11 +24,12 @@
 use timeline::Stamp;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wire::{Draw, Drawn, Frame, Message, Peer, Sheet};
+use wire::{Draw, Drawn, Frame, Listen, Message, News, Peer, Sheet};
 
 use crate::{
     entry::Entry,
     funds::{Funds, Hold},
+    news::homes::{Homes, homes},
     order::{Place, order},
     records::Records,
 };
@@ -210,6 +211,29 @@
         keepers
     }
 
+    /// Whom this box listens to.
+    pub fn homes(&self) -> Homes {
+        let state = self.state.lock();
+        let others: Vec<Place> = state.known.values().map(|known| known.entry.place()).collect();
+        homes(&state.place, &others)
+    }
+
+    /// Whether a box that is known did not fail to answer lately.
+    pub fn is_awake(&self, name: &Incarnation) -> bool {
+        let state = self.state.lock();
+        state.known.get(name).is_some_and(|known| known.is_awake(Instant::now()))
+    }
+
+    /// Listens to a home once; `None` if it does not answer in time, or does not look at the store.
+    pub async fn listen(&self, listen: Listen, within: Duration) -> Option<News> {
+        let home = listen.teller.clone();
+        let peer = self.peer(&home)?;
+        match self.ask(&home, &peer, Frame::Listen(listen), within).await {
+            Heard::Frame(Frame::News(news)) => Some(news),
+            Heard::Frame(_) | Heard::Replaced | Heard::Nothing => None,
+        }
+    }
+
     /// Whether this box keeps tokens for its availability zone.
     pub fn am_keeper(&self) -> bool {
         self.keepers().first() == Some(&self.me)
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,47 +1,40 @@
 //! The boxes of the fleet, each of which keeps one object in the store that says where it is.
 //!
-//! A box writes its object once a start and reads those of all others, soon after the start and
-//! then from time to time, from copies of the store that may be old: reading those is cheap, and a
-//! list that is old costs a question to a box that is gone. A later life of a box that answers in
-//! place of an earlier one is news that needs no read at all.
+//! A box writes its object once a start and reads those of all others then, from copies of the store
+//! that may be old: reading those is cheap, and a list that is old costs a question to a box that is
+//! gone. From then on it hears of others with the rest of the news. A later life of a box that answers
+//! in place of an earlier one is news that needs no read at all.
 
 use std::time::Duration;
 
 use ledger::Incarnation;
-use objects::{Expect, Object, Store};
+use objects::{Expect, Store};
 use platform::store::{Client, Put};
 use tokio::sync::watch;
 
 use crate::{
-    entry::Entry,
-    outage::{Contact, Outage, Probe},
+    entry::{BOXES, Entry},
+    news::{
+        look,
+        outage::{Contact, Outage, Probe},
+        view::View,
+    },
     peers::Peers,
 };
 
-/// Kind of the objects, named by box.
-const BOXES: &str = "boxes";
 /// Time for which questions for a new list are gathered.
 const GATHER: Duration = Duration::from_millis(200);
-/// Time after the own entry was written until the list is read again: boxes that start together
-/// do so within 0.3 s.
+/// Time between two reads until a copy shows the own entry, and so those of boxes that started together.
 const TOGETHER: Duration = Duration::from_millis(700);
-/// Time between two reads: as long as copies may be old. With 80 boxes, 20 cheap reads a second.
-const EVERY: Duration = Duration::from_secs(4);
-
-/// How new a list has to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Freshness {
-    /// As the store has it.
-    Newest,
-    /// A copy, some seconds old at worst, at a tenth of the price.
-    Any,
-}
+/// Reads until then at most: copies are some seconds old at worst.
+const READS: usize = 8;
 
 /// Keeps the own entry and reads those of the others.
 pub struct Roster {
     store: Client,
     me: Entry,
     peers: Peers,
+    view: View,
     outage: Outage,
     /// Version of the own entry, once it is written and those of others were read.
     written: watch::Sender<Option<u64>>,
@@ -49,9 +42,9 @@
 
 impl Roster {
     /// Nothing is written or read yet.
-    pub fn new(store: Client, me: Entry, peers: Peers, contact: Contact) -> Roster {
+    pub fn new(store: Client, me: Entry, peers: Peers, view: View, contact: Contact) -> Roster {
         let outage = Outage::new("boxes", Probe::Later, contact);
-        Roster { store, me, peers, outage, written: watch::channel(None).0 }
+        Roster { store, me, peers, view, outage, written: watch::channel(None).0 }
     }
 
     /// The version of the own entry, by which it is removed.
@@ -59,20 +52,24 @@
         self.written.subscribe()
     }
 
-    /// Follows the boxes for as long as this one runs.
+    /// Makes the boxes known to each other, and reads again where something shows that what is known
+    /// is old, for as long as this one runs.
     pub async fn run(mut self) {
+        // Of those that run already, before the first request comes.
+        self.read().await;
         let version = self.register().await;
-        self.read(Freshness::Newest).await;
+        for _ in 0..READS {
+            if self.read().await.is_some_and(|at| at >= version) {
+                break;
+            }
+            tokio::time::sleep(TOGETHER).await;
+        }
         self.written.send_replace(Some(version));
-        tokio::time::sleep(TOGETHER).await;
-        self.read(Freshness::Newest).await;
         loop {
-            let asked = tokio::time::timeout(EVERY, self.peers.unknown()).await.is_ok();
-            if asked {
-                // One read answers all that is asked meanwhile.
-                tokio::time::sleep(GATHER).await;
-            }
-            self.read(Freshness::Any).await;
+            self.peers.unknown().await;
+            // One read answers all that is asked meanwhile.
+            tokio::time::sleep(GATHER).await;
+            self.read().await;
         }
     }
 
@@ -99,20 +96,18 @@
         }
     }
 
-    async fn read(&mut self, freshness: Freshness) {
-        let list = match freshness {
-            Freshness::Newest => self.store.all(BOXES).await,
-            Freshness::Any => self.store.all_maybe_old(BOXES).await,
-        };
-        match list {
+    /// Reads a copy; returns the version of the store that it shows.
+    async fn read(&mut self) -> Option<u64> {
+        match self.store.all_maybe_old(BOXES).await {
             Ok(list) => {
                 self.outage.answered();
-                let entries = list.objects.iter();
-                let entries =
-                    entries.filter_map(|object| Some((read_entry(object)?, object.version)));
-                self.peers.update(entries.collect(), list.version);
+                self.view.boxes_read(look::entries(&list.objects), list.version);
+                Some(list.version)
+            }
+            Err(error) => {
+                self.outage.failed(&error);
+                None
             }
-            Err(error) => self.outage.failed(&error),
         }
     }
 }
@@ -122,11 +117,3 @@
     let removed = store.delete(BOXES, me.box_name(), version).await;
     tracing::info!(event = "box_removed", outcome = ?removed);
 }
-
-fn read_entry(object: &Object) -> Option<Entry> {
-    let read = serde_json::from_str(&object.value);
-    read.inspect_err(|error| {
-        tracing::error!(event = "entry_unreadable", name = &*object.name, %error);
-    })
-    .ok()
-}
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -16,7 +16,7 @@
     draws::Draws,
     ends::Ends,
     funds::Funds,
-    outage::{Contact, Outage, Probe},
+    news::outage::{Contact, Outage, Probe},
     peers::Peers,
     roster,
     settings::{GATHER_MS, Settings},
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -69,22 +69,22 @@
 #[test]
 fn a_leaving_endpoint_gets_nothing_more() {
     let mut directory = Directory::default();
-    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 2, 0);
     assert_eq!(ready(&directory), ["a", "b"]);
     directory.set("a".into(), 3, entry("draining"));
     assert_eq!(ready(&directory), ["b"], "it said so");
     directory.set("a".into(), 1, entry("ready"));
     assert_eq!(ready(&directory), ["b"], "an older entry does not undo it");
-    directory.remove("b");
+    directory.remove("b", 99);
     assert!(ready(&directory).is_empty(), "its entry went");
 }
 
 #[test]
 fn entries_that_lapsed_with_the_store_have_time_to_come_back() {
     let mut directory = Directory::default();
-    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 2, 0);
     directory.returned(5_000, 12_000);
-    directory.list(vec![("a".into(), 9, entry("ready"))], 10_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 9, 10_000);
     assert_eq!(ready(&directory), ["a", "b"], "b may still come back");
     assert!(directory.keeps_missing());
     assert!(!directory.sweep(11_999));
@@ -92,7 +92,7 @@
     assert!(!directory.sweep(12_000), "it came back");
     assert_eq!(ready(&directory), ["a", "b"]);
     directory.returned(15_000, 20_000);
-    directory.list(vec![("a".into(), 9, entry("ready"))], 18_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 12, 18_000);
     assert!(!directory.sweep(19_999));
     assert!(directory.sweep(20_000), "it did not come back this time");
     assert_eq!(ready(&directory), ["a"]);
@@ -101,10 +101,14 @@
 #[test]
 fn an_entry_that_goes_after_the_return_of_the_store_did_not_lapse() {
     let mut directory = Directory::default();
-    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 2, 0);
     directory.returned(5_000, 12_000);
-    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 10_000);
-    directory.remove("b");
+    directory.list(
+        vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))],
+        0,
+        10_000,
+    );
+    directory.remove("b", 99);
     assert_eq!(ready(&directory), ["a"], "the store answers, so b left");
     assert!(!directory.keeps_missing());
 }
@@ -112,16 +116,16 @@
 #[test]
 fn an_outage_that_is_told_of_again_later_gives_no_more_time() {
     let mut directory = Directory::default();
-    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 0);
+    directory.list(vec![("a".into(), 1, entry("ready")), ("b".into(), 2, entry("ready"))], 2, 0);
     directory.returned(5_000, 12_000);
-    directory.list(vec![("a".into(), 9, entry("ready"))], 10_000);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 9, 10_000);
     // A task that looks seldom finds the store 2 s later, and has lost it at about the same time.
     directory.returned(6_000, 14_000);
-    directory.list(vec![("a".into(), 9, entry("ready"))], 11_900);
+    directory.list(vec![("a".into(), 9, entry("ready"))], 9, 11_900);
     assert!(directory.sweep(12_000), "b did not come back in its time");
     assert_eq!(ready(&directory), ["a"]);
     directory.returned(13_000, 20_000);
-    directory.list(Vec::new(), 18_000);
+    directory.list(Vec::new(), 9, 18_000);
     assert_eq!(ready(&directory), ["a"], "another outage gives time again");
 }
 
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod fleet;
+mod news;
 mod outage;
 mod path;
 mod prompts;
--- a/crates/objects/src/call.rs
+++ b/crates/objects/src/call.rs
@@ -9,6 +9,8 @@
 pub enum Operation {
     /// Reads one object or the box list.
     Get,
+    /// Reads one object as it stood a little earlier, which is cheaper.
+    OldGet,
     /// Reads all objects of a kind.
     List,
     /// Reads all objects of a kind as they stood a little earlier, which is cheaper.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -125,6 +125,52 @@
     pub text: String,
 }
 
+/// An object of the store as it stands, or that it went.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Kind.
+    pub kind: Arc<str>,
+    /// Name.
+    pub name: Arc<str>,
+    /// Version that the store gave it; of one that went, the last that was seen.
+    pub version: u64,
+    /// JSON text; nothing if it went.
+    pub value: Option<Arc<str>>,
+}
+
+/// What a box that listens knows already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listen {
+    /// The life of the teller that is meant: another one counts its changes anew.
+    pub teller: Incarnation,
+    /// Number of the newest change known, 0 for none; nothing where no changes are wanted, but whether
+    /// the teller reaches the store.
+    pub since: Option<u64>,
+    /// Version of the configuration known: an older one is not told.
+    pub config: u64,
+    /// Whether the listener was told that the teller does not reach the store.
+    pub away: bool,
+    /// How long the teller waits for news before it answers all the same, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What a box that looks at the store tells.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Number of the newest change told.
+    pub last: u64,
+    /// What is told is all there is.
+    pub whole: bool,
+    /// Objects that changed, the oldest change first.
+    pub changes: Vec<Change>,
+    /// Version of the store up to which the teller has seen all entries of endpoints.
+    pub endpoints_at: u64,
+    /// Version of the store up to which it has seen all entries of boxes.
+    pub boxes_at: u64,
+    /// How long the store has not answered the teller, in milliseconds, if it does not.
+    pub away_ms: Option<u64>,
+}
+
 /// One question or answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -178,4 +224,8 @@
     Drawn(Drawn),
     /// Pages of bills that the sender could not write before it ends: the receiver writes them.
     Bills { pages: Vec<Sheet> },
+    /// Wants news of what the store holds.
+    Listen(Listen),
+    /// News.
+    News(News),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,9 @@
 
 pub use error::Error;
 pub use format::{MAX_BYTES, NEWEST, OLDEST, decode, encode};
-pub use frame::{Draw, Drawn, Frame, Message, Place, Question, Sheet, There, Told, Value, Write};
+pub use frame::{
+    Change, Draw, Drawn, Frame, Listen, Message, News, Place, Question, Sheet, There, Told, Value,
+    Write,
+};
 pub use peer::Peer;
 pub use server::{Answer, Server};
