A box registers with one write, and six keepers settle together no more often than three

Change: a box knows the version of its earlier entry from the copy that it read before. Settlements that no request waits for are twice as far apart where six and more write (gateway::spacing, a table as its test); fleets with three keepers are as before. The test of registering fails without its change (2 writes).

--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -237,6 +237,11 @@
         self.publish_boxes(&mut state, at);
     }
 
+    /// Version of the entry of a box, if it is known.
+    pub fn box_version(&self, name: &str) -> Option<u64> {
+        self.0.state.lock().boxes.get(name).map(|(_, version)| *version)
+    }
+
     fn publish_boxes(&self, state: &mut State, at: u64) {
         state.boxes_at = state.boxes_at.max(at);
         state.shelve_boxes();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -77,7 +77,9 @@
     async fn register(&mut self) -> u64 {
         let value = serde_json::to_string(&self.me).expect("entries always serialize");
         let name = self.me.incarnation.box_name().to_owned();
-        let mut expect = Expect::Absent;
+        // An earlier life's entry, as a copy showed it: one call instead of two.
+        let earlier = self.view.box_version(&name);
+        let mut expect = earlier.map_or(Expect::Absent, Expect::Version);
         loop {
             match self.store.replace(BOXES, &name, &value, expect).await {
                 Put::Landed(version) => {
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -20,6 +20,7 @@
     peers::Peers,
     roster,
     settings::{GATHER_MS, Settings},
+    spacing,
     witness::Naming,
 };
 
@@ -156,11 +157,16 @@
     /// Time of the next settlement that no request waits for, after the last one.
     fn pause(&self, spacing: Duration, settle: Duration) -> Duration {
         match self.setup.funds.is_due() || self.setup.naming.is_due(&self.setup.peers) {
-            true => spacing,
+            true => spacing * spacing::times_apart(self.writers()),
             false => settle,
         }
     }
 
+    /// Boxes that write the book, as it was last seen.
+    fn writers(&self) -> usize {
+        self.known.as_ref().map_or(0, |(book, _)| book.writers.len())
+    }
+
     /// The first settlement of a box whose earlier lives stand in the book, with what witnesses
     /// know of them.
     async fn settle_first(&mut self) {
@@ -244,7 +250,7 @@
             write = settlement.writer.write,
             met,
             took_ms = began.elapsed().as_millis() as u64,
-            writers = self.known.as_ref().map(|(book, _)| book.writers.len()),
+            writers = self.writers(),
         );
         if self.outage.answered().is_some_and(|ms| ms >= MATTERS_MS) {
             self.in_touch_since = Instant::now();
--- a/crates/gateway/tests/loopback/news.rs
+++ b/crates/gateway/tests/loopback/news.rs
@@ -185,3 +185,24 @@
     }
     assert_eq!(leaving.arrived().len(), before);
 }
+
+#[tokio::test]
+async fn a_box_that_starts_again_registers_with_one_write() {
+    let world = World::open(PAID, &["open"]).await;
+    let _endpoint = world.endpoint("i-1", "plain", answers).await;
+    let _other = world.gateway("box-1").await;
+    let first = world.gateway("box-2").await;
+    until_served(&world, &first, "/open/x").await;
+    until("boxes know each other", async || first.knows_peers() == 1).await;
+    drop(first);
+    let second = world.gateway("box-2").await;
+    until_served(&world, &second, "/open/x").await;
+    until("it is registered", async || {
+        let life = second.incarnation().as_str();
+        world.entry_of("box-2").await.is_some_and(|entry| entry.contains(life))
+    })
+    .await;
+    let calls = second.calls().snapshot();
+    let writes = calls.get(&(Operation::Put, "boxes".into())).map_or(0, |count| count.calls);
+    assert_eq!(writes, 1, "it knew the version of its earlier life's entry");
+}
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -61,6 +61,12 @@
         serde_json::from_str(&book.expect("a book").value).expect("it can be read")
     }
 
+    /// The entry of a box, as text.
+    pub async fn entry_of(&self, name: &str) -> Option<String> {
+        let found = self.platform.memory().get("boxes", name).await.expect("memory answers");
+        found.map(|object| object.value.to_string())
+    }
+
     /// Keys of all requests that stand on a bill.
     pub async fn billed(&self) -> Vec<String> {
         let pages = self.platform.memory().list(ledger::BILLS, "").await.expect("memory answers");
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use gateway::{Place, order};
+use gateway::{Place, order, times_apart};
 use ledger::Incarnation;
 
 fn place(name: &str, zone: &str, strength: u64) -> Place {
@@ -90,3 +90,11 @@
         .collect();
     assert!(firsts.len() > 1, "{firsts:?}");
 }
+
+/// The load: six keepers of a large fleet and those that stood in for them, all of whom write one book.
+#[test]
+fn many_that_write_the_book_settle_no_more_often_together_than_few() {
+    for (writers, times) in [(0, 1), (1, 1), (3, 1), (5, 1), (6, 2), (18, 2), (300, 2)] {
+        assert_eq!(times_apart(writers), times, "{writers} boxes write");
+    }
+}
