--- a/crates/gateway/src/news/listen.rs
+++ b/crates/gateway/src/news/listen.rs
@@ -158,7 +158,7 @@
             match &heard {
                 Some(known) if known.away && next_look <= Instant::now() => {
                     match self.reaches_store().await {
-                        true if in_vain => heard = self.is_still_away(&known.clone()).await,
+                        true if in_vain => heard = self.after_return(&known.clone()).await,
                         true => return false,
                         false => in_vain = true,
                     }
@@ -187,9 +187,9 @@
         store.answers(BOXES, name, OWN_LOOK_WITHIN).await.is_ok()
     }
 
-    /// The store is back, as this box found before the home said so: what that one says a little later,
-    /// or `None` if it still does not reach the store.
-    async fn is_still_away(&self, heard: &Heard) -> Option<Heard> {
+    /// This box found the store again before the home said so: what the home tells a little later, if it
+    /// reaches the store by then.
+    async fn after_return(&self, heard: &Heard) -> Option<Heard> {
         sleep(RETURN).await;
         let news = self.ask(&heard.home, Some(heard.last), true, Duration::ZERO).await?;
         let now = Heard { last: news.last, away: news.away_ms.is_some(), ..heard.clone() };
--- a/crates/gateway/src/news/mod.rs
+++ b/crates/gateway/src/news/mod.rs
@@ -1,11 +1,11 @@
 //! How a box hears what the store holds: the configuration, the entries of endpoints, the other boxes.
 //!
-//! A few boxes look at the store; all others listen to one of those. [`homes`](homes) chooses who
+//! A few boxes look at the store; all others listen to one of those. `homes` chooses who
 //! looks, the same ones on every box with no word exchanged. `look` is what such a box does: it
 //! watches the store, and finds out quickly when it is out of reach. `listen` is what the others do:
 //! one open question to a home, answered when there is news, or after a moment as a sign of life.
 //! Both put what they learn into the [`View`](view::View), which puts it in force on this box and keeps
-//! it for those that listen, in a [`Shelf`].
+//! it for those that listen, on a [`Shelf`](shelf::Shelf).
 //!
 //! Where the news comes from does not matter for what it means: each object carries the version that
 //! the store gave it, and a view only goes forwards. So a box may change its source at any moment, hear
