A zone that the operator evacuates gets no more work, wherever a box hears of it

Homes of news list and watch them like the configuration (one loop for both now), listeners hear them with other news. All zones are told of together with a version of the store at which it was just these, so a state only goes forwards whoever tells it and in whichever order, and no field of the wire changes: boxes of the earlier format pass over the kind. Endpoints of such a zone stay known, with what they hold and how fast they are, and are offered nothing: for first and second tries alike. With no other endpoint left a request is refused at once, with a time to come back. A box tells others only once it read configuration, endpoints and evacuations.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -121,6 +121,18 @@
         &self.endpoints
     }
 
+    /// Says of each endpoint whether it gets no new work.
+    pub fn set_leaving(&mut self, leaves: impl Fn(&Endpoint) -> bool) {
+        for endpoint in &mut self.endpoints {
+            endpoint.leaving = leaves(endpoint);
+        }
+    }
+
+    /// Number of endpoints that take new work.
+    pub fn offers(&self) -> usize {
+        self.endpoints.iter().filter(|endpoint| !endpoint.leaving).count()
+    }
+
     /// Which blocks are held where.
     pub fn prefixes_mut(&mut self) -> &mut Prefixes {
         &mut self.prefixes
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,11 @@
     funds::{Balance, Funds, Hold, Lack},
     spacing::times_apart,
 };
-pub use news::{directory::Directory, shelf::Shelf};
+pub use news::{
+    directory::Directory,
+    evacuations::{Evacuations, Zones},
+    shelf::Shelf,
+};
 pub use outage::{Contact, Outage, Probe};
 pub use settings::Settings;
 pub use table::Table;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     pub kept: Family<Budget, Gauge>,
     /// Log lines dropped because the reader was too slow.
     pub dropped_lines: Gauge,
+    /// Availability zones that are to get no more work.
+    pub evacuated: Gauge,
     /// 1 while this box looks at the store itself.
     pub looks: Gauge,
     /// Milliseconds since the store, or a home that reaches it, was heard; -1 before that.
@@ -88,6 +90,7 @@
             unspent: Family::default(),
             kept: Family::default(),
             dropped_lines: Gauge::default(),
+            evacuated: Gauge::default(),
             looks: Gauge::default(),
             news_age: Gauge::default(),
         };
@@ -124,6 +127,11 @@
             "Tokens paid and not known to be spent",
             self.unspent.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Availability zones whose endpoints get no more work",
+            self.evacuated.clone(),
+        );
         registry.register(
             "news_from_store",
             "1 while this box looks at the store itself, 0 while it listens to another box",
--- a/crates/gateway/src/news/look.rs
+++ b/crates/gateway/src/news/look.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use objects::{Error, Object};
-use platform::store::Client;
+use objects::{Change, Error, Object};
+use platform::store::{Client, List};
 use tokio::task::JoinSet;
 
 use crate::{
@@ -54,6 +54,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(look_at_store(setup.clone(), probe));
         tasks.spawn(look_at_config(setup.clone()));
+        tasks.spawn(look_at_evacuations(setup.clone()));
         tasks.spawn(look_at_endpoints(setup.clone()));
         tasks.spawn(look_at_boxes(setup.clone()));
         Looking(tasks)
@@ -97,9 +98,38 @@
 
 /// Follows the operator's configuration.
 async fn look_at_config(setup: Setup) {
-    let Setup { store, view, contact, .. } = &setup;
-    let kind = platform::CONFIG.0;
-    let mut outage = outage(&setup, "configuration", Probe::Later);
+    let view = setup.view.clone();
+    let seen = |seen| match seen {
+        Seen::All(list) => view.config_read(&list.objects),
+        Seen::Changes(changes) => {
+            changes.into_iter().filter_map(written).for_each(|object| view.config(&object));
+        }
+    };
+    follow(&setup, "configuration", platform::CONFIG.0, seen).await;
+}
+
+/// Follows which availability zones are to get no more work.
+async fn look_at_evacuations(setup: Setup) {
+    let view = setup.view.clone();
+    let seen = |seen| match seen {
+        Seen::All(list) => view.evacuations_read(&list.objects, list.version),
+        Seen::Changes(changes) => view.evacuations_changed(&changes),
+    };
+    follow(&setup, "evacuations", platform::EVACUATIONS, seen).await;
+}
+
+/// What was seen of the objects of a kind.
+enum Seen {
+    /// All of them.
+    All(List),
+    /// What changed since.
+    Changes(Vec<Change>),
+}
+
+/// Follows all objects of a kind, by lists and watches.
+async fn follow(setup: &Setup, what: &'static str, kind: &str, seen: impl Fn(Seen)) {
+    let Setup { store, contact, .. } = setup;
+    let mut outage = outage(setup, what, Probe::Later);
     loop {
         let list = match store.all(kind).await {
             Ok(list) => list,
@@ -110,8 +140,8 @@
             }
         };
         outage.answered();
-        view.config_read(&list.objects);
         let mut from = list.version;
+        seen(Seen::All(list));
         loop {
             let watched = tokio::select! {
                 watched = store.changes(kind, from) => watched,
@@ -119,14 +149,13 @@
             };
             match watched {
                 Ok(watch) if watch.gap => {
-                    tracing::info!(event = "watch_gap", what = "configuration", from);
+                    tracing::info!(event = "watch_gap", what, from);
                     break;
                 }
                 Ok(watch) => {
                     outage.answered();
                     from = watch.next;
-                    let written = watch.changes.into_iter().filter_map(written);
-                    written.for_each(|object| view.config(&object));
+                    seen(Seen::Changes(watch.changes));
                 }
                 Err(error) => {
                     outage.failed(&error);
@@ -137,7 +166,7 @@
     }
 }
 
-fn written(change: objects::Change) -> Option<Object> {
+fn written(change: Change) -> Option<Object> {
     let value = change.value?;
     Some(Object { kind: change.kind, name: change.name, version: change.version, value })
 }
--- a/crates/gateway/src/news/mod.rs
+++ b/crates/gateway/src/news/mod.rs
@@ -14,6 +14,7 @@
 //! alone, of 24,000 (counted by the boxes).
 
 pub mod directory;
+pub mod evacuations;
 pub mod listen;
 pub mod look;
 pub mod roster;
--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -20,7 +20,11 @@
         peers::Peers,
     },
     money::funds::Funds,
-    news::{directory::Directory, shelf::Shelf},
+    news::{
+        directory::Directory,
+        evacuations::{Evacuations, Zones},
+        shelf::Shelf,
+    },
     outage::Contact,
     table::Table,
     way::endpoints::Endpoints,
@@ -60,6 +64,7 @@
     shelf: Shelf,
     /// Entries of boxes by name, with their versions.
     boxes: BTreeMap<Arc<str>, (Entry, u64)>,
+    evacuations: Evacuations,
     config_at: u64,
     boxes_at: u64,
     /// Since when the store has not answered whoever this box hears it from.
@@ -86,12 +91,13 @@
 struct Looks {
     config: bool,
     endpoints: bool,
+    evacuations: bool,
 }
 
 impl Looks {
     /// Whether others may listen.
     fn is_whole(self) -> bool {
-        self.config && self.endpoints
+        self.config && self.endpoints && self.evacuations
     }
 }
 
@@ -150,6 +156,53 @@
         tracing::info!(event = "config_in_force", version, routes, object = object.version);
     }
 
+    /// The zones that are to get no more work as they were read from the store at a version.
+    pub fn evacuations_read(&self, objects: &[Object], at: u64) {
+        let zones = objects.iter().map(|object| object.name.clone()).collect();
+        let mut state = self.0.state.lock();
+        state.looks.evacuations = true;
+        if state.evacuations.replace(zones, at) {
+            self.publish_evacuations(&mut state);
+        }
+        self.tell();
+    }
+
+    /// Zones were evacuated, or taken back.
+    pub fn evacuations_changed(&self, changes: &[Change]) {
+        let mut state = self.0.state.lock();
+        if state.evacuations.change(changes) {
+            self.publish_evacuations(&mut state);
+            self.tell();
+        }
+    }
+
+    /// Another box tells which zones it was at a version of the store.
+    fn hear_evacuations(&self, state: &mut State, change: wire::Change) {
+        match change.value.as_deref().map(serde_json::from_str::<Zones>) {
+            Some(Ok(zones)) => {
+                if state.evacuations.replace(zones, change.version) {
+                    self.publish_evacuations(state);
+                }
+            }
+            Some(Err(error)) => {
+                tracing::error!(event = "news_unreadable", kind = &*change.kind, %error)
+            }
+            None => tracing::warn!(event = "news_not_understood", kind = &*change.kind),
+        }
+    }
+
+    /// Puts in force which zones get no more work.
+    fn publish_evacuations(&self, state: &mut State) {
+        let (zones, version) = (state.evacuations.zones(), state.evacuations.at());
+        let changed = self.0.uses.endpoints.evacuate(zones);
+        let text = serde_json::to_string(zones).expect("names always serialize");
+        if changed {
+            tracing::info!(event = "evacuations_in_force", zones = text, version);
+        }
+        // Under one name: all are told of together.
+        state.shelf.put(platform::EVACUATIONS, "all", version, Some(&text));
+    }
+
     /// All entries of endpoints as they were read from the store at a version.
     pub fn endpoints_read(&self, objects: &[Object], at: u64) {
         let now = self.now();
@@ -303,6 +356,7 @@
             match &*change.kind {
                 platform::ENDPOINTS => endpoints.push(change),
                 BOXES => boxes.push(change),
+                platform::EVACUATIONS => self.hear_evacuations(&mut state, change),
                 kind if kind == platform::CONFIG.0 => config = Some(change),
                 kind => tracing::warn!(event = "news_not_understood", kind),
             }
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -1,7 +1,7 @@
 //! The choice of an endpoint for one try, and what is learned from how it went.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -69,13 +69,25 @@
     random: SmallRng,
     services: HashMap<Arc<str>, Pool>,
     addresses: HashMap<Arc<str>, SocketAddr>,
+    /// Availability zones that are to get no more work.
+    evacuated: BTreeSet<Arc<str>>,
+}
+
+impl State {
+    /// Endpoints of zones that are to get no more work leave, all others do not.
+    fn mark_leaving(&mut self) {
+        for pool in self.services.values_mut() {
+            pool.set_leaving(|endpoint| self.evacuated.contains(&endpoint.zone));
+        }
+    }
 }
 
 impl Endpoints {
     /// No endpoints yet, seen from a box in `zone`.
     pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
         let random = SmallRng::seed_from_u64(seed);
-        let state = State { random, services: HashMap::new(), addresses: HashMap::new() };
+        let (services, addresses) = (HashMap::new(), HashMap::new());
+        let state = State { random, services, addresses, evacuated: BTreeSet::new() };
         Endpoints { zone, started: Instant::now(), state: Mutex::new(state) }
     }
 
@@ -112,12 +124,27 @@
             let fresh = || Pool::new(self.zone.clone(), weights(engines));
             state.services.entry(service).or_insert_with(fresh).update(list, now);
         }
+        state.mark_leaving();
         let gone = |address: &SocketAddr| !addresses.values().any(|kept| kept == address);
         let unused = state.addresses.values().copied().filter(gone).collect();
         state.addresses = addresses;
         unused
     }
 
+    /// Sends nothing more to these zones, and to all others again; says whether that is new.
+    pub fn evacuate(&self, zones: &BTreeSet<Arc<str>>) -> bool {
+        let mut state = self.state.lock();
+        let changes = state.evacuated != *zones;
+        state.evacuated = zones.clone();
+        state.mark_leaving();
+        changes
+    }
+
+    /// Number of zones that are to get no more work.
+    pub fn evacuated(&self) -> usize {
+        self.state.lock().evacuated.len()
+    }
+
     /// Chooses an endpoint of a service that is not in `tried`.
     pub fn choose(&self, service: &str, prefix: &Prefix, tried: &[Arc<str>]) -> Option<Chosen> {
         let now = self.now();
@@ -180,7 +207,7 @@
 
     /// Number of endpoints of a service that take work.
     pub fn count(&self, service: &str) -> usize {
-        self.state.lock().services.get(service).map_or(0, |pool| pool.endpoints().len())
+        self.state.lock().services.get(service).map_or(0, Pool::offers)
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/evacuations.rs
@@ -0,0 +1,137 @@
+//! Which availability zones are to be empty, heard in any order from the store and from other boxes.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use gateway::{Evacuations, Zones};
+use objects::Change;
+use proptest::prelude::*;
+
+/// What happens in the store, and to two homes of news and a listener.
+#[derive(Debug, Clone)]
+enum Step {
+    /// The operator wants a zone to be empty, or takes it back.
+    Write { zone: u8, empty: bool },
+    /// A home reads all.
+    List { home: usize },
+    /// A watch of a home brings some of the changes that it lacks.
+    Watch { home: usize, most: usize },
+    /// The listener hears a home.
+    Hear { home: usize },
+    /// What a home told some time ago arrives only now.
+    HearLate { home: usize, ago: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..4u8, any::<bool>()).prop_map(|(zone, empty)| Step::Write { zone, empty }),
+        (0..2usize).prop_map(|home| Step::List { home }),
+        (0..2usize, 1..4usize).prop_map(|(home, most)| Step::Watch { home, most }),
+        (0..2usize).prop_map(|home| Step::Hear { home }),
+        (0..2usize, 0..5usize).prop_map(|(home, ago)| Step::HearLate { home, ago }),
+    ]
+}
+
+#[derive(Default)]
+struct Run {
+    version: u64,
+    /// Which zones were to be empty at each version of the store.
+    truth: BTreeMap<u64, Zones>,
+    log: Vec<Change>,
+    homes: [Evacuations; 2],
+    /// Up to which version the watch of each home came.
+    watched: [u64; 2],
+    told: [Vec<(Zones, u64)>; 2],
+    listener: Evacuations,
+}
+
+impl Run {
+    fn now(&self) -> Zones {
+        self.truth.values().last().cloned().unwrap_or_default()
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Write { zone, empty } => self.write(format!("z{zone}").into(), empty),
+            Step::List { home } => {
+                self.homes[home].replace(self.now(), self.version);
+                self.watched[home] = self.version;
+            }
+            Step::Watch { home, most } => {
+                let from = self.watched[home];
+                let fresh = self.log.iter().filter(|change| change.version > from);
+                let fresh: Vec<Change> = fresh.take(most).cloned().collect();
+                self.homes[home].change(&fresh);
+                self.watched[home] = fresh.last().map_or(from, |change| change.version);
+            }
+            Step::Hear { home } => {
+                let home_knows = &self.homes[home];
+                let told = (home_knows.zones().clone(), home_knows.at());
+                self.listener.replace(told.0.clone(), told.1);
+                self.told[home].push(told);
+            }
+            Step::HearLate { home, ago } => {
+                let told = self.told[home].iter().rev().nth(ago).cloned();
+                if let Some((zones, at)) = told {
+                    self.listener.replace(zones, at);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, zone: Arc<str>, empty: bool) {
+        let mut zones = self.now();
+        let changed = if empty { zones.insert(zone.clone()) } else { zones.remove(&zone) };
+        if changed {
+            self.version += 1;
+            self.truth.insert(self.version, zones);
+            let value = empty.then(|| "{}".into());
+            let kind = platform::EVACUATIONS.into();
+            self.log.push(Change { kind, name: zone, version: self.version, value });
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+
+    /// Whoever hears what in whichever order knows a state that the store had, and never goes back to an
+    /// older one.
+    #[test]
+    fn zones_are_those_of_a_version_that_only_grows(steps in prop::collection::vec(step(), 1..60)) {
+        let mut run = Run::default();
+        // Homes begin with a list, as their watches need a version to begin with.
+        run.step(&Step::List { home: 0 });
+        run.step(&Step::List { home: 1 });
+        let mut before = 0;
+        for step in &steps {
+            run.step(step);
+            for known in run.homes.iter().chain([&run.listener]) {
+                let truth = run.truth.get(&known.at()).cloned().unwrap_or_default();
+                prop_assert_eq!(known.zones(), &truth, "as at version {}", known.at());
+            }
+            prop_assert!(run.listener.at() >= before, "it went back");
+            before = run.listener.at();
+        }
+        run.step(&Step::List { home: 0 });
+        run.step(&Step::Hear { home: 0 });
+        prop_assert_eq!(run.listener.zones(), &run.now());
+    }
+}
+
+#[test]
+fn a_watch_that_tells_again_what_a_list_showed_changes_nothing() {
+    let change = |version, value: Option<&str>| Change {
+        kind: platform::EVACUATIONS.into(),
+        name: "bornova".into(),
+        version,
+        value: value.map(Into::into),
+    };
+    let mut known = Evacuations::default();
+    assert!(known.replace(Zones::new(), 0), "that none is to be empty is news to begin with");
+    assert!(known.change(&[change(3, Some("{}")), change(5, None)]));
+    assert!(known.replace(Zones::new(), 9));
+    assert!(!known.change(&[change(3, Some("{}"))]), "it was taken back since");
+    assert!(known.zones().is_empty());
+    assert!(known.change(&[change(11, Some("bytes that nobody can read"))]), "being there counts");
+    assert!(known.zones().contains("bornova"));
+}
