Failing test: entries that no endpoint wrote

Entries that lack a field that every endpoint writes, or hold another type there, are used as long as the fields that the box needs can be read: seen failing over loopback with four boxes (requests arrive at the address that such an entry names).

--- a/crates/gateway/tests/loopback/endpoints.rs
+++ b/crates/gateway/tests/loopback/endpoints.rs
@@ -1,11 +1,12 @@
 //! What endpoints and operators say of endpoints, and who gets work then.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use gateway::Gateway;
 use http::StatusCode;
 use platform::played::{self, Listed, listed};
+use serde_json::{Value, json};
 use standin::Scripted;
 
 use crate::world::{World, answers, call, until, until_served};
@@ -125,3 +126,41 @@
     until_served(&world, &gateway, "/open/x").await;
     until_served(&world, &gateway, "/cancel/x").await;
 }
+
+#[tokio::test]
+async fn an_entry_that_no_endpoint_wrote_names_none() {
+    let world = World::open(PAID, &["cancel"]).await;
+    let _sound = in_zone(&world, "i-sound", "z1").await;
+    let boxes = fleet(&world, "/cancel/x").await;
+    let odd = Scripted::spawn(answers).await;
+    let whole = || listed("plain", odd.address()).entry();
+    let with = |field: &str, value: Value| {
+        let mut entry = whole();
+        entry[field] = value;
+        entry
+    };
+    let mut entries = vec![
+        json!(null),
+        json!([1, 2]),
+        json!("text"),
+        with(played::BORN, json!("yesterday")),
+        with(played::BORN, json!(1.5)),
+        with(played::BORN, json!(-1)),
+    ];
+    for field in played::ENTRY_FIELDS {
+        let mut entry = whole();
+        entry.as_object_mut().expect("an object").remove(field);
+        entries.push(entry);
+        entries.push(with(field, json!({"of": "another type"})));
+    }
+    for (n, entry) in entries.iter().enumerate() {
+        world.list_as(&format!("odd {n} ü/{{}}"), entry.to_string()).await;
+    }
+    world.configure(2, PAID, &["cancel", "open"]).await;
+    for gateway in &boxes {
+        until_served(&world, gateway, "/open/x").await;
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert!(gets_none(&world, &boxes, "/cancel/x", &odd).await, "entries that no endpoint wrote");
+    assert_eq!(odd.arrived(), [], "not at any time");
+}
