A later life of an endpoint is another endpoint, and entries of other writers name none

Cause: an endpoint may start again under its id; all that was known of the earlier life (prompts, failures, pace, open connections) was taken for the new one's. And an entry was used as soon as the fields that a box needs could be read, whoever wrote it; one object of a list that could not be read as text made the whole list unreadable, which a box takes for an outage of the store.

Lives: whatever is known of an endpoint goes under a name of its life, the same on all boxes, so that prompts told by others cannot be mixed either; Expect stays the id. Connections of a life that ended are closed. An entry of an earlier life that lands late changes nothing, also after the entry went; within a life an earlier heartbeat that lands late counts only if it says that the endpoint leaves. Ruled out: a field of the life beside each thing that is known (six places to forget one); judging by the version of the store alone, which calls an earlier life's late write the newest.

Unreadable ones name no endpoint at once, without the time that lapsed ones get, with a log line of bounded length.

--- a/crates/gateway/src/news/directory.rs
+++ b/crates/gateway/src/news/directory.rs
@@ -4,15 +4,17 @@
 //! while the store is away, so what a list lacks shortly after its return is kept until the
 //! platform had time to put it back. What a watch reports afterwards did not lapse.
 //!
-//! Each incarnation of an endpoint has an id of its own. So an entry that went comes back only with a
-//! newer version, and what somebody tells late of an older one is not believed.
+//! An entry that went comes back only with a newer version, and what somebody tells late of an older one is
+//! not believed. An endpoint may start again under its id: a later life replaces an earlier one, never the
+//! other way round, although what an earlier life wrote may land after it died. Within a life its heartbeats
+//! are numbered, and an earlier one that landed late is passed over, unless it says that the endpoint leaves.
 
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
 };
 
-use platform::endpoint::{Entry, State};
+use platform::endpoint::{Entry, Life, State};
 
 /// Entries that went, as far as they are remembered; a box tells what it knows within a second.
 const MOST_GONE: usize = 4_096;
@@ -25,8 +27,8 @@
     lenient_until: u64,
     /// When the newest list was read.
     listed: Option<u64>,
-    /// Versions of the store at which entries that went were known to be gone.
-    gone: HashMap<Arc<str>, u64>,
+    /// Entries that went.
+    gone: HashMap<Arc<str>, Gone>,
     /// Version of the store up to which all entries were seen.
     at: u64,
 }
@@ -38,6 +40,27 @@
     missing: bool,
 }
 
+/// An entry that went.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gone {
+    /// Version of the store at which it was known to be gone.
+    at: u64,
+    /// The last life known.
+    life: Option<Life>,
+}
+
+impl Known {
+    /// Whether a newer entry takes the place of this one.
+    fn gives_way_to(&self, entry: &Entry) -> bool {
+        match (self.entry.life, entry.life) {
+            (known, new) if known == new => {
+                entry.beat >= self.entry.beat || entry.state != State::Ready
+            }
+            (known, new) => known < new,
+        }
+    }
+}
+
 impl Directory {
     /// The store answers again after it was away since `lost_since`: what is missing may come back
     /// until `until`. A list that was read since then has shown the end of that outage already, and
@@ -64,14 +87,25 @@
         self.listed = Some(now);
     }
 
-    /// An entry was written.
-    pub fn set(&mut self, id: Arc<str>, version: u64, entry: Entry) {
-        let newer = self.known.get(&id).is_none_or(|known| known.version <= version);
-        let went = self.gone.get(&id).is_some_and(|gone| version <= *gone);
-        if newer && !went {
+    /// An entry was written; says whether it is what counts now.
+    pub fn set(&mut self, id: Arc<str>, version: u64, entry: Entry) -> bool {
+        let known = self.known.get(&id);
+        let said_before = known.is_some_and(|known| known.entry.life.is_some());
+        if said_before && entry.life.is_none() {
+            // No endpoint forgets to say when it started: this is somebody else's.
+            self.remove(&id, version);
+            return false;
+        }
+        let newer = known.is_none_or(|known| known.version <= version);
+        let later = known.is_none_or(|known| known.gives_way_to(&entry));
+        let gone = self.gone.get(&id);
+        let went = gone.is_some_and(|gone| version <= gone.at || entry.life < gone.life);
+        let counts = newer && later && !went;
+        if counts {
             self.gone.remove(&id);
             self.known.insert(id, Known { entry, version, missing: false });
         }
+        counts
     }
 
     /// Takes over all that another box knows, which has seen the store up to version `at`.
@@ -114,25 +148,27 @@
 
     /// An entry is gone at version `at` of the store. What is known here may be newer: then it came back.
     pub fn remove(&mut self, id: &str, at: u64) {
-        let known = self.known.get(id).map(|known| known.version);
-        if known.is_some_and(|version| version > at) {
+        let known = self.known.get(id);
+        if known.is_some_and(|known| known.version > at) {
             return;
         }
+        let life = known.and_then(|known| known.entry.life);
         self.known.remove(id);
-        self.note_gone(id.into(), at);
+        self.note_gone(id.into(), Gone { at, life });
     }
 
     /// Version of the store at which an entry was known to be gone.
     pub fn gone_at(&self, id: &str) -> Option<u64> {
-        self.gone.get(id).copied()
+        self.gone.get(id).map(|gone| gone.at)
     }
 
-    fn note_gone(&mut self, id: Arc<str>, version: u64) {
+    fn note_gone(&mut self, id: Arc<str>, gone: Gone) {
         if self.gone.len() > MOST_GONE {
             self.gone.clear();
         }
         let newest = self.gone.entry(id).or_default();
-        *newest = version.max(*newest);
+        newest.at = gone.at.max(newest.at);
+        newest.life = gone.life.max(newest.life);
     }
 
     /// Time until what is missing counts as gone; `None` if nothing is missing.
--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -207,13 +207,16 @@
     pub fn endpoints_read(&self, objects: &[Object], at: u64) {
         let now = self.now();
         let mut state = self.0.state.lock();
-        let entries = objects.iter().filter_map(|object| {
-            let entry = read_endpoint(&object.name, &object.value)?;
-            Some((object.name.clone(), object.version, entry))
-        });
-        state.directory.list(entries.collect(), at, now);
+        let mut entries = Vec::with_capacity(objects.len());
+        for Object { name, version, value, .. } in objects {
+            match read_endpoint(name, value) {
+                Some(entry) => entries.push((name.clone(), *version, entry)),
+                None => state.directory.remove(name, *version),
+            }
+        }
+        state.directory.list(entries, at, now);
         for object in objects {
-            state.shelve_endpoint(&object.name, &object.value);
+            state.shelve_endpoint(&object.name, object.version, &object.value);
         }
         state.looks.endpoints = true;
         self.publish(&mut state, "list", at);
@@ -229,7 +232,7 @@
             match (read, &change.value) {
                 (Some(entry), Some(text)) => {
                     state.directory.set(change.name.clone(), change.version, entry);
-                    state.shelve_endpoint(&change.name, text);
+                    state.shelve_endpoint(&change.name, change.version, text);
                 }
                 _ => state.directory.remove(&change.name, change.version),
             }
@@ -448,8 +451,9 @@
 }
 
 impl State {
-    fn shelve_endpoint(&mut self, id: &str, text: &str) {
-        if let Some(version) = self.directory.version(id) {
+    /// Keeps the text of an entry for listeners, if it is the one that counts.
+    fn shelve_endpoint(&mut self, id: &str, version: u64, text: &str) {
+        if self.directory.version(id) == Some(version) {
             self.shelf.put(platform::ENDPOINTS, id, version, Some(text));
         }
     }
@@ -483,7 +487,7 @@
             let read = change.value.as_deref().and_then(|text| read_endpoint(&change.name, text));
             match (read, change.value) {
                 (Some(entry), Some(text)) => {
-                    texts.push((change.name.clone(), text));
+                    texts.push((change.name.clone(), change.version, text));
                     entries.push((change.name, change.version, entry));
                 }
                 _ => self.directory.remove(&change.name, change.version),
@@ -492,11 +496,14 @@
         match whole {
             true => self.directory.mirror(entries, at),
             false => {
-                let set = |(id, version, entry)| self.directory.set(id, version, entry);
-                entries.into_iter().for_each(set);
+                for (id, version, entry) in entries {
+                    self.directory.set(id, version, entry);
+                }
             }
         }
-        texts.iter().for_each(|(id, text)| self.shelve_endpoint(id, text));
+        for (id, version, text) in &texts {
+            self.shelve_endpoint(id, *version, text);
+        }
     }
 
     fn hear_boxes(&mut self, changes: Vec<wire::Change>, whole: bool, at: u64) {
@@ -518,14 +525,20 @@
 }
 
 fn read_endpoint(id: &str, text: &str) -> Option<Endpoint> {
-    Endpoint::read(text)
-        .inspect_err(|error| tracing::error!(event = "entry_unreadable", endpoint = id, %error))
-        .ok()
+    Endpoint::read(text).inspect_err(|error| note_unreadable(platform::ENDPOINTS, id, error)).ok()
 }
 
 /// Reads the entry of a box.
 pub fn read_box(name: &str, text: &str) -> Option<Entry> {
-    serde_json::from_str(text)
-        .inspect_err(|error| tracing::error!(event = "entry_unreadable", name, %error))
-        .ok()
+    serde_json::from_str(text).inspect_err(|error| note_unreadable(BOXES, name, error)).ok()
+}
+
+/// Most of a name or a reason that a log line holds: others may have written anything there.
+const MOST_LOGGED: usize = 120;
+
+/// Somebody else may have written it: it names nothing to use, and the others hold.
+fn note_unreadable(kind: &str, name: &str, error: &serde_json::Error) {
+    let reason: String = error.to_string().chars().take(MOST_LOGGED).collect();
+    let name: String = name.chars().take(MOST_LOGGED).collect();
+    tracing::warn!(event = "entry_unreadable", kind, name, reason);
 }
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -59,7 +59,7 @@
             if trip.sent >= call.route.attempts || (arrived > 0 && !self.may_repeat(call)) {
                 break;
             }
-            tried.push(chosen.id.clone());
+            tried.push(chosen.life.clone());
             let outcome = self.attempt(call, &chosen, trip).await;
             arrived += u32::from(!matches!(outcome, Try::Unsent(_)));
             match outcome {
@@ -166,7 +166,7 @@
             return Try::Unknown(Reason::Lost.with("the connection carried another answer"));
         }
         if let Some(load) = head.load {
-            self.endpoints.report(&call.service, &chosen.id, load);
+            self.endpoints.report(&call.service, &chosen.life, load);
         }
         if head.not_run {
             let reason = format!("the endpoint declined with {status}");
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use balance::{Failure, Pool, Prefix, Prompt, Report, Weights};
+use balance::{Choice, Failure, Pool, Prefix, Prompt, Report, Weights};
 use parking_lot::Mutex;
 use platform::{answer::Load, endpoint::Entry};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -43,7 +43,9 @@
 /// A chosen endpoint.
 #[derive(Debug, Clone)]
 pub struct Chosen {
-    /// Incarnation of the endpoint.
+    /// Name of this life of it, on all boxes.
+    pub life: Arc<str>,
+    /// Id of the endpoint.
     pub id: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
@@ -53,9 +55,24 @@
     pub load: f64,
 }
 
-/// An endpoint and its availability zone.
+/// A life of an endpoint and its availability zone.
 type Placed = (Arc<str>, Arc<str>);
 
+/// Where a life of an endpoint is found.
+#[derive(Debug, Clone)]
+struct Found {
+    id: Arc<str>,
+    address: SocketAddr,
+}
+
+/// Name of a life of an endpoint: what was learned of an earlier one is not known of it.
+fn life_name(id: &Arc<str>, entry: &Entry) -> Arc<str> {
+    match entry.life {
+        Some(life) => format!("{id} {life}").into(),
+        None => id.clone(),
+    }
+}
+
 /// All endpoints that take work, by service.
 #[derive(Debug)]
 pub struct Endpoints {
@@ -68,7 +85,8 @@
 struct State {
     random: SmallRng,
     services: HashMap<Arc<str>, Pool>,
-    addresses: HashMap<Arc<str>, SocketAddr>,
+    /// By the names of their lives.
+    found: HashMap<Arc<str>, Found>,
     /// Availability zones that are to get no more work.
     evacuated: BTreeSet<Arc<str>>,
 }
@@ -86,8 +104,8 @@
     /// No endpoints yet, seen from a box in `zone`.
     pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
         let random = SmallRng::seed_from_u64(seed);
-        let (services, addresses) = (HashMap::new(), HashMap::new());
-        let state = State { random, services, addresses, evacuated: BTreeSet::new() };
+        let (services, found) = (HashMap::new(), HashMap::new());
+        let state = State { random, services, found, evacuated: BTreeSet::new() };
         Endpoints { zone, started: Instant::now(), state: Mutex::new(state) }
     }
 
@@ -103,11 +121,12 @@
         let now = self.now();
         let mut engines: HashSet<Arc<str>> = HashSet::new();
         let mut listed: BTreeMap<Arc<str>, Vec<Placed>> = BTreeMap::new();
-        let mut addresses = HashMap::new();
+        let mut found: HashMap<Arc<str>, Found> = HashMap::new();
         for (id, entry) in ready {
+            let life = life_name(id, entry);
             let of = listed.entry(entry.service.clone()).or_default();
-            of.push((id.clone(), entry.zone.clone()));
-            addresses.insert(id.clone(), entry.address);
+            of.push((life.clone(), entry.zone.clone()));
+            found.insert(life, Found { id: id.clone(), address: entry.address });
             if entry.engine {
                 engines.insert(entry.service.clone());
             }
@@ -125,10 +144,12 @@
             state.services.entry(service).or_insert_with(fresh).update(list, now);
         }
         state.mark_leaving();
-        let gone = |address: &SocketAddr| !addresses.values().any(|kept| kept == address);
-        let unused = state.addresses.values().copied().filter(gone).collect();
-        state.addresses = addresses;
-        unused
+        let before = std::mem::replace(&mut state.found, found);
+        let stays = |life: &Arc<str>, at: &Found| {
+            state.found.get(life).is_some_and(|found| found.address == at.address)
+        };
+        let gone = before.into_iter().filter(|(life, at)| !stays(life, at));
+        gone.map(|(_, found)| found.address).collect()
     }
 
     /// Sends nothing more to these zones, and to all others again; says whether that is new.
@@ -151,8 +172,9 @@
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
         let choice = pool.choose(prefix, tried, now, &mut state.random)?;
-        let address = *state.addresses.get(&choice.name)?;
-        Some(Chosen { id: choice.name, address, held: choice.held, load: choice.load })
+        let Found { id, address } = state.found.get(&choice.name)?.clone();
+        let Choice { name: life, held, load } = choice;
+        Some(Chosen { life, id, address, held, load })
     }
 
     /// A request goes to an endpoint; returns how much of its prompt is to be read there.
@@ -160,8 +182,8 @@
         let now = self.now();
         let mut state = self.state.lock();
         let Some(pool) = state.services.get_mut(service) else { return 0 };
-        pool.start(&chosen.id, prefix, now);
-        pool.read(&chosen.id, prefix, chosen.held)
+        pool.start(&chosen.life, prefix, now);
+        pool.read(&chosen.life, prefix, chosen.held)
     }
 
     /// Another box told of a prompt.
--- a/crates/gateway/src/way/relay.rs
+++ b/crates/gateway/src/way/relay.rs
@@ -64,8 +64,8 @@
         peers: &Peers,
     ) -> Flight {
         let unread = endpoints.start(&service, chosen, prefix);
-        let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.id, prefix, unread));
-        let endpoint = chosen.id.clone();
+        let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.life, prefix, unread));
+        let endpoint = chosen.life.clone();
         let unread = Some(unread);
         Flight { endpoints, service, endpoint, unread, told, paced: None, failure: None }
     }
