All boxes together send a cold engine no more than it bears

Cause: cold_left_ms was not read. An engine that comes back is empty, wins every comparison of load, and is known to all boxes at once; a burst that met a zone that came back cold sent 17 requests in a second where 16 were allowed.

How long an engine is cold is read from its entry (it counts down from heartbeat to heartbeat), what a cold one bears from the configuration. In the fleet as many boxes as an engine bears requests a second send it one a second, chosen by rendezvous hashing for each engine; in a fleet of fewer boxes each sends its part. Engines of a zone that is taken back count as cold for as long as a start lasts, since they may not have said so yet; so does one that was silent to a box, unless half of the pool was: it may have started again. Where nobody but cold ones is left, a request is refused at once with the time after which this box may send one. A box that does not know the others leaves cold engines alone.

--- /dev/null
+++ b/crates/balance/src/cold.rs
@@ -0,0 +1,92 @@
+//! What a cold endpoint bears, shared by all boxes with no word exchanged.
+//!
+//! An endpoint that just started, or that was empty for a while, bears so few requests a second that a fleet
+//! must share them: each box sees only its own. As many boxes as the endpoint bears requests in a second may
+//! send it one a second each, chosen by rendezvous hashing, so that all boxes agree on them and each cold
+//! endpoint has others. In a fleet of fewer boxes than that, all may, each its part.
+//!
+//! The load: a quarter of 140 engines comes back at once, and each of 75 boxes sees 35 idle engines that win
+//! every comparison of load. The other way weighed was a random moment for each box within the time that all
+//! of them need for one request each: at 7.7 requests a second of which 16 are borne, as many as 75 boxes send
+//! by chance within one second go past that about three times in a thousand seconds of one engine, so that
+//! only half of what is borne could be used.
+
+use std::sync::Arc;
+
+/// Requests of a box are so much further apart than its part asks for, as a factor: two that leave a second
+/// apart may arrive closer.
+const APART: f64 = 1.1;
+
+/// What a cold endpoint bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bears {
+    /// Requests a second, from all boxes together.
+    pub per_s: f64,
+    /// Milliseconds for which an endpoint is cold that does not say it itself.
+    pub lasts_ms: u64,
+}
+
+/// The boxes that share what cold endpoints bear.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// This box.
+    pub me: Arc<str>,
+    /// The others.
+    pub others: Vec<Arc<str>>,
+}
+
+impl Bears {
+    /// Milliseconds between two requests of this box to a cold endpoint; `None` if others send them.
+    pub fn every_ms(self, fleet: &Fleet, endpoint: &str) -> Option<u64> {
+        let boxes = fleet.others.len() as f64 + 1.0;
+        let senders = self.per_s.floor().clamp(1.0, boxes);
+        let mine = member::weight(endpoint, &fleet.me);
+        let before =
+            |other: &Arc<str>| (member::weight(endpoint, other), other) > (mine, &fleet.me);
+        let rank = fleet.others.iter().filter(|other| before(other)).count();
+        let each_per_s = (self.per_s / senders).min(if senders < boxes { 1.0 } else { f64::MAX });
+        ((rank as f64) < senders).then(|| (1_000.0 * APART / each_per_s).ceil() as u64)
+    }
+}
+
+/// When a box may send a cold endpoint its next request.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cold {
+    /// It is cold until then.
+    until: u64,
+    /// Milliseconds between two requests; `None` if this box sends none.
+    every: Option<u64>,
+    next: u64,
+}
+
+impl Cold {
+    /// Cold from `now` until `until`, with so much time between two requests.
+    pub fn extend(&mut self, now: u64, until: u64, every: Option<u64>) {
+        if self.until <= now {
+            self.next = self.next.max(now);
+        }
+        self.until = until;
+        self.every = every;
+    }
+
+    /// From now on so much time is between two requests.
+    pub fn share(&mut self, every: Option<u64>) {
+        self.every = every;
+    }
+
+    /// Whether it is cold.
+    pub fn holds(&self, now: u64) -> bool {
+        now < self.until
+    }
+
+    /// Milliseconds until this box may send it a request.
+    pub fn wait_ms(&self, now: u64) -> u64 {
+        let next = self.every.map_or(self.until, |_| self.next.min(self.until));
+        next.saturating_sub(now)
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: u64) {
+        self.next = now + self.every.unwrap_or_default();
+    }
+}
--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::pace::Pace;
+use crate::{cold::Cold, pace::Pace};
 
 /// Own counts remembered, one each [`SAMPLE_MS`].
 const SAMPLES: usize = 128;
@@ -85,6 +85,10 @@
     unanswered: u32,
     unread: u64,
     prompts: Vec<Told>,
+    /// How little it bears for now.
+    pub cold: Cold,
+    /// The same for one that was silent: it may have started again.
+    pub doubt: Cold,
     /// How fast it makes events of streams.
     pub pace: Pace,
 }
@@ -124,12 +128,16 @@
             unanswered: 0,
             unread: 0,
             prompts: Vec::new(),
+            cold: Cold::default(),
+            doubt: Cold::default(),
             pace: Pace::default(),
         }
     }
 
     /// A request was dispatched.
     pub fn start(&mut self, now: u64) {
+        self.cold.sent(now);
+        self.doubt.sent(now);
         self.in_flight += 1;
         self.sample(now);
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -5,12 +5,14 @@
 //! candidates by estimated cost: two drawn at random, and the ones that probably hold the
 //! longest part of the prompt in their cache. All times are milliseconds of a monotonic clock.
 
+mod cold;
 mod endpoint;
 mod pace;
 mod pool;
 mod prefix;
 mod speed;
 
+pub use cold::{Bears, Cold, Fleet};
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use pool::{Choice, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -5,7 +5,9 @@
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Endpoint, Failure, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed};
+use crate::{
+    Bears, Endpoint, Failure, Fleet, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed,
+};
 
 /// What weighs how much in a choice.
 #[derive(Debug, Clone, Copy)]
@@ -68,6 +70,10 @@
     /// Mean size of what was to be read of a prompt.
     typical: f64,
     speed: Speed,
+    /// What cold endpoints bear; `None` where that has no bound.
+    bears: Option<Bears>,
+    /// Who shares that; `None` while the other boxes are not known.
+    fleet: Option<Fleet>,
 }
 
 /// Gain of the mean size of prompts that are to be read: the last twenty or so count.
@@ -89,6 +95,8 @@
             zone,
             typical: 0.0,
             speed: Speed::default(),
+            bears: None,
+            fleet: None,
         }
     }
 
@@ -121,11 +129,74 @@
         &self.endpoints
     }
 
-    /// Says of each endpoint whether it gets no new work.
-    pub fn set_leaving(&mut self, leaves: impl Fn(&Endpoint) -> bool) {
+    /// Says of each endpoint whether it gets no new work; returns those that get some again.
+    pub fn set_leaving(&mut self, leaves: impl Fn(&Endpoint) -> bool) -> Vec<Arc<str>> {
+        let mut back = Vec::new();
         for endpoint in &mut self.endpoints {
-            endpoint.leaving = leaves(endpoint);
+            let leaves = leaves(endpoint);
+            if std::mem::replace(&mut endpoint.leaving, leaves) && !leaves {
+                back.push(endpoint.name.clone());
+            }
         }
+        back
+    }
+
+    /// What cold endpoints bear from now on; `None` where that has no bound.
+    pub fn set_bears(&mut self, bears: Option<Bears>, now: u64) {
+        if self.bears != bears {
+            self.bears = bears;
+            self.share_cold(now);
+        }
+    }
+
+    /// Who shares what cold endpoints bear.
+    pub fn set_fleet(&mut self, fleet: &Fleet, now: u64) {
+        if self.fleet.as_ref() != Some(fleet) {
+            self.fleet = Some(fleet.clone());
+            self.share_cold(now);
+        }
+    }
+
+    /// Finds this box's part at all endpoints that are cold.
+    fn share_cold(&mut self, now: u64) {
+        for endpoint in &mut self.endpoints {
+            if endpoint.cold.holds(now) || endpoint.doubt.holds(now) {
+                let every = every_ms(self.bears, &self.fleet, &endpoint.name);
+                endpoint.cold.share(every);
+                endpoint.doubt.share(every);
+            }
+        }
+    }
+
+    /// An endpoint is cold for `lasts_ms`, or for as long as endpoints are that do not say so.
+    pub fn chill(&mut self, name: &str, lasts_ms: Option<u64>, now: u64) {
+        let lasts_ms = lasts_ms.unwrap_or_else(|| self.bears.map_or(0, |bears| bears.lasts_ms));
+        let every = every_ms(self.bears, &self.fleet, name);
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.cold.extend(now, now + lasts_ms, every);
+        }
+    }
+
+    /// A silent endpoint may have crashed, and be cold when it comes back.
+    fn doubt(&mut self, name: &str, now: u64) {
+        let lasts_ms = self.bears.map_or(0, |bears| bears.lasts_ms);
+        let every = every_ms(self.bears, &self.fleet, name);
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.doubt.extend(now, now + lasts_ms, every);
+        }
+    }
+
+    /// Number of endpoints that are cold.
+    pub fn cold(&self, now: u64) -> usize {
+        self.endpoints.iter().filter(|endpoint| endpoint.cold.holds(now)).count()
+    }
+
+    /// Milliseconds until an endpoint of those that take work bears a request of this box; `None` if there
+    /// is none, 0 if one does now.
+    pub fn next_offer_ms(&self, now: u64) -> Option<u64> {
+        let offered = self.endpoints.iter().filter(|endpoint| !endpoint.leaving);
+        let wait = |endpoint: &Endpoint| self.bears.map_or(0, |_| endpoint.cold.wait_ms(now));
+        offered.map(wait).min()
     }
 
     /// Number of endpoints that take new work.
@@ -140,7 +211,8 @@
 
     /// Chooses an endpoint for a prompt, passing over those in `tried`.
     ///
-    /// Never one that is leaving. One that failed is chosen only as its own probe, or when at
+    /// Never one that is leaving, nor one that is cold and gets no more of this box now. One that was
+    /// silent counts as cold, but where half of the pool was. One that failed is chosen only as its own probe, or when at
     /// least half of the pool is put aside: then failures say more about the box than about them.
     pub fn choose(
         &self,
@@ -149,8 +221,14 @@
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
+        let offered: Vec<&Endpoint> = self.endpoints.iter().filter(|e| !e.leaving).collect();
+        let doubted = offered.iter().filter(|e| e.doubt.holds(now)).count();
+        let most_doubted = doubted * 2 >= offered.len().max(1);
+        let doubts = |e: &&Endpoint| !most_doubted && e.doubt.wait_ms(now) > 0;
+        let bears =
+            |e: &&Endpoint| self.bears.is_none() || (e.cold.wait_ms(now) == 0 && !doubts(e));
         let offered: Vec<&Endpoint> =
-            self.endpoints.iter().filter(|e| !e.leaving && !tried.contains(&e.name)).collect();
+            offered.into_iter().filter(|e| bears(e) && !tried.contains(&e.name)).collect();
         if let Some(probe) = offered.iter().find(|endpoint| endpoint.wants_probe(now)) {
             return Some(self.judge(probe, prefix, 0, now).1);
         }
@@ -244,6 +322,9 @@
 
     /// A request ended.
     pub fn end(&mut self, name: &str, failure: Option<Failure>, now: u64) {
+        if failure == Some(Failure::Silent) {
+            self.doubt(name, now);
+        }
         if let Some(endpoint) = self.get_mut(name) {
             endpoint.end(now, failure);
         }
@@ -281,3 +362,7 @@
         busy.map(|e| Snapshot { name: e.name.clone(), in_flight: e.in_flight() }).collect()
     }
 }
+
+fn every_ms(bears: Option<Bears>, fleet: &Option<Fleet>, name: &str) -> Option<u64> {
+    bears?.every_ms(fleet.as_ref()?, name)
+}
--- /dev/null
+++ b/crates/balance/tests/cold.rs
@@ -0,0 +1,218 @@
+//! A fleet shares what cold endpoints bear.
+//!
+//! The load: 75 boxes send 565 generations a second to 140 engines, twice that in a burst, and a quarter of
+//! the engines comes back at once, cold for 3 s. A cold engine bears 7.7 requests a second and falls over at
+//! well above; more than 16 in any second are too many. Figures of a deployment of that size.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use balance::{Bears, Failure, Fleet, Pool, Prefix, Weights};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const BEARS: Bears = Bears { per_s: 7.7, lasts_ms: 3_000 };
+/// Requests within a second that a cold engine must not get: half above what it bears, and five.
+const TOO_MANY: usize = 17;
+
+fn weights() -> Weights {
+    Weights { draws: 4, homes: 2, under_way: 0.05, size_per_request: 2_000.0, ..Weights::default() }
+}
+
+fn name(n: usize) -> Arc<str> {
+    format!("box-{n}").into()
+}
+
+fn fleet(boxes: usize, me: usize) -> Fleet {
+    let others = (0..boxes).filter(|n| *n != me).map(name).collect();
+    Fleet { me: name(me), others }
+}
+
+/// The pools of all boxes of a fleet before the same engines, in four zones.
+fn pools(boxes: usize, engines: usize) -> Vec<Pool> {
+    let pool = |me: usize| {
+        let mut pool = Pool::new(format!("z{}", me % 4).into(), weights());
+        let list = (0..engines).map(|n| (format!("i-{n}").into(), format!("z{}", n % 4).into()));
+        pool.update(list, 0);
+        pool.set_bears(Some(BEARS), 0);
+        pool.set_fleet(&fleet(boxes, me), 0);
+        pool
+    };
+    (0..boxes).map(pool).collect()
+}
+
+/// Most arrivals at one engine within any second.
+fn most_in_a_second(arrived: &BTreeMap<Arc<str>, Vec<u64>>) -> usize {
+    let within = |times: &Vec<u64>, from: u64| {
+        times.iter().filter(|at| (from..from + 1_000).contains(*at)).count()
+    };
+    let most = |times: &Vec<u64>| times.iter().map(|at| within(times, *at)).max();
+    arrived.values().filter_map(most).max().unwrap_or_default()
+}
+
+/// Sends `per_s` requests a second from boxes at random for a while; those that the cold engines got, and
+/// how many found no engine.
+fn play(
+    pools: &mut [Pool],
+    per_s: u64,
+    ms: u64,
+    cold: impl Fn(&str) -> bool,
+) -> (BTreeMap<Arc<str>, Vec<u64>>, usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let (mut arrived, mut refused) = (BTreeMap::<Arc<str>, Vec<u64>>::new(), 0);
+    let mut under_way: Vec<(u64, usize, Arc<str>)> = Vec::new();
+    for now in 1_000..1_000 + ms {
+        under_way.retain(|(until, at, name)| {
+            if *until <= now {
+                pools[*at].end(name, None, now);
+            }
+            *until > now
+        });
+        let due = now * per_s / 1_000 - (now - 1) * per_s / 1_000;
+        for _ in 0..due {
+            let at = random.random_range(0..pools.len());
+            let prompt = random.random_range(0..400u64);
+            let prefix = Prefix::of_parts([(prompt % 20, 6_000), (prompt, 2_000)]);
+            let Some(choice) = pools[at].choose(&prefix, &[], now, &mut random) else {
+                refused += 1;
+                continue;
+            };
+            pools[at].start(&choice.name, &prefix, now);
+            under_way.push((now + 300, at, choice.name.clone()));
+            // The way there takes up to a millisecond, more beside a busy link.
+            let arrives = now + random.random_range(0..30);
+            if cold(&choice.name) {
+                arrived.entry(choice.name).or_default().push(arrives);
+            }
+        }
+    }
+    (arrived, refused)
+}
+
+#[test]
+fn engines_that_come_back_together_get_what_they_bear() {
+    for (boxes, per_s) in [(75, 565), (75, 1_400), (16, 113), (7, 60), (295, 2_300)] {
+        let engines = boxes * 2;
+        let mut pools = pools(boxes, engines);
+        let zone = |name: &str| name[2..].parse::<usize>().expect("a number") % 4 == 1;
+        for pool in &mut pools {
+            for n in (0..engines).filter(|n| n % 4 == 1) {
+                pool.chill(&format!("i-{n}"), Some(3_000), 1_000);
+            }
+        }
+        let (arrived, refused) = play(&mut pools, per_s, 2_900, zone);
+        let most = most_in_a_second(&arrived);
+        assert!(most < TOO_MANY, "{boxes} boxes: {most} within a second");
+        assert_eq!(refused, 0, "{boxes} boxes: the others take the rest");
+    }
+}
+
+#[test]
+fn without_a_bound_engines_that_come_back_together_get_too_much() {
+    let mut pools = pools(75, 140);
+    for pool in &mut pools {
+        pool.set_bears(None, 0);
+        // What they had is gone, so that they win by load.
+        for n in 0..140 {
+            let name: Arc<str> = format!("i-{n}").into();
+            if n % 4 != 1 {
+                let busy = Prefix::of_parts([(9_999, 20_000)]);
+                pool.start(&name, &busy, 0);
+                pool.read(&name, &busy, 0);
+            }
+        }
+    }
+    let zone = |name: &str| name[2..].parse::<usize>().expect("a number") % 4 == 1;
+    let (arrived, _) = play(&mut pools, 1_400, 2_900, zone);
+    let most = most_in_a_second(&arrived);
+    assert!(most >= TOO_MANY, "the test is able to fail: {most} within a second");
+}
+
+#[test]
+fn where_all_are_cold_boxes_refuse_what_they_do_not_bear() {
+    let mut pools = pools(75, 8);
+    for pool in &mut pools {
+        (0..8).for_each(|n| pool.chill(&format!("i-{n}"), Some(3_000), 1_000));
+    }
+    let (arrived, refused) = play(&mut pools, 565, 2_900, |_| true);
+    assert!(most_in_a_second(&arrived) < TOO_MANY);
+    let served: usize = arrived.values().map(Vec::len).sum();
+    assert!(served > 8 * 12 && refused > 0, "{served} served, {refused} refused");
+    let waits = pools.iter().map(|pool| pool.next_offer_ms(3_000).expect("there are endpoints"));
+    assert!(waits.max().is_some_and(|ms| ms <= 1_100), "no longer than they stay cold");
+}
+
+#[test]
+fn an_endpoint_that_was_silent_may_be_cold_when_it_comes_back() {
+    let mut pools = pools(75, 140);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let silent: Arc<str> = "i-5".into();
+    for pool in &mut pools {
+        pool.start(&silent, &Prefix::default(), 900);
+        pool.end(&silent, Some(Failure::Silent), 950);
+    }
+    let all_others: Vec<Arc<str>> =
+        (0..140).map(|n| format!("i-{n}").into()).filter(|name| *name != silent).collect();
+    let mut chooses =
+        |pool: &Pool, now| pool.choose(&Prefix::default(), &all_others, now, &mut random).is_some();
+    let soon = pools.iter().filter(|pool| chooses(pool, 1_000)).count();
+    let later = pools.iter().filter(|pool| chooses(pool, 3_951)).count();
+    assert!((1..=7).contains(&soon) && later == 75, "{soon} boxes at once, {later} later");
+}
+
+#[test]
+fn a_box_to_which_all_are_silent_doubts_itself() {
+    let mut pool = pools(75, 8).remove(0);
+    for n in 0..8 {
+        let name: Arc<str> = format!("i-{n}").into();
+        pool.start(&name, &Prefix::default(), 900);
+        pool.end(&name, Some(Failure::Silent), 950);
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    assert!(pool.choose(&Prefix::default(), &[], 1_000, &mut random).is_some());
+}
+
+#[test]
+fn a_box_that_knows_no_others_yet_leaves_cold_endpoints_alone() {
+    let mut pool = Pool::new("z0".into(), weights());
+    pool.update([("i-0".into(), "z0".into())], 0);
+    pool.set_bears(Some(BEARS), 0);
+    pool.chill("i-0", Some(500), 100);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    assert!(pool.choose(&Prefix::default(), &[], 200, &mut random).is_none());
+    assert!(pool.choose(&Prefix::default(), &[], 600, &mut random).is_some(), "it is warm");
+}
+
+proptest! {
+    /// However large the fleet is and whatever an endpoint bears: all boxes together send it no more than
+    /// that in a second on average, and one request each at most beside it.
+    #[test]
+    fn a_fleet_sends_what_is_borne(boxes in 1..300usize, per_s in 0.2..60.0f64) {
+        let bears = Bears { per_s, lasts_ms: 3_000 };
+        let every: Vec<u64> =
+            (0..boxes).filter_map(|me| bears.every_ms(&fleet(boxes, me), "i-1")).collect();
+        let sent: f64 = every.iter().map(|ms| 1_000.0 / *ms as f64).sum();
+        prop_assert!(!every.is_empty() && sent <= per_s, "{sent} of {per_s} a second");
+        prop_assert!(every.len() as f64 <= per_s.max(1.0), "{} senders", every.len());
+        prop_assert!(sent > per_s.min(1.0) * 0.4, "{sent} of {per_s} a second");
+    }
+}
+
+#[test]
+fn what_is_known_of_an_endpoint_before_the_operator_says_what_it_bears_holds() {
+    let mut pool = Pool::new("z0".into(), weights());
+    pool.update([("i-0".into(), "z0".into())], 0);
+    pool.chill("i-0", Some(3_000), 100);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    assert!(pool.choose(&Prefix::default(), &[], 200, &mut random).is_some(), "no bound is known");
+    pool.set_bears(Some(BEARS), 300);
+    assert!(
+        pool.choose(&Prefix::default(), &[], 300, &mut random).is_none(),
+        "nor the other boxes"
+    );
+    pool.set_fleet(&fleet(2, 0), 400);
+    let chosen = pool.choose(&Prefix::default(), &[], 400, &mut random).expect("its part");
+    pool.start(&chosen.name, &Prefix::default(), 400);
+    assert!(pool.choose(&Prefix::default(), &[], 600, &mut random).is_none(), "it was sent");
+    assert!(pool.choose(&Prefix::default(), &[], 700, &mut random).is_some(), "the next one");
+}
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use balance::{Prefix, Prompt};
+use balance::{Fleet, Prefix, Prompt};
 use ledger::{Incarnation, Promise, Transfer};
 use parking_lot::Mutex;
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
@@ -267,6 +267,13 @@
         }
     }
 
+    /// All boxes by name, whichever life they are in.
+    pub fn fleet(&self) -> Fleet {
+        let state = self.state.lock();
+        let others = state.known.keys().map(|name| name.box_name().into()).collect();
+        Fleet { me: self.me.box_name().into(), others }
+    }
+
     /// Number of other boxes that are known.
     pub fn len(&self) -> usize {
         self.state.lock().known.len()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,6 +64,8 @@
     pub dropped_lines: Gauge,
     /// Availability zones that are to get no more work.
     pub evacuated: Gauge,
+    /// Endpoints that bear little for now.
+    pub cold: Gauge,
     /// 1 while this box looks at the store itself.
     pub looks: Gauge,
     /// Milliseconds since the store, or a home that reaches it, was heard; -1 before that.
@@ -91,6 +93,7 @@
             kept: Family::default(),
             dropped_lines: Gauge::default(),
             evacuated: Gauge::default(),
+            cold: Gauge::default(),
             looks: Gauge::default(),
             news_age: Gauge::default(),
         };
@@ -132,6 +135,11 @@
             "Availability zones whose endpoints get no more work",
             self.evacuated.clone(),
         );
+        registry.register(
+            "cold_endpoints",
+            "Endpoints that bear few requests a second for now",
+            self.cold.clone(),
+        );
         registry.register(
             "news_from_store",
             "1 while this box looks at the store itself, 0 while it listens to another box",
--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -146,6 +146,7 @@
         let (version, routes) = (config.version, config.routes.len());
         let table = Arc::new(Table::new(config));
         self.0.uses.funds.configure(&table);
+        self.0.uses.endpoints.configure(&table);
         self.0.uses.in_force.send_replace(Some(table));
         let (kind, name) = platform::CONFIG;
         let mut state = self.0.state.lock();
@@ -306,6 +307,7 @@
         state.shelve_boxes();
         let entries = state.boxes.values().cloned().collect();
         self.0.uses.peers.update(entries, at);
+        self.0.uses.endpoints.set_fleet(self.0.uses.peers.fleet());
         self.tell();
     }
 
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -48,7 +48,7 @@
         self.retries.lock().request(&call.service, now_s, &self.settings().retries);
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut arrived = 0;
-        let mut last = Reason::NoEndpoint.after(SOON, "no endpoint of the service is known");
+        let mut last = self.no_offer(call);
         while tried.len() < MOST_TRIED {
             if trip.left().is_zero() {
                 return Err(Reason::TooLate.with("its time was over before it was sent"));
@@ -78,6 +78,16 @@
         }
     }
 
+    /// Why no endpoint is offered a request: there is none, or this box has sent the cold ones its part.
+    fn no_offer(&self, call: &Call) -> Refusal {
+        match self.endpoints.next_offer(&call.service) {
+            Some(wait) if wait > SOON => Reason::NoEndpoint
+                .after(wait, "all endpoints of the service that take work are cold"),
+            Some(_) => Reason::NoEndpoint.after(SOON, "no endpoint of the service takes work now"),
+            None => Reason::NoEndpoint.after(SOON, "no endpoint of the service is known"),
+        }
+    }
+
     fn may_repeat(&self, call: &Call) -> bool {
         let now_s = self.started.elapsed().as_secs();
         let taken = self.retries.lock().take(&call.service, now_s, &self.settings().retries);
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -7,12 +7,14 @@
     time::Duration,
 };
 
-use balance::{Choice, Failure, Pool, Prefix, Prompt, Report, Weights};
+use balance::{Bears, Choice, Failure, Fleet, Pool, Prefix, Prompt, Report, Weights};
 use parking_lot::Mutex;
-use platform::{answer::Load, endpoint::Entry};
+use platform::{answer::Load, config::Service, endpoint::Entry};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
+use crate::table::Table;
+
 /// Tokens of prompt that weigh as much as one request under way. An engine of the deployments
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
 /// everything beside them by ten steps.
@@ -63,6 +65,8 @@
 struct Found {
     id: Arc<str>,
     address: SocketAddr,
+    /// Heartbeat that told last how long it is cold.
+    beat: u64,
 }
 
 /// Name of a life of an endpoint: what was learned of an earlier one is not known of it.
@@ -89,13 +93,37 @@
     found: HashMap<Arc<str>, Found>,
     /// Availability zones that are to get no more work.
     evacuated: BTreeSet<Arc<str>>,
+    /// What cold endpoints bear, by service.
+    bears: HashMap<Arc<str>, Bears>,
+    /// The boxes of the fleet, once they are known.
+    fleet: Option<Fleet>,
 }
 
 impl State {
-    /// Endpoints of zones that are to get no more work leave, all others do not.
-    fn mark_leaving(&mut self) {
+    /// Endpoints of zones that are to get no more work leave, all others do not. Those of a zone that is
+    /// taken back may be cold and not have said so yet.
+    fn mark_leaving(&mut self, now: u64) {
         for pool in self.services.values_mut() {
-            pool.set_leaving(|endpoint| self.evacuated.contains(&endpoint.zone));
+            let back = pool.set_leaving(|endpoint| self.evacuated.contains(&endpoint.zone));
+            back.iter().for_each(|life| pool.chill(life, None, now));
+        }
+    }
+
+    /// Pools know what their cold endpoints bear, and who shares that.
+    fn share(&mut self, now: u64) {
+        for (service, pool) in &mut self.services {
+            pool.set_bears(self.bears.get(service).copied(), now);
+            if let Some(fleet) = &self.fleet {
+                pool.set_fleet(fleet, now);
+            }
+        }
+    }
+
+    /// An endpoint says how long it is cold. Told again of the same heartbeat, nothing is new.
+    fn chill(&mut self, life: &Arc<str>, entry: &Entry, now: u64) {
+        let known = self.found.get(life).is_some_and(|found| found.beat == entry.beat);
+        if let Some(pool) = self.services.get_mut(&entry.service).filter(|_| !known) {
+            pool.chill(life, Some(entry.cold.as_millis() as u64), now);
         }
     }
 }
@@ -104,8 +132,14 @@
     /// No endpoints yet, seen from a box in `zone`.
     pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
         let random = SmallRng::seed_from_u64(seed);
-        let (services, found) = (HashMap::new(), HashMap::new());
-        let state = State { random, services, found, evacuated: BTreeSet::new() };
+        let state = State {
+            random,
+            services: HashMap::new(),
+            found: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            bears: HashMap::new(),
+            fleet: None,
+        };
         Endpoints { zone, started: Instant::now(), state: Mutex::new(state) }
     }
 
@@ -122,11 +156,16 @@
         let mut engines: HashSet<Arc<str>> = HashSet::new();
         let mut listed: BTreeMap<Arc<str>, Vec<Placed>> = BTreeMap::new();
         let mut found: HashMap<Arc<str>, Found> = HashMap::new();
+        let mut cold: Vec<(Arc<str>, &Entry)> = Vec::new();
         for (id, entry) in ready {
             let life = life_name(id, entry);
             let of = listed.entry(entry.service.clone()).or_default();
             of.push((life.clone(), entry.zone.clone()));
-            found.insert(life, Found { id: id.clone(), address: entry.address });
+            if entry.cold > Duration::ZERO {
+                cold.push((life.clone(), entry));
+            }
+            let (id, address, beat) = (id.clone(), entry.address, entry.beat);
+            found.insert(life, Found { id, address, beat });
             if entry.engine {
                 engines.insert(entry.service.clone());
             }
@@ -143,7 +182,11 @@
             let fresh = || Pool::new(self.zone.clone(), weights(engines));
             state.services.entry(service).or_insert_with(fresh).update(list, now);
         }
-        state.mark_leaving();
+        state.mark_leaving(now);
+        state.share(now);
+        for (life, entry) in cold {
+            state.chill(&life, entry, now);
+        }
         let before = std::mem::replace(&mut state.found, found);
         let stays = |life: &Arc<str>, at: &Found| {
             state.found.get(life).is_some_and(|found| found.address == at.address)
@@ -152,12 +195,44 @@
         gone.map(|(_, found)| found.address).collect()
     }
 
+    /// Takes over what the operator says of services.
+    pub fn configure(&self, table: &Table) {
+        let bears = |service: &Service| Bears {
+            per_s: service.cold_per_s,
+            lasts_ms: (service.cold_s * 1_000.0) as u64,
+        };
+        let bound = table.config().services.iter().filter(|service| service.cold_per_s > 0.0);
+        let mut state = self.state.lock();
+        state.bears = bound.map(|service| (service.name.clone(), bears(service))).collect();
+        state.share(self.now());
+    }
+
+    /// Takes over which boxes there are.
+    pub fn set_fleet(&self, fleet: Fleet) {
+        let mut state = self.state.lock();
+        state.fleet = Some(fleet);
+        state.share(self.now());
+    }
+
+    /// Number of endpoints that are cold.
+    pub fn cold(&self) -> usize {
+        let now = self.now();
+        self.state.lock().services.values().map(|pool| pool.cold(now)).sum()
+    }
+
+    /// Time until an endpoint of a service bears a request of this box; `None` if there is none.
+    pub fn next_offer(&self, service: &str) -> Option<Duration> {
+        let now = self.now();
+        let state = self.state.lock();
+        state.services.get(service)?.next_offer_ms(now).map(Duration::from_millis)
+    }
+
     /// Sends nothing more to these zones, and to all others again; says whether that is new.
     pub fn evacuate(&self, zones: &BTreeSet<Arc<str>>) -> bool {
         let mut state = self.state.lock();
         let changes = state.evacuated != *zones;
         state.evacuated = zones.clone();
-        state.mark_leaving();
+        state.mark_leaving(self.now());
         changes
     }
 
@@ -172,7 +247,7 @@
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
         let choice = pool.choose(prefix, tried, now, &mut state.random)?;
-        let Found { id, address } = state.found.get(&choice.name)?.clone();
+        let Found { id, address, .. } = state.found.get(&choice.name)?.clone();
         let Choice { name: life, held, load } = choice;
         Some(Chosen { life, id, address, held, load })
     }
