--- a/crates/balance/src/cold.rs
+++ b/crates/balance/src/cold.rs
@@ -1,15 +1,12 @@
 //! What a cold endpoint bears, shared by all boxes with no word exchanged.
 //!
 //! An endpoint that just started, or that was empty for a while, bears so few requests a second that a fleet
-//! must share them: each box sees only its own. As many boxes as the endpoint bears requests in a second may
+//! must share them: each box sees only its own. As many boxes as the endpoint may get requests in a second
 //! send it one a second each, chosen by rendezvous hashing, so that all boxes agree on them and each cold
-//! endpoint has others. In a fleet of fewer boxes than that, all may, each its part.
+//! endpoint has others. In a fleet of fewer boxes than that, all do, each its part.
 //!
 //! The load: a quarter of 140 engines comes back at once, and each of 75 boxes sees 35 idle engines that win
-//! every comparison of load. The other way weighed was a random moment for each box within the time that all
-//! of them need for one request each: at 7.7 requests a second of which 16 are borne, as many as 75 boxes send
-//! by chance within one second go past that about three times in a thousand seconds of one engine, so that
-//! only half of what is borne could be used.
+//! every comparison of load.
 
 use std::sync::Arc;
 
@@ -17,10 +14,14 @@
 /// apart may arrive closer.
 const APART: f64 = 1.1;
 
+/// Part of what a cold endpoint may get in a second that boxes send it: the rest is for requests that were
+/// on their way when it turned cold, and for boxes that know another fleet.
+const USED: f64 = 0.85;
+
 /// What a cold endpoint bears.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bears {
-    /// Requests a second, from all boxes together.
+    /// Most requests that it may get within any second, from all boxes together.
     pub per_s: f64,
     /// Milliseconds for which an endpoint is cold that does not say it itself.
     pub lasts_ms: u64,
@@ -39,12 +40,13 @@
     /// Milliseconds between two requests of this box to a cold endpoint; `None` if others send them.
     pub fn every_ms(self, fleet: &Fleet, endpoint: &str) -> Option<u64> {
         let boxes = fleet.others.len() as f64 + 1.0;
-        let senders = self.per_s.floor().clamp(1.0, boxes);
+        let per_s = self.per_s * USED;
+        let senders = per_s.floor().clamp(1.0, boxes);
         let mine = member::weight(endpoint, &fleet.me);
         let before =
             |other: &Arc<str>| (member::weight(endpoint, other), other) > (mine, &fleet.me);
         let rank = fleet.others.iter().filter(|other| before(other)).count();
-        let each_per_s = (self.per_s / senders).min(if senders < boxes { 1.0 } else { f64::MAX });
+        let each_per_s = (per_s / senders).min(if senders < boxes { 1.0 } else { f64::MAX });
         ((rank as f64) < senders).then(|| (1_000.0 * APART / each_per_s).ceil() as u64)
     }
 }
--- a/crates/gateway/src/door/pages.rs
+++ b/crates/gateway/src/door/pages.rs
@@ -57,7 +57,7 @@
         metrics.dropped_lines.set(dropped as i64);
         let standing = view.standing();
         metrics.evacuated.set(gate.endpoints.evacuated() as i64);
-        metrics.cold.set(gate.endpoints.cold() as i64);
+        metrics.cold.set(gate.endpoints.count_cold() as i64);
         metrics.looks.set(i64::from(standing.looks));
         metrics.news_age.set(standing.age.map_or(-1, |age| age.as_millis() as i64));
         metrics.connections.set(gate.links.opened() as i64);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,7 +131,8 @@
         let (in_force, table) = watch::channel(None);
         let (stopping, stops) = watch::channel(false);
         let (closing, closes) = watch::channel(false);
-        let endpoints = Arc::new(Endpoints::new(settings.zone.clone(), random.random()));
+        let endpoints =
+            Arc::new(Endpoints::new(settings.zone.clone(), settings.cold, random.random()));
         let links = Links::new(settings.links());
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,9 @@
     /// Requests sent to a second endpoint.
     #[serde(default)]
     pub retries: Retries,
+    /// Requests to endpoints that are cold.
+    #[serde(default)]
+    pub cold: Cold,
     /// Bounds in time and number.
     #[serde(default)]
     pub limits: Limits,
@@ -175,6 +178,24 @@
     }
 }
 
+/// Most requests that all boxes together send a cold endpoint within any second: what the operator's
+/// configuration says that it bears, times a factor, and some more.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Cold {
+    /// The factor.
+    pub factor: f64,
+    /// Requests beyond that.
+    pub extra: f64,
+}
+
+impl Default for Cold {
+    /// Just what it bears.
+    fn default() -> Cold {
+        Cold { factor: 1.0, extra: 0.0 }
+    }
+}
+
 /// Bounds in time and number.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -264,6 +285,11 @@
                 found.push(Violation::new(path, "above 0"));
             }
         }
+        for (path, value) in [("cold.factor", self.cold.factor), ("cold.extra", self.cold.extra)] {
+            if !(0.0..=1_000.0).contains(&value) {
+                found.push(Violation::new(path, "between 0 and 1000"));
+            }
+        }
         if !(0.0..=1.0).contains(&self.retries.ratio) {
             found.push(Violation::new("retries.ratio", "between 0 and 1"));
         }
@@ -284,6 +310,7 @@
             ("machine", self.machine != next.machine),
             ("listen", self.listen != next.listen),
             ("store", self.store != next.store),
+            ("cold", self.cold != next.cold),
             ("limits", limits(self) != limits(next)),
             ("log", self.log != next.log),
         ];
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -13,7 +13,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
-use crate::table::Table;
+use crate::{settings, table::Table};
 
 /// Tokens of prompt that weigh as much as one request under way. An engine of the deployments
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
@@ -81,6 +81,7 @@
 #[derive(Debug)]
 pub struct Endpoints {
     zone: Arc<str>,
+    cold: settings::Cold,
     started: Instant,
     state: Mutex<State>,
 }
@@ -130,7 +131,7 @@
 
 impl Endpoints {
     /// No endpoints yet, seen from a box in `zone`.
-    pub fn new(zone: Arc<str>, seed: u64) -> Endpoints {
+    pub fn new(zone: Arc<str>, cold: settings::Cold, seed: u64) -> Endpoints {
         let random = SmallRng::seed_from_u64(seed);
         let state = State {
             random,
@@ -140,7 +141,7 @@
             bears: HashMap::new(),
             fleet: None,
         };
-        Endpoints { zone, started: Instant::now(), state: Mutex::new(state) }
+        Endpoints { zone, cold, started: Instant::now(), state: Mutex::new(state) }
     }
 
     fn now(&self) -> u64 {
@@ -197,8 +198,9 @@
 
     /// Takes over what the operator says of services.
     pub fn configure(&self, table: &Table) {
+        let settings::Cold { factor, extra } = self.cold;
         let bears = |service: &Service| Bears {
-            per_s: service.cold_per_s,
+            per_s: service.cold_per_s * factor + extra,
             lasts_ms: (service.cold_s * 1_000.0) as u64,
         };
         let bound = table.config().services.iter().filter(|service| service.cold_per_s > 0.0);
@@ -215,7 +217,7 @@
     }
 
     /// Number of endpoints that are cold.
-    pub fn cold(&self) -> usize {
+    pub fn count_cold(&self) -> usize {
         let now = self.now();
         self.state.lock().services.values().map(|pool| pool.cold(now)).sum()
     }
