--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings: what is read, and what a mistake is answered with.
 
-use gateway::Settings;
+use gateway::{Settings, settings::Cold};
 
 const GOOD: &str = r#"{
   // As the platform renders it.
@@ -69,6 +69,14 @@
     assert_eq!(example.store.timeout_ms, 1_000);
 }
 
+/// A part of the template that stands only where a value is given, without or with its marks.
+fn section(text: &str, value: &str, given: bool) -> String {
+    let (opens, closes) = (format!("{{{{#{value}}}}}"), format!("{{{{/{value}}}}}"));
+    let (before, rest) = text.split_once(&opens).expect("the part begins");
+    let (part, after) = rest.split_once(&closes).expect("and ends");
+    [before, if given { part } else { "" }, after].concat()
+}
+
 #[test]
 fn the_template_renders_to_valid_settings() {
     let template = include_str!("../../../deploy/settings.jsonc");
@@ -82,13 +90,19 @@
         ("{{limits.link_mbps|json}}", "20.0"),
         ("{{internal_ports.0}}", "7340"),
         ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
+        ("{{bounds.cold_overage|json}}", "1.5"),
+        ("{{bounds.cold_slack|json}}", "5"),
     ];
     let rendered = fields.iter().fold(template.to_owned(), |text, (gap, value)| {
         assert!(text.contains(gap), "{gap} is not used any more");
         text.replace(gap, value)
     });
-    assert!(!rendered.contains("{{"), "a gap is not filled: {rendered}");
-    let settings = Settings::read(&rendered).expect("valid");
-    assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
-    assert_eq!(settings.machine.strength(), 20, "the link is the least of what the box has");
+    for (given, cold) in [(true, Cold { factor: 1.5, extra: 5.0 }), (false, Cold::default())] {
+        let rendered = section(&rendered, "bounds.cold_overage", given);
+        assert!(!rendered.contains("{{"), "a gap is not filled: {rendered}");
+        let settings = Settings::read(&rendered).expect("valid");
+        assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
+        assert_eq!(settings.machine.strength(), 20, "the link is the least of what the box has");
+        assert_eq!(settings.cold, cold);
+    }
 }
