The audit shows open claims, and zones that are to be empty

flintstall audit names each life that ended of which it is open what it left untouched, with its tokens and its witness, and the availability zones whose endpoints get no more work; its JSON gains the fields claims and evacuated_zones. Tests of the book without network: what a life held stays open until its witness told, once, and only by the naming that the claim names; a life without a witness leaves nothing to ask for.

--- a/crates/flintstall/src/audit.rs
+++ b/crates/flintstall/src/audit.rs
@@ -1,8 +1,11 @@
 //! The audit of a gateway fleet's book and bills.
 
-use ledger::{BILLS, BOOK, Bill, Book, Finding, Page};
+use std::sync::Arc;
+
+use ledger::{BILLS, BOOK, Bill, Book, Finding, Held, Page};
 use objects::Store;
 use platform::store::Client;
+use serde::Serialize;
 use snafu::ResultExt;
 
 use crate::{
@@ -14,6 +17,15 @@
     table::Table,
 };
 
+/// The audit, and what the operator wants of endpoints.
+#[derive(Serialize)]
+struct Report<'a> {
+    #[serde(flatten)]
+    audit: &'a ledger::Audit,
+    /// Availability zones whose endpoints are to get no more work.
+    evacuated_zones: &'a [Arc<str>],
+}
+
 /// Prints the audit; fails if something does not fit.
 pub async fn audit(client: &Client, form: Form) -> Result<Code, Error> {
     let found = client.get(BOOK.0, BOOK.1).await.context(PlatformSnafu)?;
@@ -27,14 +39,18 @@
         bills.extend(decode::<Page>(&page.value)?.bills);
     }
     let audit = ledger::audit(&book, &bills);
+    let zones = client.list(platform::EVACUATIONS, "").await.context(PlatformSnafu)?;
+    let zones: Vec<Arc<str>> = zones.into_iter().map(|object| object.name).collect();
     match form {
-        Form::Json => println!("{}", serde_json::json!(audit)),
-        Form::Table => print(&audit),
+        Form::Json => {
+            println!("{}", serde_json::json!(Report { audit: &audit, evacuated_zones: &zones }))
+        }
+        Form::Table => print(&audit, &zones),
     }
     Ok(if audit.findings.is_empty() { Code::Success } else { Code::Failure })
 }
 
-fn print(audit: &ledger::Audit) {
+fn print(audit: &ledger::Audit, zones: &[Arc<str>]) {
     let head = ["CUSTOMER", "PAID", "USED", "LOST", "HELD", "LEFT", "REQUESTS", "BILLED", "TOKENS"];
     let mut table = Table::new(&head);
     for line in &audit.lines {
@@ -64,6 +80,13 @@
         };
         println!("{}", paint(Tone::Bad, &text));
     }
+    for claim in &audit.claims {
+        let Held { holder, witness, tokens } = claim;
+        println!("{tokens} tokens of {holder} wait for the word of {witness}");
+    }
+    if !zones.is_empty() {
+        println!("no more work goes to endpoints in: {}", zones.join(", "));
+    }
     if audit.findings.is_empty() {
         println!("everything fits");
     }
--- a/crates/ledger/src/audit.rs
+++ b/crates/ledger/src/audit.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 
-use crate::{Bill, Book};
+use crate::{Bill, Book, Claim, Grant, Incarnation};
 
 /// One budget, as an audit sees it. All amounts in tokens.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
@@ -69,11 +69,33 @@
     pub lines: Vec<Line>,
     /// What does not fit; empty if all is well.
     pub findings: Vec<Finding>,
+    /// What lives that ended held, of which it is open how much was untouched.
+    pub claims: Vec<Held>,
+}
+
+/// What a life that ended held.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Held {
+    /// The life.
+    pub holder: Incarnation,
+    /// Who knows what it left untouched.
+    pub witness: Incarnation,
+    /// Tokens of all customers.
+    pub tokens: u64,
+}
+
+impl Held {
+    fn of(book: &Book, holder: &Incarnation, claim: &Claim) -> Held {
+        let grants = book.ledgers.values().filter_map(|ledger| ledger.grants.get(holder));
+        let tokens = grants.map(Grant::total).sum();
+        Held { holder: holder.clone(), witness: claim.witness.by.clone(), tokens }
+    }
 }
 
 /// Compares a book with all bills that were written.
 pub fn audit(book: &Book, bills: &[Bill]) -> Audit {
-    let mut audit = Audit::default();
+    let claims = book.claims.iter().map(|(holder, claim)| Held::of(book, holder, claim));
+    let mut audit = Audit { claims: claims.collect(), ..Audit::default() };
     let mut billed: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
     let (mut keys, mut numbers) = (BTreeSet::new(), BTreeSet::new());
     for bill in bills {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -24,7 +24,7 @@
 mod witness;
 
 pub use account::{Account, Need, Part, Reservation, Tokens};
-pub use audit::{Audit, Finding, Line, audit};
+pub use audit::{Audit, Finding, Held, Line, audit};
 pub use bill::{BILLS, Bill, Evidence, Page, Statement};
 pub use book::{BOOK, Book, Claim, Granted, Item, Settlement, Writer};
 pub use budget::{Closing, Draw, Error, Folded, Ledger, PAGE_BILLS, page_name};
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -1,6 +1,8 @@
 //! What boxes hold of a budget together.
 
-use ledger::{Book, Granted, Incarnation, Item, Observed, Policy, Settlement, Writer};
+use ledger::{
+    Book, Granted, Incarnation, Item, Observed, Policy, Settlement, Untouched, Witness, Writer,
+};
 
 const PAID: u64 = 100_000_000;
 const LARGEST: u64 = 20_000;
@@ -119,3 +121,67 @@
     assert_eq!(retire(5, 0), (false, 0));
     assert_eq!(retire(5, 0), (false, 0), "again, since its answer was lost");
 }
+
+/// A box that dies, and what its next life and others may tell of it. `born` counts its lives.
+fn dies(book: &mut Book, life: u64, earlier: Vec<Untouched>) -> Incarnation {
+    let holder = Incarnation::new("box-0", life);
+    let by = Incarnation::new("box-1", 1);
+    let item = Item {
+        customer: "bornova".into(),
+        paid: Some((PAID, 1)),
+        observed: Observed { rate: PAID / 100, ..Observed::default() },
+        ..Item::default()
+    };
+    for write in 1..=2 {
+        let witness = Some(Witness { by: by.clone(), term: life });
+        let settlement = Settlement {
+            holder: holder.clone(),
+            writer: Writer { write, peer: None, witness, witness_at: None },
+            items: vec![item.clone()],
+            earlier: earlier.clone(),
+            retires: false,
+            leaves: false,
+        };
+        book.settle(&settlement, POLICY);
+    }
+    holder
+}
+
+/// The load: a box whose next life cannot ask its witness yet; it held 15% of all that was paid.
+#[test]
+fn what_a_life_held_stays_open_until_its_witness_told() {
+    let mut book = Book::default();
+    let first = dies(&mut book, 1, Vec::new());
+    let held = book.ledgers["bornova"].granted();
+    assert!(held > 0);
+    let second = dies(&mut book, 2, Vec::new());
+    let ledger = &book.ledgers["bornova"];
+    assert_eq!((ledger.lost, ledger.grants[&first].total()), (0, held), "nobody told yet");
+    assert!(book.claims.contains_key(&first) && !book.writers.contains_key(&first));
+    let audited = ledger::audit(&book, &[]).claims;
+    assert_eq!(audited.iter().map(|claim| claim.tokens).collect::<Vec<_>>(), [held]);
+    let tokens = std::collections::BTreeMap::from([("bornova".into(), held / 2)]);
+    let told = |term| Untouched {
+        holder: first.clone(),
+        witness: Witness { by: Incarnation::new("box-1", 1), term },
+        tokens: tokens.clone(),
+    };
+    let third = dies(&mut book, 3, vec![told(9)]);
+    assert_eq!(book.ledgers["bornova"].lost, 0, "under another naming it is not believed");
+    let fourth = dies(&mut book, 4, vec![told(1), told(1)]);
+    let ledger = &book.ledgers["bornova"];
+    assert_eq!(ledger.lost, held - held / 2, "once, and the rest is lost");
+    assert_eq!(book.claims.keys().collect::<Vec<_>>(), [&second, &third]);
+    assert!(book.writers.contains_key(&fourth) && ledger.is_sound());
+}
+
+#[test]
+fn a_life_without_a_witness_leaves_nothing_to_ask_for() {
+    let mut book = Book::default();
+    settle(&mut book, 0, 1);
+    settle(&mut book, 0, 2);
+    let held = book.ledgers["bornova"].granted();
+    dies(&mut book, 2, Vec::new());
+    assert_eq!(book.ledgers["bornova"].lost, held);
+    assert!(book.claims.is_empty());
+}
