--- a/crates/balance/src/cold.rs
+++ b/crates/balance/src/cold.rs
@@ -20,7 +20,7 @@
 
 /// What a cold endpoint bears.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Bears {
+pub struct Allowance {
     /// Most requests that it may get within any second, from all boxes together.
     pub per_s: f64,
     /// Milliseconds for which an endpoint is cold that does not say it itself.
@@ -36,7 +36,7 @@
     pub others: Vec<Arc<str>>,
 }
 
-impl Bears {
+impl Allowance {
     /// Milliseconds between two requests of this box to a cold endpoint; `None` if others send them.
     pub fn every_ms(self, fleet: &Fleet, endpoint: &str) -> Option<u64> {
         let boxes = fleet.others.len() as f64 + 1.0;
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,7 +12,7 @@
 mod prefix;
 mod speed;
 
-pub use cold::{Bears, Cold, Fleet};
+pub use cold::{Allowance, Cold, Fleet};
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use pool::{Choice, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Bears, Endpoint, Failure, Fleet, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed,
+    Allowance, Endpoint, Failure, Fleet, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed,
 };
 
 /// What weighs how much in a choice.
@@ -71,7 +71,7 @@
     typical: f64,
     speed: Speed,
     /// What cold endpoints bear; `None` where that has no bound.
-    bears: Option<Bears>,
+    allowance: Option<Allowance>,
     /// Who shares that; `None` while the other boxes are not known.
     fleet: Option<Fleet>,
 }
@@ -95,7 +95,7 @@
             zone,
             typical: 0.0,
             speed: Speed::default(),
-            bears: None,
+            allowance: None,
             fleet: None,
         }
     }
@@ -142,9 +142,9 @@
     }
 
     /// What cold endpoints bear from now on; `None` where that has no bound.
-    pub fn set_bears(&mut self, bears: Option<Bears>, now: u64) {
-        if self.bears != bears {
-            self.bears = bears;
+    pub fn set_allowance(&mut self, allowance: Option<Allowance>, now: u64) {
+        if self.allowance != allowance {
+            self.allowance = allowance;
             self.share_cold(now);
         }
     }
@@ -161,7 +161,7 @@
     fn share_cold(&mut self, now: u64) {
         for endpoint in &mut self.endpoints {
             if endpoint.cold.holds(now) || endpoint.doubt.holds(now) {
-                let every = every_ms(self.bears, &self.fleet, &endpoint.name);
+                let every = every_ms(self.allowance, &self.fleet, &endpoint.name);
                 endpoint.cold.share(every);
                 endpoint.doubt.share(every);
             }
@@ -170,8 +170,9 @@
 
     /// An endpoint is cold for `lasts_ms`, or for as long as endpoints are that do not say so.
     pub fn chill(&mut self, name: &str, lasts_ms: Option<u64>, now: u64) {
-        let lasts_ms = lasts_ms.unwrap_or_else(|| self.bears.map_or(0, |bears| bears.lasts_ms));
-        let every = every_ms(self.bears, &self.fleet, name);
+        let lasts_ms =
+            lasts_ms.unwrap_or_else(|| self.allowance.map_or(0, |allowance| allowance.lasts_ms));
+        let every = every_ms(self.allowance, &self.fleet, name);
         if let Some(endpoint) = self.get_mut(name) {
             endpoint.cold.extend(now, now + lasts_ms, every);
         }
@@ -179,8 +180,8 @@
 
     /// A silent endpoint may have crashed, and be cold when it comes back.
     fn doubt(&mut self, name: &str, now: u64) {
-        let lasts_ms = self.bears.map_or(0, |bears| bears.lasts_ms);
-        let every = every_ms(self.bears, &self.fleet, name);
+        let lasts_ms = self.allowance.map_or(0, |allowance| allowance.lasts_ms);
+        let every = every_ms(self.allowance, &self.fleet, name);
         if let Some(endpoint) = self.get_mut(name) {
             endpoint.doubt.extend(now, now + lasts_ms, every);
         }
@@ -195,7 +196,7 @@
     /// is none, 0 if one does now.
     pub fn next_offer_ms(&self, now: u64) -> Option<u64> {
         let offered = self.endpoints.iter().filter(|endpoint| !endpoint.leaving);
-        let wait = |endpoint: &Endpoint| self.bears.map_or(0, |_| endpoint.cold.wait_ms(now));
+        let wait = |endpoint: &Endpoint| self.allowance.map_or(0, |_| endpoint.cold.wait_ms(now));
         offered.map(wait).min()
     }
 
@@ -221,14 +222,7 @@
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let offered: Vec<&Endpoint> = self.endpoints.iter().filter(|e| !e.leaving).collect();
-        let doubted = offered.iter().filter(|e| e.doubt.holds(now)).count();
-        let most_doubted = doubted * 2 >= offered.len().max(1);
-        let doubts = |e: &&Endpoint| !most_doubted && e.doubt.wait_ms(now) > 0;
-        let bears =
-            |e: &&Endpoint| self.bears.is_none() || (e.cold.wait_ms(now) == 0 && !doubts(e));
-        let offered: Vec<&Endpoint> =
-            offered.into_iter().filter(|e| bears(e) && !tried.contains(&e.name)).collect();
+        let offered = self.offered(tried, now);
         if let Some(probe) = offered.iter().find(|endpoint| endpoint.wants_probe(now)) {
             return Some(self.judge(probe, prefix, 0, now).1);
         }
@@ -254,6 +248,19 @@
         judged.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, choice)| choice)
     }
 
+    /// Endpoints that may get a request of this box now, without those in `tried`.
+    fn offered(&self, tried: &[Arc<str>], now: u64) -> Vec<&Endpoint> {
+        let takes_work: Vec<&Endpoint> = self.endpoints.iter().filter(|e| !e.leaving).collect();
+        let doubted = takes_work.iter().filter(|e| e.doubt.holds(now)).count();
+        let most_doubted = doubted * 2 >= takes_work.len().max(1);
+        let waits = |e: &Endpoint| match self.allowance {
+            Some(_) if most_doubted => e.cold.wait_ms(now) > 0,
+            Some(_) => e.cold.wait_ms(now) > 0 || e.doubt.wait_ms(now) > 0,
+            None => false,
+        };
+        takes_work.into_iter().filter(|e| !waits(e) && !tried.contains(&e.name)).collect()
+    }
+
     /// Endpoints that the shared part of a prompt hashes to, the first one first. Prompts with a
     /// large shared part are at home at endpoints that are not slow.
     fn homes<'a>(
@@ -363,6 +370,6 @@
     }
 }
 
-fn every_ms(bears: Option<Bears>, fleet: &Option<Fleet>, name: &str) -> Option<u64> {
-    bears?.every_ms(fleet.as_ref()?, name)
+fn every_ms(allowance: Option<Allowance>, fleet: &Option<Fleet>, name: &str) -> Option<u64> {
+    allowance?.every_ms(fleet.as_ref()?, name)
 }
--- a/crates/balance/tests/cold.rs
+++ b/crates/balance/tests/cold.rs
@@ -7,12 +7,12 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use balance::{Bears, Failure, Fleet, Pool, Prefix, Weights};
+use balance::{Allowance, Failure, Fleet, Pool, Prefix, Weights};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const BEARS: Bears = Bears { per_s: 7.7 * 1.5 + 5.0, lasts_ms: 3_000 };
+const ALLOWANCE: Allowance = Allowance { per_s: 7.7 * 1.5 + 5.0, lasts_ms: 3_000 };
 /// Requests within a second that a cold engine must not get.
 const TOO_MANY: usize = 17;
 
@@ -35,7 +35,7 @@
         let mut pool = Pool::new(format!("z{}", me % 4).into(), weights());
         let list = (0..engines).map(|n| (format!("i-{n}").into(), format!("z{}", n % 4).into()));
         pool.update(list, 0);
-        pool.set_bears(Some(BEARS), 0);
+        pool.set_allowance(Some(ALLOWANCE), 0);
         pool.set_fleet(&fleet(boxes, me), 0);
         pool
     };
@@ -112,7 +112,7 @@
 fn without_a_bound_engines_that_come_back_together_get_too_much() {
     let mut pools = pools(75, 140);
     for pool in &mut pools {
-        pool.set_bears(None, 0);
+        pool.set_allowance(None, 0);
         // What they had is gone, so that they win by load.
         for n in 0..140 {
             let name: Arc<str> = format!("i-{n}").into();
@@ -177,7 +177,7 @@
 fn a_box_that_knows_no_others_yet_leaves_cold_endpoints_alone() {
     let mut pool = Pool::new("z0".into(), weights());
     pool.update([("i-0".into(), "z0".into())], 0);
-    pool.set_bears(Some(BEARS), 0);
+    pool.set_allowance(Some(ALLOWANCE), 0);
     pool.chill("i-0", Some(500), 100);
     let mut random = ChaCha8Rng::seed_from_u64(1);
     assert!(pool.choose(&Prefix::default(), &[], 200, &mut random).is_none());
@@ -189,7 +189,7 @@
     /// that in a second on average, and one request each at most beside it.
     #[test]
     fn a_fleet_sends_what_is_borne(boxes in 1..300usize, per_s in 0.2..60.0f64) {
-        let bears = Bears { per_s, lasts_ms: 3_000 };
+        let bears = Allowance { per_s, lasts_ms: 3_000 };
         let every: Vec<u64> =
             (0..boxes).filter_map(|me| bears.every_ms(&fleet(boxes, me), "i-1")).collect();
         let sent: f64 = every.iter().map(|ms| 1_000.0 / *ms as f64).sum();
@@ -206,7 +206,7 @@
     pool.chill("i-0", Some(3_000), 100);
     let mut random = ChaCha8Rng::seed_from_u64(1);
     assert!(pool.choose(&Prefix::default(), &[], 200, &mut random).is_some(), "no bound is known");
-    pool.set_bears(Some(BEARS), 300);
+    pool.set_allowance(Some(ALLOWANCE), 300);
     assert!(
         pool.choose(&Prefix::default(), &[], 300, &mut random).is_none(),
         "nor the other boxes"
--- a/crates/gateway/src/money/mod.rs
+++ b/crates/gateway/src/money/mod.rs
@@ -3,9 +3,11 @@
 //! A request holds its worst case in `funds`, which keep a `purse` for each customer. A keeper draws from
 //! the book in the store (`settle`) and passes tokens on to boxes near it (`shares`); the others draw from
 //! it (`draws`), and keepers lend to each other while the store cannot give (`lending`). `witness` promises
-//! another box what stays untouched, and `bills` are what became of the tokens.
+//! another box what stays untouched, and `claims` are collected of boxes that died, and
+//! `bills` are what became of the tokens.
 
 pub mod bills;
+pub mod claims;
 pub mod draws;
 pub mod ends;
 pub mod funds;
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -3,9 +3,8 @@
 //! One settlement is under way at a time. It is written until it is known to have landed: a
 //! refusal brings the book as it stands, and a lost answer is resolved by the writer's number.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use futures_util::future::join_all;
 use ledger::{BOOK, Book, Claim, Granted, Incarnation, Policy, Settlement, Untouched, Writer};
 use objects::{Expect, Store};
 use platform::store::{Client, Put};
@@ -13,12 +12,11 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    fleet::{
-        entry,
-        peers::{Peers, Word},
-    },
+    fleet::{entry, peers::Peers},
     metrics::Metrics,
-    money::{bills::Bills, draws::Draws, ends::Ends, funds::Funds, spacing, witness::Naming},
+    money::{
+        bills::Bills, claims, draws::Draws, ends::Ends, funds::Funds, spacing, witness::Naming,
+    },
     outage::{Contact, Outage, Probe},
     settings::{GATHER_MS, Settings},
 };
@@ -165,35 +163,11 @@
             return false;
         }
         self.asked = Some(Instant::now());
-        let collected = self.ask_witnesses(open).await;
+        let collected = claims::ask(&self.setup.peers, open).await;
         self.collected.extend(collected);
         !self.collected.is_empty()
     }
 
-    /// What the witnesses of lives that ended say of them; those that do not answer are left out.
-    async fn ask_witnesses(&self, open: Vec<(Incarnation, Claim)>) -> Vec<Untouched> {
-        let peers = &self.setup.peers;
-        let asked = open.iter().map(|(holder, claim)| peers.seal(holder, claim));
-        let words = join_all(asked).await;
-        let told = open.into_iter().zip(words).filter_map(|((holder, claim), word)| {
-            let witness = claim.witness;
-            tracing::info!(
-                event = "witness_asked",
-                holder = holder.as_str(),
-                witness = witness.by.as_str(),
-                answer = word.as_str(),
-                untouched = word.untouched().map(|tokens| tokens.values().sum::<u64>()),
-            );
-            let tokens = match word {
-                Word::Untouched(tokens) => tokens,
-                Word::Nothing => BTreeMap::new(),
-                Word::Unheard => return None,
-            };
-            Some(Untouched { holder, witness, tokens })
-        });
-        told.collect()
-    }
-
     /// Whether this box draws from the book: it is the keeper of its availability zone, holds
     /// something of the book, or has something to settle.
     fn is_of_book(&self) -> bool {
@@ -244,7 +218,7 @@
         if !book.knows_box_of(&self.setup.holder) {
             return;
         }
-        self.collected = self.ask_witnesses(book.earlier(&self.setup.holder)).await;
+        self.collected = claims::ask(&self.setup.peers, book.earlier(&self.setup.holder)).await;
         self.settle(Ends::Not).await;
     }
 
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use balance::{Bears, Choice, Failure, Fleet, Pool, Prefix, Prompt, Report, Weights};
+use balance::{Allowance, Choice, Failure, Fleet, Pool, Prefix, Prompt, Report, Weights};
 use parking_lot::Mutex;
 use platform::{answer::Load, config::Service, endpoint::Entry};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -95,7 +95,7 @@
     /// Availability zones that are to get no more work.
     evacuated: BTreeSet<Arc<str>>,
     /// What cold endpoints bear, by service.
-    bears: HashMap<Arc<str>, Bears>,
+    allowances: HashMap<Arc<str>, Allowance>,
     /// The boxes of the fleet, once they are known.
     fleet: Option<Fleet>,
 }
@@ -113,7 +113,7 @@
     /// Pools know what their cold endpoints bear, and who shares that.
     fn share(&mut self, now: u64) {
         for (service, pool) in &mut self.services {
-            pool.set_bears(self.bears.get(service).copied(), now);
+            pool.set_allowance(self.allowances.get(service).copied(), now);
             if let Some(fleet) = &self.fleet {
                 pool.set_fleet(fleet, now);
             }
@@ -138,7 +138,7 @@
             services: HashMap::new(),
             found: HashMap::new(),
             evacuated: BTreeSet::new(),
-            bears: HashMap::new(),
+            allowances: HashMap::new(),
             fleet: None,
         };
         Endpoints { zone, cold, started: Instant::now(), state: Mutex::new(state) }
@@ -199,13 +199,14 @@
     /// Takes over what the operator says of services.
     pub fn configure(&self, table: &Table) {
         let settings::Cold { factor, extra } = self.cold;
-        let bears = |service: &Service| Bears {
+        let allowance = |service: &Service| Allowance {
             per_s: service.cold_per_s * factor + extra,
             lasts_ms: (service.cold_s * 1_000.0) as u64,
         };
         let bound = table.config().services.iter().filter(|service| service.cold_per_s > 0.0);
         let mut state = self.state.lock();
-        state.bears = bound.map(|service| (service.name.clone(), bears(service))).collect();
+        state.allowances =
+            bound.map(|service| (service.name.clone(), allowance(service))).collect();
         state.share(self.now());
     }
 
--- a/crates/gateway/tests/loopback/crash.rs
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// Waits until a box holds much and has promised most of it.
+async fn until_it_keeps_most(world: &World, gateway: &Gateway) {
+    until("the box holds much and keeps most of it", async || {
+        call(gateway.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let balance = gateway.balance("bornova");
+        balance.free > 3 * LOST / 2 && balance.free - balance.kept < LOST / 2
+    })
+    .await;
+}
+
 /// Waits until the book knows of no earlier life of a box that started again.
 async fn until_replaced(world: &World, first: &Incarnation, again: &Gateway) {
     until("the earlier life is settled", async || {
@@ -48,13 +59,7 @@
 #[tokio::test]
 async fn little_is_lost_with_a_box_whose_witness_lives() {
     let Fleet { world, one, two, _endpoints } = Fleet::start().await;
-    until("box 1 holds much and keeps most of it", async || {
-        call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        let balance = one.balance("bornova");
-        balance.free > 3 * LOST / 2 && balance.free - balance.kept < LOST / 2
-    })
-    .await;
+    until_it_keeps_most(&world, &one).await;
     let first = one.incarnation().clone();
     drop(one);
     let again = world.gateway("box-1").await;
@@ -71,13 +76,7 @@
 #[tokio::test]
 async fn little_is_lost_with_a_box_whose_next_life_knows_no_other() {
     let Fleet { world, one, two, _endpoints } = Fleet::start().await;
-    until("box 1 holds much and keeps most of it", async || {
-        call(one.callers(), "/stream/x", &world.asked("key-b", 2_000, 10)).await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        let balance = one.balance("bornova");
-        balance.free > 3 * LOST / 2 && balance.free - balance.kept < LOST / 2
-    })
-    .await;
+    until_it_keeps_most(&world, &one).await;
     let first = one.incarnation().clone();
     world.forget_box("box-2").await;
     drop(one);
--- a/crates/wire/tests/size.rs
+++ b/crates/wire/tests/size.rs
@@ -36,7 +36,7 @@
         version: 400 + n,
         value: Some(
             format!(
-                r#"{{"service":"engines","address":"10.{}.64.{}:8745","zone":"z{}","slots":24,"state":"ready","seq":{},"cold_left_ms":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}]}}"#,
+                r#"{{"service":"engines","address":"10.{}.64.{}:8745","zone":"z{}","slots":24,"state":"ready","beat":{},"cold_for":0,"part":"both","models":[{{"name":"m","version":1,"adapters":[]}}]}}"#,
                 n % 6,
                 n % 250,
                 n % 6,
