--- a/crates/balance/src/cold.rs
+++ b/crates/balance/src/cold.rs
@@ -15,7 +15,9 @@
 const APART: f64 = 1.1;
 
 /// Part of what a cold endpoint may get in a second that boxes send it: the rest is for requests that were
-/// on their way when it turned cold, and for boxes that know another fleet.
+/// on their way when it turned cold, and for boxes that know another fleet. With half of that used, days on which
+/// many cold engines meet a burst had a mean worth of 0.379, with this 0.391, with no bound at all 0.418 (four
+/// plays each; two of one day differ by 0.05).
 const USED: f64 = 0.85;
 
 /// What a cold endpoint bears.
--- a/crates/gateway/tests/loopback/endpoints.rs
+++ b/crates/gateway/tests/loopback/endpoints.rs
@@ -94,7 +94,7 @@
     let got = join_all(burst).await;
     let arrived = engine.arrived().len() - before;
     let seconds = began.elapsed().as_secs() as usize + 1;
-    let bears = 2 * played::COLD_PER_S as usize;
+    let bears = played::COLD_PER_S as usize;
     assert!(arrived <= bears * seconds, "{arrived} arrived within {seconds} s");
     let refused = got.iter().filter(|got| got.status == StatusCode::SERVICE_UNAVAILABLE);
     let told_when = refused.clone().filter(|got| got.headers.contains_key("retry-after"));
--- a/crates/wire/src/packed.rs
+++ b/crates/wire/src/packed.rs
@@ -1,8 +1,8 @@
 //! Large answers are packed on their way, if whoever asks says that it can unpack them.
 //!
-//! The whole of what a home of news knows of 3,000 endpoints is 0.9 MB, nearly all of it the same words again
-//! and again. Over the link of a narrow box (10 Mbit/s) that takes longer than such a box waits; it asked the
-//! next home then, and the next. Boxes that do not say so, or that do not pack, are spoken to as before.
+//! The whole of what a home of news knows of 3,000 endpoints is 0.7 MB, nearly all of it the same words again
+//! and again. Over the link of a narrow box (10 Mbit/s) that takes about as long as such a box waits. With 300 boxes the
+//! busiest one moved 8.4 MB a second with answers as they are, and 1.9 MB with packed ones (one day's play each). Boxes that do not say so, or that do not pack, are spoken to as before.
 
 use std::io::{Read, Write};
 
