Log lines name the content of a request

Cause: nothing in the lines says which tries are the same request; an incident had to be read by the size of what a request held. Now a fingerprint over customer, host, target and body stands in the lines of each try.

--- a/crates/gateway/src/way/admit.rs
+++ b/crates/gateway/src/way/admit.rs
@@ -11,6 +11,7 @@
     config::Route,
     request::{self, Head},
 };
+use quarantine::Fingerprint;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
@@ -43,6 +44,8 @@
     _room: OwnedSemaphorePermit,
     pub head: Head,
     pub prefix: Prefix,
+    /// Its content.
+    pub fingerprint: Fingerprint,
     pub route: Route,
     pub service: Arc<str>,
     /// Connections that this box may hold to one endpoint.
@@ -101,6 +104,8 @@
         self.link.request(body.len());
         let prefix = Prefix::of_parts(head.parts.iter().map(|part| (part.id, part.tokens)));
         let (method, target, headers) = (parts.method, parts.uri, parts.headers);
+        let fingerprint = fingerprint(trip.customer.as_ref(), &route, &method, &target, &body);
+        trip.fingerprint = Some(fingerprint.clone());
         Ok(Call {
             method,
             target,
@@ -109,6 +114,7 @@
             _room: room,
             head,
             prefix,
+            fingerprint,
             route,
             service,
             connections,
@@ -174,6 +180,19 @@
     }
 }
 
+/// What tries of one request have in common: the host is the route's, as its callers may write it in several ways.
+fn fingerprint(
+    customer: Option<&Arc<str>>,
+    route: &Route,
+    method: &Method,
+    target: &Uri,
+    body: &[u8],
+) -> Fingerprint {
+    let target = target.path_and_query().map_or("", |target| target.as_str());
+    let parts = [method.as_str().as_bytes(), route.host.as_bytes(), target.as_bytes(), body];
+    Fingerprint::of(customer, parts)
+}
+
 /// Refuses heads that two readers could understand in two ways.
 pub fn check(request: &Request<Incoming>) -> Result<(), Refusal> {
     let headers = request.headers();
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -123,6 +123,7 @@
             id = trip.id.as_deref(),
             endpoint = &*chosen.id,
             service = &*call.service,
+            fingerprint = %call.fingerprint,
             load = chosen.load,
             cached = chosen.held,
             prompt = call.prefix.size(),
--- a/crates/gateway/src/way/trip.rs
+++ b/crates/gateway/src/way/trip.rs
@@ -4,6 +4,7 @@
 
 use ledger::Ended;
 use platform::request::{Head, Tokens};
+use quarantine::Fingerprint;
 use tokio::time::Instant;
 
 use crate::{
@@ -47,6 +48,8 @@
     pub came: Instant,
     pub until: Instant,
     pub tokens: Option<Tokens>,
+    /// Its content, once it was read.
+    pub fingerprint: Option<Fingerprint>,
     /// Most tokens in one event of the service's engines.
     pub event_tokens: u64,
     pub endpoint: Option<Arc<str>>,
@@ -83,6 +86,7 @@
             came,
             until,
             tokens: head.tokens,
+            fingerprint: None,
             event_tokens: 1,
             endpoint: None,
             sent: 0,
@@ -158,6 +162,7 @@
             route = self.route.as_deref(),
             service = self.service.as_deref(),
             endpoint = self.endpoint.as_deref(),
+            fingerprint = self.fingerprint.as_ref().map(tracing::field::display),
             config = self.version,
             outcome,
             reason,
