Failing test: one request ends all endpoints

Reproduced on loopback: four boxes, nine endpoints that end when they run a request, a caller that sends it again to another box each time. All nine end, on a plain route already on the first. The stand-in endpoint can end now: its port and all its connections go.

Ruled out: engines, prompts and load, which the test does not need.

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -7,4 +7,5 @@
 mod outage;
 mod path;
 mod prompts;
+mod quarantine;
 mod world;
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -8,7 +8,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    sync::Notify,
+    task::{JoinHandle, JoinSet},
 };
 
 /// Largest head that is read, in bytes.
@@ -46,6 +47,8 @@
     Close,
     /// Reads on and never answers.
     Silent,
+    /// Begins an answer, and a little later the endpoint ends: its port and all its connections are gone.
+    Crash(HeaderMap, Duration),
 }
 
 type Script = dyn Fn(&Arrived) -> Reply + Send + Sync;
@@ -72,8 +75,17 @@
         let seen: Arc<Mutex<Seen>> = Arc::default();
         let (script, shared): (Arc<Script>, _) = (Arc::new(script), seen.clone());
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script.clone(), shared.clone()));
+            let crash = Arc::new(Notify::new());
+            // Connections that are open when this ends are closed with it.
+            let mut open = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        open.spawn(serve(stream, script.clone(), shared.clone(), crash.clone()));
+                    }
+                    () = crash.notified() => return,
+                }
             }
         });
         Scripted { address, seen, task }
@@ -89,6 +101,11 @@
         self.seen.lock().arrived.clone()
     }
 
+    /// Whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Connections accepted so far.
     pub fn connections(&self) -> usize {
         self.seen.lock().connections
@@ -106,7 +123,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Mutex<Seen>>) {
+async fn serve(
+    mut stream: TcpStream,
+    script: Arc<Script>,
+    seen: Arc<Mutex<Seen>>,
+    crash: Arc<Notify>,
+) {
     let _ = stream.set_nodelay(true);
     let connection = {
         let mut seen = seen.lock();
@@ -117,7 +139,12 @@
     while let Some(arrived) = read(&mut stream, &mut buffer, connection).await {
         let reply = script(&arrived);
         seen.lock().arrived.push(arrived);
-        if !answer(&mut stream, reply).await {
+        let crashes = matches!(reply, Reply::Crash(..));
+        let goes_on = answer(&mut stream, reply).await;
+        if crashes {
+            crash.notify_one();
+        }
+        if !goes_on {
             break;
         }
     }
@@ -211,6 +238,12 @@
             let _ = stream.write_all(bytes.as_bytes()).await;
             false
         }
+        Reply::Crash(headers, after) => {
+            let bytes = head(StatusCode::OK, &headers, CHUNKED);
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            tokio::time::sleep(after).await;
+            false
+        }
         Reply::Close => false,
         Reply::Silent => {
             let mut rest = Vec::new();
