Requests under which three endpoints ended are not run any more

Cause: nothing was remembered of a request beyond one try, and boxes told each other nothing of what became of it. Its class: a fault that travels with the content of a request, so that whoever repeats it, caller or fleet, carries it to the next endpoint.

Boxes report which requests an endpoint had when it ended (proved by a refused connection), in the store and to the homes of news. What three endpoints ended with is refused at once, as not run; what an endpoint answered whole is cleared. Ruled out: to count breaks without proof (answers break off at endpoints that stand), and to keep the count at one box by hashing (a box that reaches only the store would not hear of it).

--- a/crates/gateway/src/door/desk.rs
+++ b/crates/gateway/src/door/desk.rs
@@ -114,7 +114,11 @@
 impl wire::Answer for Desk {
     async fn answer(&self, question: Message) -> Message {
         let frame = match question.frame {
-            Frame::Lend { .. } | Frame::Promise(_) | Frame::Prompt(_) | Frame::Bills { .. }
+            Frame::Lend { .. }
+            | Frame::Promise(_)
+            | Frame::Prompt(_)
+            | Frame::Bills { .. }
+            | Frame::Crash { .. }
                 if !self.peers.knows(&question.from) =>
             {
                 self.peers.note_unknown();
@@ -135,6 +139,10 @@
                 self.endpoints.told(&question.from.as_str().into(), &prompt);
                 Frame::Done
             }
+            Frame::Crash { name, report } => {
+                self.view.hear_crash(&name, report);
+                Frame::Done
+            }
             Frame::Bills { .. } if *self.stopping.borrow() => {
                 Frame::Refused { reason: "this box is about to stop itself".into() }
             }
--- a/crates/gateway/src/door/pages.rs
+++ b/crates/gateway/src/door/pages.rs
@@ -58,6 +58,9 @@
         let standing = view.standing();
         metrics.evacuated.set(gate.endpoints.evacuated() as i64);
         metrics.cold.set(gate.endpoints.count_cold() as i64);
+        let (reports, quarantined) = gate.crashes.counts();
+        metrics.crashes.set(reports as i64);
+        metrics.quarantined.set(quarantined as i64);
         metrics.looks.set(i64::from(standing.looks));
         metrics.news_age.set(standing.age.map_or(-1, |age| age.as_millis() as i64));
         metrics.connections.set(gate.links.opened() as i64);
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -19,6 +19,7 @@
 use balance::{Fleet, Prefix, Prompt};
 use ledger::{Claim, Incarnation, Promise, Transfer, Witness};
 use parking_lot::Mutex;
+use quarantine::Report;
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use timeline::Stamp;
 use tokio::sync::Notify;
@@ -41,7 +42,7 @@
 /// Longest wait of a start for the witness of the box's earlier life: the boxes know each other
 /// for longer than this before the first tokens are granted.
 const SEAL_WITHIN: Duration = Duration::from_millis(400);
-/// Longest wait until another box heard of a prompt, which an engine reads in less.
+/// Longest wait until another box heard of a prompt, which an engine reads in less, or of a report.
 const TOLD_WITHIN: Duration = Duration::from_millis(200);
 /// Longest wait until another box took pages of bills: some 200 KB each over a narrow link.
 const BILLS_WITHIN: Duration = Duration::from_millis(500);
@@ -343,6 +344,17 @@
         }
     }
 
+    /// Tells the homes of news of a report; what they miss, the store tells.
+    pub fn tell_crash(&self, name: &Arc<str>, report: &Report) {
+        let homes = self.homes();
+        for home in homes.all().filter(|home| **home != self.me) {
+            let Some(peer) = self.peer(home) else { continue };
+            let frame = Frame::Crash { name: name.clone(), report: report.clone() };
+            let (peers, home) = (self.clone(), home.clone());
+            tokio::spawn(async move { peers.ask(&home, &peer, frame, TOLD_WITHIN).await });
+        }
+    }
+
     /// A box that is known and did not fail to answer lately, other than `not`.
     pub fn any_in_reach(&self, not: Option<&Incarnation>) -> Option<Incarnation> {
         let others = self.in_reach().into_iter().map(|(name, _)| name);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,12 +33,13 @@
     news::{
         listen::Listener,
         look,
+        reporter::Reporter,
         roster::Roster,
         view::{Uses, View},
     },
     outage::Contact,
     settings::{Listen, Settings},
-    way::{bounds::Bounds, endpoints::Endpoints, gate::Gate, link::Link},
+    way::{bounds::Bounds, crashes::Crashes, endpoints::Endpoints, gate::Gate, link::Link},
 };
 
 /// Connections of the balancer and of scrapers at once.
@@ -134,6 +135,8 @@
         let endpoints =
             Arc::new(Endpoints::new(settings.zone.clone(), settings.cold, random.random()));
         let links = Links::new(settings.links());
+        let connect = settings.links().connect;
+        let (crashes, reports) = Crashes::open(incarnation.clone(), settings.quarantine(), connect);
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
         let place = Place {
@@ -152,6 +155,7 @@
             endpoints: endpoints.clone(),
             links: links.clone(),
             peers: peers.clone(),
+            crashes: crashes.clone(),
             contact: contact.clone(),
         });
         let desk = Desk {
@@ -168,6 +172,7 @@
         let gate = Arc::new(Gate {
             table,
             endpoints: endpoints.clone(),
+            crashes,
             links: links.clone(),
             funds: funds.clone(),
             bills: bills.clone(),
@@ -214,6 +219,12 @@
         let settler = Settler::new(setup, contact.clone());
         let lapse = Duration::from_millis(settings.limits.lapse_ms);
         let name = settings.box_name.clone();
+        let reporter = Reporter {
+            store: store.clone(),
+            peers: gate.peers.clone(),
+            view: view.clone(),
+            contact: contact.clone(),
+        };
         let looks = look::Setup { store: store.clone(), view: view.clone(), contact, name, lapse };
         let listener = Listener::new(gate.peers.clone(), looks, registered, random.random());
         let (serving, bounding) = (gate.clone(), gate.clone());
@@ -246,6 +257,7 @@
         );
         let mut loops = vec![
             tokio::spawn(listener.run()),
+            tokio::spawn(reporter.run(reports)),
             tokio::spawn(keeper.run()),
             tokio::spawn(draws.run()),
             tokio::spawn(for_balancer),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,10 @@
     pub claims: Gauge,
     /// Endpoints that bear little for now.
     pub cold: Gauge,
+    /// Reports of endpoints that ended, and of requests that were answered after all.
+    pub crashes: Gauge,
+    /// Requests that are not run any more.
+    pub quarantined: Gauge,
     /// 1 while this box looks at the store itself.
     pub looks: Gauge,
     /// Milliseconds since the store, or a home that reaches it, was heard; -1 before that.
@@ -97,6 +101,8 @@
             evacuated: Gauge::default(),
             claims: Gauge::default(),
             cold: Gauge::default(),
+            crashes: Gauge::default(),
+            quarantined: Gauge::default(),
             looks: Gauge::default(),
             news_age: Gauge::default(),
         };
@@ -148,6 +154,16 @@
             "Endpoints that bear few requests a second for now",
             self.cold.clone(),
         );
+        registry.register(
+            "crash_reports",
+            "Reports of endpoints that ended, and of suspect requests that were answered whole",
+            self.crashes.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Requests that are not run any more, since endpoints ended each time they ran them",
+            self.quarantined.clone(),
+        );
         registry.register(
             "news_from_store",
             "1 while this box looks at the store itself, 0 while it listens to another box",
--- a/crates/gateway/src/news/look.rs
+++ b/crates/gateway/src/news/look.rs
@@ -55,6 +55,7 @@
         tasks.spawn(look_at_store(setup.clone(), probe));
         tasks.spawn(look_at_config(setup.clone()));
         tasks.spawn(look_at_evacuations(setup.clone()));
+        tasks.spawn(look_at_crashes(setup.clone()));
         tasks.spawn(look_at_endpoints(setup.clone()));
         tasks.spawn(look_at_boxes(setup.clone()));
         Looking(tasks)
@@ -118,6 +119,16 @@
     follow(&setup, "evacuations", platform::EVACUATIONS, seen).await;
 }
 
+/// Follows which requests endpoints ended with.
+async fn look_at_crashes(setup: Setup) {
+    let view = setup.view.clone();
+    let seen = |seen| match seen {
+        Seen::All(list) => view.crashes_read(&list.objects),
+        Seen::Changes(changes) => view.crashes_changed(&changes),
+    };
+    follow(&setup, "crashes", quarantine::CRASHES, seen).await;
+}
+
 /// What was seen of the objects of a kind.
 enum Seen {
     /// All of them.
--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -8,6 +8,7 @@
 use objects::{Change, Object};
 use parking_lot::Mutex;
 use platform::{config::Config, endpoint::Entry as Endpoint};
+use quarantine::{CRASHES, Report};
 use tokio::{
     sync::{Notify, watch},
     time::{Instant, timeout_at},
@@ -27,7 +28,7 @@
     },
     outage::Contact,
     table::Table,
-    way::endpoints::Endpoints,
+    way::{crashes::Crashes, endpoints::Endpoints},
 };
 
 /// The configuration in force; `None` until one was read.
@@ -40,6 +41,7 @@
     pub endpoints: Arc<Endpoints>,
     pub links: forward::Links,
     pub peers: Peers,
+    pub crashes: Crashes,
     /// Tells all tasks of the box when the store answers again.
     pub contact: Contact,
 }
@@ -92,12 +94,13 @@
     config: bool,
     endpoints: bool,
     evacuations: bool,
+    crashes: bool,
 }
 
 impl Looks {
     /// Whether others may listen.
     fn is_whole(self) -> bool {
-        self.config && self.endpoints && self.evacuations
+        self.config && self.endpoints && self.evacuations && self.crashes
     }
 }
 
@@ -204,6 +207,63 @@
         state.shelf.put(platform::EVACUATIONS, "all", version, Some(&text));
     }
 
+    /// Reports of requests that endpoints ended with, as they were read from the store.
+    pub fn crashes_read(&self, objects: &[Object]) {
+        let mut state = self.0.state.lock();
+        state.looks.crashes = true;
+        for Object { name, version, value, .. } in objects {
+            self.take_crash(&mut state, name, *version, Some(value));
+        }
+        drop(state);
+        self.tell();
+    }
+
+    /// Reports came to the store, or went.
+    pub fn crashes_changed(&self, changes: &[Change]) {
+        let mut state = self.0.state.lock();
+        for Change { name, version, value, .. } in changes {
+            self.take_crash(&mut state, name, *version, value.as_deref());
+        }
+        drop(state);
+        self.tell();
+    }
+
+    /// Takes over a report that a box tells, this one or another.
+    pub fn hear_crash(&self, name: &Arc<str>, report: Report) {
+        let text = serde_json::to_string(&report).expect("reports always serialize");
+        self.0.uses.crashes.take(name, None, report);
+        self.0.state.lock().shelf.put(CRASHES, name, NOT_STORED, Some(&text));
+        self.tell();
+    }
+
+    /// A report as it stands in the store, or that it went.
+    fn take_crash(&self, state: &mut State, name: &Arc<str>, version: u64, text: Option<&str>) {
+        let crashes = &self.0.uses.crashes;
+        match text.map(serde_json::from_str::<Report>) {
+            Some(Ok(report)) => {
+                crashes.take(name, (version != NOT_STORED).then_some(version), report);
+                state.shelf.put(CRASHES, name, version, text);
+            }
+            Some(Err(error)) => note_unreadable(CRASHES, name, &error),
+            None => {
+                crashes.forget(name);
+                state.shelf.put(CRASHES, name, version, None);
+            }
+        }
+    }
+
+    /// Reports in the store that are too old to count, with their versions, while this box looks at it.
+    pub fn old_crashes(&self) -> Vec<(Arc<str>, u64)> {
+        let state = self.0.state.lock();
+        let is_old = |name: &str| !self.0.uses.crashes.holds(name);
+        let mut names = match state.looks.is_whole() {
+            true => state.shelf.names(CRASHES),
+            false => Vec::new(),
+        };
+        names.retain(|(name, version)| *version != NOT_STORED && is_old(name));
+        names
+    }
+
     /// All entries of endpoints as they were read from the store at a version.
     pub fn endpoints_read(&self, objects: &[Object], at: u64) {
         let now = self.now();
@@ -362,6 +422,10 @@
                 platform::ENDPOINTS => endpoints.push(change),
                 BOXES => boxes.push(change),
                 platform::EVACUATIONS => self.hear_evacuations(&mut state, change),
+                CRASHES => {
+                    let wire::Change { name, version, value, .. } = change;
+                    self.take_crash(&mut state, &name, version, value.as_deref());
+                }
                 kind if kind == platform::CONFIG.0 => config = Some(change),
                 kind => tracing::warn!(event = "news_not_understood", kind),
             }
@@ -444,6 +508,9 @@
 /// Longest wait of a listener, in milliseconds: a connection that is dead is found by silence.
 const WAIT_MOST_MS: u64 = 5_000;
 
+/// Version of a report that a box told and the store has not taken yet.
+const NOT_STORED: u64 = 0;
+
 /// Whether there is something in it for a listener.
 fn is_new(news: &News, listen: &Listen) -> bool {
     news.whole
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,9 @@
     /// Requests to endpoints that are cold.
     #[serde(default)]
     pub cold: Cold,
+    /// Requests that endpoints end with.
+    #[serde(default)]
+    pub quarantine: Quarantine,
     /// Bounds in time and number.
     #[serde(default)]
     pub limits: Limits,
@@ -196,6 +199,23 @@
     }
 }
 
+/// When a request that endpoints end with is not run any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Quarantine {
+    /// Endpoints that ended with it.
+    pub ended: usize,
+    /// Time for which each of them counts, in seconds.
+    pub keep_s: u64,
+}
+
+impl Default for Quarantine {
+    /// Three ends in a day: chance puts a request beside a guilty one twice, hardly three times.
+    fn default() -> Quarantine {
+        Quarantine { ended: 3, keep_s: 86_400 }
+    }
+}
+
 /// Bounds in time and number.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -262,6 +282,8 @@
             ("money.keeper_ms", money.keeper_ms, 10, 60_000),
             ("money.wait_ms", money.wait_ms, 0, 60_000),
             ("retries.window_s", self.retries.window_s, 1, 3_600),
+            ("quarantine.ended", self.quarantine.ended as u64, 1, 1_000),
+            ("quarantine.keep_s", self.quarantine.keep_s, 1, 31_536_000),
             ("limits.connections", limits.connections as u64, 1, 1_000_000),
             ("limits.bodies", limits.bodies as u64, 1 << 16, 1 << 34),
             ("limits.connect_ms", limits.connect_ms, 10, 60_000),
@@ -311,12 +333,19 @@
             ("listen", self.listen != next.listen),
             ("store", self.store != next.store),
             ("cold", self.cold != next.cold),
+            ("quarantine", self.quarantine != next.quarantine),
             ("limits", limits(self) != limits(next)),
             ("log", self.log != next.log),
         ];
         groups.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
+    /// When a request that endpoints end with is not run any more.
+    pub fn quarantine(&self) -> quarantine::Limits {
+        let Quarantine { ended, keep_s } = self.quarantine;
+        quarantine::Limits { ended, keep_s }
+    }
+
     /// Connections to endpoints.
     pub fn links(&self) -> forward::Options {
         let ms = Duration::from_millis;
--- a/crates/gateway/src/way/admit.rs
+++ b/crates/gateway/src/way/admit.rs
@@ -11,7 +11,7 @@
     config::Route,
     request::{self, Head},
 };
-use quarantine::Fingerprint;
+use quarantine::{Fingerprint, Verdict};
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
@@ -106,6 +106,7 @@
         let (method, target, headers) = (parts.method, parts.uri, parts.headers);
         let fingerprint = fingerprint(trip.customer.as_ref(), &route, &method, &target, &body);
         trip.fingerprint = Some(fingerprint.clone());
+        self.check_quarantine(&fingerprint)?;
         Ok(Call {
             method,
             target,
@@ -122,6 +123,15 @@
         })
     }
 
+    /// Refuses a request that endpoints end with.
+    pub fn check_quarantine(&self, fingerprint: &Fingerprint) -> Result<(), Refusal> {
+        match self.crashes.verdict(fingerprint) {
+            Verdict::Free | Verdict::Suspect { .. } => Ok(()),
+            Verdict::Quarantined { for_s } => Err(Reason::Quarantined
+                .after(Duration::from_secs(for_s), "endpoints ended each time they ran it")),
+        }
+    }
+
     /// Room for a body, by its length where the head tells it.
     fn room(&self, body: &Incoming, limit: usize) -> Result<OwnedSemaphorePermit, Refusal> {
         let told = http_body::Body::size_hint(body).exact().map(|bytes| bytes as usize);
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -26,7 +26,7 @@
 /// What one try at an endpoint came to.
 enum Try {
     /// An answer for the caller.
-    Answer(Box<Answer>, Flight),
+    Answer(Box<Answer>, Box<Flight>),
     /// The endpoint did not run it.
     NotRun(String),
     /// Another incarnation answers at the address: the endpoint that was meant is gone.
@@ -53,6 +53,11 @@
             if trip.left().is_zero() {
                 return Err(Reason::TooLate.with("its time was over before it was sent"));
             }
+            // Endpoints may have ended with it since it came.
+            if let Err(refusal) = self.check_quarantine(&call.fingerprint) {
+                last = refusal;
+                break;
+            }
             let Some(chosen) = self.endpoints.choose(&call.service, &call.prefix, &tried) else {
                 break;
             };
@@ -63,7 +68,7 @@
             let outcome = self.attempt(call, &chosen, trip).await;
             arrived += u32::from(!matches!(outcome, Try::Unsent(_)));
             match outcome {
-                Try::Answer(answer, flight) => return Ok((answer, flight)),
+                Try::Answer(answer, flight) => return Ok((answer, *flight)),
                 Try::Unsent(reason) => last = Reason::NoEndpoint.after(SOON, reason),
                 Try::NotRun(reason) | Try::Gone(reason) => {
                     last = Reason::NoEndpoint.after(SOON, reason);
@@ -133,7 +138,9 @@
         );
         let endpoints = self.endpoints.clone();
         let service = call.service.clone();
-        let mut flight = Flight::start(endpoints, service, chosen, &call.prefix, &self.peers);
+        let watch = self.crashes.watch(chosen, &call.fingerprint);
+        let mut flight =
+            Flight::start(endpoints, service, chosen, &call.prefix, &self.peers, watch);
         // From here on the endpoint may have it, also when this future is dropped.
         let (had_run, had_sent) = (trip.may_have_run, trip.sent);
         (trip.may_have_run, trip.sent) = (true, trip.sent + 1);
@@ -198,7 +205,7 @@
         }
         trip.first_byte = Some(trip.came.elapsed());
         flight.begin();
-        Try::Answer(Box::new(answer), flight)
+        Try::Answer(Box::new(answer), Box::new(flight))
     }
 
     /// Whether a repeat is left, without taking it.
@@ -216,7 +223,7 @@
             Try::Unsent(reason)
         }
         Fault::Unknown { reason } => {
-            flight.fail(Failure::Broken);
+            flight.broke();
             Try::Unknown(Reason::Lost.with(reason))
         }
     }
--- a/crates/gateway/src/way/gate.rs
+++ b/crates/gateway/src/way/gate.rs
@@ -16,7 +16,7 @@
     money::{bills::Bills, draws::Draws, funds::Funds},
     settings::Settings,
     table::Table,
-    way::{bounds::Bounds, endpoints::Endpoints, link::Link, retries::Retries},
+    way::{bounds::Bounds, crashes::Crashes, endpoints::Endpoints, link::Link, retries::Retries},
 };
 
 /// All that the way of a request needs.
@@ -25,6 +25,8 @@
     pub settings: watch::Sender<Arc<Settings>>,
     pub table: watch::Receiver<Option<Arc<Table>>>,
     pub endpoints: Arc<Endpoints>,
+    /// Which requests endpoints ended with.
+    pub crashes: Crashes,
     pub links: Links,
     pub funds: Funds,
     pub peers: Peers,
--- a/crates/gateway/src/way/mod.rs
+++ b/crates/gateway/src/way/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! `admit` finds its route and customer and holds its tokens, `dispatch` chooses among `endpoints` and
 //! sends, `relay` passes the answer on, `trip` settles, and `refusal` says what a caller is told instead.
-//! `gate` is what all of these work with.
+//! `crashes` knows which requests endpoints ended with. `gate` is what all of these work with.
 
 pub mod admit;
 pub mod bounds;
+pub mod crashes;
 pub mod dispatch;
 pub mod endpoints;
 pub mod gate;
--- a/crates/gateway/src/way/refusal.rs
+++ b/crates/gateway/src/way/refusal.rs
@@ -34,6 +34,8 @@
     NoEndpoint,
     /// Its time was over before it was sent.
     TooLate,
+    /// Endpoints ended each time they ran it.
+    Quarantined,
     /// An endpoint has it and did not answer in time.
     Silent,
     /// An endpoint has it, and its answer was lost or not its own.
@@ -66,6 +68,7 @@
             Reason::Memory => "memory",
             Reason::NoEndpoint => "no_endpoint",
             Reason::TooLate => "too_late",
+            Reason::Quarantined => "quarantined",
             Reason::Silent => "endpoint_silent",
             Reason::Lost => "answer_lost",
         }
@@ -81,9 +84,11 @@
             Reason::NoCustomer => StatusCode::UNAUTHORIZED,
             Reason::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Reason::TokensShort => StatusCode::TOO_MANY_REQUESTS,
-            Reason::NoConfig | Reason::Memory | Reason::NoEndpoint | Reason::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Reason::NoConfig
+            | Reason::Memory
+            | Reason::NoEndpoint
+            | Reason::TooLate
+            | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Reason::Silent => StatusCode::GATEWAY_TIMEOUT,
             Reason::Lost => StatusCode::BAD_GATEWAY,
         }
--- a/crates/gateway/src/way/relay.rs
+++ b/crates/gateway/src/way/relay.rs
@@ -16,6 +16,7 @@
 use crate::{
     fleet::peers::{Peers, Reading},
     way::{
+        crashes::Watch,
         endpoints::{Chosen, Endpoints},
         link::Link,
         meter::Meter,
@@ -52,6 +53,8 @@
     /// When its last event came.
     paced: Option<Instant>,
     failure: Option<Failure>,
+    /// Whether the endpoint ends under it.
+    watch: Watch,
 }
 
 impl Flight {
@@ -62,12 +65,13 @@
         chosen: &Chosen,
         prefix: &balance::Prefix,
         peers: &Peers,
+        watch: Watch,
     ) -> Flight {
         let unread = endpoints.start(&service, chosen, prefix);
         let told = (unread >= TOLD_FROM).then(|| peers.tell_prompt(&chosen.life, prefix, unread));
         let endpoint = chosen.life.clone();
         let unread = Some(unread);
-        Flight { endpoints, service, endpoint, unread, told, paced: None, failure: None }
+        Flight { endpoints, service, endpoint, unread, told, paced: None, failure: None, watch }
     }
 
     /// Its answer began.
@@ -87,6 +91,12 @@
         Some(pause)
     }
 
+    /// Its connection broke before the whole answer was there.
+    pub fn broke(&mut self) {
+        self.failure = Some(Failure::Broken);
+        self.watch.broke();
+    }
+
     /// It failed there.
     pub fn fail(&mut self, failure: Failure) {
         self.failure = Some(failure);
@@ -134,6 +144,7 @@
     }
 
     fn end(&mut self) {
+        self.flight.watch.answered();
         self.trip.end(End::Answered { status: self.status }, self.meter.events());
     }
 
@@ -188,7 +199,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(source)) => {
-                self.flight.fail(Failure::Broken);
+                self.flight.broke();
                 self.break_off(source.to_string());
                 Poll::Ready(Some(Err(Broken::Endpoint { source })))
             }
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -131,6 +131,18 @@
         endpoint
     }
 
+    /// Number of objects of a kind in the store.
+    pub async fn count(&self, kind: &str) -> usize {
+        self.platform.memory().list(kind, "").await.expect("memory answers").len()
+    }
+
+    /// Starts a gateway that no other box may ask, and that asks none.
+    pub async fn gateway_alone(&self, name: &str) -> Gateway {
+        let mut settings = settings(name, self.platform.socket());
+        settings.listen.peers = None;
+        self.gateway_with(settings).await
+    }
+
     /// Starts a gateway that reaches the store directly.
     pub async fn gateway(&self, name: &str) -> Gateway {
         self.gateway_at(name, self.platform.socket()).await
--- /dev/null
+++ b/crates/quarantine/tests/record.rs
@@ -0,0 +1,171 @@
+//! What reports mean for requests, in any order, and how many are kept.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use quarantine::{Finding, Fingerprint, Limits, Record, Report, Verdict};
+
+const LIMITS: Limits = Limits { ended: 3, keep_s: 100 };
+const NOW: u64 = 1_000;
+
+fn request(n: u32) -> Fingerprint {
+    Fingerprint::of(Some(&"bornova".into()), [n.to_le_bytes().as_slice()])
+}
+
+fn ended(endpoint: &str, requests: &[u32]) -> Report {
+    let finding = Finding::Ended { endpoint: endpoint.into() };
+    Report { finding, requests: requests.iter().copied().map(request).collect(), at_s: NOW }
+}
+
+fn answered(requests: &[u32]) -> Report {
+    Report { finding: Finding::Answered, ..ended("", requests) }
+}
+
+/// A record that took these reports in this order, each with the next version of the store.
+fn record(reports: &[Report]) -> Record {
+    let mut record = Record::new(LIMITS);
+    for (n, report) in reports.iter().enumerate() {
+        record.take(&format!("r-{n}").into(), Some(n as u64 + 1), report.clone(), NOW, 0);
+    }
+    record
+}
+
+#[test]
+fn what_reports_mean() {
+    use Verdict::{Free, Quarantined, Suspect};
+    let cases: [(&str, Vec<Report>, Verdict); 7] = [
+        ("nothing", vec![], Free),
+        ("two endpoints", vec![ended("a", &[1]), ended("b", &[1])], Suspect { ended: 2 }),
+        (
+            "three endpoints",
+            vec![ended("a", &[1]), ended("b", &[1]), ended("c", &[1, 2])],
+            Quarantined { for_s: 100 },
+        ),
+        (
+            "one endpoint, reported by three boxes",
+            vec![ended("a", &[1]), ended("a", &[1]), ended("a", &[1])],
+            Suspect { ended: 1 },
+        ),
+        ("others", vec![ended("a", &[2]), ended("b", &[2]), ended("c", &[2])], Free),
+        (
+            "answered whole in the end",
+            vec![ended("a", &[1]), ended("b", &[1]), ended("c", &[1]), answered(&[1])],
+            Free,
+        ),
+        (
+            "answered before, then endpoints end with it",
+            vec![answered(&[1]), ended("a", &[1]), ended("b", &[1]), ended("c", &[1])],
+            Quarantined { for_s: 100 },
+        ),
+    ];
+    for (what, reports, verdict) in cases {
+        assert_eq!(record(&reports).verdict(&request(1), &[], NOW), verdict, "{what}");
+    }
+}
+
+#[test]
+fn an_end_that_is_still_to_be_proved_counts_once() {
+    let record = record(&[ended("a", &[1]), ended("b", &[1])]);
+    let verdict = |lives: &[&str]| {
+        let lives: Vec<Arc<str>> = lives.iter().map(|life| (*life).into()).collect();
+        record.verdict(&request(1), &lives, NOW)
+    };
+    assert_eq!(verdict(&["b"]), Verdict::Suspect { ended: 2 });
+    assert_eq!(verdict(&["c"]), Verdict::Quarantined { for_s: 100 });
+}
+
+#[test]
+fn a_quarantine_ends_with_the_oldest_end_that_it_needs() {
+    let mut record = Record::new(LIMITS);
+    for (n, at_s) in [1_000, 1_010, 1_020, 1_030].into_iter().enumerate() {
+        let report = Report { at_s, ..ended(&format!("i-{n}"), &[1]) };
+        record.take(&format!("r-{n}").into(), Some(n as u64), report, 1_030, 0);
+    }
+    assert_eq!(record.verdict(&request(1), &[], 1_030), Verdict::Quarantined { for_s: 80 });
+    assert_eq!(record.verdict(&request(1), &[], 1_110), Verdict::Suspect { ended: 2 });
+    record.expire(1_200);
+    assert!(record.is_empty());
+    assert_eq!(record.verdict(&request(1), &[], 1_200), Verdict::Free);
+}
+
+/// The load: all callers of a service poll the same thing with the same key, while many engines end at once.
+#[test]
+fn a_request_that_is_answered_all_the_time_is_cleared_at_once() {
+    let mut record = Record::new(LIMITS);
+    assert!(!record.answered(&request(1), 5_000), "nothing is held against it");
+    let take = |record: &mut Record, n: usize, now_ms| {
+        let report = ended(&format!("i-{n}"), &[1, 2]);
+        record.take(&format!("r-{n}").into(), Some(n as u64), report, NOW, now_ms)
+    };
+    assert_eq!(take(&mut record, 1, 6_000), []);
+    assert_eq!(take(&mut record, 2, 6_001), [request(1)], "before it would be refused");
+    assert_eq!(take(&mut record, 3, 6_002), [], "an answer speaks for it once");
+    let mut late = Record::new(LIMITS);
+    late.answered(&request(1), 5_000);
+    (1..3).for_each(|n| drop(take(&mut late, n, 5_000)));
+    assert_eq!(take(&mut late, 3, 65_001), [], "and not for ever");
+}
+
+#[test]
+fn what_is_kept_is_bounded_and_a_wave_of_ends_frees_nobody() {
+    let mut record = record(&[ended("a", &[1]), ended("b", &[1]), ended("c", &[1])]);
+    for n in 0..5_000_u32 {
+        let report = ended(&format!("i-{n}"), &[n + 10, n + 11]);
+        record.take(&format!("w-{n}").into(), Some(u64::from(n) + 10), report, NOW, 0);
+        record.answered(&request(n), u64::from(n));
+    }
+    assert!(record.len() <= 1_024, "{} reports", record.len());
+    assert_eq!(record.quarantined(), 1);
+    assert_eq!(record.verdict(&request(1), &[], NOW), Verdict::Quarantined { for_s: 100 });
+    let many: Vec<u32> = (0..10_000).collect();
+    let mut wide = Record::new(LIMITS);
+    wide.take(&"r".into(), None, ended("a", &many), NOW, 0);
+    assert_eq!(wide.verdict(&request(9_999), &[], NOW), Verdict::Free, "too many to be of one end");
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let report = ended("i-1 7", &[1, 2]);
+    let text = serde_json::to_string(&report).expect("it serializes");
+    assert_eq!(serde_json::from_str::<Report>(&text).expect("it can be read"), report);
+    for odd in ["1@b", "zz@b", "", "no separator"] {
+        let text = text.replace(&request(1).to_string(), odd);
+        assert_eq!(serde_json::from_str::<Report>(&text).is_ok(), odd == "1@b", "{odd}");
+    }
+    let same = |a: &[&[u8]], b: &[&[u8]]| {
+        let of = |parts: &[&[u8]]| Fingerprint::of(None, parts.iter().copied());
+        of(a) == of(b)
+    };
+    assert!(same(&[b"a", b"bc"], &[b"a", b"bc"]));
+    assert!(!same(&[b"a", b"bc"], &[b"ab", b"c"]));
+}
+
+proptest! {
+    /// Boxes that know the same reports judge alike, however often and in which order they heard them, with
+    /// or without the versions of the store at first.
+    #[test]
+    fn the_same_reports_mean_the_same(
+        reports in proptest::collection::vec((0..6_u32, 0..4_u32, any::<bool>()), 1..12),
+        order in proptest::collection::vec((any::<prop::sample::Index>(), any::<bool>()), 0..30),
+    ) {
+        let reports: Vec<Report> = reports
+            .into_iter()
+            .map(|(endpoint, asked, is_end)| match is_end {
+                true => ended(&format!("i-{endpoint}"), &[asked]),
+                false => answered(&[asked]),
+            })
+            .collect();
+        let plain = record(&reports);
+        let mut other = Record::new(LIMITS);
+        let at_last = (0..reports.len()).map(|n| (n, true));
+        let heard = order.iter().map(|(n, stored)| (n.index(reports.len()), *stored));
+        for (n, stored) in heard.chain(at_last) {
+            let version = stored.then_some(n as u64 + 1);
+            other.take(&format!("r-{n}").into(), version, reports[n].clone(), NOW, 0);
+        }
+        for asked in 0..4 {
+            let verdict = |record: &Record| record.verdict(&request(asked), &[], NOW);
+            prop_assert_eq!(verdict(&plain), verdict(&other));
+        }
+    }
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -83,7 +83,7 @@
         Frame::Draw(_) | Frame::Drawn(_) | Frame::Bills { .. } => Frame::Refused {
             reason: "boxes of this interface write their ledgers themselves".into(),
         },
-        Frame::Listen(_) | Frame::News(_) => Frame::Refused {
+        Frame::Listen(_) | Frame::News(_) | Frame::Crash { .. } => Frame::Refused {
             reason: "boxes of this interface follow the platform themselves".into(),
         },
         // Boxes of this kind keep journals, which say exactly what is unused.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,6 +4,7 @@
 
 use balance::{Prompt, Snapshot};
 use ledger::{Entry, Given, Incarnation, Promise, Transfer};
+use quarantine::Report;
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
 
@@ -228,4 +229,6 @@
     Listen(Listen),
     /// News.
     News(News),
+    /// What the sender found of requests and an endpoint, for the receiver to pass on.
+    Crash { name: Arc<str>, report: Report },
 }
