Ages and the time of requests also count while a box is suspended

Cause: all ages went by the steady clock, which stands still while a box is suspended. A request that waited was handed to an endpoint with time that its caller no longer had; what a box knew of endpoints and the configuration counted as fresh on waking, and its watches could be dead without a sign for seconds.

A clock that counts suspensions for requests, endpoints (cold, failures), repeats, lapsed entries and the planned stop; a beat that notices a second without running: connections are opened anew, all is read again, requests wait for that 0.4 s at most. Ruled out: to take only the time of day (it jumps), and to keep the dead connections (the first read after waking hung on one for 0.3 s).

Figures: three tests on loopback; each of the first two fails without its part (seen), the third guards serving on.

--- a/crates/forward/src/links.rs
+++ b/crates/forward/src/links.rs
@@ -132,6 +132,15 @@
         peers.retain(|_, peer| peer.open > 0);
     }
 
+    /// Closes all resting connections: they may be dead without a sign of it.
+    pub fn close_resting(&self) {
+        let mut peers = self.peers.lock();
+        for peer in peers.values_mut() {
+            peer.open -= peer.resting.len();
+            peer.resting.clear();
+        }
+    }
+
     /// Connections opened so far.
     pub fn opened(&self) -> u64 {
         self.peers.lock().values().map(|peer| peer.opened).sum()
--- a/crates/gateway/src/door/handle.rs
+++ b/crates/gateway/src/door/handle.rs
@@ -8,7 +8,6 @@
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use platform::{answer, request::Head};
-use tokio::time::Instant;
 
 use crate::way::{
     admit,
@@ -28,10 +27,10 @@
 impl Gate {
     /// Serves one request.
     pub async fn handle(self: Arc<Gate>, request: Request<Incoming>) -> Response<Body> {
-        let came = Instant::now();
+        let since = self.clock.now();
         let head = Head::read(request.headers());
-        let until = came + head.deadline.unwrap_or(LONGEST);
-        let mut trip = Trip::begin(&head, came, until, self.metrics.clone(), self.bills.clone());
+        let until = since.at() + head.deadline.unwrap_or(LONGEST);
+        let mut trip = Trip::begin(&head, since, until, self.metrics.clone(), self.bills.clone());
         let mut response = match self.answer(request, head, &mut trip).await {
             Ok((answer, flight)) => relayed(*answer, flight, trip, self.link.clone()),
             Err(refusal) => {
@@ -54,6 +53,7 @@
         trip: &mut Trip,
     ) -> Result<(Box<Answer>, Flight), Refusal> {
         admit::check(&request)?;
+        self.pulse.fresh().await;
         let call = self.admit(request, head, trip).await?;
         self.hold(&call, trip).await?;
         self.dispatch(&call, trip).await
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
+    clock::{Clock, Pulse},
     door::{desk::Desk, pages, serve},
     fleet::{entry::Entry, order::Place, peers::Peers},
     metrics::Metrics,
@@ -123,6 +124,11 @@
     /// Starts a box. `seed` feeds its random choices, its incarnation among them: it must be
     /// fresh.
     pub async fn spawn(settings: Settings, seed: u64) -> Result<Gateway, Error> {
+        Gateway::spawn_with(settings, seed, Clock::system()).await
+    }
+
+    /// Starts a box by a clock that says for how long it was suspended.
+    pub async fn spawn_with(settings: Settings, seed: u64, clock: Clock) -> Result<Gateway, Error> {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let incarnation = Incarnation::new(&settings.box_name, random.random());
         let store = Client::open(settings.store());
@@ -132,11 +138,17 @@
         let (in_force, table) = watch::channel(None);
         let (stopping, stops) = watch::channel(false);
         let (closing, closes) = watch::channel(false);
-        let endpoints =
-            Arc::new(Endpoints::new(settings.zone.clone(), settings.cold, random.random()));
         let links = Links::new(settings.links());
+        let (to_store, to_endpoints) = (store.clone(), links.clone());
+        let pulse = Pulse::open(clock.clone(), move || {
+            to_store.forget_connections();
+            to_endpoints.close_resting();
+        });
+        let (zone, seed) = (settings.zone.clone(), random.random());
+        let endpoints = Arc::new(Endpoints::new(zone, settings.cold, &clock, seed));
         let connect = settings.links().connect;
-        let (crashes, reports) = Crashes::open(incarnation.clone(), settings.quarantine(), connect);
+        let (crashes, reports) =
+            Crashes::open(incarnation.clone(), settings.quarantine(), connect, &clock);
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
         let place = Place {
@@ -157,6 +169,8 @@
             peers: peers.clone(),
             crashes: crashes.clone(),
             contact: contact.clone(),
+            pulse: pulse.clone(),
+            started: clock.now(),
         });
         let desk = Desk {
             me: incarnation.clone(),
@@ -183,7 +197,9 @@
             metrics: metrics.clone(),
             bodies: Arc::new(Semaphore::new(settings.limits.bodies)),
             stopping: stops,
-            started: Instant::now(),
+            started: clock.now(),
+            clock,
+            pulse: pulse.clone(),
             dropped_lines: Mutex::default(),
             settings: in_force_settings,
         });
@@ -225,7 +241,14 @@
             view: view.clone(),
             contact: contact.clone(),
         };
-        let looks = look::Setup { store: store.clone(), view: view.clone(), contact, name, lapse };
+        let looks = look::Setup {
+            store: store.clone(),
+            view: view.clone(),
+            contact,
+            pulse: pulse.clone(),
+            name,
+            lapse,
+        };
         let listener = Listener::new(gate.peers.clone(), looks, registered, random.random());
         let (serving, bounding) = (gate.clone(), gate.clone());
         let accepting = tokio::spawn(serve::accept(
@@ -258,6 +281,7 @@
         let mut loops = vec![
             tokio::spawn(listener.run()),
             tokio::spawn(reporter.run(reports)),
+            tokio::spawn(pulse.run()),
             tokio::spawn(keeper.run()),
             tokio::spawn(draws.run()),
             tokio::spawn(for_balancer),
@@ -351,7 +375,7 @@
 
     /// The planned stop: not ready first, then every request to its end, then all tokens returned.
     pub async fn stop(mut self) {
-        let began = Instant::now();
+        let began = self.gate.clock.now();
         let settings = self.gate.settings();
         let limits = &settings.limits;
         let limit = Duration::from_millis(limits.stop_ms);
@@ -366,7 +390,8 @@
         self.closing.send_replace(true);
         let rest = limit.saturating_sub(began.elapsed());
         let finished = tokio::time::timeout(rest, self.tasks.wait()).await.is_ok();
-        self.leaving.send_replace(Some(began + limit + LEAVE));
+        let rest = limit.saturating_sub(began.elapsed());
+        self.leaving.send_replace(Some(Instant::now() + rest + LEAVE));
         if let Some(settler) = self.settler.take() {
             // It bounds itself in time; a panic in it was printed already.
             let _ = settler.await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! A request comes in at the door, goes its way, and takes its tokens from the money.
 
+mod clock;
 mod door;
 mod fleet;
 mod gateway;
@@ -23,6 +24,7 @@
 mod table;
 mod way;
 
+pub use clock::{Clock, Part, Pulse};
 pub use fleet::{
     homes::{Homes, homes},
     order::{Place, order},
--- a/crates/gateway/src/news/listen.rs
+++ b/crates/gateway/src/news/listen.rs
@@ -17,6 +17,7 @@
 use wire::{Listen, News};
 
 use crate::{
+    clock::Part,
     fleet::{entry::BOXES, homes::Homes, peers::Peers},
     news::look::{Looking, Setup},
     outage::Probe,
@@ -209,11 +210,14 @@
 
     /// Hears the next news of a home; `None` if it is silent.
     async fn listen_on(&self, heard: Heard) -> Option<Heard> {
+        let times = self.setup.pulse.times();
         let listened = self.ask(&heard.home, Some(heard.last), heard.away, SIGN);
         let news = tokio::select! {
             news = listened => news?,
             // Another box wants this one to look.
             () = self.setup.view.wanted() => return Some(heard),
+            // The home may be gone, and the connection to it dead.
+            () = self.setup.pulse.held_up(times) => return None,
         };
         let now = Heard { last: news.last, away: news.away_ms.is_some(), ..heard.clone() };
         let lost_store = now.away && !heard.away;
@@ -262,8 +266,14 @@
 
     /// All that a home knows.
     async fn whole(&self, home: &Incarnation) -> Option<Heard> {
+        let times = self.setup.pulse.times();
         let news = self.ask(home, Some(0), false, Duration::ZERO).await?;
-        Some(self.take(home, news))
+        let heard = self.take(home, news);
+        if !heard.away {
+            self.setup.pulse.read(Part::Config, times);
+            self.setup.pulse.read(Part::Endpoints, times);
+        }
+        Some(heard)
     }
 
     fn take(&self, home: &Incarnation, news: News) -> Heard {
--- a/crates/gateway/src/news/look.rs
+++ b/crates/gateway/src/news/look.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    clock::Pulse,
     fleet::entry::{BOXES, Entry},
     news::view::{self, View},
     outage::{Contact, Outage, Probe},
@@ -38,6 +39,8 @@
     pub store: Client,
     pub view: View,
     pub contact: Contact,
+    /// Tells when the box was held up: watches may be dead then without a sign.
+    pub pulse: Pulse,
     /// Name of this box.
     pub name: Arc<str>,
     /// How long missing entries are kept after the store's return.
@@ -101,7 +104,7 @@
 async fn look_at_config(setup: Setup) {
     let view = setup.view.clone();
     let seen = |seen| match seen {
-        Seen::All(list) => view.config_read(&list.objects),
+        Seen::All(list, times) => view.config_read(&list.objects, times),
         Seen::Changes(changes) => {
             changes.into_iter().filter_map(written).for_each(|object| view.config(&object));
         }
@@ -113,7 +116,7 @@
 async fn look_at_evacuations(setup: Setup) {
     let view = setup.view.clone();
     let seen = |seen| match seen {
-        Seen::All(list) => view.evacuations_read(&list.objects, list.version),
+        Seen::All(list, _) => view.evacuations_read(&list.objects, list.version),
         Seen::Changes(changes) => view.evacuations_changed(&changes),
     };
     follow(&setup, "evacuations", platform::EVACUATIONS, seen).await;
@@ -123,7 +126,7 @@
 async fn look_at_crashes(setup: Setup) {
     let view = setup.view.clone();
     let seen = |seen| match seen {
-        Seen::All(list) => view.crashes_read(&list.objects),
+        Seen::All(list, _) => view.crashes_read(&list.objects),
         Seen::Changes(changes) => view.crashes_changed(&changes),
     };
     follow(&setup, "crashes", quarantine::CRASHES, seen).await;
@@ -131,17 +134,18 @@
 
 /// What was seen of the objects of a kind.
 enum Seen {
-    /// All of them.
-    All(List),
+    /// All of them, by a call that began when the box had been held up so often.
+    All(List, u64),
     /// What changed since.
     Changes(Vec<Change>),
 }
 
 /// Follows all objects of a kind, by lists and watches.
 async fn follow(setup: &Setup, what: &'static str, kind: &str, seen: impl Fn(Seen)) {
-    let Setup { store, contact, .. } = setup;
+    let Setup { store, contact, pulse, .. } = setup;
     let mut outage = outage(setup, what, Probe::Later);
     loop {
+        let times = pulse.times();
         let list = match store.all(kind).await {
             Ok(list) => list,
             Err(error) => {
@@ -152,11 +156,12 @@
         };
         outage.answered();
         let mut from = list.version;
-        seen(Seen::All(list));
+        seen(Seen::All(list, times));
         loop {
             let watched = tokio::select! {
                 watched = store.changes(kind, from) => watched,
                 _ = contact.regained() => break,
+                () = pulse.held_up(times) => break,
             };
             match watched {
                 Ok(watch) if watch.gap => {
@@ -186,11 +191,15 @@
 async fn look_at_endpoints(setup: Setup) {
     let mut outage = outage(&setup, "endpoints", Probe::Later);
     loop {
+        let times = setup.pulse.times();
         match setup.store.all(platform::ENDPOINTS).await {
             Ok(list) => {
                 heard(&setup, &mut outage);
-                setup.view.endpoints_read(&list.objects, list.version);
-                watch_endpoints(&setup, &mut outage, list.version).await;
+                setup.view.endpoints_read(&list.objects, list.version, times);
+                tokio::select! {
+                    () = watch_endpoints(&setup, &mut outage, list.version) => {}
+                    () = setup.pulse.held_up(times) => {}
+                }
             }
             Err(error) => {
                 outage.failed(&error);
--- a/crates/gateway/src/news/view.rs
+++ b/crates/gateway/src/news/view.rs
@@ -16,6 +16,7 @@
 use wire::{Listen, News};
 
 use crate::{
+    clock::{Moment, Part, Pulse},
     fleet::{
         entry::{BOXES, Entry},
         peers::Peers,
@@ -44,6 +45,10 @@
     pub crashes: Crashes,
     /// Tells all tasks of the box when the store answers again.
     pub contact: Contact,
+    /// Tells whether the box was held up.
+    pub pulse: Pulse,
+    /// This start of the box.
+    pub started: Moment,
 }
 
 /// What this box knows.
@@ -52,7 +57,6 @@
 
 struct Shared {
     uses: Uses,
-    started: Instant,
     state: Mutex<State>,
     /// Raised with each piece of news.
     news: watch::Sender<u64>,
@@ -107,16 +111,17 @@
 impl View {
     /// Nothing is known yet.
     pub fn open(uses: Uses) -> View {
-        let (started, state, news) = (Instant::now(), Mutex::default(), watch::channel(0).0);
-        View(Arc::new(Shared { uses, started, state, news, wanted: Notify::new() }))
+        let (state, news) = (Mutex::default(), watch::channel(0).0);
+        View(Arc::new(Shared { uses, state, news, wanted: Notify::new() }))
     }
 
     fn now(&self) -> u64 {
-        self.0.started.elapsed().as_millis() as u64
+        self.0.uses.started.elapsed().as_millis() as u64
     }
 
+    /// A moment of the steady clock, as if the box had not been suspended since.
     fn ms(&self, at: Instant) -> u64 {
-        at.saturating_duration_since(self.0.started).as_millis() as u64
+        self.now().saturating_sub(at.elapsed().as_millis() as u64)
     }
 
     fn tell(&self) {
@@ -124,9 +129,10 @@
     }
 
     /// The configuration as it was read from the store.
-    pub fn config_read(&self, objects: &[Object]) {
+    pub fn config_read(&self, objects: &[Object], times: u64) {
         self.0.state.lock().looks.config = true;
         objects.iter().for_each(|object| self.config(object));
+        self.0.uses.pulse.read(Part::Config, times);
         self.tell();
     }
 
@@ -264,8 +270,9 @@
         names
     }
 
-    /// All entries of endpoints as they were read from the store at a version.
-    pub fn endpoints_read(&self, objects: &[Object], at: u64) {
+    /// All entries of endpoints as they were read from the store at a version, by a call that began when the
+    /// box had been held up so often.
+    pub fn endpoints_read(&self, objects: &[Object], at: u64, times: u64) {
         let now = self.now();
         let mut state = self.0.state.lock();
         let mut entries = Vec::with_capacity(objects.len());
@@ -281,6 +288,7 @@
         }
         state.looks.endpoints = true;
         self.publish(&mut state, "list", at);
+        self.0.uses.pulse.read(Part::Endpoints, times);
     }
 
     /// Entries of endpoints changed, up to a version of the store.
--- a/crates/gateway/src/way/crashes.rs
+++ b/crates/gateway/src/way/crashes.rs
@@ -19,10 +19,13 @@
 use tokio::{
     net::TcpStream,
     sync::mpsc,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 
-use crate::way::endpoints::Chosen;
+use crate::{
+    clock::{Clock, Moment},
+    way::endpoints::Chosen,
+};
 
 /// Time for all connections to an endpoint that ended to break, so that one report names all its requests.
 const GATHER: Duration = Duration::from_millis(20);
@@ -41,7 +44,7 @@
     me: Incarnation,
     /// Longest time for a connection to come up.
     connect: Duration,
-    started: Instant,
+    started: Moment,
     state: Mutex<State>,
     reports: mpsc::Sender<Named>,
 }
@@ -61,10 +64,11 @@
         me: Incarnation,
         limits: Limits,
         connect: Duration,
+        clock: &Clock,
     ) -> (Crashes, mpsc::Receiver<Named>) {
         let (reports, named) = mpsc::channel(WAITING);
         let state = State { record: Record::new(limits), unproved: HashMap::new(), next: 0 };
-        let (started, state) = (Instant::now(), Mutex::new(state));
+        let (started, state) = (clock.now(), Mutex::new(state));
         (Crashes(Arc::new(Shared { me, connect, started, state, reports })), named)
     }
 
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -11,9 +11,12 @@
 use parking_lot::Mutex;
 use platform::{answer::Load, config::Service, endpoint::Entry};
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::time::Instant;
 
-use crate::{settings, table::Table};
+use crate::{
+    clock::{Clock, Moment},
+    settings,
+    table::Table,
+};
 
 /// Tokens of prompt that weigh as much as one request under way. An engine of the deployments
 /// reads about 40 tokens a millisecond and takes some 5 ms for a step, so that 2,000 tokens delay
@@ -82,7 +85,7 @@
 pub struct Endpoints {
     zone: Arc<str>,
     cold: settings::Cold,
-    started: Instant,
+    started: Moment,
     state: Mutex<State>,
 }
 
@@ -131,7 +134,7 @@
 
 impl Endpoints {
     /// No endpoints yet, seen from a box in `zone`.
-    pub fn new(zone: Arc<str>, cold: settings::Cold, seed: u64) -> Endpoints {
+    pub fn new(zone: Arc<str>, cold: settings::Cold, clock: &Clock, seed: u64) -> Endpoints {
         let random = SmallRng::seed_from_u64(seed);
         let state = State {
             random,
@@ -141,7 +144,7 @@
             allowances: HashMap::new(),
             fleet: None,
         };
-        Endpoints { zone, cold, started: Instant::now(), state: Mutex::new(state) }
+        Endpoints { zone, cold, started: clock.now(), state: Mutex::new(state) }
     }
 
     fn now(&self) -> u64 {
--- a/crates/gateway/src/way/gate.rs
+++ b/crates/gateway/src/way/gate.rs
@@ -5,12 +5,10 @@
 use forward::Links;
 use parking_lot::Mutex;
 use platform::config::Limits;
-use tokio::{
-    sync::{Semaphore, watch},
-    time::Instant,
-};
+use tokio::sync::{Semaphore, watch};
 
 use crate::{
+    clock::{Clock, Moment, Pulse},
     fleet::peers::Peers,
     metrics::Metrics,
     money::{bills::Bills, draws::Draws, funds::Funds},
@@ -39,7 +37,10 @@
     /// Bytes of request bodies that may still be held.
     pub bodies: Arc<Semaphore>,
     pub stopping: watch::Receiver<bool>,
-    pub started: Instant,
+    pub clock: Clock,
+    /// Whether what this box knows may be old.
+    pub pulse: Pulse,
+    pub started: Moment,
     /// Counts the log lines that were dropped.
     pub dropped_lines: Mutex<Option<Box<dyn Fn() -> usize + Send + Sync>>>,
 }
--- a/crates/gateway/src/way/trip.rs
+++ b/crates/gateway/src/way/trip.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    clock::Moment,
     metrics::{Finished, Metrics},
     money::{bills::Bills, funds::Hold},
     way::refusal::Refusal,
@@ -46,6 +47,8 @@
     /// Version of the configuration that decided.
     pub version: u64,
     pub came: Instant,
+    /// The same, to count the time for which the box was suspended meanwhile.
+    since: Moment,
     pub until: Instant,
     pub tokens: Option<Tokens>,
     /// Its content, once it was read.
@@ -71,7 +74,7 @@
     /// A request that was just read.
     pub fn begin(
         head: &Head,
-        came: Instant,
+        since: Moment,
         until: Instant,
         metrics: Metrics,
         bills: Bills,
@@ -83,7 +86,8 @@
             route: None,
             service: None,
             version: 0,
-            came,
+            came: since.at(),
+            since,
             until,
             tokens: head.tokens,
             fingerprint: None,
@@ -105,9 +109,10 @@
         self.hold = Some(hold);
     }
 
-    /// Time left.
+    /// Time left, for its caller: also while this box is suspended it goes by.
     pub fn left(&self) -> Duration {
-        self.until.saturating_duration_since(Instant::now())
+        let left = self.until.saturating_duration_since(Instant::now());
+        left.saturating_sub(self.since.suspended())
     }
 
     /// Tokens to charge when it ends now with `events` events passed on.
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -8,4 +8,5 @@
 mod path;
 mod prompts;
 mod quarantine;
+mod suspended;
 mod world;
--- a/crates/gateway/tests/loopback/world.rs
+++ b/crates/gateway/tests/loopback/world.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use gateway::{Gateway, Settings};
+use gateway::{Clock, Gateway, Settings};
 use http::{HeaderMap, StatusCode};
 use objects::{Expect, Store};
 use platform::{
@@ -176,6 +176,15 @@
         self.gateway_with(settings).await
     }
 
+    /// Starts a gateway by a clock that is set by hand, with a link to the store that can be cut.
+    pub async fn clocked_gateway(&self, name: &str) -> (Gateway, Link, Clock) {
+        let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
+        let clock = Clock::by_hand();
+        let seed = self.ids.fetch_add(1, Ordering::Relaxed);
+        let started = Gateway::spawn_with(settings(name, link.address()), seed, clock.clone());
+        (started.await.expect("it starts"), link, clock)
+    }
+
     async fn gateway_at(&self, name: &str, store: SocketAddr) -> Gateway {
         self.gateway_with(settings(name, store)).await
     }
