--- a/crates/gateway/src/fleet/peers/questions.rs
+++ b/crates/gateway/src/fleet/peers/questions.rs
@@ -132,7 +132,7 @@
         Reading { peers: self.clone(), prompt }
     }
 
-    pub(super) fn tell(&self, prompt: &Prompt) {
+    fn tell(&self, prompt: &Prompt) {
         // There is none while the process ends.
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
         for (name, peer) in self.in_reach() {
@@ -207,13 +207,7 @@
     }
 
     /// Asks a box.
-    async fn ask(
-        &self,
-        name: &Incarnation,
-        peer: &Peer,
-        frame: Frame,
-        within: Duration,
-    ) -> Heard {
+    async fn ask(&self, name: &Incarnation, peer: &Peer, frame: Frame, within: Duration) -> Heard {
         match peer.ask(&self.message(frame), within).await {
             Ok(answer) if answer.from != *name => {
                 let (peer, now) = (name.as_str(), answer.from.as_str());
--- a/crates/gateway/src/news/view/boxes.rs
+++ b/crates/gateway/src/news/view/boxes.rs
@@ -40,7 +40,7 @@
 }
 
 impl State {
-    pub(super) fn shelve_boxes(&mut self) {
+    fn shelve_boxes(&mut self) {
         for (name, version) in self.shelf.names(BOXES) {
             if !self.boxes.contains_key(&name) {
                 self.shelf.put(BOXES, &name, version, None);
--- a/crates/gateway/src/news/view/endpoints.rs
+++ b/crates/gateway/src/news/view/endpoints.rs
@@ -90,14 +90,14 @@
 
 impl State {
     /// Keeps the text of an entry for listeners, if it is the one that counts.
-    pub(super) fn shelve_endpoint(&mut self, id: &str, version: u64, text: &str) {
+    fn shelve_endpoint(&mut self, id: &str, version: u64, text: &str) {
         if self.directory.version(id) == Some(version) {
             self.shelf.put(platform::ENDPOINTS, id, version, Some(text));
         }
     }
 
     /// Endpoints that are not known any more go from the shelf.
-    pub(super) fn unshelve_endpoints(&mut self) {
+    fn unshelve_endpoints(&mut self) {
         for (id, version) in self.shelf.names(platform::ENDPOINTS) {
             if self.directory.version(&id).is_none() {
                 let gone_at = self.directory.gone_at(&id).unwrap_or(version);
--- a/crates/gateway/src/news/view/evacuations.rs
+++ b/crates/gateway/src/news/view/evacuations.rs
@@ -42,7 +42,7 @@
     }
 
     /// Puts in force which zones get no more work.
-    pub(super) fn publish_evacuations(&self, state: &mut State) {
+    fn publish_evacuations(&self, state: &mut State) {
         let (zones, version) = (state.evacuations.zones(), state.evacuations.at());
         let changed = self.0.uses.endpoints.evacuate(zones);
         let text = serde_json::to_string(zones).expect("names always serialize");
--- a/crates/gateway/src/news/view/listeners.rs
+++ b/crates/gateway/src/news/view/listeners.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    pub(super) fn news_now(&self, listen: &Listen) -> Option<News> {
+    fn news_now(&self, listen: &Listen) -> Option<News> {
         let state = self.0.state.lock();
         if !state.looks.is_whole() {
             return None;
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -146,7 +146,7 @@
             let who = Who::Other(self.number());
             self.send(who, 0, now);
         }
-        if now % 200 == 0 {
+        if now.is_multiple_of(200) {
             self.send(Who::Popular, 0, now);
         }
         for at in 0..ENGINES {
