Bytes between boxes are counted by topic and availability zone

Cause: which messages fill the links at 300 boxes was a guess. Counted where a question is asked, so that each byte counts once; a metric, and a line each 10 s.

--- a/crates/gateway/src/door/pages.rs
+++ b/crates/gateway/src/door/pages.rs
@@ -9,7 +9,7 @@
 use objects::Calls;
 
 use crate::{
-    metrics::{Budget, Purpose},
+    metrics::{Budget, Flow, Purpose},
     news::view::View,
     way::gate::Gate,
 };
@@ -53,6 +53,12 @@
             metrics.kept.get_or_create(&budget).set(balance.kept as i64);
             metrics.unspent.get_or_create(&budget).set(balance.unspent as i64);
         }
+        for ((topic, is_near), size) in gate.peers.traffic.snapshot() {
+            let zone = if is_near { "own" } else { "other" };
+            for (way, bytes) in [("sent", size.sent), ("heard", size.heard)] {
+                metrics.peer_bytes.get_or_create(&Flow { topic, zone, way }).set(bytes as i64);
+            }
+        }
         let dropped = gate.dropped_lines.lock().as_ref().map_or(0, |count| count());
         metrics.dropped_lines.set(dropped as i64);
         let standing = view.standing();
--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -30,6 +30,7 @@
     homes::{Homes, homes},
     order::{Place, order},
     records::Records,
+    traffic::Traffic,
 };
 
 /// Boxes told of one prompt.
@@ -52,6 +53,8 @@
     prompts: Arc<AtomicU64>,
     /// Something shows that the list of boxes is old.
     unknown: Arc<Notify>,
+    /// What this box's questions and their answers took.
+    pub traffic: Traffic,
 }
 
 impl fmt::Debug for Peers {
@@ -95,6 +98,7 @@
             records: Records::default(),
             prompts: Arc::default(),
             unknown: Arc::default(),
+            traffic: Traffic::default(),
         }
     }
 
@@ -237,6 +241,12 @@
         of_box.map(|(_, known)| known.peer.clone())
     }
 
+    /// Whether a box is in the own availability zone.
+    fn is_near(&self, name: &Incarnation) -> bool {
+        let state = self.state.lock();
+        state.known.get(name).is_some_and(|known| known.entry.zone == state.place.zone)
+    }
+
     /// Where a box is asked, if it is known.
     pub fn address_of(&self, name: &Incarnation) -> Option<SocketAddr> {
         self.peer(name).map(|peer| peer.address())
--- a/crates/gateway/src/fleet/peers/questions.rs
+++ b/crates/gateway/src/fleet/peers/questions.rs
@@ -208,7 +208,13 @@
 
     /// Asks a box.
     async fn ask(&self, name: &Incarnation, peer: &Peer, frame: Frame, within: Duration) -> Heard {
-        match peer.ask(&self.message(frame), within).await {
+        let topic = frame.topic();
+        let asked = peer.ask_counted(&self.message(frame), within).await;
+        let answered = asked.map(|(answer, size)| {
+            self.traffic.add(topic, self.is_near(name), size);
+            answer
+        });
+        match answered {
             Ok(answer) if answer.from != *name => {
                 let (peer, now) = (name.as_str(), answer.from.as_str());
                 tracing::info!(event = "peer_replaced", peer, now);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,17 @@
     pub kind: String,
 }
 
+/// Labels of what questions to other boxes take.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Flow {
+    /// What they are about.
+    pub topic: &'static str,
+    /// `own` or `other`: the availability zone of the box that was asked.
+    pub zone: &'static str,
+    /// `sent` or `heard`.
+    pub way: &'static str,
+}
+
 /// Labels of a budget.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Budget {
@@ -54,6 +65,8 @@
     pub callers: Gauge,
     /// Calls to the store by purpose.
     pub calls: Family<Purpose, Gauge>,
+    /// Bytes of questions to other boxes and their answers.
+    pub peer_bytes: Family<Flow, Gauge>,
     /// Tokens free in this box, by customer.
     pub free: Family<Budget, Gauge>,
     /// Tokens paid and not known to be spent, by customer.
@@ -94,6 +107,7 @@
             connections: Gauge::default(),
             callers: Gauge::default(),
             calls: Family::default(),
+            peer_bytes: Family::default(),
             free: Family::default(),
             unspent: Family::default(),
             kept: Family::default(),
@@ -128,6 +142,11 @@
         );
         registry.register("caller_connections", "Connections of callers", self.callers.clone());
         registry.register("store_calls", "Calls to the store by purpose", self.calls.clone());
+        registry.register(
+            "peer_bytes",
+            "Bytes of this box's questions to other boxes and of the answers, by topic",
+            self.peer_bytes.clone(),
+        );
         registry.register("tokens_free", "Tokens free in this box", self.free.clone());
         registry.register(
             "tokens_kept",
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -134,6 +134,7 @@
             if told.elapsed() >= TELL {
                 told = Instant::now();
                 report_calls(&self.setup.store);
+                report_traffic(&self.setup.peers);
             }
             let settings = self.setup.settings.borrow().clone();
             let spacing = Duration::from_millis(settings.money.spacing_ms);
@@ -422,6 +423,19 @@
     tracing::info!(event = "store_calls", calls = calls.join(", "));
 }
 
+/// One line on what this box's questions to others took so far, by topic and availability zone.
+fn report_traffic(peers: &Peers) {
+    let flows = peers.traffic.snapshot();
+    let flows: Vec<String> = flows
+        .iter()
+        .map(|((topic, is_near), size)| {
+            let zone = if *is_near { "own" } else { "other" };
+            format!("{topic} {zone}: {} {}", size.sent, size.heard)
+        })
+        .collect();
+    tracing::info!(event = "peer_traffic", bytes = flows.join(", "));
+}
+
 fn report(settlement: &Settlement, granted: &[Granted]) {
     for (item, granted) in settlement.items.iter().zip(granted) {
         if granted.misfits > 0 {
--- a/crates/gateway/tests/loopback/news.rs
+++ b/crates/gateway/tests/loopback/news.rs
@@ -206,3 +206,21 @@
     let writes = calls.get(&(Operation::Put, "boxes".into())).map_or(0, |count| count.calls);
     assert_eq!(writes, 1, "it knew the version of its earlier life's entry");
 }
+
+#[tokio::test]
+async fn what_boxes_ask_each_other_is_counted_by_topic_and_zone() {
+    let world = World::open(1_000_000, &["open"]).await;
+    let _endpoint = world.endpoint("i-1", "plain", answers).await;
+    let boxes = fleet(&world, 4).await;
+    let counts = |gateway: &Gateway| {
+        let zone_of = |line: &str| line.contains(r#"topic="news""#) && line.contains("own");
+        gateway.metrics().lines().any(|line| zone_of(line) && line.contains("heard"))
+    };
+    until("a listener counts its news", async || {
+        for gateway in &boxes {
+            reqwest::get(format!("http://{}/metrics", gateway.operators())).await.expect("a page");
+        }
+        boxes.iter().any(counts)
+    })
+    .await;
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -232,3 +232,20 @@
     /// What the sender found of requests and an endpoint, for the receiver to pass on.
     Crash { name: Arc<str>, report: Report },
 }
+
+impl Frame {
+    /// What it is about, for counters: a question and its answer are alike.
+    pub fn topic(&self) -> &'static str {
+        match self {
+            Frame::Listen(_) | Frame::News(_) => "news",
+            Frame::Draw(_) | Frame::Drawn(_) => "draws",
+            Frame::Lend { .. } | Frame::Lent { .. } => "loans",
+            Frame::Promise(_) | Frame::Promised { .. } => "promises",
+            Frame::Seal { .. } | Frame::Sealed { .. } => "seals",
+            Frame::Prompt(_) => "prompts",
+            Frame::Bills { .. } => "bills",
+            Frame::Crash { .. } => "crashes",
+            _ => "other",
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,5 +17,5 @@
     Change, Draw, Drawn, Frame, Listen, Message, News, Place, Question, Sheet, There, Told, Value,
     Write,
 };
-pub use peer::Peer;
+pub use peer::{Peer, Size};
 pub use server::{Answer, Server};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -25,6 +25,15 @@
     format: u16,
 }
 
+/// Bytes of a question and its answer, as they went over the link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Of the question.
+    pub sent: u64,
+    /// Of the answer.
+    pub heard: u64,
+}
+
 impl Peer {
     /// A peer at an address, reached from this box's own IP number; nothing is sent yet.
     pub fn new(address: SocketAddr, source: IpAddr) -> Peer {
@@ -43,6 +52,15 @@
 
     /// Asks and waits for the answer.
     pub async fn ask(&self, question: &Message, within: Duration) -> Result<Message, Error> {
+        self.ask_counted(question, within).await.map(|(answer, _)| answer)
+    }
+
+    /// Asks and waits for the answer; says what both took.
+    pub async fn ask_counted(
+        &self,
+        question: &Message,
+        within: Duration,
+    ) -> Result<(Message, Size), Error> {
         let bytes = encode(question, self.format)?;
         match tokio::time::timeout(within, self.exchange(bytes)).await {
             Ok(answer) => answer,
@@ -54,7 +72,7 @@
         }
     }
 
-    async fn exchange(&self, bytes: Vec<u8>) -> Result<Message, Error> {
+    async fn exchange(&self, bytes: Vec<u8>) -> Result<(Message, Size), Error> {
         let result = self.exchange_once(bytes).await;
         if let Err(Error::Unreachable { .. }) = &result {
             self.connection.lock().await.take();
@@ -62,7 +80,8 @@
         result
     }
 
-    async fn exchange_once(&self, bytes: Vec<u8>) -> Result<Message, Error> {
+    async fn exchange_once(&self, bytes: Vec<u8>) -> Result<(Message, Size), Error> {
+        let sent = bytes.len() as u64;
         let mut sender = self.sender().await?.ready().await.map_err(unreachable)?;
         let request = http::Request::post("http://peer/")
             .header(header::ACCEPT_ENCODING, packed::ENCODING)
@@ -74,12 +93,13 @@
         let status = response.status();
         let is_packed = response.headers().contains_key(header::CONTENT_ENCODING);
         let body = read_all(response.into_body()).await?;
+        let size = Size { sent, heard: body.len() as u64 };
         let body = if is_packed { packed::unpack(&body)? } else { body.to_vec() };
         if !status.is_success() {
             let reason = String::from_utf8_lossy(&body).into_owned();
             return Err(Error::Malformed { reason });
         }
-        Ok(decode(&body)?.0)
+        Ok((decode(&body)?.0, size))
     }
 
     async fn connect(&self) -> std::io::Result<TcpStream> {
