A request that was given up counts as being at its endpoint for a moment

Cause: a caller that leaves closes the connection, so that no connection breaks when the endpoint ends under its request a moment later; such a request was in no report. Now what was given up at an endpoint within 5 s is reported with its end, which other requests or other boxes see.

--- a/crates/gateway/src/way/crashes.rs
+++ b/crates/gateway/src/way/crashes.rs
@@ -4,9 +4,13 @@
 //! a connection: a port that is closed refuses it at once, and one that answers, or cannot be reached, shows
 //! nothing. Until that is known, a few milliseconds, the end counts on this box alone, so that the box does not
 //! repeat a request to the next endpoint meanwhile.
+//!
+//! A caller may leave, or its time be over, before the endpoint ends under its request: no connection of it breaks
+//! then. So what was given up at an endpoint is remembered for a moment, and reported with its end, which other
+//! requests or other boxes see.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
@@ -32,6 +36,12 @@
 /// Reports that wait for the task that passes them on; it takes each at once.
 const WAITING: usize = 256;
 
+/// Time for which a request that was given up counts as being at its endpoint, in milliseconds: many engines run
+/// it although its connection is closed, and end within a second of beginning.
+const GIVEN_UP: u64 = 5_000;
+/// Requests given up that are remembered, some 100 bytes each.
+const MOST_GIVEN_UP: usize = 1_024;
+
 /// A report of this box with its name.
 pub type Named = (Arc<str>, Report);
 
@@ -54,10 +64,24 @@
     record: Record,
     /// Requests whose connections to this life of an endpoint broke, until it is known whether it ended.
     unproved: HashMap<Arc<str>, Vec<Fingerprint>>,
+    /// Requests given up at a life of an endpoint, by the millisecond.
+    given_up: VecDeque<(u64, Arc<str>, Fingerprint)>,
     /// Number of the next report.
     next: u64,
 }
 
+impl State {
+    /// Takes out what was given up lately at a life of an endpoint that ended.
+    fn take_given_up(&mut self, life: &str, now_ms: u64) -> Vec<Fingerprint> {
+        let since = now_ms.saturating_sub(GIVEN_UP);
+        self.given_up.retain(|(at, ..)| *at >= since);
+        let (there, elsewhere): (VecDeque<_>, VecDeque<_>) =
+            self.given_up.drain(..).partition(|(_, at, _)| **at == *life);
+        self.given_up = elsewhere;
+        there.into_iter().map(|(.., request)| request).collect()
+    }
+}
+
 impl Crashes {
     /// Nothing is known yet; reports of this box come out at the other end.
     pub fn open(
@@ -67,7 +91,8 @@
         clock: &Clock,
     ) -> (Crashes, mpsc::Receiver<Named>) {
         let (reports, named) = mpsc::channel(WAITING);
-        let state = State { record: Record::new(limits), unproved: HashMap::new(), next: 0 };
+        let (unproved, given_up) = Default::default();
+        let state = State { record: Record::new(limits), unproved, given_up, next: 0 };
         let (started, state) = (clock.now(), Mutex::new(state));
         (Crashes(Arc::new(Shared { me, connect, started, state, reports })), named)
     }
@@ -75,7 +100,17 @@
     /// Takes over a report, with the version of the store if it has one.
     pub fn take(&self, name: &Arc<str>, version: Option<u64>, report: Report) {
         let (now_s, now_ms) = (unix_s(), self.now_ms());
-        let innocent = self.0.state.lock().record.take(name, version, report, now_s, now_ms);
+        let mut state = self.0.state.lock();
+        let given_up = match &report.finding {
+            Finding::Ended { endpoint } => state.take_given_up(endpoint, now_ms),
+            Finding::Answered => Vec::new(),
+        };
+        let finding = report.finding.clone();
+        let innocent = state.record.take(name, version, report, now_s, now_ms);
+        drop(state);
+        if !given_up.is_empty() {
+            self.report(finding, given_up);
+        }
         if !innocent.is_empty() {
             self.report(Finding::Answered, innocent);
         }
@@ -110,7 +145,7 @@
     /// A request goes to an endpoint.
     pub fn watch(&self, chosen: &Chosen, request: &Fingerprint) -> Watch {
         let (life, address) = (chosen.life.clone(), chosen.address);
-        Watch { crashes: self.clone(), life, address, request: request.clone() }
+        Watch { crashes: self.clone(), life, address, request: request.clone(), is_over: false }
     }
 
     fn now_ms(&self) -> u64 {
@@ -156,11 +191,19 @@
     life: Arc<str>,
     address: SocketAddr,
     request: Fingerprint,
+    /// It is known what became of it there.
+    is_over: bool,
 }
 
 impl Watch {
+    /// The endpoint did not run it, or ran it and stands.
+    pub fn ended(&mut self) {
+        self.is_over = true;
+    }
+
     /// Its connection broke before the whole answer was there.
-    pub fn broke(&self) {
+    pub fn broke(&mut self) {
+        self.is_over = true;
         let mut state = self.crashes.0.state.lock();
         let requests = state.unproved.entry(self.life.clone()).or_default();
         let is_first = requests.is_empty();
@@ -175,7 +218,8 @@
     }
 
     /// The endpoint ran it and answered whole.
-    pub fn answered(&self) {
+    pub fn answered(&mut self) {
+        self.is_over = true;
         let now_ms = self.crashes.now_ms();
         let is_cleared = self.crashes.0.state.lock().record.answered(&self.request, now_ms);
         if is_cleared {
@@ -184,6 +228,21 @@
     }
 }
 
+impl Drop for Watch {
+    /// It was given up: the endpoint may still run it.
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let now_ms = self.crashes.now_ms();
+        let mut state = self.crashes.0.state.lock();
+        state.given_up.push_back((now_ms, self.life.clone(), self.request.clone()));
+        if state.given_up.len() > MOST_GIVEN_UP {
+            state.given_up.pop_front();
+        }
+    }
+}
+
 fn unix_s() -> u64 {
     // A clock before 1970 only makes reports look old.
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -201,6 +201,7 @@
             && self.endpoints.count(&call.service) > 1
             && self.may_repeat_later(call);
         if again {
+            flight.ended();
             return Try::Unknown(Reason::Lost.with(format!("the endpoint failed with {status}")));
         }
         trip.first_byte = Some(trip.came.elapsed());
@@ -217,7 +218,10 @@
 
 fn lost(fault: Fault, flight: &mut Flight) -> Try {
     match fault {
-        Fault::Full { .. } => Try::Unsent(fault.to_string()),
+        Fault::Full { .. } => {
+            flight.ended();
+            Try::Unsent(fault.to_string())
+        }
         Fault::Unsent { reason } => {
             flight.fail(Failure::Silent);
             Try::Unsent(reason)
--- a/crates/gateway/src/way/relay.rs
+++ b/crates/gateway/src/way/relay.rs
@@ -100,6 +100,12 @@
     /// It failed there.
     pub fn fail(&mut self, failure: Failure) {
         self.failure = Some(failure);
+        self.watch.ended();
+    }
+
+    /// It did not get there, or failed there without harm to the endpoint.
+    pub fn ended(&mut self) {
+        self.watch.ended();
     }
 }
 
--- a/crates/gateway/tests/loopback/quarantine.rs
+++ b/crates/gateway/tests/loopback/quarantine.rs
@@ -33,6 +33,7 @@
 fn crashes(arrived: &Arrived) -> Reply {
     let headers = played::answered(&arrived.told.id, None);
     match &*String::from_utf8_lossy(&arrived.body) {
+        body if body.ends_with("slowly") => Reply::Crash(headers, LONG / 2),
         body if body.starts_with(GUILTY) => Reply::Crash(headers, Duration::from_millis(20)),
         body if body.starts_with("long") => {
             Reply::Events(headers, vec!["data: x\n\n".into(); 20], LONG / 20)
@@ -223,3 +224,25 @@
     assert!(is_quarantined(&finish(sent).await));
     assert_eq!(fleet.ended(), ended);
 }
+
+/// The load: callers leave before the endpoint ends under what they asked for. Their box sees no connection
+/// break; others do, at requests that ran beside it.
+#[tokio::test]
+async fn a_request_that_its_caller_left_counts_as_being_there() {
+    let fleet = Fleet::start("engines", &["stream"]).await;
+    for n in 0..2 * ENDPOINTS {
+        let beside = (0..2 * ENDPOINTS).map(|at| fleet.send(at, "/stream/x", "long beside"));
+        let asked = fleet.world.asked("key-b", 1, 1);
+        let slow = request(fleet.boxes[n % BOXES].callers(), "/stream/x", &asked)
+            .body(format!("{GUILTY} slowly"))
+            .timeout(LONG / 8);
+        let left = async {
+            tokio::time::sleep(LONG / 8).await;
+            if let Ok(answer) = slow.send().await {
+                drop(answer.bytes().await);
+            }
+        };
+        tokio::join!(join_all(beside), left);
+    }
+    assert!((3..=MOST_ENDED).contains(&fleet.ended()), "{} ended", fleet.ended());
+}
