An answer that ends with its connection clears no request

Cause: found by reading: such an answer looks whole when the endpoint ends, and a whole answer clears a request and hides its end. It proves nothing now, and counts like a request that was given up.

Figures: a test in which the guilty request's answers are of this kind: 3 to 6 of 9 endpoints end (the test's bounds); it fails without the change (seen).

--- a/crates/gateway/src/way/crashes.rs
+++ b/crates/gateway/src/way/crashes.rs
@@ -145,7 +145,14 @@
     /// A request goes to an endpoint.
     pub fn watch(&self, chosen: &Chosen, request: &Fingerprint) -> Watch {
         let (life, address) = (chosen.life.clone(), chosen.address);
-        Watch { crashes: self.clone(), life, address, request: request.clone(), is_over: false }
+        Watch {
+            crashes: self.clone(),
+            life,
+            address,
+            request: request.clone(),
+            is_over: false,
+            is_framed: true,
+        }
     }
 
     fn now_ms(&self) -> u64 {
@@ -193,6 +200,8 @@
     request: Fingerprint,
     /// It is known what became of it there.
     is_over: bool,
+    /// The end of its answer can be told from a connection that broke.
+    is_framed: bool,
 }
 
 impl Watch {
@@ -217,8 +226,16 @@
         }
     }
 
+    /// Its answer ends with its connection: it looks the same if the endpoint ended.
+    pub fn unframed(&mut self) {
+        self.is_framed = false;
+    }
+
     /// The endpoint ran it and answered whole.
     pub fn answered(&mut self) {
+        if !self.is_framed {
+            return;
+        }
         self.is_over = true;
         let now_ms = self.crashes.now_ms();
         let is_cleared = self.crashes.0.state.lock().record.answered(&self.request, now_ms);
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -4,7 +4,7 @@
 
 use balance::Failure;
 use forward::{Answer, Fault};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode, header};
 use platform::{
     answer,
     config::{Kind, Route},
@@ -205,6 +205,9 @@
             return Try::Unknown(Reason::Lost.with(format!("the endpoint failed with {status}")));
         }
         trip.first_byte = Some(trip.came.elapsed());
+        if !is_framed(&answer.head.headers) {
+            flight.unframed();
+        }
         flight.begin();
         Try::Answer(Box::new(answer), Box::new(flight))
     }
@@ -233,6 +236,11 @@
     }
 }
 
+/// Whether the end of an answer's body can be told from a connection that broke.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn is_repeatable(route: &Route) -> bool {
     route.kind == Kind::Repeatable || (route.kind == Kind::Streaming && route.resumable)
 }
--- a/crates/gateway/src/way/relay.rs
+++ b/crates/gateway/src/way/relay.rs
@@ -103,6 +103,11 @@
         self.watch.ended();
     }
 
+    /// Its answer ends with its connection.
+    pub fn unframed(&mut self) {
+        self.watch.unframed();
+    }
+
     /// It did not get there, or failed there without harm to the endpoint.
     pub fn ended(&mut self) {
         self.watch.ended();
--- a/crates/gateway/tests/loopback/quarantine.rs
+++ b/crates/gateway/tests/loopback/quarantine.rs
@@ -33,6 +33,7 @@
 fn crashes(arrived: &Arrived) -> Reply {
     let headers = played::answered(&arrived.told.id, None);
     match &*String::from_utf8_lossy(&arrived.body) {
+        body if body.ends_with("unframed") => Reply::CrashUnframed(headers, LONG / 8),
         body if body.ends_with("slowly") => Reply::Crash(headers, LONG / 2),
         body if body.starts_with(GUILTY) => Reply::Crash(headers, Duration::from_millis(20)),
         body if body.starts_with("long") => {
@@ -246,3 +247,18 @@
     }
     assert!((3..=MOST_ENDED).contains(&fleet.ended()), "{} ended", fleet.ended());
 }
+
+/// The load: answers that end with their connections look whole when the endpoint ends. They clear nothing.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_speaks_for_nobody() {
+    let fleet = Fleet::start("engines", &["stream"]).await;
+    for n in 0..2 * ENDPOINTS {
+        let beside = (0..2 * ENDPOINTS).map(|at| fleet.send(at, "/stream/x", "long beside"));
+        let guilty = async {
+            tokio::time::sleep(LONG / 8).await;
+            fleet.send(n, "/stream/x", &format!("{GUILTY} unframed")).await
+        };
+        tokio::join!(join_all(beside), guilty);
+    }
+    assert!((3..=MOST_ENDED).contains(&fleet.ended()), "{} ended", fleet.ended());
+}
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -49,6 +49,8 @@
     Silent,
     /// Begins an answer, and a little later the endpoint ends: its port and all its connections are gone.
     Crash(HeaderMap, Duration),
+    /// The same, with an answer that ends with its connection.
+    CrashUnframed(HeaderMap, Duration),
 }
 
 type Script = dyn Fn(&Arrived) -> Reply + Send + Sync;
@@ -139,7 +141,7 @@
     while let Some(arrived) = read(&mut stream, &mut buffer, connection).await {
         let reply = script(&arrived);
         seen.lock().arrived.push(arrived);
-        let crashes = matches!(reply, Reply::Crash(..));
+        let crashes = matches!(reply, Reply::Crash(..) | Reply::CrashUnframed(..));
         let goes_on = answer(&mut stream, reply).await;
         if crashes {
             crash.notify_one();
@@ -244,6 +246,12 @@
             tokio::time::sleep(after).await;
             false
         }
+        Reply::CrashUnframed(headers, after) => {
+            let bytes = head(StatusCode::OK, &headers, "") + "a part";
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            tokio::time::sleep(after).await;
+            false
+        }
         Reply::Close => false,
         Reply::Silent => {
             let mut rest = Vec::new();
