--- a/crates/gateway/tests/loopback/quarantine.rs
+++ b/crates/gateway/tests/loopback/quarantine.rs
@@ -261,4 +261,8 @@
         tokio::join!(join_all(beside), guilty);
     }
     assert!((3..=MOST_ENDED).contains(&fleet.ended()), "{} ended", fleet.ended());
+    for at in 0..BOXES {
+        let got = fleet.send(at, "/stream/x", &format!("{GUILTY} unframed")).await;
+        assert!(is_quarantined(&got), "box {at}: {got:?}");
+    }
 }
