Three comments say what their figures rest on

Found on the last reading: the bound on being held up was compared with a wrong one, the size of all reports was understated, and some engines, not many, run what was given up. Comments only.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -26,8 +26,8 @@
 
 /// Time between two looks whether the box runs.
 const BEAT: Duration = Duration::from_millis(250);
-/// Time without a beat after which what is known counts as old: a quarter of what listeners take for a home
-/// that is gone, and many times what a busy box is late by. Shorter than any bound of the platform.
+/// Time without a beat after which what is known counts as old: four beats, so that a busy box that is late
+/// by some of them reads nothing anew. Half of the shortest bound on news, 2 s on small deployments.
 const HELD_UP: Duration = Duration::from_millis(1_000);
 /// Longest wait of a request for news after the box was held up: a read of a store that is slow. Without it a
 /// box that slept through a drain sends to an endpoint that left.
--- a/crates/gateway/src/way/crashes.rs
+++ b/crates/gateway/src/way/crashes.rs
@@ -36,7 +36,7 @@
 /// Reports that wait for the task that passes them on; it takes each at once.
 const WAITING: usize = 256;
 
-/// Time for which a request that was given up counts as being at its endpoint, in milliseconds: many engines run
+/// Time for which a request that was given up counts as being at its endpoint, in milliseconds: some engines run
 /// it although its connection is closed, and end within a second of beginning.
 const GIVEN_UP: u64 = 5_000;
 /// Requests given up that are remembered, some 100 bytes each.
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -7,7 +7,7 @@
 
 use crate::{Finding, Fingerprint, Report, answered::Answered};
 
-/// Reports kept at most, some 30 KB where each names ten requests. Those that keep a request in quarantine go
+/// Reports kept at most, under 1 MB by arithmetic where each names ten requests. Those that keep a request in quarantine go
 /// last, so that a wave of other ends does not set it free.
 const MOST_REPORTS: usize = 1_024;
 /// Requests of one report that are read: more than an endpoint works on at once.
