Lines and metrics say which endpoint names a limit, and what is sent there

Change: the head of an answer is read for it; endpoint_limit says which endpoint named what and when the box learned it, dispatched carries it, metrics endpoint_limit and limited_sends count by endpoint. Nothing is decided by it yet. Conclusion: a box that was told and sends as before shows in its own lines.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{cold::Cold, pace::Pace};
+use crate::{
+    cold::Cold,
+    limit::{Limit, Said},
+    pace::Pace,
+};
 
 /// Own counts remembered, one each [`SAMPLE_MS`].
 const SAMPLES: usize = 128;
@@ -91,6 +95,8 @@
     pub doubt: Cold,
     /// How fast it makes events of streams.
     pub pace: Pace,
+    /// What it said of how much it takes; `None` while it never named a limit.
+    said: Option<Said>,
 }
 
 /// A prompt that another box told of.
@@ -131,9 +137,31 @@
             cold: Cold::default(),
             doubt: Cold::default(),
             pace: Pace::default(),
+            said: None,
         }
     }
 
+    /// What it said of how much it takes, if it ever named a limit.
+    pub fn said(&self) -> Option<Said> {
+        self.said
+    }
+
+    /// Requests that it takes from all boxes together, while it says so.
+    pub fn limit(&self) -> Option<Limit> {
+        self.said?.limit
+    }
+
+    /// It said how much it takes; says whether that changes what this box knows.
+    pub fn hear(&mut self, said: Said) -> bool {
+        let before = self.limit();
+        match &self.said {
+            None if said.limit.is_none() => return false,
+            Some(known) if !said.replaces(known) => return false,
+            _ => self.said = Some(said),
+        }
+        self.limit() != before
+    }
+
     /// A request was dispatched.
     pub fn start(&mut self, now: u64) {
         self.cold.sent(now);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod cold;
 mod endpoint;
+mod limit;
 mod pace;
 mod pool;
 mod prefix;
@@ -14,5 +15,6 @@
 
 pub use cold::{Allowance, Cold, Fleet};
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
+pub use limit::{Limit, Said};
 pub use pool::{Choice, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
--- a/crates/gateway/src/door/pages.rs
+++ b/crates/gateway/src/door/pages.rs
@@ -9,7 +9,7 @@
 use objects::Calls;
 
 use crate::{
-    metrics::{Budget, Flow, Purpose},
+    metrics::{Budget, Flow, Named, Purpose},
     news::view::View,
     way::gate::Gate,
 };
@@ -64,6 +64,11 @@
         let standing = view.standing();
         metrics.evacuated.set(gate.endpoints.evacuated() as i64);
         metrics.cold.set(gate.endpoints.count_cold() as i64);
+        metrics.limits.clear();
+        for (endpoint, per_s) in gate.endpoints.limits() {
+            let named = Named { endpoint: endpoint.to_string() };
+            metrics.limits.get_or_create(&named).set(per_s);
+        }
         let (reports, quarantined) = gate.crashes.counts();
         metrics.crashes.set(reports as i64);
         metrics.quarantined.set(quarantined as i64);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -354,6 +354,11 @@
         self.gate.peers.len()
     }
 
+    /// Limits that endpoints name, by their lives, in requests a second.
+    pub fn limits(&self) -> Vec<(Arc<str>, f64)> {
+        self.gate.endpoints.limits()
+    }
+
     /// The metrics as text.
     pub fn metrics(&self) -> String {
         self.gate.metrics.text()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms, in the Prometheus text format.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::AtomicU64};
 
 use parking_lot::Mutex;
 use prometheus_client::{
@@ -45,6 +45,13 @@
     pub customer: String,
 }
 
+/// Labels of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Named {
+    /// This life of it.
+    pub endpoint: String,
+}
+
 /// All metrics of a box.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -81,6 +88,10 @@
     pub claims: Gauge,
     /// Endpoints that bear little for now.
     pub cold: Gauge,
+    /// Requests a second that endpoints in need take from all boxes together.
+    pub limits: Family<Named, Gauge<f64, AtomicU64>>,
+    /// Requests that this box sent to endpoints while they named a limit.
+    pub limited: Family<Named, Counter>,
     /// Reports of endpoints that ended, and of requests that were answered after all.
     pub crashes: Gauge,
     /// Requests that are not run any more.
@@ -115,6 +126,8 @@
             evacuated: Gauge::default(),
             claims: Gauge::default(),
             cold: Gauge::default(),
+            limits: Family::default(),
+            limited: Family::default(),
             crashes: Gauge::default(),
             quarantined: Gauge::default(),
             looks: Gauge::default(),
@@ -173,6 +186,16 @@
             "Endpoints that bear few requests a second for now",
             self.cold.clone(),
         );
+        registry.register(
+            "endpoint_limit",
+            "Requests a second that an endpoint in need takes from all boxes together",
+            self.limits.clone(),
+        );
+        registry.register(
+            "limited_sends",
+            "Requests that this box sent to an endpoint while it named a limit",
+            self.limited.clone(),
+        );
         registry.register(
             "crash_reports",
             "Reports of endpoints that ended, and of suspect requests that were answered whole",
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balance::Failure;
+use balance::{Failure, Limit};
 use forward::{Answer, Fault};
 use http::{HeaderMap, StatusCode, header};
 use platform::{
@@ -11,13 +11,17 @@
     request::{self, Order},
 };
 
-use crate::way::{
-    admit::Call,
-    endpoints::Chosen,
-    gate::Gate,
-    refusal::{Reason, Refusal, SOON},
-    relay::Flight,
-    trip::Trip,
+use crate::{
+    clock::Moment,
+    metrics::Named,
+    way::{
+        admit::Call,
+        endpoints::Chosen,
+        gate::Gate,
+        refusal::{Reason, Refusal, SOON},
+        relay::Flight,
+        trip::Trip,
+    },
 };
 
 /// Endpoints tried where none of them got the request, besides the route's own bound.
@@ -131,11 +135,16 @@
             fingerprint = %call.fingerprint,
             load = chosen.load,
             cached = chosen.held,
+            limit = chosen.limit.map(Limit::as_per_s),
             prompt = call.prefix.size(),
             config = trip.version,
             left_ms = left.as_millis() as u64,
             sent_before = trip.sent,
         );
+        if chosen.limit.is_some() {
+            let named = Named { endpoint: chosen.life.to_string() };
+            self.metrics.limited.get_or_create(&named).inc();
+        }
         let endpoints = self.endpoints.clone();
         let service = call.service.clone();
         let watch = self.crashes.watch(chosen, &call.fingerprint);
@@ -144,11 +153,12 @@
         // From here on the endpoint may have it, also when this future is dropped.
         let (had_run, had_sent) = (trip.may_have_run, trip.sent);
         (trip.may_have_run, trip.sent) = (true, trip.sent + 1);
+        let sent_at = self.clock.now();
         let sending = self.links.send(chosen.address, call.connections, request);
         let outcome = match tokio::time::timeout_at(trip.until, sending).await {
             Err(_) => Try::Unknown(Reason::Silent.with("the endpoint did not answer in time")),
             Ok(Err(fault)) => lost(fault, &mut flight),
-            Ok(Ok(answer)) => self.judge(call, chosen, trip, answer, flight),
+            Ok(Ok(answer)) => self.judge(call, chosen, trip, &sent_at, answer, flight),
         };
         match outcome {
             // An endpoint that is gone is none that the route's bound counts.
@@ -173,6 +183,7 @@
         call: &Call,
         chosen: &Chosen,
         trip: &mut Trip,
+        sent_at: &Moment,
         answer: Answer,
         mut flight: Flight,
     ) -> Try {
@@ -186,6 +197,10 @@
         if let Some(load) = head.load {
             self.endpoints.report(&call.service, &chosen.life, load);
         }
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            let ago = sent_at.elapsed();
+            self.endpoints.limit(&call.service, &chosen.life, head.limit.as_ref(), ago);
+        }
         if head.not_run {
             let reason = format!("the endpoint declined with {status}");
             if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -7,9 +7,15 @@
     time::Duration,
 };
 
-use balance::{Allowance, Choice, Failure, Fleet, Pool, Prefix, Prompt, Report, Weights};
+use balance::{
+    Allowance, Choice, Endpoint, Failure, Fleet, Limit, Pool, Prefix, Prompt, Report, Said, Weights,
+};
 use parking_lot::Mutex;
-use platform::{answer::Load, config::Service, endpoint::Entry};
+use platform::{
+    answer::{self, Load},
+    config::Service,
+    endpoint::Entry,
+};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -58,6 +64,8 @@
     pub held: u64,
     /// Requests there, as far as this box can tell.
     pub load: f64,
+    /// How much it takes, while it names that.
+    pub limit: Option<Limit>,
 }
 
 /// A life of an endpoint and its availability zone.
@@ -255,7 +263,8 @@
         let choice = pool.choose(prefix, tried, now, &mut state.random)?;
         let Found { id, address, .. } = state.found.get(&choice.name)?.clone();
         let Choice { name: life, held, load } = choice;
-        Some(Chosen { life, id, address, held, load })
+        let limit = pool.get(&life).and_then(Endpoint::limit);
+        Some(Chosen { life, id, address, held, load, limit })
     }
 
     /// A request goes to an endpoint; returns how much of its prompt is to be read there.
@@ -308,6 +317,42 @@
         }
     }
 
+    /// An answer to a request sent so long ago named a limit, or none.
+    pub fn limit(&self, service: &str, life: &str, named: Option<&answer::Limit>, ago: Duration) {
+        let heard = self.now();
+        let asked = heard.saturating_sub(ago.as_millis() as u64);
+        let mut state = self.state.lock();
+        let pool = state.services.get_mut(service);
+        let Some(endpoint) = pool.and_then(|pool| pool.get_mut(life)) else { return };
+        let limit = named.map(|named| match named {
+            answer::Limit::PerS(requests) => Limit::per_s(*requests),
+            answer::Limit::Unreadable(text) => {
+                let taken = endpoint.limit().unwrap_or(Limit::UNKNOWN);
+                let per_s = taken.as_per_s();
+                tracing::warn!(event = "limit_unreadable", endpoint = life, text, per_s);
+                taken
+            }
+        });
+        if endpoint.hear(Said { limit, asked, heard }) {
+            let per_s = limit.map(Limit::as_per_s);
+            tracing::info!(
+                event = "endpoint_limit",
+                endpoint = life,
+                service,
+                per_s,
+                by = "answer"
+            );
+        }
+    }
+
+    /// Limits that endpoints name, in requests a second.
+    pub fn limits(&self) -> Vec<(Arc<str>, f64)> {
+        let state = self.state.lock();
+        let endpoints = state.services.values().flat_map(Pool::endpoints);
+        let named = endpoints.filter_map(|e| Some((e.name.clone(), e.limit()?.as_per_s())));
+        named.collect()
+    }
+
     /// Number of endpoints of a service that take work.
     pub fn count(&self, service: &str) -> usize {
         self.state.lock().services.get(service).map_or(0, Pool::offers)
