Failing test: an endpoint gets far more than it says that it takes from all boxes

Figures: 12 boxes, a limit of 2 a second, 105 of 194 requests arrived within 2.5 s where 12 are allowed.

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod endpoints;
 mod fleet;
+mod limit;
 mod news;
 mod outage;
 mod path;
