Endpoints that name a limit get what one box hands out in turns

Cause: what an answer named was not read, and no choice of a box kept a bound that all boxes share without each sending its own part. Class: a bound of all boxes together, kept by each box's own count. Change: one box for each limited endpoint, by rendezvous hashing, hands out turns, one by one when a request needs one; where it is silent the next stands in, which asks the first itself; a box that may be cut off gives its part alone. Boxes tell each other through the homes of news; whoever gets no turn passes the endpoint over until the time told. What no endpoint takes is refused at once, each told to come later than the one before.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -97,6 +97,8 @@
     pub pace: Pace,
     /// What it said of how much it takes; `None` while it never named a limit.
     said: Option<Said>,
+    /// While it names a limit, this box gets no turn there until then.
+    closed_until: u64,
 }
 
 /// A prompt that another box told of.
@@ -138,6 +140,7 @@
             doubt: Cold::default(),
             pace: Pace::default(),
             said: None,
+            closed_until: 0,
         }
     }
 
@@ -159,7 +162,21 @@
             Some(known) if !said.replaces(known) => return false,
             _ => self.said = Some(said),
         }
-        self.limit() != before
+        let is_new = self.limit() != before;
+        if is_new {
+            self.closed_until = 0;
+        }
+        is_new
+    }
+
+    /// This box gets no turn there for so many milliseconds.
+    pub fn close(&mut self, ms: u64, now: u64) {
+        self.closed_until = now + ms;
+    }
+
+    /// Milliseconds until this box may ask for a turn there, if it needs one.
+    pub fn turn_wait_ms(&self, now: u64) -> u64 {
+        self.limit().map_or(0, |_| self.closed_until.saturating_sub(now))
     }
 
     /// A request was dispatched.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,9 +12,11 @@
 mod pool;
 mod prefix;
 mod speed;
+mod turns;
 
 pub use cold::{Allowance, Cold, Fleet};
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use limit::{Limit, Said};
-pub use pool::{Choice, Pool, Weights};
+pub use pool::{Choice, Offer, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, Prefixes};
+pub use turns::{Turn, Turns};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -6,7 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Allowance, Endpoint, Failure, Fleet, Prefix, Prefixes, Prompt, Report, Snapshot, speed::Speed,
+    Allowance, Endpoint, Failure, Fleet, Limit, Prefix, Prefixes, Prompt, Report, Snapshot,
+    speed::Speed,
 };
 
 /// What weighs how much in a choice.
@@ -60,6 +61,15 @@
     pub load: f64,
 }
 
+/// Which endpoints are considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offer {
+    /// All that take work.
+    All,
+    /// Of those only the ones that name no limit: they need no turn.
+    Unlimited,
+}
+
 /// The endpoints of a pool as one box sees them.
 #[derive(Debug)]
 pub struct Pool {
@@ -74,6 +84,8 @@
     allowance: Option<Allowance>,
     /// Who shares that; `None` while the other boxes are not known.
     fleet: Option<Fleet>,
+    /// When the last request that no endpoint took for its limit is to come again.
+    last_told: u64,
 }
 
 /// Gain of the mean size of prompts that are to be read: the last twenty or so count.
@@ -81,6 +93,9 @@
 /// Shortest time between two events that says something, in milliseconds: below it they came
 /// together.
 const SHORTEST_MS: f64 = 1.0;
+/// Longest time that is added for one request to come after the others, in milliseconds: callers that wait for an
+/// answer of a model have a few times as much.
+const RETURN_MOST: u64 = 3_000;
 /// Prompt blocks remembered by pool.
 const PREFIX_BLOCKS: usize = 65_536;
 
@@ -97,6 +112,7 @@
             speed: Speed::default(),
             allowance: None,
             fleet: None,
+            last_told: 0,
         }
     }
 
@@ -196,8 +212,26 @@
     /// is none, 0 if one does now.
     pub fn next_offer_ms(&self, now: u64) -> Option<u64> {
         let offered = self.endpoints.iter().filter(|endpoint| !endpoint.leaving);
-        let wait = |endpoint: &Endpoint| self.allowance.map_or(0, |_| endpoint.cold.wait_ms(now));
-        offered.map(wait).min()
+        offered.map(|endpoint| self.wait_ms(endpoint, now)).min()
+    }
+
+    fn wait_ms(&self, endpoint: &Endpoint, now: u64) -> u64 {
+        let cold = self.allowance.map_or(0, |_| endpoint.cold.wait_ms(now));
+        cold.max(endpoint.turn_wait_ms(now))
+    }
+
+    /// Milliseconds after which a request that no endpoint took is to come again. Where limits leave room for few, one
+    /// comes after the other: as many of this box as its part of the limits, so that callers do not return together.
+    pub fn return_ms(&mut self, now: u64) -> Option<u64> {
+        let wait = self.next_offer_ms(now)?;
+        let offered = self.endpoints.iter().filter(|endpoint| !endpoint.leaving);
+        let limits = offered.map(|endpoint| endpoint.limit().map(Limit::as_per_s));
+        let Some(per_s) = limits.sum::<Option<f64>>() else { return Some(wait) };
+        let boxes = self.fleet.as_ref().map_or(1, |fleet| fleet.others.len() + 1) as f64;
+        let apart = (1_000.0 * boxes / per_s).min(RETURN_MOST as f64) as u64;
+        let soonest = now + wait;
+        self.last_told = (self.last_told + apart).clamp(soonest, soonest + RETURN_MOST);
+        Some(self.last_told - now)
     }
 
     /// Number of endpoints that take new work.
@@ -212,7 +246,7 @@
 
     /// Chooses an endpoint for a prompt, passing over those in `tried`.
     ///
-    /// Never one that is leaving, nor one that is cold and gets no more of this box now. One that was
+    /// Never one that is leaving, nor one that is cold or limited and gets no more of this box now. One that was
     /// silent counts as cold, but where half of the pool was. One that failed is chosen only as its own probe, or when at
     /// least half of the pool is put aside: then failures say more about the box than about them.
     pub fn choose(
@@ -222,7 +256,19 @@
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let offered = self.offered(tried, now);
+        self.choose_from(Offer::All, prefix, tried, now, random)
+    }
+
+    /// The same among all endpoints or some of them.
+    pub fn choose_from(
+        &self,
+        offer: Offer,
+        prefix: &Prefix,
+        tried: &[Arc<str>],
+        now: u64,
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let offered = self.offered(tried, offer, now);
         if let Some(probe) = offered.iter().find(|endpoint| endpoint.wants_probe(now)) {
             return Some(self.judge(probe, prefix, 0, now).1);
         }
@@ -249,11 +295,13 @@
     }
 
     /// Endpoints that may get a request of this box now, without those in `tried`.
-    fn offered(&self, tried: &[Arc<str>], now: u64) -> Vec<&Endpoint> {
+    fn offered(&self, tried: &[Arc<str>], offer: Offer, now: u64) -> Vec<&Endpoint> {
         let takes_work: Vec<&Endpoint> = self.endpoints.iter().filter(|e| !e.leaving).collect();
         let doubted = takes_work.iter().filter(|e| e.doubt.holds(now)).count();
         let most_doubted = doubted * 2 >= takes_work.len().max(1);
         let waits = |e: &Endpoint| match self.allowance {
+            _ if e.turn_wait_ms(now) > 0 => true,
+            _ if offer == Offer::Unlimited && e.limit().is_some() => true,
             Some(_) if most_doubted => e.cold.wait_ms(now) > 0,
             Some(_) => e.cold.wait_ms(now) > 0 || e.doubt.wait_ms(now) > 0,
             None => false,
--- a/crates/gateway/src/door/desk.rs
+++ b/crates/gateway/src/door/desk.rs
@@ -15,7 +15,7 @@
     fleet::{peers::Peers, records::Taken},
     money::{bills::Bills, funds::Funds, lending::Lending},
     news::view::View,
-    way::endpoints::Endpoints,
+    way::{endpoints::Endpoints, turns::Turns},
 };
 
 /// Longest wait of a box that asks for tokens, while this one frees some that it promised to keep:
@@ -35,6 +35,7 @@
     pub endpoints: Arc<Endpoints>,
     pub bills: Bills,
     pub view: View,
+    pub turns: Turns,
     /// Whether this box is about to stop.
     pub stopping: watch::Receiver<bool>,
 }
@@ -113,12 +114,15 @@
 #[async_trait::async_trait]
 impl wire::Answer for Desk {
     async fn answer(&self, question: Message) -> Message {
+        self.peers.note_heard();
         let frame = match question.frame {
             Frame::Lend { .. }
             | Frame::Promise(_)
             | Frame::Prompt(_)
             | Frame::Bills { .. }
             | Frame::Crash { .. }
+            | Frame::Turn(_)
+            | Frame::Limit { .. }
                 if !self.peers.knows(&question.from) =>
             {
                 self.peers.note_unknown();
@@ -143,6 +147,13 @@
                 self.view.hear_crash(&name, report);
                 Frame::Done
             }
+            Frame::Turn(turn) => {
+                Frame::Turned(self.turns.answer(turn, question.from.as_str()).await)
+            }
+            Frame::Limit { endpoint, limit } => {
+                self.view.hear_limit(&endpoint, limit);
+                Frame::Done
+            }
             Frame::Bills { .. } if *self.stopping.borrow() => {
                 Frame::Refused { reason: "this box is about to stop itself".into() }
             }
--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -6,8 +6,10 @@
 //! tokens passed on, a lost answer strands some in a grant and never doubles them.
 
 mod questions;
+mod turns;
 
 pub use questions::{Reading, Told, Word};
+pub use turns::MOST_HOPS;
 
 use std::{
     collections::HashMap,
@@ -68,6 +70,9 @@
     place: Place,
     known: HashMap<Incarnation, Known>,
     random: SmallRng,
+    /// When another box was heard last, and when one that was asked was silent.
+    heard: Option<Instant>,
+    silent: Option<Instant>,
 }
 
 struct Known {
@@ -90,7 +95,8 @@
         let source = address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |address| address.ip());
         let random = SmallRng::seed_from_u64(seed);
         let name = me.name.clone();
-        let state = State { address: None, place: me, known: HashMap::new(), random };
+        let (address, heard, silent) = Default::default();
+        let state = State { address, place: me, known: HashMap::new(), random, heard, silent };
         Peers {
             me: name,
             source,
--- a/crates/gateway/src/fleet/peers/questions.rs
+++ b/crates/gateway/src/fleet/peers/questions.rs
@@ -10,6 +10,7 @@
 use ledger::{Claim, Incarnation, Promise, Transfer, Witness};
 use quarantine::Report;
 use timeline::Stamp;
+use tokio::time::Instant;
 use wire::{Draw, Drawn, Frame, Listen, Message, News, Peer, Sheet};
 
 use super::{LEAVES, Peers, REST};
@@ -24,7 +25,7 @@
 /// for longer than this before the first tokens are granted.
 const SEAL_WITHIN: Duration = Duration::from_millis(400);
 /// Longest wait until another box heard of a prompt, which an engine reads in less, or of a report.
-const TOLD_WITHIN: Duration = Duration::from_millis(200);
+pub(super) const TOLD_WITHIN: Duration = Duration::from_millis(200);
 /// Longest wait until another box took pages of bills: some 200 KB each over a narrow link.
 const BILLS_WITHIN: Duration = Duration::from_millis(500);
 
@@ -88,7 +89,7 @@
 
 /// What came of asking a box.
 #[derive(Debug)]
-enum Heard {
+pub(super) enum Heard {
     /// It answered.
     Frame(Frame),
     /// Another start of the box answered: the one that was asked has ended.
@@ -208,10 +209,17 @@
     }
 
     /// Asks a box.
-    async fn ask(&self, name: &Incarnation, peer: &Peer, frame: Frame, within: Duration) -> Heard {
+    pub(super) async fn ask(
+        &self,
+        name: &Incarnation,
+        peer: &Peer,
+        frame: Frame,
+        within: Duration,
+    ) -> Heard {
         let topic = frame.topic();
         let asked = peer.ask_counted(&self.message(frame), within).await;
         let answered = asked.map(|(answer, size)| {
+            self.note_heard();
             self.traffic.add(topic, self.is_near(name), size);
             answer
         });
@@ -244,6 +252,7 @@
             }
             Err(error) => {
                 tracing::info!(event = "peer_silent", peer = name.as_str(), %error);
+                self.state.lock().silent = Some(Instant::now());
                 self.rest(name, REST);
                 Heard::Nothing
             }
--- /dev/null
+++ b/crates/gateway/src/fleet/peers/turns.rs
@@ -0,0 +1,75 @@
+//! Which box hands out turns at an endpoint that names a limit, and asking it.
+//!
+//! The first in reach of all boxes, by rendezvous hashing with the endpoint's life, so that all boxes which know the same
+//! others ask the same one, and each endpoint has its own. Where it is silent the next one stands in; that one asks
+//! the first itself before it gives a turn, so that a box which merely lost its way to the first makes no second source.
+
+use std::{sync::Arc, time::Duration};
+
+use balance::Limit;
+use ledger::Incarnation;
+use tokio::time::Instant;
+use wire::{Frame, Turn, Turned};
+
+use super::{
+    LEAVES, Peers,
+    questions::{Heard, TOLD_WITHIN},
+};
+
+/// Boxes that pass a question for a turn on at most: one that stands in asks the one that it stands in for.
+pub const MOST_HOPS: u8 = 2;
+/// Time for each hop that a question may still take. An answer takes a millisecond or two, the shortest requests have 100;
+/// a box that is slow once is asked by the one that stands in, so that nothing is lost by a short time but the wait.
+const A_HOP: Duration = Duration::from_millis(20);
+
+impl Peers {
+    /// The box that hands out turns at an endpoint; `None` if it is this one, which does not where it `leaves`.
+    pub fn giver(&self, life: &str, leaves: bool) -> Option<Incarnation> {
+        let now = Instant::now();
+        let state = self.state.lock();
+        let awake = state.known.iter().filter(|(_, known)| known.is_awake(now));
+        let weight = |name: &Incarnation| member::weight(life, name.box_name());
+        let best = awake.map(|(name, _)| (weight(name), name)).max();
+        let mine = (weight(&self.me), &self.me);
+        best.filter(|best| leaves || *best > mine).map(|(_, name)| name.clone())
+    }
+
+    /// Asks a box for a turn; `None` if it is silent or about to stop, and another one is to be asked.
+    pub async fn turn(&self, giver: &Incarnation, turn: Turn) -> Option<Turned> {
+        let within = A_HOP * u32::from(MOST_HOPS + 1 - turn.hops.min(MOST_HOPS));
+        let peer = self.peer(giver)?;
+        match self.ask(giver, &peer, Frame::Turn(turn), within).await {
+            Heard::Frame(Frame::Turned(Turned::Leaves)) => {
+                self.rest(giver, LEAVES);
+                None
+            }
+            Heard::Frame(Frame::Turned(turned)) => Some(turned),
+            // It does not know this box yet.
+            Heard::Frame(_) => Some(Turned::After { ms: A_HOP.as_millis() as u64 }),
+            Heard::Replaced | Heard::Nothing => None,
+        }
+    }
+
+    /// Tells the homes of news what an endpoint named last; what they miss shows in its next answer.
+    pub fn tell_limit(&self, endpoint: &Arc<str>, limit: Option<Limit>) {
+        let homes = self.homes();
+        for home in homes.all().filter(|home| **home != self.me) {
+            let Some(peer) = self.peer(home) else { continue };
+            let frame = Frame::Limit { endpoint: endpoint.clone(), limit };
+            let (peers, home) = (self.clone(), home.clone());
+            tokio::spawn(async move { peers.ask(&home, &peer, frame, TOLD_WITHIN).await });
+        }
+    }
+
+    /// Whether the last box that was asked was silent, and none was heard since: this one may be cut off, and
+    /// others may take it for gone.
+    pub fn may_be_cut_off(&self) -> bool {
+        let state = self.state.lock();
+        state.silent > state.heard
+    }
+
+    /// Another box asks this one.
+    pub fn note_heard(&self) {
+        self.state.lock().heard = Some(Instant::now());
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpListener,
-    sync::{Semaphore, watch},
+    sync::{Semaphore, mpsc, watch},
     task::JoinHandle,
     time::Instant,
 };
@@ -32,6 +32,7 @@
         witness::{Keeper, Naming},
     },
     news::{
+        limits,
         listen::Listener,
         look,
         reporter::Reporter,
@@ -46,6 +47,7 @@
         endpoints::Endpoints,
         gate::Gate,
         link::Link,
+        turns::{self, Turns},
     },
 };
 
@@ -178,6 +180,15 @@
             pulse: pulse.clone(),
             started: clock.now(),
         });
+        let (told, limits) = mpsc::channel(limits::WAITING);
+        let turns = Turns::open(turns::Setup {
+            endpoints: endpoints.clone(),
+            peers: peers.clone(),
+            metrics: metrics.clone(),
+            stopping: stops.clone(),
+            started: clock.now(),
+            told,
+        });
         let desk = Desk {
             me: incarnation.clone(),
             funds: funds.clone(),
@@ -186,6 +197,7 @@
             endpoints: endpoints.clone(),
             bills: bills.clone(),
             view: view.clone(),
+            turns: turns.clone(),
             stopping: stops.clone(),
         };
         let lender = bind_lender(settings.listen.peers, desk, &peers).await?;
@@ -193,6 +205,7 @@
             table,
             endpoints: endpoints.clone(),
             crashes,
+            turns,
             links: links.clone(),
             funds: funds.clone(),
             bills: bills.clone(),
@@ -287,6 +300,7 @@
         let mut loops = vec![
             tokio::spawn(listener.run()),
             tokio::spawn(reporter.run(reports)),
+            tokio::spawn(limits::tell(view.clone(), gate.peers.clone(), endpoints.clone(), limits)),
             tokio::spawn(pulse.run()),
             tokio::spawn(keeper.run()),
             tokio::spawn(draws.run()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,13 @@
     pub endpoint: String,
 }
 
+/// Labels of questions for turns at endpoints that name a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Asked {
+    /// `given`, `none` or `free`: the endpoint names no limit any more.
+    pub outcome: &'static str,
+}
+
 /// All metrics of a box.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -92,6 +99,10 @@
     pub limits: Family<Named, Gauge<f64, AtomicU64>>,
     /// Requests that this box sent to endpoints while they named a limit.
     pub limited: Family<Named, Counter>,
+    /// Questions of this box for turns at endpoints that name a limit.
+    pub turns: Family<Asked, Counter>,
+    /// Turns that this box handed out, to itself and to others.
+    pub turns_given: Counter,
     /// Reports of endpoints that ended, and of requests that were answered after all.
     pub crashes: Gauge,
     /// Requests that are not run any more.
@@ -128,6 +139,8 @@
             cold: Gauge::default(),
             limits: Family::default(),
             limited: Family::default(),
+            turns: Family::default(),
+            turns_given: Counter::default(),
             crashes: Gauge::default(),
             quarantined: Gauge::default(),
             looks: Gauge::default(),
@@ -196,6 +209,16 @@
             "Requests that this box sent to an endpoint while it named a limit",
             self.limited.clone(),
         );
+        registry.register(
+            "turns",
+            "Questions of this box for turns at endpoints that name a limit, by what came of them",
+            self.turns.clone(),
+        );
+        registry.register(
+            "turns_given",
+            "Turns at endpoints that name a limit which this box handed out",
+            self.turns_given.clone(),
+        );
         registry.register(
             "crash_reports",
             "Reports of endpoints that ended, and of suspect requests that were answered whole",
--- a/crates/gateway/src/news/view/endpoints.rs
+++ b/crates/gateway/src/news/view/endpoints.rs
@@ -81,6 +81,7 @@
         let Uses { endpoints, links, .. } = &self.0.uses;
         let unused = endpoints.update(state.directory.ready());
         unused.iter().for_each(|address| links.forget(*address));
+        state.unshelve_limits(|life| endpoints.has(life));
         let (known, ready) = (state.directory.len(), state.directory.ready().count());
         let gone = unused.len();
         tracing::info!(event = "endpoints_changed", by, version, known, ready, gone);
--- /dev/null
+++ b/crates/gateway/src/news/view/limits.rs
@@ -0,0 +1,49 @@
+//! Limits that endpoints name, as boxes tell them: the store knows nothing of them.
+
+use std::sync::Arc;
+
+use balance::Limit;
+use wire::Limited;
+
+use super::{State, View, note_unreadable};
+
+/// Kind under which limits are told.
+pub const LIMITS: &str = "limits";
+/// Version of all that the store does not know.
+const NOT_STORED: u64 = 0;
+
+impl View {
+    /// Takes over a limit that a box tells, this one or another; nothing where the endpoint named none.
+    pub fn hear_limit(&self, endpoint: &Arc<str>, limit: Option<Limit>) {
+        let text = limit.map(|limit| serde_json::to_string(&limit).expect("it always serializes"));
+        let mut state = self.0.state.lock();
+        self.take_limit(&mut state, endpoint, text.as_deref());
+        drop(state);
+        self.tell();
+    }
+
+    /// A limit as the shelf of a home holds it, or that the endpoint names none any more.
+    pub(super) fn take_limit(&self, state: &mut State, endpoint: &Arc<str>, text: Option<&str>) {
+        let limit = match text.map(serde_json::from_str::<Limit>).transpose() {
+            Ok(limit) => limit,
+            Err(error) => return note_unreadable(LIMITS, endpoint, &error),
+        };
+        if state.shelf.put(LIMITS, endpoint, NOT_STORED, text) {
+            // It is told once, so it holds at once; an answer to a request that is sent from now on knows better.
+            let endpoint = endpoint.clone();
+            let said = Limited { endpoint, limit, asked_ms: 0, heard_ms: 0 };
+            self.0.uses.endpoints.hear_said(&said, "news");
+        }
+    }
+}
+
+impl State {
+    /// What an endpoint named goes with it.
+    pub(super) fn unshelve_limits(&mut self, is_known: impl Fn(&str) -> bool) {
+        for (endpoint, _) in self.shelf.names(LIMITS) {
+            if !is_known(&endpoint) {
+                self.shelf.put(LIMITS, &endpoint, NOT_STORED, None);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/news/view/mod.rs
+++ b/crates/gateway/src/news/view/mod.rs
@@ -7,9 +7,11 @@
 mod crashes;
 mod endpoints;
 mod evacuations;
+mod limits;
 mod listeners;
 
 pub use boxes::read_box;
+use limits::LIMITS;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -215,6 +217,7 @@
         let mut state = self.0.state.lock();
         let mut endpoints = Vec::new();
         let mut boxes = Vec::new();
+        let mut limits = Vec::new();
         let mut config = None;
         for change in news.changes {
             match &*change.kind {
@@ -225,6 +228,7 @@
                     let wire::Change { name, version, value, .. } = change;
                     self.take_crash(&mut state, &name, version, value.as_deref());
                 }
+                LIMITS => limits.push(change),
                 kind if kind == platform::CONFIG.0 => config = Some(change),
                 kind => tracing::warn!(event = "news_not_understood", kind),
             }
@@ -233,6 +237,10 @@
             state.hear_endpoints(endpoints, news.whole, news.endpoints_at);
             self.publish(&mut state, "home", news.endpoints_at);
         }
+        // After the endpoints: what names a limit has to be known.
+        for wire::Change { name, value, .. } in limits {
+            self.take_limit(&mut state, &name, value.as_deref());
+        }
         if news.whole || !boxes.is_empty() {
             state.hear_boxes(boxes, news.whole, news.boxes_at);
             self.publish_boxes(&mut state, news.boxes_at);
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balance::{Failure, Limit};
+use balance::{Failure, Limit, Offer};
 use forward::{Answer, Fault};
 use http::{HeaderMap, StatusCode, header};
 use platform::{
@@ -27,6 +27,9 @@
 /// Endpoints tried where none of them got the request, besides the route's own bound.
 const MOST_TRIED: usize = 4;
 
+/// Turns that one request asks for at most, some milliseconds each, before it passes over all endpoints that need one.
+const MOST_ASKED: usize = 3;
+
 /// What one try at an endpoint came to.
 enum Try {
     /// An answer for the caller.
@@ -51,21 +54,30 @@
         let now_s = self.started.elapsed().as_secs();
         self.retries.lock().request(&call.service, now_s, &self.settings().retries);
         let mut tried: Vec<Arc<str>> = Vec::new();
-        let mut arrived = 0;
-        let mut last = self.no_offer(call);
+        let (mut arrived, mut asked) = (0, 0);
+        let mut last = None;
         while tried.len() < MOST_TRIED {
             if trip.left().is_zero() {
                 return Err(Reason::TooLate.with("its time was over before it was sent"));
             }
             // Endpoints may have ended with it since it came.
             if let Err(refusal) = self.check_quarantine(&call.fingerprint, trip.until).await {
-                last = refusal;
+                last = Some(refusal);
                 break;
             }
-            let Some(chosen) = self.endpoints.choose(&call.service, &call.prefix, &tried) else {
+            let offer = if asked < MOST_ASKED { Offer::All } else { Offer::Unlimited };
+            let chosen = self.endpoints.choose(&call.service, offer, &call.prefix, &tried);
+            let Some(chosen) = chosen else { break };
+            if trip.sent >= call.route.attempts || (arrived > 0 && !self.may_repeat_later(call)) {
                 break;
-            };
-            if trip.sent >= call.route.attempts || (arrived > 0 && !self.may_repeat(call)) {
+            }
+            if chosen.limit.is_some() {
+                asked += 1;
+                if !self.turns.take(&call.service, &chosen).await {
+                    continue;
+                }
+            }
+            if arrived > 0 && !self.may_repeat(call) {
                 break;
             }
             tried.push(chosen.life.clone());
@@ -73,25 +85,29 @@
             arrived += u32::from(!matches!(outcome, Try::Unsent(_)));
             match outcome {
                 Try::Answer(answer, flight) => return Ok((answer, *flight)),
-                Try::Unsent(reason) => last = Reason::NoEndpoint.after(SOON, reason),
+                Try::Unsent(reason) => last = Some(Reason::NoEndpoint.after(SOON, reason)),
                 Try::NotRun(reason) | Try::Gone(reason) => {
-                    last = Reason::NoEndpoint.after(SOON, reason);
+                    last = Some(Reason::NoEndpoint.after(SOON, reason));
                 }
                 Try::Unknown(refusal) if !is_repeatable(&call.route) => return Err(refusal),
-                Try::Unknown(refusal) => last = refusal,
+                Try::Unknown(refusal) => last = Some(refusal),
             }
         }
+        let last = last.unwrap_or_else(|| self.no_offer(call));
         match trip.may_have_run && last.reason.is_not_run() {
             true => Err(Reason::Lost.with(last.detail)),
             false => Err(last),
         }
     }
 
-    /// Why no endpoint is offered a request: there is none, or this box has sent the cold ones its part.
+    /// Why no endpoint is offered a request: there is none, or this box has sent the cold ones its part and gets no turn
+    /// at those that name a limit.
     fn no_offer(&self, call: &Call) -> Refusal {
-        match self.endpoints.next_offer(&call.service) {
-            Some(wait) if wait > SOON => Reason::NoEndpoint
-                .after(wait, "all endpoints of the service that take work are cold"),
+        match self.endpoints.comes_again(&call.service) {
+            Some(wait) if wait > SOON => Reason::NoEndpoint.after(
+                wait,
+                "all endpoints of the service that take work are cold or name a limit",
+            ),
             Some(_) => Reason::NoEndpoint.after(SOON, "no endpoint of the service takes work now"),
             None => Reason::NoEndpoint.after(SOON, "no endpoint of the service is known"),
         }
@@ -198,8 +214,10 @@
             self.endpoints.report(&call.service, &chosen.life, load);
         }
         if status != StatusCode::MISDIRECTED_REQUEST {
-            let ago = sent_at.elapsed();
-            self.endpoints.limit(&call.service, &chosen.life, head.limit.as_ref(), ago);
+            let (limit, ago) = (head.limit.as_ref(), sent_at.elapsed());
+            if self.endpoints.limit(&call.service, &chosen.life, limit, ago) {
+                self.turns.tell(&chosen.life);
+            }
         }
         if head.not_run {
             let reason = format!("the endpoint declined with {status}");
--- a/crates/gateway/src/way/endpoints.rs
+++ b/crates/gateway/src/way/endpoints.rs
@@ -8,7 +8,8 @@
 };
 
 use balance::{
-    Allowance, Choice, Endpoint, Failure, Fleet, Limit, Pool, Prefix, Prompt, Report, Said, Weights,
+    Allowance, Choice, Endpoint, Failure, Fleet, Limit, Offer, Pool, Prefix, Prompt, Report, Said,
+    Weights,
 };
 use parking_lot::Mutex;
 use platform::{
@@ -234,11 +235,11 @@
         self.state.lock().services.values().map(|pool| pool.cold(now)).sum()
     }
 
-    /// Time until an endpoint of a service bears a request of this box; `None` if there is none.
-    pub fn next_offer(&self, service: &str) -> Option<Duration> {
+    /// Time after which a request that no endpoint of a service took is to come again; `None` if there is none.
+    pub fn comes_again(&self, service: &str) -> Option<Duration> {
         let now = self.now();
-        let state = self.state.lock();
-        state.services.get(service)?.next_offer_ms(now).map(Duration::from_millis)
+        let mut state = self.state.lock();
+        state.services.get_mut(service)?.return_ms(now).map(Duration::from_millis)
     }
 
     /// Sends nothing more to these zones, and to all others again; says whether that is new.
@@ -256,11 +257,17 @@
     }
 
     /// Chooses an endpoint of a service that is not in `tried`.
-    pub fn choose(&self, service: &str, prefix: &Prefix, tried: &[Arc<str>]) -> Option<Chosen> {
+    pub fn choose(
+        &self,
+        service: &str,
+        offer: Offer,
+        prefix: &Prefix,
+        tried: &[Arc<str>],
+    ) -> Option<Chosen> {
         let now = self.now();
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
-        let choice = pool.choose(prefix, tried, now, &mut state.random)?;
+        let choice = pool.choose_from(offer, prefix, tried, now, &mut state.random)?;
         let Found { id, address, .. } = state.found.get(&choice.name)?.clone();
         let Choice { name: life, held, load } = choice;
         let limit = pool.get(&life).and_then(Endpoint::limit);
@@ -317,13 +324,19 @@
         }
     }
 
-    /// An answer to a request sent so long ago named a limit, or none.
-    pub fn limit(&self, service: &str, life: &str, named: Option<&answer::Limit>, ago: Duration) {
+    /// An answer to a request sent so long ago named a limit, or none; says whether that is new to this box.
+    pub fn limit(
+        &self,
+        service: &str,
+        life: &str,
+        named: Option<&answer::Limit>,
+        ago: Duration,
+    ) -> bool {
         let heard = self.now();
         let asked = heard.saturating_sub(ago.as_millis() as u64);
         let mut state = self.state.lock();
         let pool = state.services.get_mut(service);
-        let Some(endpoint) = pool.and_then(|pool| pool.get_mut(life)) else { return };
+        let Some(endpoint) = pool.and_then(|pool| pool.get_mut(life)) else { return false };
         let limit = named.map(|named| match named {
             answer::Limit::PerS(requests) => Limit::per_s(*requests),
             answer::Limit::Unreadable(text) => {
@@ -333,18 +346,55 @@
                 taken
             }
         });
-        if endpoint.hear(Said { limit, asked, heard }) {
-            let per_s = limit.map(Limit::as_per_s);
-            tracing::info!(
-                event = "endpoint_limit",
-                endpoint = life,
-                service,
-                per_s,
-                by = "answer"
-            );
+        let is_new = endpoint.hear(Said { limit, asked, heard });
+        if is_new {
+            log_limit(life, limit, "answer");
+        }
+        is_new
+    }
+
+    /// What this box knows of how much an endpoint takes; `None` if it never heard of a limit, or of the endpoint.
+    pub fn said(&self, life: &Arc<str>) -> Option<wire::Limited> {
+        let now = self.now();
+        let state = self.state.lock();
+        let said = state.services.values().find_map(|pool| pool.get(life))?.said()?;
+        let (asked_ms, heard_ms) = (now.saturating_sub(said.asked), now.saturating_sub(said.heard));
+        Some(wire::Limited { endpoint: life.clone(), limit: said.limit, asked_ms, heard_ms })
+    }
+
+    /// Another box says what it knows of how much an endpoint takes.
+    pub fn hear_said(&self, said: &wire::Limited, by: &str) {
+        let now = self.now();
+        let (asked, heard) = (said.asked_ms, said.heard_ms);
+        let (asked, heard) = (now.saturating_sub(asked), now.saturating_sub(heard));
+        let mut state = self.state.lock();
+        let mut pools = state.services.values_mut();
+        let known = pools.find_map(|pool| pool.get_mut(&said.endpoint));
+        if known.is_some_and(|known| known.hear(Said { limit: said.limit, asked, heard })) {
+            log_limit(&said.endpoint, said.limit, by);
         }
     }
 
+    /// This box gets no turn at an endpoint for a time.
+    pub fn close(&self, service: &str, life: &str, time: Duration) {
+        let now = self.now();
+        let mut state = self.state.lock();
+        let pool = state.services.get_mut(service);
+        if let Some(endpoint) = pool.and_then(|pool| pool.get_mut(life)) {
+            endpoint.close(time.as_millis() as u64, now);
+        }
+    }
+
+    /// Number of boxes that share what endpoints take; `None` while they are not known.
+    pub fn boxes(&self) -> Option<usize> {
+        self.state.lock().fleet.as_ref().map(|fleet| fleet.others.len() + 1)
+    }
+
+    /// Whether a life of an endpoint is one of those that take work.
+    pub fn has(&self, life: &str) -> bool {
+        self.state.lock().found.contains_key(life)
+    }
+
     /// Limits that endpoints name, in requests a second.
     pub fn limits(&self) -> Vec<(Arc<str>, f64)> {
         let state = self.state.lock();
@@ -359,6 +409,11 @@
     }
 }
 
+fn log_limit(life: &str, limit: Option<Limit>, by: &str) {
+    let per_s = limit.map(Limit::as_per_s);
+    tracing::info!(event = "endpoint_limit", endpoint = life, per_s, by);
+}
+
 /// What weighs how much: at engines the prompts to be read, elsewhere the requests under way.
 fn weights(engines: bool) -> Weights {
     match engines {
--- a/crates/gateway/src/way/gate.rs
+++ b/crates/gateway/src/way/gate.rs
@@ -14,7 +14,10 @@
     money::{bills::Bills, draws::Draws, funds::Funds},
     settings::Settings,
     table::Table,
-    way::{bounds::Bounds, crashes::Crashes, endpoints::Endpoints, link::Link, retries::Retries},
+    way::{
+        bounds::Bounds, crashes::Crashes, endpoints::Endpoints, link::Link, retries::Retries,
+        turns::Turns,
+    },
 };
 
 /// All that the way of a request needs.
@@ -25,6 +28,8 @@
     pub endpoints: Arc<Endpoints>,
     /// Which requests endpoints ended with.
     pub crashes: Crashes,
+    /// Turns at endpoints that name a limit.
+    pub turns: Turns,
     pub links: Links,
     pub funds: Funds,
     pub peers: Peers,
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -80,6 +80,10 @@
         | Frame::Refused { .. } => Frame::Refused { reason: "not a question".into() },
         // A hint; boxes of this kind tell what they have under way regularly.
         Frame::Prompt(_) => Frame::Done,
+        // The engines of this interface name no limits.
+        Frame::Turn(_) | Frame::Turned(_) | Frame::Limit { .. } => {
+            Frame::Refused { reason: "this box hands out no turns".into() }
+        }
         Frame::Draw(_) | Frame::Drawn(_) | Frame::Bills { .. } => Frame::Refused {
             reason: "boxes of this interface write their ledgers themselves".into(),
         },
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use balance::{Prompt, Snapshot};
+use balance::{Limit, Prompt, Snapshot};
 use ledger::{Entry, Given, Incarnation, Promise, Transfer};
 use quarantine::Report;
 use serde::{Deserialize, Serialize};
@@ -172,6 +172,41 @@
     pub away_ms: Option<u64>,
 }
 
+/// What an endpoint said of the requests that it takes from all boxes together, and how long ago.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limited {
+    /// This life of the endpoint.
+    pub endpoint: Arc<str>,
+    /// How much it takes; nothing where it named no limit.
+    pub limit: Option<Limit>,
+    /// Milliseconds since the request was sent whose answer said so.
+    pub asked_ms: u64,
+    /// Milliseconds since that answer came.
+    pub heard_ms: u64,
+}
+
+/// Asks the box that hands out turns at an endpoint for one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turn {
+    /// What the asker knows of the endpoint.
+    pub said: Limited,
+    /// Boxes that passed this question on.
+    pub hops: u8,
+}
+
+/// What came of asking for a turn.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Turned {
+    /// A request may be sent at once.
+    Given,
+    /// None is left; to be asked for again after so many milliseconds.
+    After { ms: u64 },
+    /// The endpoint named no limit last.
+    Free { said: Limited },
+    /// The box that was asked hands out no turns any more: it is about to stop.
+    Leaves,
+}
+
 /// One question or answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -231,6 +266,12 @@
     News(News),
     /// What the sender found of requests and an endpoint, for the receiver to pass on.
     Crash { name: Arc<str>, report: Report },
+    /// Asks for a turn at an endpoint.
+    Turn(Turn),
+    /// What came of that.
+    Turned(Turned),
+    /// What an endpoint named last, for the receiver to pass on.
+    Limit { endpoint: Arc<str>, limit: Option<Limit> },
 }
 
 impl Frame {
@@ -245,6 +286,8 @@
             Frame::Prompt(_) => "prompts",
             Frame::Bills { .. } => "bills",
             Frame::Crash { .. } => "crashes",
+            Frame::Turn(_) | Frame::Turned(_) => "turns",
+            Frame::Limit { .. } => "limits",
             _ => "other",
         }
     }
