The soak knows endpoints that name limits, and counts what arrives as the platform does

Change: half of a run's endpoints name a limit for a third of the run or longer, drawn from a seed of their own, so that earlier seeds keep their faults; the verdict counts arrivals of boxes that were told, cut, paused and restarted ones left out.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -6,25 +6,39 @@
 struct Case {
     seed: u64,
     seconds: u64,
+    /// Whether endpoints name limits.
+    limits: bool,
     cause: &'static str,
 }
 
-const CASES: [Case; 4] = [
-    Case { seed: 1, seconds: 12, cause: "never failed" },
-    Case { seed: 2, seconds: 12, cause: "bills lost with a planned stop while the store was away" },
-    Case { seed: 3, seconds: 12, cause: "the same, with all boxes killed before" },
-    Case { seed: 5, seconds: 13, cause: "bills lost that came after the lost answer to a page" },
+const CASES: [Case; 5] = [
+    Case { seed: 1, seconds: 12, limits: false, cause: "never failed" },
+    Case {
+        seed: 2,
+        seconds: 12,
+        limits: false,
+        cause: "bills lost with a planned stop while the store was away",
+    },
+    Case { seed: 3, seconds: 12, limits: false, cause: "the same, with all boxes killed before" },
+    Case {
+        seed: 5,
+        seconds: 13,
+        limits: false,
+        cause: "bills lost that came after the lost answer to a page",
+    },
+    Case { seed: 101, seconds: 12, limits: true, cause: "never failed" },
 ];
 
 #[tokio::test]
 async fn no_promise_is_broken_under_random_faults() {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
-    for Case { seed, seconds, cause } in CASES {
+    for Case { seed, seconds, limits, cause } in CASES {
         let options = soak::Options {
             folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
             daemon: daemon.clone(),
             boxes: 5,
             length: Duration::from_secs(seconds),
+            limits,
         };
         let report = soak::run(seed, &options).await.expect("it can be played");
         assert!(report.calls.1 > 100, "seed {seed} served little: {report:?}");
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -26,6 +26,10 @@
     /// seconds of load a seed
     #[argh(option, default = "15")]
     pub seconds: u64,
+
+    /// endpoints name no limits
+    #[argh(switch)]
+    pub unlimited: bool,
 }
 
 impl Options {
@@ -41,6 +45,7 @@
             folder: soak::folder_beside(&self.daemon),
             boxes: self.boxes,
             length: Duration::from_secs(self.seconds),
+            limits: !self.unlimited,
         }
     }
 }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -5,12 +5,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{HeaderMap, HeaderValue, StatusCode};
 use parking_lot::Mutex;
 use platform::played;
 use standin::{Arrived, Reply, Scripted};
 use tokio::time::Instant;
 
+use crate::need::{Arrival, Arrivals, Need};
+
 /// Tokens that one event holds, as the configuration of the stand-ins says.
 pub const EVENT_TOKENS: u64 = 2;
 /// Pause between two events.
@@ -106,17 +108,31 @@
 }
 
 impl Endpoint {
-    /// Starts one that records what it runs.
-    pub async fn spawn(name: &str, service: &'static str, runs: Runs) -> Endpoint {
+    /// Starts one that records what it runs, and names a limit where one is drawn for it.
+    pub async fn spawn(
+        name: &str,
+        service: &'static str,
+        runs: Runs,
+        need: Option<Need>,
+        arrivals: Arrivals,
+    ) -> Endpoint {
         let name: Arc<str> = name.into();
         let endpoint = name.clone();
+        let began = Instant::now();
         let scripted = Scripted::spawn(move |arrived| {
             let Some(id) = Id::read(&arrived.told.id) else { return Reply::Close };
+            let in_need = need.filter(|need| (need.from..need.until).contains(&began.elapsed()));
+            let limit = in_need.map(|need| need.per_s);
+            if need.is_some() {
+                let answered = id.conduct() != Conduct::Closes;
+                let arrival = Arrival { id, at: Instant::now(), limit, answered };
+                arrivals.lock().entry(endpoint.clone()).or_default().push(arrival);
+            }
             if id.conduct() != Conduct::Declines {
                 let run = Run { id, endpoint: endpoint.clone(), at: Instant::now() };
                 runs.lock().push(run);
             }
-            reply(&id, arrived, service)
+            reply(&id, arrived, service, limit)
         })
         .await;
         Endpoint { name, service, scripted }
@@ -128,14 +144,21 @@
     }
 }
 
-fn reply(id: &Id, arrived: &Arrived, service: &str) -> Reply {
-    let headers = played::answered(&arrived.told.id, None);
+fn reply(id: &Id, arrived: &Arrived, service: &str, limit: Option<f64>) -> Reply {
+    let name = |mut headers: HeaderMap| {
+        if let Some(limit) = limit {
+            let value = HeaderValue::try_from(limit.to_string()).expect("a number");
+            headers.insert(played::LIMIT, value);
+        }
+        headers
+    };
+    let headers = name(played::answered(&arrived.told.id, None));
     let events = |count: u64| (0..count).map(|number| id.event(number)).collect::<Vec<_>>();
     match id.conduct() {
         Conduct::Closes => Reply::Close,
         Conduct::Declines => {
             let (status, headers) = played::declined(&arrived.told.id);
-            Reply::Whole(status, headers, "full".into())
+            Reply::Whole(status, name(headers), "full".into())
         }
         Conduct::Tears => Reply::Torn(headers, events(id.events / 2)),
         Conduct::Answers if service == "engines" => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,9 +26,13 @@
     daemon::{self, Daemon},
     endpoint::{Endpoint, Id, Runs},
     fault::{self, Fault, Kind},
+    need::{self, Arrivals},
     verdict::{self, Breach, Disturbance, Evidence},
 };
 
+/// Endpoints and their services.
+const ENDPOINTS: [(&str, &str); 4] =
+    [("e-1", "engines"), ("e-2", "engines"), ("p-1", "plain"), ("p-2", "plain")];
 /// Callers for each box: enough that some call is under way at any moment.
 const CALLERS: usize = 3;
 /// Pause of a caller between two calls, in milliseconds.
@@ -62,6 +66,8 @@
     pub boxes: usize,
     /// Time of the load.
     pub length: Duration,
+    /// Whether endpoints name limits.
+    pub limits: bool,
 }
 
 /// What a run showed.
@@ -105,6 +111,8 @@
     open: Mutex<Vec<Option<(std::net::SocketAddr, Life)>>>,
     numbers: AtomicU64,
     done: AtomicBool,
+    /// What arrived at endpoints that name limits.
+    arrivals: Arrivals,
 }
 
 /// The part of the run that is judged in the end.
@@ -131,6 +139,7 @@
             open: Mutex::new(vec![None; options.boxes]),
             numbers: AtomicU64::new(seed.wrapping_mul(1_000_000) + 1),
             done: AtomicBool::new(false),
+            arrivals: Arrivals::default(),
         }),
         endpoints: Vec::new(),
         nodes: Vec::new(),
@@ -142,10 +151,11 @@
         folder,
     };
     world.configure().await;
-    for (name, service) in
-        [("e-1", "engines"), ("e-2", "engines"), ("p-1", "plain"), ("p-2", "plain")]
-    {
-        let endpoint = Endpoint::spawn(name, service, runs.clone()).await;
+    let needs = need::draw(seed, ENDPOINTS.len(), options.length);
+    for (number, (name, service)) in ENDPOINTS.into_iter().enumerate() {
+        let need = needs.get(&number).copied().filter(|_| options.limits);
+        let arrivals = world.shared.arrivals.clone();
+        let endpoint = Endpoint::spawn(name, service, runs.clone(), need, arrivals).await;
         world.list(&endpoint, true).await;
         world.endpoints.push(endpoint);
     }
@@ -434,6 +444,7 @@
             harmed: &self.history.harmed,
             left: &self.history.left,
             disturbed: &self.history.disturbed,
+            arrivals: &self.shared.arrivals.lock(),
         });
         let count = |of: fn(&call::End) -> bool| calls.iter().filter(|call| of(&call.end)).count();
         let answered = count(|end| matches!(end, call::End::Answered { .. }));
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -13,6 +13,7 @@
 use crate::{
     call::{Call, End, Life, Route},
     endpoint::{Conduct, Id, Run},
+    need::{self, Arrival},
 };
 
 /// Time within which boxes in touch give a leaving endpoint no more work: 2 s, and a call that was
@@ -35,6 +36,8 @@
     pub left: &'a BTreeMap<Arc<str>, Instant>,
     /// Times in which boxes might not hear of changes.
     pub disturbed: &'a [Disturbance],
+    /// What arrived at endpoints that name limits.
+    pub arrivals: &'a HashMap<Arc<str>, Vec<Arrival>>,
 }
 
 /// A time in which a box might not hear of changes.
@@ -64,7 +67,7 @@
 
 /// Every promise that was broken.
 pub fn breaches(evidence: &Evidence) -> Vec<Breach> {
-    let checks: [(&'static str, Vec<String>); 8] = [
+    let checks: [(&'static str, Vec<String>); 9] = [
         ("no customer spends past what it paid", overspent(evidence)),
         ("what was served is spent in the book", forgotten(evidence)),
         ("each request is billed once", billed(evidence)),
@@ -72,6 +75,7 @@
         ("a refused request has not run and never will", lied(evidence)),
         ("unrepeatable requests run at most once", repeated(evidence)),
         ("a leaving endpoint gets no new work", kept_working(evidence)),
+        ("an endpoint gets what it takes from all boxes together", over_limit(evidence)),
         ("planned stops cut off nothing, configuration goes forwards", cut_off(evidence)),
     ];
     let named = checks.into_iter().flat_map(|(promise, found)| {
@@ -174,6 +178,10 @@
     late.collect()
 }
 
+fn over_limit(evidence: &Evidence) -> Vec<String> {
+    need::exceeded(evidence.arrivals, evidence.calls, evidence.disturbed)
+}
+
 /// Calls that a planned stop broke, and routes that a life forgot.
 fn cut_off(evidence: &Evidence) -> Vec<String> {
     let sound = |call: &&Call| {
