Bills that are handed over have two keepers; a limit that changes a little is no news

Change: two boxes take each page; it is only ever created, so that whoever writes it second changes nothing. Seen failing with one keeper, passing with two: crash::bills_that_were_handed_over_outlive_the_box_that_took_them. A limit that changes with each answer would have been told to every box each time (by its code): boxes are told of one that changes by more than a quarter; whoever hands out turns hears the figure with each question. Sends are counted by service, so that the number of series stays bounded.

--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -20,6 +20,13 @@
         Limit((requests * 1_000.0) as u64)
     }
 
+    /// Whether two limits are within a quarter of each other: a box that only has to know that there is one needs
+    /// not hear of the other.
+    pub fn is_close(self, other: Limit) -> bool {
+        let (less, more) = (self.min(other).0, self.max(other).0);
+        more - less <= more / 4
+    }
+
     /// Requests a second.
     pub fn as_per_s(self) -> f64 {
         self.0 as f64 / 1_000.0
--- a/crates/gateway/src/fleet/peers/questions.rs
+++ b/crates/gateway/src/fleet/peers/questions.rs
@@ -28,6 +28,8 @@
 pub(super) const TOLD_WITHIN: Duration = Duration::from_millis(200);
 /// Longest wait until another box took pages of bills: some 200 KB each over a narrow link.
 const BILLS_WITHIN: Duration = Duration::from_millis(500);
+/// Boxes that take pages of bills over.
+const BILLS_WITH: usize = 2;
 
 /// What a witness says of a life that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -155,15 +157,20 @@
         }
     }
 
-    /// Gives pages of bills to a box that writes them; gives them back if none takes them.
-    pub async fn hand_bills(&self, pages: Vec<Sheet>) -> Result<Incarnation, Vec<Sheet>> {
+    /// Gives pages of bills to boxes that write them; says which took them. One of those may be killed before it reaches
+    /// the store, so that two of them have each page; it is there once, whoever writes it first.
+    pub async fn hand_bills(&self, pages: &[Sheet]) -> Vec<Incarnation> {
+        let mut took = Vec::new();
         for (name, peer) in self.in_reach() {
-            let frame = Frame::Bills { pages: pages.clone() };
+            let frame = Frame::Bills { pages: pages.to_vec() };
             if let Heard::Frame(Frame::Done) = self.ask(&name, &peer, frame, BILLS_WITHIN).await {
-                return Ok(name);
+                took.push(name);
+            }
+            if took.len() >= BILLS_WITH {
+                break;
             }
         }
-        Err(pages)
+        took
     }
 
     /// Asks the witness of a life that ended what that one had kept, and to take no more promises from it.
--- a/crates/gateway/src/fleet/peers/turns.rs
+++ b/crates/gateway/src/fleet/peers/turns.rs
@@ -20,7 +20,7 @@
 pub const MOST_HOPS: u8 = 2;
 /// Time for each hop that a question may still take. An answer takes a millisecond or two, the shortest requests have 100;
 /// a box that is slow once is asked by the one that stands in, so that nothing is lost by a short time but the wait.
-const A_HOP: Duration = Duration::from_millis(20);
+const A_HOP: Duration = Duration::from_millis(30);
 
 impl Peers {
     /// The box that hands out turns at an endpoint; `None` if it is this one, which does not where it `leaves`.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -369,6 +369,11 @@
         self.gate.funds.balance(customer)
     }
 
+    /// Bills that are not written yet, with pages that other boxes handed over.
+    pub fn bills_waiting(&self) -> usize {
+        self.gate.bills.waiting()
+    }
+
     /// Number of other boxes that this one can ask for tokens.
     pub fn knows_peers(&self) -> usize {
         self.gate.peers.len()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,13 @@
     pub endpoint: String,
 }
 
+/// Labels of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Service {
+    /// Its name.
+    pub service: String,
+}
+
 /// Labels of questions for turns at endpoints that name a limit.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Asked {
@@ -97,8 +104,8 @@
     pub cold: Gauge,
     /// Requests a second that endpoints in need take from all boxes together.
     pub limits: Family<Named, Gauge<f64, AtomicU64>>,
-    /// Requests that this box sent to endpoints while they named a limit.
-    pub limited: Family<Named, Counter>,
+    /// Requests that this box sent to endpoints while they named a limit, by service; lines name the endpoint.
+    pub limited: Family<Service, Counter>,
     /// Questions of this box for turns at endpoints that name a limit.
     pub turns: Family<Asked, Counter>,
     /// Turns that this box handed out, to itself and to others.
@@ -206,7 +213,7 @@
         );
         registry.register(
             "limited_sends",
-            "Requests that this box sent to an endpoint while it named a limit",
+            "Requests that this box sent to endpoints of a service while they named a limit",
             self.limited.clone(),
         );
         registry.register(
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -403,13 +403,14 @@
             return;
         }
         let count = pages.len();
-        match self.setup.peers.hand_bills(pages).await {
-            Ok(to) => tracing::info!(event = "bills_handed_over", to = to.as_str(), count),
-            Err(pages) => {
-                tracing::warn!(event = "bills_not_handed_over", count);
-                self.setup.bills.carry(pages);
-            }
+        let took = self.setup.peers.hand_bills(&pages).await;
+        if took.is_empty() {
+            tracing::warn!(event = "bills_not_handed_over", count);
+            self.setup.bills.carry(pages);
+            return;
         }
+        let to: Vec<&str> = took.iter().map(Incarnation::as_str).collect();
+        tracing::info!(event = "bills_handed_over", to = to.join(","), count);
     }
 }
 
--- a/crates/gateway/src/news/limits.rs
+++ b/crates/gateway/src/news/limits.rs
@@ -8,7 +8,11 @@
 
 use tokio::sync::mpsc;
 
-use crate::{fleet::peers::Peers, news::view::View, way::endpoints::Endpoints};
+use crate::{
+    fleet::peers::Peers,
+    news::view::View,
+    way::{endpoints::Endpoints, turns::Word},
+};
 
 /// Limits that wait to be told; each takes microseconds.
 pub const WAITING: usize = 256;
@@ -18,11 +22,16 @@
     view: View,
     peers: Peers,
     endpoints: Arc<Endpoints>,
-    mut told: mpsc::Receiver<Arc<str>>,
+    mut told: mpsc::Receiver<Word>,
 ) {
-    while let Some(life) = told.recv().await {
+    while let Some(word) = told.recv().await {
+        let (life, is_repeated) = match word {
+            Word::Changed(life) => (life, false),
+            Word::Stays(life) => (life, true),
+        };
         let Some(said) = endpoints.said(&life) else { continue };
-        view.hear_limit(&life, said.limit);
-        peers.tell_limit(&life, said.limit);
+        if view.hear_limit(&life, said.limit) || is_repeated {
+            peers.tell_limit(&life, said.limit);
+        }
     }
 }
--- a/crates/gateway/src/news/shelf.rs
+++ b/crates/gateway/src/news/shelf.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// The text of an object, if it is there.
+    pub fn value(&self, kind: &str, name: &str) -> Option<Arc<str>> {
+        self.objects.get(&(kind.into(), name.into()))?.value.clone()
+    }
+
     /// Names of the objects of a kind that are there, with their versions.
     pub fn names(&self, kind: &str) -> Vec<(Arc<str>, u64)> {
         let there =
--- a/crates/gateway/src/news/view/limits.rs
+++ b/crates/gateway/src/news/view/limits.rs
@@ -13,13 +13,24 @@
 const NOT_STORED: u64 = 0;
 
 impl View {
-    /// Takes over a limit that a box tells, this one or another; nothing where the endpoint named none.
-    pub fn hear_limit(&self, endpoint: &Arc<str>, limit: Option<Limit>) {
+    /// Takes over a limit that a box tells, this one or another, nothing where the endpoint named none; says whether
+    /// that is news. A limit that changes with each answer is not: boxes would be told of it all the time.
+    pub fn hear_limit(&self, endpoint: &Arc<str>, limit: Option<Limit>) -> bool {
         let text = limit.map(|limit| serde_json::to_string(&limit).expect("it always serializes"));
         let mut state = self.0.state.lock();
-        self.take_limit(&mut state, endpoint, text.as_deref());
-        drop(state);
-        self.tell();
+        let told =
+            state.shelf.value(LIMITS, endpoint).map(|text| serde_json::from_str::<Limit>(&text));
+        let is_news = match (limit, told) {
+            (Some(limit), Some(Ok(told))) => !limit.is_close(told),
+            (None, None) => false,
+            _ => true,
+        };
+        if is_news {
+            self.take_limit(&mut state, endpoint, text.as_deref());
+            drop(state);
+            self.tell();
+        }
+        is_news
     }
 
     /// A limit as the shelf of a home holds it, or that the endpoint names none any more.
--- a/crates/gateway/src/way/dispatch.rs
+++ b/crates/gateway/src/way/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::Moment,
-    metrics::Named,
+    metrics::Service,
     way::{
         admit::Call,
         endpoints::Chosen,
@@ -21,6 +21,7 @@
         refusal::{Reason, Refusal, SOON},
         relay::Flight,
         trip::Trip,
+        turns,
     },
 };
 
@@ -158,8 +159,8 @@
             sent_before = trip.sent,
         );
         if chosen.limit.is_some() {
-            let named = Named { endpoint: chosen.life.to_string() };
-            self.metrics.limited.get_or_create(&named).inc();
+            let service = Service { service: call.service.to_string() };
+            self.metrics.limited.get_or_create(&service).inc();
         }
         let endpoints = self.endpoints.clone();
         let service = call.service.clone();
@@ -216,7 +217,7 @@
         if status != StatusCode::MISDIRECTED_REQUEST {
             let (limit, ago) = (head.limit.as_ref(), sent_at.elapsed());
             if self.endpoints.limit(&call.service, &chosen.life, limit, ago) {
-                self.turns.tell(&chosen.life);
+                self.turns.tell(turns::Word::Changed(chosen.life.clone()));
             }
         }
         if head.not_run {
--- a/crates/gateway/src/way/turns.rs
+++ b/crates/gateway/src/way/turns.rs
@@ -28,8 +28,17 @@
 /// and looks at the store itself hears of it by them, and one that missed a change.
 const TELL_EVERY: u64 = 1_000;
 
-/// A life of an endpoint whose limit is to be told, for the task that tells other boxes.
-pub type Told = mpsc::Sender<Arc<str>>;
+/// What is to be told of a life of an endpoint.
+#[derive(Debug)]
+pub enum Word {
+    /// What it takes changed.
+    Changed(Arc<str>),
+    /// It still takes what it took.
+    Stays(Arc<str>),
+}
+
+/// Where the task that tells other boxes hears of it.
+pub type Told = mpsc::Sender<Word>;
 
 /// Takes turns for requests of this box, and hands them out.
 #[derive(Clone)]
@@ -143,7 +152,7 @@
                 metrics.turns_given.inc();
                 if now >= handed.told + TELL_EVERY {
                     handed.told = now;
-                    self.tell(life);
+                    self.tell(Word::Stays(life.clone()));
                 }
                 Turned::Given
             }
@@ -152,9 +161,9 @@
     }
 
     /// Other boxes are told what an endpoint named last.
-    pub fn tell(&self, life: &Arc<str>) {
-        if let Err(error) = self.0.setup.told.try_send(life.clone()) {
-            tracing::warn!(event = "limit_not_told", endpoint = &**life, %error);
+    pub fn tell(&self, word: Word) {
+        if let Err(error) = self.0.setup.told.try_send(word) {
+            tracing::warn!(event = "limit_not_told", %error);
         }
     }
 }
--- a/crates/gateway/tests/loopback/crash.rs
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -163,3 +163,29 @@
     let count = keys.iter().filter(|key| **key == asked.id).count();
     assert_eq!(count, 1, "{} is on {count} bills", asked.id);
 }
+
+/// The load: whoever took the pages over is killed before it wrote them.
+#[tokio::test]
+async fn bills_that_were_handed_over_outlive_the_box_that_took_them() {
+    let world = World::open(PAID, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", answers).await;
+    let (one, link) = world.cut_gateway("box-1").await;
+    let mut others = vec![world.gateway("box-2").await, world.gateway("box-3").await];
+    until_served(&world, &one, "/stream/x").await;
+    until("all know each other", async || {
+        one.knows_peers() == 2 && others.iter().all(|other| other.knows_peers() == 2)
+    })
+    .await;
+    let asked = world.asked("key-b", 200, 10);
+    assert!(call(one.callers(), "/stream/x", &asked).await.status.is_success());
+    link.set_cut(true);
+    world.platform.set(|faults| faults.down = true);
+    one.stop().await;
+    let took = others.iter().position(|other| other.bills_waiting() > 0).expect("one took them");
+    drop(others.remove(took));
+    world.platform.set(|faults| faults.down = false);
+    others.remove(0).stop().await;
+    let keys = world.billed().await;
+    let count = keys.iter().filter(|key| **key == asked.id).count();
+    assert_eq!(count, 1, "{} is on {count} bills", asked.id);
+}
