Bills are taken over from a box that the taker does not know yet

Change: who hands pages over names this life of the taker, as one that draws tokens does; a frame of its own, since frames are only added. Seen failing: crash::bills_of_a_box_that_the_others_do_not_know_yet_are_taken_over (0 bills), passing after.

--- a/crates/gateway/src/door/desk.rs
+++ b/crates/gateway/src/door/desk.rs
@@ -1,8 +1,8 @@
 //! Answering other boxes.
 //!
-//! Only boxes that are known are answered, but for one that draws tokens: a box may have started a
-//! moment ago, and it names this life of the keeper, of which 64 random bits are known to the store
-//! and the fleet alone. Whoever seals a promise must know the whole name of the box that made it,
+//! Only boxes that are known are answered, but for one that draws tokens or hands bills over: a box may have
+//! started a moment ago, or while this one did not reach the store, and it names this life of the box that it
+//! asks, of which 64 random bits are known to the store and the fleet alone. Whoever seals a promise must know the whole name of the box that made it,
 //! for the same reason.
 
 use std::{sync::Arc, time::Duration};
@@ -154,10 +154,13 @@
                 self.view.hear_limit(&endpoint, limit);
                 Frame::Done
             }
-            Frame::Bills { .. } if *self.stopping.borrow() => {
+            Frame::Bills { .. } | Frame::HandOver { .. } if *self.stopping.borrow() => {
                 Frame::Refused { reason: "this box is about to stop itself".into() }
             }
-            Frame::Bills { pages } => {
+            Frame::HandOver { to, .. } if to != self.me => {
+                Frame::Refused { reason: "another life of this box is meant".into() }
+            }
+            Frame::Bills { pages } | Frame::HandOver { pages, .. } => {
                 tracing::info!(
                     event = "bills_taken_over",
                     of = question.from.as_str(),
--- a/crates/gateway/src/fleet/peers/questions.rs
+++ b/crates/gateway/src/fleet/peers/questions.rs
@@ -162,7 +162,7 @@
     pub async fn hand_bills(&self, pages: &[Sheet]) -> Vec<Incarnation> {
         let mut took = Vec::new();
         for (name, peer) in self.in_reach() {
-            let frame = Frame::Bills { pages: pages.to_vec() };
+            let frame = Frame::HandOver { to: name.clone(), pages: pages.to_vec() };
             if let Heard::Frame(Frame::Done) = self.ask(&name, &peer, frame, BILLS_WITHIN).await {
                 took.push(name);
             }
--- a/crates/gateway/tests/loopback/crash.rs
+++ b/crates/gateway/tests/loopback/crash.rs
@@ -189,3 +189,30 @@
     let count = keys.iter().filter(|key| **key == asked.id).count();
     assert_eq!(count, 1, "{} is on {count} bills", asked.id);
 }
+
+/// The load: a box starts while the others do not reach the store, and stops while it does not reach it either.
+#[tokio::test]
+async fn bills_of_a_box_that_the_others_do_not_know_yet_are_taken_over() {
+    let world = World::open(PAID, &["stream"]).await;
+    let _engine = world.endpoint("i-1", "engines", answers).await;
+    let (one, link_one) = world.cut_gateway("box-1").await;
+    let (two, link_two) = world.cut_gateway("box-2").await;
+    until_served(&world, &one, "/stream/x").await;
+    until("both know each other", async || one.knows_peers() + two.knows_peers() == 2).await;
+    link_one.set_cut(true);
+    link_two.set_cut(true);
+    let (three, link_three) = world.cut_gateway("box-3").await;
+    until("it knows both", async || three.knows_peers() == 2).await;
+    until_served(&world, &three, "/stream/x").await;
+    let asked = world.asked("key-b", 200, 10);
+    assert!(call(three.callers(), "/stream/x", &asked).await.status.is_success());
+    link_three.set_cut(true);
+    three.stop().await;
+    link_one.set_cut(false);
+    link_two.set_cut(false);
+    one.stop().await;
+    two.stop().await;
+    let keys = world.billed().await;
+    let count = keys.iter().filter(|key| **key == asked.id).count();
+    assert_eq!(count, 1, "{} is on {count} bills", asked.id);
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -84,9 +84,11 @@
         Frame::Turn(_) | Frame::Turned(_) | Frame::Limit { .. } => {
             Frame::Refused { reason: "this box hands out no turns".into() }
         }
-        Frame::Draw(_) | Frame::Drawn(_) | Frame::Bills { .. } => Frame::Refused {
-            reason: "boxes of this interface write their ledgers themselves".into(),
-        },
+        Frame::Draw(_) | Frame::Drawn(_) | Frame::Bills { .. } | Frame::HandOver { .. } => {
+            Frame::Refused {
+                reason: "boxes of this interface write their ledgers themselves".into(),
+            }
+        }
         Frame::Listen(_) | Frame::News(_) | Frame::Crash { .. } => Frame::Refused {
             reason: "boxes of this interface follow the platform themselves".into(),
         },
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -258,7 +258,8 @@
     Draw(Draw),
     /// Totals of what the keeper passed on.
     Drawn(Drawn),
-    /// Pages of bills that the sender could not write before it ends: the receiver writes them.
+    /// Pages of bills that the sender could not write before it ends: the receiver writes them. Boxes of the version
+    /// before send it.
     Bills { pages: Vec<Sheet> },
     /// Wants news of what the store holds.
     Listen(Listen),
@@ -272,6 +273,8 @@
     Turned(Turned),
     /// What an endpoint named last, for the receiver to pass on.
     Limit { endpoint: Arc<str>, limit: Option<Limit> },
+    /// Pages of bills that the sender could not write before it ends, for this life of the receiver to write.
+    HandOver { to: Incarnation, pages: Vec<Sheet> },
 }
 
 impl Frame {
@@ -284,7 +287,7 @@
             Frame::Promise(_) | Frame::Promised { .. } => "promises",
             Frame::Seal { .. } | Frame::Sealed { .. } => "seals",
             Frame::Prompt(_) => "prompts",
-            Frame::Bills { .. } => "bills",
+            Frame::Bills { .. } | Frame::HandOver { .. } => "bills",
             Frame::Crash { .. } => "crashes",
             Frame::Turn(_) | Frame::Turned(_) => "turns",
             Frame::Limit { .. } => "limits",
