--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -29,18 +29,34 @@
     Case { seed: 101, seconds: 12, limits: true, cause: "never failed" },
 ];
 
+/// Seeds with bills of boxes that stopped by plan without the store.
+const HANDED_OVER: [Case; 3] = [
+    Case { seed: 34, seconds: 13, limits: false, cause: "the others did not know the box yet" },
+    Case { seed: 35, seconds: 15, limits: false, cause: "the one box that took them was killed" },
+    Case { seed: 36, seconds: 15, limits: false, cause: "the others did not know the box yet" },
+];
+
 #[tokio::test]
 async fn no_promise_is_broken_under_random_faults() {
+    play(&CASES).await;
+}
+
+#[tokio::test]
+async fn no_bill_is_lost_with_a_box_that_stops_without_the_store() {
+    play(&HANDED_OVER).await;
+}
+
+async fn play(cases: &[Case]) {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
-    for Case { seed, seconds, limits, cause } in CASES {
+    for Case { seed, seconds, limits, cause } in cases {
         let options = soak::Options {
             folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
             daemon: daemon.clone(),
             boxes: 5,
-            length: Duration::from_secs(seconds),
-            limits,
+            length: Duration::from_secs(*seconds),
+            limits: *limits,
         };
-        let report = soak::run(seed, &options).await.expect("it can be played");
+        let report = soak::run(*seed, &options).await.expect("it can be played");
         assert!(report.calls.1 > 100, "seed {seed} served little: {report:?}");
         assert!(report.breaches.is_empty(), "seed {seed} ({cause}): {:#?}", report.breaches);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,10 @@
 //! Starting and stopping a box on the users' platform.
 
+mod sockets;
+
+pub use sockets::Error;
+use sockets::{Sockets, bind_lender, few_bounds};
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use forward::Links;
@@ -9,9 +14,7 @@
 use platform::store::Client;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
     sync::{Semaphore, mpsc, watch},
     task::JoinHandle,
     time::Instant,
@@ -40,9 +43,8 @@
         view::{Uses, View},
     },
     outage::Contact,
-    settings::{Listen, Settings},
+    settings::Settings,
     way::{
-        bounds::Bounds,
         crashes::{Crashes, by_connecting},
         endpoints::Endpoints,
         gate::Gate,
@@ -56,56 +58,6 @@
 /// Time for the last settlement of a planned stop, beyond the time for requests.
 const LEAVE: Duration = Duration::from_millis(600);
 
-/// Why a box did not start.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address could not be bound.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Bind { address: SocketAddr, source: std::io::Error },
-}
-
-/// The sockets of a box, but for the one that other boxes ask.
-struct Sockets {
-    callers: TcpListener,
-    ready: TcpListener,
-    operators: TcpListener,
-}
-
-impl Sockets {
-    fn bind(listen: &Listen) -> Result<Sockets, Error> {
-        let bind = |address| serve::bind(address).context(BindSnafu { address });
-        Ok(Sockets {
-            callers: bind(listen.callers)?,
-            ready: bind(listen.ready)?,
-            operators: bind(listen.operators)?,
-        })
-    }
-
-    fn addresses(&self) -> [SocketAddr; 3] {
-        [&self.callers, &self.ready, &self.operators]
-            .map(|socket| socket.local_addr().expect("a bound socket has an address"))
-    }
-}
-
-/// Answers other boxes, if they may ask.
-async fn bind_lender(
-    address: Option<SocketAddr>,
-    desk: Desk,
-    peers: &Peers,
-) -> Result<Option<wire::Server>, Error> {
-    let Some(address) = address else { return Ok(None) };
-    let server = wire::Server::bind(address, Arc::new(desk)).await;
-    let server = server.context(BindSnafu { address })?;
-    peers.listens_at(server.address());
-    Ok(Some(server))
-}
-
-/// Bounds on connections of the balancer and of scrapers: those of the platform where nothing
-/// else is configured.
-fn few_bounds() -> Bounds {
-    Bounds::of(&platform::config::Limits::default())
-}
-
 /// A running box.
 pub struct Gateway {
     gate: Arc<Gate>,
--- /dev/null
+++ b/crates/gateway/src/gateway/sockets.rs
@@ -0,0 +1,65 @@
+//! The addresses at which a box is reached.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+use crate::{
+    door::{desk::Desk, serve},
+    fleet::peers::Peers,
+    settings::Listen,
+    way::bounds::Bounds,
+};
+
+/// Why a box did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address could not be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Bind { address: SocketAddr, source: std::io::Error },
+}
+
+/// The sockets of a box, but for the one that other boxes ask.
+pub struct Sockets {
+    pub callers: TcpListener,
+    pub ready: TcpListener,
+    pub operators: TcpListener,
+}
+
+impl Sockets {
+    /// Binds all of them.
+    pub fn bind(listen: &Listen) -> Result<Sockets, Error> {
+        let bind = |address| serve::bind(address).context(BindSnafu { address });
+        Ok(Sockets {
+            callers: bind(listen.callers)?,
+            ready: bind(listen.ready)?,
+            operators: bind(listen.operators)?,
+        })
+    }
+
+    /// Where they listen, in this order: for callers, for the balancer, for operators.
+    pub fn addresses(&self) -> [SocketAddr; 3] {
+        [&self.callers, &self.ready, &self.operators]
+            .map(|socket| socket.local_addr().expect("a bound socket has an address"))
+    }
+}
+
+/// Answers other boxes, if they may ask.
+pub async fn bind_lender(
+    address: Option<SocketAddr>,
+    desk: Desk,
+    peers: &Peers,
+) -> Result<Option<wire::Server>, Error> {
+    let Some(address) = address else { return Ok(None) };
+    let server = wire::Server::bind(address, Arc::new(desk)).await;
+    let server = server.context(BindSnafu { address })?;
+    peers.listens_at(server.address());
+    Ok(Some(server))
+}
+
+/// Bounds on connections of the balancer and of scrapers: those of the platform where nothing
+/// else is configured.
+pub fn few_bounds() -> Bounds {
+    Bounds::of(&platform::config::Limits::default())
+}
--- a/crates/gateway/src/way/crashes.rs
+++ b/crates/gateway/src/way/crashes.rs
@@ -58,6 +58,17 @@
     OutOfReach,
 }
 
+impl Found {
+    /// Name for log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            Found::Ended => "ended",
+            Found::Stands => "stands",
+            Found::OutOfReach => "out_of_reach",
+        }
+    }
+}
+
 /// Finds out whether an endpoint ended.
 pub type Prove = Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Found> + Send + Sync>;
 
@@ -229,8 +240,13 @@
     async fn prove(self, life: Arc<str>, address: SocketAddr) {
         let found = (self.0.prove)(address).await;
         let requests = self.0.state.lock().unproved.remove(&life).unwrap_or_default();
-        let count = requests.len();
-        tracing::info!(event = "connections_broke", endpoint = &*life, ?found, requests = count);
+        let (count, shows) = (requests.len(), found.as_str());
+        tracing::info!(
+            event = "connections_broke",
+            endpoint = &*life,
+            found = shows,
+            requests = count
+        );
         if found == Found::Ended {
             self.report(Finding::Ended { endpoint: life }, requests);
         }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -3,7 +3,7 @@
 //! What an endpoint does with a request follows from its number, which its id tells: most are
 //! answered whole, some in ways that break the protocol.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderValue, StatusCode};
 use parking_lot::Mutex;
@@ -11,7 +11,7 @@
 use standin::{Arrived, Reply, Scripted};
 use tokio::time::Instant;
 
-use crate::need::{Arrival, Arrivals, Need};
+use crate::need::Need;
 
 /// Tokens that one event holds, as the configuration of the stand-ins says.
 pub const EVENT_TOKENS: u64 = 2;
@@ -95,6 +95,20 @@
     pub at: Instant,
 }
 
+/// A request that reached an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub id: Id,
+    pub at: Instant,
+    /// The limit that the endpoint named then.
+    pub limit: Option<f64>,
+    /// Whether there was an answer to name it.
+    pub answered: bool,
+}
+
+/// What arrived at the endpoints that name limits, by their names.
+pub type Arrivals = Arc<Mutex<HashMap<Arc<str>, Vec<Arrival>>>>;
+
 /// All that endpoints ran.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -24,9 +24,9 @@
 use crate::{
     call::{self, Call, Life, Route},
     daemon::{self, Daemon},
-    endpoint::{Endpoint, Id, Runs},
+    endpoint::{Arrivals, Endpoint, Id, Runs},
     fault::{self, Fault, Kind},
-    need::{self, Arrivals},
+    need,
     verdict::{self, Breach, Disturbance, Evidence},
 };
 
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -12,14 +12,22 @@
 
 use crate::{
     call::{Call, End, Life, Route},
-    endpoint::{Conduct, Id, Run},
-    need::{self, Arrival},
+    endpoint::{Arrival, Conduct, Id, Run},
 };
 
 /// Time within which boxes in touch give a leaving endpoint no more work: 2 s, and a call that was
 /// under way.
 const LEAVES_WITHIN: Duration = Duration::from_secs(4);
 
+/// Time for a box to send by a limit that it was told, and time from the first word until the sum is counted: those
+/// of the platform.
+const TOLD: Duration = Duration::from_millis(500);
+const CONTACT: Duration = Duration::from_secs(3);
+/// The span in which arrivals are counted, and what may arrive in it besides the limit.
+const SPAN: Duration = Duration::from_secs(4);
+const SLACK: f64 = 1.5;
+const EXTRA: f64 = 5.0;
+
 /// Everything that a run left.
 pub struct Evidence<'a> {
     pub calls: &'a [Call],
@@ -178,8 +186,43 @@
     late.collect()
 }
 
+/// Spans in which an endpoint got more than its limit allows of boxes that it had told.
 fn over_limit(evidence: &Evidence) -> Vec<String> {
-    need::exceeded(evidence.arrivals, evidence.calls, evidence.disturbed)
+    let lives: HashMap<Id, Life> = evidence.calls.iter().map(|call| (call.id, call.life)).collect();
+    let mut found = Vec::new();
+    for (endpoint, arrived) in evidence.arrivals {
+        let mut told: HashMap<Life, Instant> = HashMap::new();
+        let mut counted: Vec<(Instant, f64)> = Vec::new();
+        let mut named: Option<Instant> = None;
+        for arrival in arrived {
+            let Some(life) = lives.get(&arrival.id) else { continue };
+            let was_told = told.get(life).is_some_and(|at| *at + TOLD <= arrival.at);
+            // Of a box that was cut, paused or started anew nothing is counted for a while.
+            let excused = evidence.disturbed.iter().any(|disturbance| {
+                let ends = disturbance.until.max(disturbance.from + CONTACT);
+                disturbance.at == Some(life.at)
+                    && (disturbance.from..=ends + SPAN).contains(&arrival.at)
+            });
+            let Some(limit) = arrival.limit else { continue };
+            if arrival.answered {
+                told.entry(*life).or_insert(arrival.at);
+                named = named.or(Some(arrival.at));
+            }
+            let is_late = named.is_some_and(|since| since + CONTACT <= arrival.at);
+            if was_told && !excused && is_late {
+                counted.push((arrival.at, limit));
+            }
+        }
+        for (first, (from, limit)) in counted.iter().enumerate() {
+            let within = counted[first..].iter().filter(|(at, _)| *at < *from + SPAN).count();
+            let most = limit * SPAN.as_secs_f64() * SLACK + EXTRA;
+            if within as f64 > most {
+                found.push(format!("{endpoint} got {within} in 4 s, {most} are allowed"));
+                break;
+            }
+        }
+    }
+    found
 }
 
 /// Calls that a planned stop broke, and routes that a life forgot.
