Tests of limits that can fail: a new life, a box that may be cut off; the soak's verdict in short functions

A new life is now judged with nothing sent, and a box that hears of no other has a test of its own; both seen failing without their part.

--- a/crates/gateway/tests/loopback/limit.rs
+++ b/crates/gateway/tests/loopback/limit.rs
@@ -322,18 +322,35 @@
 #[tokio::test]
 async fn a_new_life_of_an_endpoint_starts_without_a_limit() {
     let fleet = Fleet::start(2, 1).await;
-    fleet.needs[0].names(Some("0.5"));
-    fleet.tell_all("i-0", 0.5).await;
+    fleet.needs[0].names(Some("0"));
+    fleet.tell_all("i-0", 0.0).await;
     fleet.needs[0].names(None);
     let address = fleet.endpoints[0].address();
     let entry = Listed { born: Some(5), ..listed("plain", address) }.entry();
     fleet.world.list_as("i-0", entry.to_string()).await;
+    // Nothing is sent meanwhile: no answer says that it takes work.
     until("it is another one", async || {
-        let got = fleet.load(&fleet.boxes, 2 * PAUSE).await;
-        got.iter().all(|got| got.status == StatusCode::OK)
-            && fleet.boxes.iter().all(|gateway| gateway.limits().is_empty())
+        fleet.boxes.iter().all(|gateway| gateway.limits().is_empty())
     })
     .await;
+    let got = fleet.load(&fleet.boxes, 2 * PAUSE).await;
+    assert!(got.iter().all(|got| got.status == StatusCode::OK), "{got:?}");
+}
+
+/// The load: a box that hears of no other one any more, and cannot tell whether they are gone or it is cut off.
+#[tokio::test]
+async fn a_box_that_may_be_cut_off_sends_its_part_alone() {
+    let mut fleet = Fleet::start(4, 2).await;
+    fleet.needs[0].names(Some("8"));
+    fleet.tell_all("i-0", 8.0).await;
+    fleet.world.platform.set(|faults| faults.down = true);
+    fleet.boxes.truncate(1);
+    let (began, before) = (Instant::now(), fleet.arrived(0));
+    let callers = (0..4).map(|_| fleet.load(&fleet.boxes, COUNTED));
+    let got: Vec<Got> = join_all(callers).await.into_iter().flatten().collect();
+    let (arrived, most) = (fleet.arrived(0) - before, allowed(8.0 / 4.0, began.elapsed()));
+    assert!(arrived <= most, "{arrived} arrived of {}, {most} are its part", got.len());
+    assert!(arrived > 0, "it sends some");
 }
 
 #[tokio::test]
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -186,43 +186,53 @@
     late.collect()
 }
 
-/// Spans in which an endpoint got more than its limit allows of boxes that it had told.
+/// Endpoints that got more within a span than their limit allows, of boxes that they had told.
 fn over_limit(evidence: &Evidence) -> Vec<String> {
     let lives: HashMap<Id, Life> = evidence.calls.iter().map(|call| (call.id, call.life)).collect();
-    let mut found = Vec::new();
-    for (endpoint, arrived) in evidence.arrivals {
-        let mut told: HashMap<Life, Instant> = HashMap::new();
-        let mut counted: Vec<(Instant, f64)> = Vec::new();
-        let mut named: Option<Instant> = None;
-        for arrival in arrived {
-            let Some(life) = lives.get(&arrival.id) else { continue };
-            let was_told = told.get(life).is_some_and(|at| *at + TOLD <= arrival.at);
-            // Of a box that was cut, paused or started anew nothing is counted for a while.
-            let excused = evidence.disturbed.iter().any(|disturbance| {
-                let ends = disturbance.until.max(disturbance.from + CONTACT);
-                disturbance.at == Some(life.at)
-                    && (disturbance.from..=ends + SPAN).contains(&arrival.at)
-            });
-            let Some(limit) = arrival.limit else { continue };
-            if arrival.answered {
-                told.entry(*life).or_insert(arrival.at);
-                named = named.or(Some(arrival.at));
-            }
-            let is_late = named.is_some_and(|since| since + CONTACT <= arrival.at);
-            if was_told && !excused && is_late {
-                counted.push((arrival.at, limit));
-            }
-        }
-        for (first, (from, limit)) in counted.iter().enumerate() {
+    let found = evidence.arrivals.iter().filter_map(|(endpoint, arrived)| {
+        let counted = counted(evidence, &lives, arrived);
+        let over = |(first, (from, limit)): (usize, &(Instant, f64))| {
             let within = counted[first..].iter().filter(|(at, _)| *at < *from + SPAN).count();
             let most = limit * SPAN.as_secs_f64() * SLACK + EXTRA;
-            if within as f64 > most {
-                found.push(format!("{endpoint} got {within} in 4 s, {most} are allowed"));
-                break;
-            }
+            (within as f64 > most).then(|| format!("{endpoint} got {within} in 4 s, of {most:.1}"))
+        };
+        counted.iter().enumerate().find_map(over)
+    });
+    found.collect()
+}
+
+/// Arrivals at an endpoint that count against its limit: of boxes that were told in time, and that nothing excuses.
+fn counted(
+    evidence: &Evidence,
+    lives: &HashMap<Id, Life>,
+    arrived: &[Arrival],
+) -> Vec<(Instant, f64)> {
+    let mut told: HashMap<Life, Instant> = HashMap::new();
+    let mut named: Option<Instant> = None;
+    let mut counted = Vec::new();
+    for arrival in arrived {
+        let (Some(life), Some(limit)) = (lives.get(&arrival.id), arrival.limit) else { continue };
+        let was_told = told.get(life).is_some_and(|at| *at + TOLD <= arrival.at);
+        if arrival.answered {
+            told.entry(*life).or_insert(arrival.at);
+            named = named.or(Some(arrival.at));
+        }
+        let is_late = named.is_some_and(|since| since + CONTACT <= arrival.at);
+        if was_told && is_late && !is_excused(evidence, life, arrival.at) {
+            counted.push((arrival.at, limit));
         }
     }
-    found
+    counted
+}
+
+/// Whether a box was cut, paused or started anew a while before.
+fn is_excused(evidence: &Evidence, life: &Life, at: Instant) -> bool {
+    let mut of_box =
+        evidence.disturbed.iter().filter(|disturbance| disturbance.at == Some(life.at));
+    of_box.any(|disturbance| {
+        let ends = disturbance.until.max(disturbance.from + CONTACT);
+        (disturbance.from..=ends + SPAN).contains(&at)
+    })
 }
 
 /// Calls that a planned stop broke, and routes that a life forgot.
