--- a/crates/flintstall/src/cli.rs
+++ b/crates/flintstall/src/cli.rs
@@ -182,5 +182,5 @@
 
 /// Parses the command line of this process.
 pub fn parse() -> Options {
-    argh::from_env()
+    cli_args::parse()
 }
--- a/crates/flintstall/tests/cli.rs
+++ b/crates/flintstall/tests/cli.rs
@@ -81,7 +81,7 @@
     assert_eq!(kind.code, 2);
     assert!(kind.err.contains("`bugdet` is not a kind; the kinds are"), "{}", kind.err);
     let flag = env.run("--wrong").await;
-    assert_ne!(flag.code, 0);
+    assert_eq!(flag.code, 2);
     assert!(flag.err.contains("--wrong"), "{}", flag.err);
     let nothing = env.run("statement bornova").await;
     assert_eq!(nothing.code, 1);
--- a/crates/flintstalld/src/cli.rs
+++ b/crates/flintstalld/src/cli.rs
@@ -30,5 +30,5 @@
 
 /// Parses the command line of this process.
 pub fn parse() -> Options {
-    argh::from_env()
+    cli_args::parse()
 }
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -52,5 +52,5 @@
 
 /// Parses the command line of this process.
 pub fn parse() -> Options {
-    argh::from_env()
+    cli_args::parse()
 }
