--- a/crates/balance/src/turns.rs
+++ b/crates/balance/src/turns.rs
@@ -23,7 +23,7 @@
 /// takes over; the rest is for requests that arrive later than they left.
 const SAVED_S: f64 = 0.5;
 /// Milliseconds after which an endpoint is asked by a request although it takes none now: only its answers say when it
-/// takes more. One request in 4 s is far below the five that any limit allows besides.
+/// takes more. One request in 5 s is far below the five in 4 s that any limit allows besides.
 const ASK_AGAIN: u64 = 5_000;
 /// Those who are told to come again are half of a turn apart, as some find no use for theirs by then.
 const APART: f64 = 0.5;
--- a/crates/gateway/src/door/desk.rs
+++ b/crates/gateway/src/door/desk.rs
@@ -2,8 +2,8 @@
 //!
 //! Only boxes that are known are answered, but for one that draws tokens or hands bills over: a box may have
 //! started a moment ago, or while this one did not reach the store, and it names this life of the box that it
-//! asks, of which 64 random bits are known to the store and the fleet alone. Whoever seals a promise must know the whole name of the box that made it,
-//! for the same reason.
+//! asks, of which 64 random bits are known to the store and the fleet alone. Whoever seals a promise must know
+//! the whole name of the box that made it, for the same reason.
 
 use std::{sync::Arc, time::Duration};
 
