--- a/crates/gateway/src/money/funds/mod.rs
+++ b/crates/gateway/src/money/funds/mod.rs
@@ -9,7 +9,7 @@
 mod promising;
 mod settling;
 
-use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, fmt, sync::Arc, time::Duration};
 
 use ledger::Reservation;
 use parking_lot::Mutex;
@@ -18,7 +18,10 @@
     time::Instant,
 };
 
-use crate::{money::purse::Purse, table::Table};
+use crate::{
+    money::purse::{Parts, Purse},
+    table::Table,
+};
 
 /// Why tokens could not be held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -269,6 +272,18 @@
         };
         purses.map(balance).collect()
     }
+
+    /// The customers of whom most tokens are here, by what those are for.
+    pub fn parts(&self, most: usize) -> Vec<(Arc<str>, Parts)> {
+        let state = self.0.state.lock();
+        let purses = state.purses.iter();
+        let mut parts: Vec<_> = purses.map(|(name, purse)| (name.clone(), purse.parts())).collect();
+        drop(state);
+        parts.retain(|(_, parts)| parts.total() > 0);
+        parts.sort_by_key(|(_, parts)| Reverse(parts.total()));
+        parts.truncate(most);
+        parts
+    }
 }
 
 /// A request that waits for tokens of the book, counted while this lives.
--- a/crates/gateway/src/money/purse.rs
+++ b/crates/gateway/src/money/purse.rs
@@ -43,6 +43,31 @@
 /// for most requests to find their tokens here, and little to be lost with the box.
 const AHEAD_S: f64 = 1.5;
 
+/// One customer's tokens in this box by what they are for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Parts {
+    /// Free, granted by the book and promised to a witness.
+    pub kept: u64,
+    /// Free, granted by the book and promised to nobody.
+    pub open: u64,
+    /// Free, passed on by keepers.
+    pub of_keepers: u64,
+    /// Held for requests under way.
+    pub reserved: u64,
+    /// Used, and neither the book nor a keeper was told.
+    pub unsettled: u64,
+    /// Passed on to other boxes and not known to be used or given back.
+    pub passed: u64,
+}
+
+impl Parts {
+    /// What would be lost with this box if no witness answered for it.
+    pub fn total(&self) -> u64 {
+        let free = self.kept + self.open + self.of_keepers;
+        free + self.reserved + self.unsettled + self.passed
+    }
+}
+
 /// One customer's tokens in this box.
 #[derive(Debug, Default)]
 pub struct Purse {
@@ -123,6 +148,20 @@
         self.waiting > 0 || unsettled || self.own() > 0 || self.passed.outstanding() > 0
     }
 
+    /// What is here by what it is for.
+    pub fn parts(&self) -> Parts {
+        let own = self.own();
+        let kept = self.kept.min(own);
+        Parts {
+            kept,
+            open: own - kept,
+            of_keepers: self.free() - own,
+            reserved: self.account.tokens(Part::Offline).reserved,
+            unsettled: self.charged + self.loans.untold(),
+            passed: self.passed.outstanding(),
+        }
+    }
+
     /// Free tokens that no promise keeps.
     pub fn open(&self) -> u64 {
         self.free().saturating_sub(self.kept)
--- a/crates/gateway/src/money/shares.rs
+++ b/crates/gateway/src/money/shares.rs
@@ -25,6 +25,11 @@
         self.by.iter().map(|loan| loan.share.rest()).sum()
     }
 
+    /// Used tokens of which their keepers have not heard.
+    pub fn untold(&self) -> u64 {
+        self.by.iter().map(|loan| loan.share.used - loan.heard.used).sum()
+    }
+
     /// Marks up to `tokens` as used, the oldest loan first: a keeper that died keeps none open.
     /// Returns how many were.
     pub fn spend(&mut self, tokens: u64) -> u64 {
