What a box holds beyond its need goes back with any settlement

Callers of other boxes were refused for tokens that lay idle in a keeper, and what lay there was lost with it: a keeper gave back only what was more than twice its target and the largest request besides, also where the settlement was written anyway. Now anything above 1.2 times the target goes back with it; a settlement of its own is still made for twice the target alone. A promise is lowered for it first.

Test: funds::what_is_held_beyond_need_goes_back_with_any_settlement; with the old bound nothing is returned.

--- a/crates/gateway/src/money/purse.rs
+++ b/crates/gateway/src/money/purse.rs
@@ -22,8 +22,11 @@
 
 /// A box asks for more once it holds less than this share of its target.
 const LOW: f64 = 0.6;
-/// A box gives tokens back once it holds more than this multiple of its target.
+/// A box settles to give tokens back once it holds more than this multiple of its target.
 const HIGH: f64 = 2.0;
+/// What it holds beyond this multiple goes back with a settlement that is written anyway: it would be lost
+/// with the box, and is no use to it.
+const SPARE: f64 = 1.2;
 /// Time for which other boxes that had nothing to spare are not asked again: they settle about as
 /// often.
 const DRY: Duration = Duration::from_millis(500);
@@ -284,6 +287,11 @@
         self.own() as f64 > self.granted.target as f64 * HIGH + self.peak as f64
     }
 
+    /// Whether more is held than a settlement that is written anyway leaves here.
+    fn exceeds(&self) -> bool {
+        self.own() as f64 > self.granted.target as f64 * SPARE
+    }
+
     /// What the next settlement says of this customer. What it reports and returns is out of the
     /// account once planned.
     pub fn item(&mut self, customer: &Arc<str>, ends: Ends, now: Instant) -> Item {
@@ -317,7 +325,7 @@
         match ends {
             Ends::Leaves => self.own(),
             Ends::Retires => self.disposable(),
-            Ends::Not if !self.known || !self.has_surplus() => 0,
+            Ends::Not if !self.known || !self.exceeds() => 0,
             Ends::Not => self.disposable().min(self.own() - self.granted.target),
         }
     }
@@ -347,7 +355,7 @@
         match self.kept.cmp(&keepable) {
             Ordering::Less => keepable > self.kept + self.rate.over(OPEN_S, now),
             Ordering::Equal => false,
-            Ordering::Greater => wanted || self.has_surplus() || self.retires,
+            Ordering::Greater => wanted || self.exceeds() || self.retires,
         }
     }
 
@@ -372,7 +380,7 @@
             return 0;
         }
         let keepable = self.own().saturating_sub(self.received + open);
-        match self.has_surplus() {
+        match self.exceeds() {
             // The rest is given back.
             true => keepable.min(self.granted.target),
             false => keepable,
--- a/crates/gateway/tests/funds.rs
+++ b/crates/gateway/tests/funds.rs
@@ -115,3 +115,22 @@
     assert_eq!(desk.funds.lend(&customer(), 1_000, &desk.name, &to), None);
     assert!(desk.funds.try_hold(&customer(), 100).is_none(), "nothing is used either");
 }
+
+/// What a box holds beyond its need is lost with it, and is out of reach of the others: it goes back with a
+/// settlement that is written anyway, also when it is not worth one of its own.
+#[tokio::test(start_paused = true)]
+async fn what_is_held_beyond_need_goes_back_with_any_settlement() {
+    let mut desk = Desk::open();
+    for _ in 0..60 {
+        let hold = desk.funds.try_hold(&customer(), 100).expect("enough is held");
+        hold.settle(100);
+        pass(Duration::from_millis(100)).await;
+        desk.settle();
+    }
+    // It uses 1,000 tokens a second, and needs less of them ahead now.
+    let target = desk.settle_under(POLICY.in_touch_for(4)).1.target;
+    assert!(!desk.funds.is_due(), "no settlement is made for this");
+    let (item, _) = desk.settle_under(POLICY.in_touch_for(4));
+    assert!(item.returned > 0, "{} are held, {target} needed", item.free);
+    assert!(item.free <= target + target / 5, "{} are held, {target} needed", item.free);
+}
