Boxes that stood in for keepers take none of what keepers hold

From the return on eight boxes stood in the book, five of which held nothing: the part of all was divided by eight, and their use counted in it, until 8 s after the last of them had drawn and beyond.

Now a box that is no keeper, or retires, draws only what its requests wait for; it is counted neither among the boxes nor with its use. Seen failing: the test's keepers get less than with no stand-ins if either is taken out.

--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -331,7 +331,11 @@
             true => policy.after_outage(),
             false => policy,
         };
-        policy.in_touch_for(since.as_secs())
+        let policy = policy.in_touch_for(since.as_secs());
+        match self.setup.peers.am_keeper() {
+            true => policy,
+            false => policy.stand_in(),
+        }
     }
 
     async fn read(&mut self) -> Result<(Book, u64), Fault> {
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -42,6 +42,9 @@
     /// Boxes that write here.
     #[serde(default)]
     pub writers: BTreeMap<Incarnation, Writer>,
+    /// Writers that hold nothing ahead of need: none of what the others may hold is theirs.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub idle: BTreeSet<Incarnation>,
     /// Lives that ended, of which it is open what they left untouched.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub claims: BTreeMap<Incarnation, Claim>,
@@ -163,9 +166,10 @@
 }
 
 impl Book {
-    /// Boxes that hold or may ask for grants.
+    /// Boxes that hold tokens ahead of need.
     pub fn boxes(&self) -> u64 {
-        let names: BTreeSet<&str> = self.writers.keys().map(Incarnation::box_name).collect();
+        let draw = self.writers.keys().filter(|name| !self.idle.contains(*name));
+        let names: BTreeSet<&str> = draw.map(Incarnation::box_name).collect();
         names.len() as u64
     }
 
@@ -181,6 +185,11 @@
         if first {
             self.open_claims(holder);
         }
+        let is_idle = settlement.retires || policy.offline_share == 0;
+        match is_idle {
+            true => self.idle.insert(holder.clone()),
+            false => self.idle.remove(holder),
+        };
         settlement.earlier.iter().for_each(|untouched| self.close_claim(untouched));
         let policy = Policy { boxes: self.boxes(), ..policy };
         let mut granted = Vec::with_capacity(settlement.items.len());
@@ -200,6 +209,8 @@
         if settlement.retires && settlement.is_empty() {
             self.forget(holder);
         }
+        let Book { idle, writers, .. } = self;
+        idle.retain(|name| writers.contains_key(name));
         granted
     }
 
@@ -327,7 +338,9 @@
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
     if let Some(grant) = ledger.grants.get_mut(holder) {
-        grant.rate = item.observed.rate;
+        // The part of an idle box is the others'.
+        let is_idle = settlement.retires || policy.offline_share == 0;
+        grant.rate = if is_idle { 0 } else { item.observed.rate };
     }
     if settlement.leaves {
         ledger.end(holder);
--- a/crates/ledger/src/sizing.rs
+++ b/crates/ledger/src/sizing.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// The policy of a box that draws only what its requests wait for, while the keeper of its zone holds
+    /// what an outage takes. With a part for each box that stood in for one during an outage, eight boxes
+    /// shared what three of them held after it, and two thirds of it were nobody's.
+    pub fn stand_in(self) -> Policy {
+        Policy { offline_share: 0, ..self }
+    }
+
     /// The policy of a box whom the platform has answered for so many seconds: what it holds lasts
     /// for an outage as long as that, up to the horizon.
     ///
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -90,6 +90,50 @@
     assert!(held <= unspent / 5, "{held} of {unspent}");
 }
 
+/// One settlement of a box that uses so much a second.
+fn uses(book: &mut Book, name: &str, write: u64, rate: u64, policy: Policy) -> Granted {
+    let item = Item {
+        customer: "bornova".into(),
+        paid: Some((PAID, 1)),
+        waiting: 1_000,
+        observed: Observed { rate, ..Observed::default() },
+        ..Item::default()
+    };
+    let settlement = Settlement {
+        holder: Incarnation::new(name, 1),
+        writer: Writer { write, peer: None, witness: None, witness_at: None },
+        items: vec![item],
+        earlier: Vec::new(),
+        retires: false,
+        leaves: false,
+    };
+    book.settle(&settlement, policy).remove(0)
+}
+
+/// The load: an outage in which each box asked the book itself, since no keeper could give. After it three
+/// keepers prepare for the next one, and five others still stand in the book.
+#[test]
+fn boxes_that_stood_in_for_keepers_take_none_of_what_keepers_hold() {
+    let rate = PAID / 100;
+    let held_by_keepers = |stand_ins: usize| {
+        let mut book = Book::default();
+        let mut held = 0;
+        for write in 1..=3 {
+            for name in (0..stand_ins).map(|n| format!("other-{n}")) {
+                let granted = uses(&mut book, &name, write, rate, POLICY.stand_in());
+                assert_eq!(granted.target, 0, "it holds nothing ahead");
+            }
+            let names = ["box-0", "box-1", "box-2"];
+            let targets = names.map(|name| uses(&mut book, name, write, rate, POLICY).target);
+            held = targets.iter().sum();
+        }
+        held
+    };
+    let alone = held_by_keepers(0);
+    assert!(alone > PAID / 4, "keepers hold {alone}");
+    assert_eq!(held_by_keepers(5), alone);
+}
+
 #[test]
 fn a_box_that_retires_stands_in_the_book_until_it_holds_nothing() {
     let mut book = Book::default();
