The settlement that ends an outage draws for a moment, and another one follows at once

Five keepers had settled once each in the 0.4 s, with what they had planned before the outage. The rule that a box holds one second of use right after an outage began with the landing of that settlement: the settlement itself still drew for ten seconds (205,376 tokens at one keeper, 0.3 s before its death), and what was to go back waited 0.7 s for the next one. Keepers also slept up to 0.4 s after other tasks of their box had found the store.

Now a box knows that an outage ends with the settlement that it is about to write (outlook), another one follows without the usual pause, and whichever task finds the store wakes the keeper. What was used meanwhile is told with the second one, 0.04 s later instead of 0.7 s. The book counts its settlements and notes outages, so that all keepers know of one that all boxes saw; a box that alone was cut off is told from it by what the others settled.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
     bills::Bills,
     ends::Ends,
     funds::{Balance, Funds, Hold, Lack},
+    outlook::Outlook,
     spacing::times_apart,
 };
 pub use news::{
--- a/crates/gateway/src/money/mod.rs
+++ b/crates/gateway/src/money/mod.rs
@@ -12,6 +12,7 @@
 pub mod ends;
 pub mod funds;
 pub mod lending;
+pub mod outlook;
 pub mod purse;
 pub mod rate;
 pub mod settle;
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -15,7 +15,8 @@
     fleet::{entry, peers::Peers},
     metrics::Metrics,
     money::{
-        bills::Bills, claims, draws::Draws, ends::Ends, funds::Funds, spacing, witness::Naming,
+        bills::Bills, claims, draws::Draws, ends::Ends, funds::Funds, outlook::Outlook, spacing,
+        witness::Naming,
     },
     outage::{Contact, Outage, Probe},
     settings::{GATHER_MS, Settings},
@@ -23,11 +24,6 @@
 
 /// Time between two log lines on the calls of the store.
 const TELL: Duration = Duration::from_secs(10);
-/// An outage is remembered for this long: what cuts a store off tends to come again within seconds, and
-/// what boxes hold for that is lost with them, so it goes back when nothing came.
-const REMEMBERED: Duration = Duration::from_secs(30);
-/// Shortest outage that matters, in milliseconds: requests wait through shorter ones.
-const MATTERS_MS: u64 = 1_000;
 /// First pause after a call that failed; doubles up to [`PAUSE_MOST`].
 const PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two calls while the store does not answer.
@@ -60,6 +56,11 @@
     Write { reason: String },
 }
 
+/// Settlements in a row after an outage, without the usual time between them: the first one was planned
+/// before the outage, and only by its answer does the box know how little to hold now. What was used
+/// meanwhile is told and what is too much goes back with the second, before the next thing fails.
+const AFTER_OUTAGE: u32 = 1;
+
 /// What a settler works with.
 pub struct Setup {
     pub store: Client,
@@ -81,14 +82,14 @@
 pub struct Settler {
     setup: Setup,
     outage: Outage,
+    contact: Contact,
+    /// Settlements to make without the usual time between them.
+    soon: u32,
     /// The book as it was last read or written, with its version; 0 where there is none.
     known: Option<(Book, u64)>,
     /// Whether a book was ever seen: it is not made anew then.
     seen: bool,
-    /// Since when the store has answered.
-    in_touch_since: Instant,
-    /// Whether it was away before that.
-    seen_outage: bool,
+    outlook: Outlook,
     write: u64,
     /// The settlement under way: it must land, also when this task was interrupted.
     pending: Option<Settlement>,
@@ -107,11 +108,12 @@
     pub fn new(setup: Setup, contact: Contact) -> Settler {
         Settler {
             setup,
-            outage: Outage::new("book", Probe::Later, contact),
+            outage: Outage::new("book", Probe::Later, contact.clone()),
+            contact,
+            soon: 0,
             known: None,
             seen: false,
-            in_touch_since: Instant::now(),
-            seen_outage: false,
+            outlook: Outlook::open(Instant::now()),
             write: 0,
             pending: None,
             last: None,
@@ -141,6 +143,10 @@
             let settle = Duration::from_millis(settings.money.settle_ms);
             let began = Instant::now();
             tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+            if self.soon > 0 {
+                self.soon -= 1;
+                continue;
+            }
             while !self.setup.funds.is_urgent() && began.elapsed() < self.pause(spacing, settle) {
                 self.wait(spacing).await;
                 if self.collect().await {
@@ -233,8 +239,10 @@
 
     async fn failed(&mut self, fault: &Fault, pause: &mut Duration) {
         self.outage.failed(fault);
+        self.outlook.failed(Instant::now());
         self.setup.funds.set_cut(true);
-        tokio::time::sleep(*pause).await;
+        // Whichever task of this box finds the store first ends the pause.
+        let _ = tokio::time::timeout(*pause, self.contact.regained()).await;
         *pause = (*pause * 2).min(PAUSE_MOST);
     }
 
@@ -274,9 +282,10 @@
             took_ms = began.elapsed().as_millis() as u64,
             writers = self.writers(),
         );
-        if self.outage.answered().is_some_and(|ms| ms >= MATTERS_MS) {
-            self.in_touch_since = Instant::now();
-            self.seen_outage = true;
+        self.outage.answered();
+        let book = self.known.as_ref().map(|(book, _)| book);
+        if book.is_some_and(|book| self.outlook.landed(book, Instant::now())) {
+            self.soon = AFTER_OUTAGE;
         }
         let book = self.known.as_ref().map(|(book, _)| book);
         self.stands = book.is_some_and(|book| book.writers.contains_key(&self.setup.holder));
@@ -297,8 +306,9 @@
             self.known = Some((book, version));
             return Ok(Some(self.last.take().unwrap_or_default()));
         }
-        let policy = self.policy();
         let mut next = book.clone();
+        self.outlook.tell(&mut next, Instant::now());
+        let policy = self.policy(&next);
         let granted = next.settle(settlement, policy);
         self.last = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
@@ -324,14 +334,10 @@
     }
 
     /// Sizing of grants now.
-    fn policy(&self) -> Policy {
-        let policy = self.setup.settings.borrow().policy();
-        let since = self.in_touch_since.elapsed();
-        let policy = match self.seen_outage && since < REMEMBERED {
-            true => policy.after_outage(),
-            false => policy,
-        };
-        let policy = policy.in_touch_for(since.as_secs());
+    fn policy(&self, book: &Book) -> Policy {
+        let settings = self.setup.settings.borrow();
+        let calm_s = settings.money.horizon_s;
+        let policy = self.outlook.policy(settings.policy(), calm_s, book, Instant::now());
         match self.setup.peers.am_keeper() {
             true => policy,
             false => policy.stand_in(),
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -26,6 +26,10 @@
 /// next requests come to first has some.
 const EVEN: u64 = 300;
 
+/// Settlements that a box makes at most while all boxes return after an outage: a few in a row, one of
+/// them planned before it.
+const SETTLE_AT_RETURN: u64 = 4;
+
 /// Claims that stay open: more boxes than that do not die before somebody was asked of one. What the
 /// others held counts as spent.
 const MOST_CLAIMS: usize = 128;
@@ -42,6 +46,12 @@
     /// Boxes that write here.
     #[serde(default)]
     pub writers: BTreeMap<Incarnation, Writer>,
+    /// Settlements that have landed.
+    #[serde(default)]
+    pub landed: u64,
+    /// Outages of the store that all boxes saw.
+    #[serde(default)]
+    pub outages: Outages,
     /// Writers that hold nothing ahead of need: none of what the others may hold is theirs.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub idle: BTreeSet<Incarnation>,
@@ -50,6 +60,17 @@
     pub claims: BTreeMap<Incarnation, Claim>,
 }
 
+/// Outages of the store that all boxes saw, by which they size what they hold. No right to spend rests on it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outages {
+    /// So many.
+    pub count: u64,
+    /// Length of the last one, as the box saw it that found it longest, in milliseconds.
+    pub last_ms: u64,
+    /// Settlements that had landed when the last one was noted first.
+    pub landed: u64,
+}
+
 /// What a life that ended held: it stays granted until its witness told, and can be used by nobody.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -173,6 +194,21 @@
         names.len() as u64
     }
 
+    /// A box that had not reached the store for so long does again; before that, so many settlements had
+    /// landed. It was an outage of the store unless others went on to settle meanwhile.
+    pub fn note_outage(&mut self, landed_before: u64, ms: u64) {
+        let return_all = SETTLE_AT_RETURN * self.boxes().max(1);
+        if self.landed.saturating_sub(landed_before) > return_all {
+            return;
+        }
+        let Outages { count, last_ms, landed } = &mut self.outages;
+        let is_same = *count > 0 && self.landed.saturating_sub(*landed) <= return_all;
+        match is_same {
+            true => *last_ms = ms.max(*last_ms),
+            false => (*count, *last_ms, *landed) = (*count + 1, ms, self.landed),
+        }
+    }
+
     /// Whether write number `write` of `holder` is in.
     pub fn has(&self, holder: &Incarnation, write: u64) -> bool {
         self.writers.get(holder).is_some_and(|writer| writer.write >= write)
@@ -190,6 +226,7 @@
             true => self.idle.insert(holder.clone()),
             false => self.idle.remove(holder),
         };
+        self.landed += 1;
         settlement.earlier.iter().for_each(|untouched| self.close_claim(untouched));
         let policy = Policy { boxes: self.boxes(), ..policy };
         let mut granted = Vec::with_capacity(settlement.items.len());
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,7 +26,7 @@
 pub use account::{Account, Need, Part, Reservation, Tokens};
 pub use audit::{Audit, Finding, Held, Line, audit};
 pub use bill::{BILLS, Bill, Evidence, Page, Statement};
-pub use book::{BOOK, Book, Claim, Granted, Item, Settlement, Writer};
+pub use book::{BOOK, Book, Claim, Granted, Item, Outages, Settlement, Writer};
 pub use budget::{Closing, Draw, Error, Folded, Ledger, PAGE_BILLS, page_name};
 pub use grant::{Grant, Transfer};
 pub use incarnation::Incarnation;
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -134,6 +134,24 @@
     assert_eq!(held_by_keepers(5), alone);
 }
 
+#[test]
+fn an_outage_is_noted_once_and_at_its_longest() {
+    let mut book = Book::default();
+    let names = ["box-0", "box-1", "box-2"];
+    names.iter().for_each(|name| drop(uses(&mut book, name, 1, 1, POLICY)));
+    let before = book.landed;
+    for (name, ms) in names.iter().zip([3_000, 7_000, 5_000]) {
+        book.note_outage(before, ms);
+        uses(&mut book, name, 2, 1, POLICY);
+    }
+    assert_eq!((book.outages.count, book.outages.last_ms), (1, 7_000));
+    (3..20).for_each(|write| drop(uses(&mut book, "box-0", write, 1, POLICY)));
+    book.note_outage(before, 9_000);
+    assert_eq!(book.outages.count, 1, "others went on to settle");
+    book.note_outage(book.landed, 2_000);
+    assert_eq!((book.outages.count, book.outages.last_ms), (2, 2_000));
+}
+
 #[test]
 fn a_box_that_retires_stands_in_the_book_until_it_holds_nothing() {
     let mut book = Book::default();
