The soak waits for no box that stops: the store comes back when its fault ends

Store and box waited for each other.

Ruled out: a lost co-holder. Both boxes that had taken the pages lived until all were killed, and none of them reached the store in between (no dependency_back, no bills_written_for_another).

Now the end of a stop is looked for every 50 ms, and other ends come when they are due. What the run did by mistake stays possible: pages of a box that stopped while the store was away are lost when every box that has them is killed before the store is back.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -68,6 +68,14 @@
     cause: "the box knew no other box",
 }];
 
+/// A box stops by plan while the store is away, and all boxes are killed at the end. The run waited for the box
+/// before it let the store come back, for which the box waited: the store was away until the box had given up.
+const HELD_UP: [Case; 3] = [
+    Case { seed: 222, seconds: 15, limits: true, words: true, cause: "one box held the run up" },
+    Case { seed: 248, seconds: 15, limits: true, words: true, cause: "the same" },
+    Case { seed: 432, seconds: 15, limits: true, words: true, cause: "the same, with two boxes" },
+];
+
 #[tokio::test]
 async fn no_promise_is_broken_under_random_faults() {
     play(&CASES).await;
@@ -83,6 +91,11 @@
     play(&ALONE).await;
 }
 
+#[tokio::test]
+async fn no_bill_is_lost_with_a_box_that_stops_before_the_store_is_back() {
+    play(&HELD_UP).await;
+}
+
 async fn play(cases: &[Case]) {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
     for Case { seed, seconds, limits, words, cause } in cases {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,8 @@
 const STOP_MS: u64 = 6_000;
 /// Longest wait for a process that was told to stop.
 const ENDS_WITHIN: Duration = Duration::from_secs(12);
+/// Time between two looks at a box that stops.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Time after the last fault until boxes are in touch again: the longest call of the store, and the
 /// longest pause between two.
 const IN_TOUCH: Duration = Duration::from_millis(3_500);
@@ -264,7 +266,10 @@
                     let end = self.begin(fault).await?;
                     due.extend(end.map(|end| (Instant::now() + fault.lasts, Step::End(end))));
                 }
-                Step::End(end) => self.undo(end).await?,
+                Step::End(end) => {
+                    let again = self.undo(end).await?;
+                    due.extend(again.map(|end| (Instant::now() + LOOK_AGAIN, Step::End(end))));
+                }
             }
         }
         tokio::time::sleep_until(began + length + CALM).await;
@@ -304,7 +309,7 @@
                 self.history.harmed.insert(self.life(at));
                 self.signal(at, Signal::STOP)?;
             }
-            Kind::Stop { at } => return self.stop(at),
+            Kind::Stop { at } => return self.stop(at, fault.lasts),
             Kind::Reload { at } => {
                 self.signal(at, Signal::HUP)?;
                 return Ok(None);
@@ -326,11 +331,13 @@
                 return Ok(None);
             }
         }
-        Ok(Some(End { kind: fault.kind, life: None }))
+        let until = Instant::now() + fault.lasts;
+        Ok(Some(End { kind: fault.kind, life: None, until }))
     }
 
-    /// Ends a fault.
-    async fn undo(&mut self, end: End) -> Result<(), Error> {
+    /// Ends a fault; returns it if it is not over yet. A box that stops may wait for what the end of another
+    /// fault brings: nobody waits for it here.
+    async fn undo(&mut self, end: End) -> Result<Option<End>, Error> {
         let platform = &self.shared.platform;
         match end.kind {
             // It was killed meanwhile.
@@ -343,8 +350,11 @@
             Kind::Kill { at } => self.start_again(at).await?,
             Kind::Stop { at } => {
                 if let Some(daemon) = &mut self.nodes[at].daemon
-                    && !daemon.ended(ENDS_WITHIN).await
+                    && !daemon.ended(Duration::ZERO).await
                 {
+                    if Instant::now() < end.until {
+                        return Ok(Some(end));
+                    }
                     // It stands still, perhaps: then it does not end by its own plan.
                     let life = self.life(at);
                     self.history.harmed.insert(life);
@@ -363,7 +373,7 @@
             | Kind::Configure
             | Kind::TopUp => {}
         }
-        Ok(())
+        Ok(None)
     }
 
     async fn start_again(&mut self, at: usize) -> Result<(), Error> {
@@ -392,7 +402,7 @@
     }
 
     /// Callers keep their connections; new ones go elsewhere from now on, as with a balancer.
-    fn stop(&mut self, at: usize) -> Result<Option<End>, Error> {
+    fn stop(&mut self, at: usize, lasts: Duration) -> Result<Option<End>, Error> {
         let life = self.life(at);
         if self.nodes[at].daemon.is_none() || self.history.stopped.contains_key(&life) {
             return Ok(None);
@@ -410,7 +420,8 @@
                 all[open] = None;
             }
         });
-        Ok(Some(End { kind: Kind::Stop { at }, life: Some(life) }))
+        let until = now + lasts + ENDS_WITHIN;
+        Ok(Some(End { kind: Kind::Stop { at }, life: Some(life), until }))
     }
 
     /// Ends every fault and every box by plan.
@@ -470,6 +481,8 @@
     kind: Kind,
     /// The life that it was about, where it was about one.
     life: Option<Life>,
+    /// When it is over at the latest.
+    until: Instant,
 }
 
 /// One caller, until the load ends. It keeps to a box while that takes callers.
