Callers refused in a rest of all endpoints come again half as fast as they came, and not over each other

What callers saw (model, half load, all endpoints ask for 3 s of rest, one box): 4,584 of 7,199 who were told when to come again were refused again; 1,629 of 4,633 at 7 boxes, 18,757 of 55,647 at 75.

Cause, two lines of one choice: (1) whoever came in the first part of a rest was told a time by the time since its beginning, modulo 3 s, so that those who came later were told the times of the first ones once more; (2) they came again as fast as they had come, beside those that come anyway, which is all that endpoints bear at half load. Full endpoints turn away and ask for rest anew, 3 s each time.

Not mended: at 0.6 of what endpoints bear one box has 9,824 of 16,229 refused again and seven 4,134 of 9,739 (75 and 300 boxes: under a tenth).

--- a/crates/balance/src/pool/wait.rs
+++ b/crates/balance/src/pool/wait.rs
@@ -7,8 +7,12 @@
 /// answer of a model have a few times as much.
 const RETURN_MOST: u64 = 3_000;
 /// Requests that were kept back come again apart from each other by the time between them, times this for the most urgent ones
-/// and one more for the least urgent ones: beside those that come anyway there is room for no more.
-const SOONEST: f64 = 1.0;
+/// and one more for the least urgent ones. As fast as they came, beside those that come anyway, they would fill endpoints
+/// that had half of what they bear, which then ask for rest once more.
+const SOONEST: f64 = 2.0;
+/// Longest time over which requests that were kept back come again, in milliseconds. Told a time that is too late for it, a
+/// caller knows that it waits for nothing; told one at which others come, all are turned away.
+const BACK_WITHIN: u64 = 60_000;
 /// Rank of the least urgent requests, the most urgent ones are 0.
 const RANKS: u8 = 9;
 
@@ -43,7 +47,7 @@
 
     /// Milliseconds after which a request that no endpoint took is to come again. Where limits leave room for few, one
     /// comes after the other: as many of this box as its part of the limits, so that callers do not return together. Where
-    /// endpoints rest, requests come again as fast as they came, so that there is room for them and for others, and urgent
+    /// endpoints rest, requests come again half as fast as they came, so that there is room for them and for others, and urgent
     /// ones before others.
     pub fn return_ms(&mut self, rank: u8, now: u64) -> Option<u64> {
         let wait = self.next_offer_ms(now)?;
@@ -51,7 +55,7 @@
         if let Some(since) = kept_back.max().filter(|_| wait > 0) {
             let place = SOONEST + f64::from(rank.min(RANKS)) / f64::from(RANKS);
             let later = now.saturating_sub(since) as f64 * place;
-            return Some(wait.saturating_add(later as u64 % RETURN_MOST));
+            return Some(wait.saturating_add(later as u64 % BACK_WITHIN));
         }
         let limits = self.staying().map(|endpoint| endpoint.limit().map(Limit::as_per_s));
         let Some(per_s) = limits.sum::<Option<f64>>() else { return Some(wait) };
