What a box holds follows the outages that the fleet saw and the boxes that died unwitnessed

Cause: each start held ten seconds of use, 60% of what was unspent, and 80% after an outage, whatever had come of it before, so that three deaths took three times such a part.

Now a box holds 5 s of use while no outage was seen (setting money.calm_s), 4/3 of the last outage and a second for 30 s after one, up to 10 s, then nearly all of what is left if that is less; and where boxes died of whom no witness was left, less by 1/(1 + 20 times the part of what was paid that was lost with them). Lost with a box whose witness lives does not count. It only sizes; no right to spend rests on it.

--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -336,7 +336,7 @@
     /// Sizing of grants now.
     fn policy(&self, book: &Book) -> Policy {
         let settings = self.setup.settings.borrow();
-        let calm_s = settings.money.horizon_s;
+        let calm_s = settings.money.calm_s;
         let policy = self.outlook.policy(settings.policy(), calm_s, book, Instant::now());
         match self.setup.peers.am_keeper() {
             true => policy,
--- a/crates/gateway/tests/outlook.rs
+++ b/crates/gateway/tests/outlook.rs
@@ -14,7 +14,7 @@
 const POLICY: Policy =
     Policy { offline_share: 600, online_horizon: 0, offline_horizon: 10, boxes: 1, plenty: 500 };
 /// Seconds of use held while no outage was seen.
-const CALM_S: u64 = 6;
+const CALM_S: u64 = 5;
 
 /// One box, with a book that others write as well.
 struct Desk {
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -30,6 +30,11 @@
 /// them planned before it.
 const SETTLE_AT_RETURN: u64 = 4;
 
+/// How much less boxes hold for each part of what is paid that was lost with boxes of which no witness was left:
+/// with a twentieth of it lost, half. Where all boxes died once they are likely to again, and the losses add up,
+/// whereas what was not held in an outage can be used after it.
+const CAUTION: u64 = 20;
+
 /// Claims that stay open: more boxes than that do not die before somebody was asked of one. What the
 /// others held counts as spent.
 const MOST_CLAIMS: usize = 128;
@@ -325,7 +330,10 @@
     fn write_off(&mut self, name: &Incarnation, untouched: &BTreeMap<Arc<str>, u64>) {
         for (customer, ledger) in &mut self.ledgers {
             let tokens = untouched.get(customer).copied().unwrap_or_default();
-            ledger.write_off(name, tokens);
+            let lost = ledger.write_off(name, tokens);
+            if untouched.is_empty() {
+                ledger.unwitnessed += lost;
+            }
         }
     }
 
@@ -361,6 +369,7 @@
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
     let part = portion(ledger, holder, item, policy);
     let target = target(unspent, ledger.paid_wanted, part, item.observed, policy);
+    let target = cautious(target, ledger);
     let left = (ledger.left() + item.returned).min(unspent);
     // What cannot pay for the waiting requests stays for smaller ones, wherever they come.
     let need = item.need();
@@ -406,6 +415,13 @@
     part.min(observed.rate * policy.offline_horizon + large)
 }
 
+/// The same where boxes died with tokens before.
+fn cautious(target: u64, ledger: &Ledger) -> u64 {
+    let paid = u128::from(ledger.paid_wanted.max(1));
+    let lost = u128::from(CAUTION) * u128::from(ledger.unwitnessed);
+    (u128::from(target) * paid / (paid + lost)) as u64
+}
+
 /// Seconds of use that a settlement brings which requests wait for, whatever a box should hold: the
 /// ones after them would each wait for another settlement.
 const AHEAD_S: u64 = 1;
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -82,6 +82,9 @@
     /// Part of `spent` that boxes held when they died: nobody knows whether it was used.
     #[serde(default)]
     pub lost: u64,
+    /// Part of `lost` of which no witness knew anything: it died too.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub unwitnessed: u64,
     /// Unspent grants by holder.
     pub grants: BTreeMap<Incarnation, Grant>,
     /// Bills.
@@ -98,6 +101,10 @@
     pub transfers: BTreeSet<Transfer>,
 }
 
+fn is_none(tokens: &u64) -> bool {
+    *tokens == 0
+}
+
 impl Ledger {
     /// Tokens granted and not spent.
     pub fn granted(&self) -> u64 {
--- a/crates/ledger/src/sizing.rs
+++ b/crates/ledger/src/sizing.rs
@@ -45,13 +45,11 @@
     pub plenty: u64,
 }
 
-/// Share that the fleet holds once an outage was seen, in thousandths. With the part below, a calm day of
-/// 295 boxes with two outages of 8 s, 12 s apart, refused 0.6% instead of 5.8% (shares of 900 and 150).
-/// Days on which all boxes die soon after an outage pay for it: 0.002 of worth on 20 of them with 800 and 300
-/// and 0.005 with 900 and 150, but 0.027 on five of another deployment with 800 and 300.
-const SHARE_AFTER_OUTAGE: u64 = 800;
-/// Part of what is paid below which that share shrinks, in thousandths.
-const PLENTY_AFTER_OUTAGE: u64 = 300;
+/// Share that the fleet holds once an outage was seen, in thousandths: nearly all, since seconds of use bound
+/// what is held, and what lies in the book is out of reach when the store is away again.
+const SHARE_AFTER_OUTAGE: u64 = 950;
+/// Part of what is paid below which that share shrinks, in thousandths: only the last tokens are not hoarded.
+const PLENTY_AFTER_OUTAGE: u64 = 100;
 
 /// Seconds of use that a box holds right after the platform came back.
 const LEAST_HORIZON_S: u64 = 1;
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -134,6 +134,20 @@
     assert_eq!(held_by_keepers(5), alone);
 }
 
+#[test]
+fn boxes_hold_less_of_a_budget_of_which_boxes_died_with_much() {
+    let target = |lost| {
+        let mut book = Book::default();
+        uses(&mut book, "box-0", 1, PAID / 100, POLICY);
+        let ledger = book.ledgers.get_mut("bornova").expect("it was settled");
+        (ledger.lost, ledger.unwitnessed, ledger.spent) = (lost, lost, lost);
+        uses(&mut book, "box-0", 2, PAID / 100, POLICY).target
+    };
+    let (before, after) = (target(0), target(PAID / 20));
+    assert!(after <= before / 2, "{after} after {before}");
+    assert!(target(PAID / 500) > before * 9 / 10, "little was lost");
+}
+
 #[test]
 fn an_outage_is_noted_once_and_at_its_longest() {
     let mut book = Book::default();
