--- a/crates/gateway/src/money/draws.rs
+++ b/crates/gateway/src/money/draws.rs
@@ -19,7 +19,7 @@
     money::{
         funds::{Funds, Hold},
         lending::Lending,
-        purse::Parts,
+        report,
     },
     settings::Settings,
 };
@@ -30,8 +30,6 @@
 /// Time between two rounds in which keepers are told what was used and given back what lies idle:
 /// shorter than the use that a box keeps.
 const TELL: Duration = Duration::from_millis(1_000);
-/// Customers in one log line on what is held.
-const LOGGED: usize = 16;
 
 /// What came of asking a keeper.
 #[derive(Debug)]
@@ -195,7 +193,7 @@
     pub async fn run(self) {
         loop {
             tokio::time::sleep(TELL).await;
-            report_held(&self.funds);
+            report::held(&self.funds);
             for keeper in self.funds.keepers_to_tell() {
                 if !self.peers.knows(&keeper) {
                     continue;
@@ -226,21 +224,3 @@
         tracing::info!(event = "tokens_returned", keeper = keeper.as_str(), returned, heard);
     }
 }
-
-/// One line on what this box holds, by customer and by what it is for: what would be lost with it.
-fn report_held(funds: &Funds) {
-    let parts = funds.parts(LOGGED);
-    if parts.is_empty() {
-        return;
-    }
-    let of = |(customer, parts): &(Arc<str>, Parts)| {
-        let Parts { kept, open, of_keepers, reserved, unsettled, passed } = parts;
-        format!("{customer} {kept} {open} {of_keepers} {reserved} {unsettled} {passed}")
-    };
-    let held: Vec<String> = parts.iter().map(of).collect();
-    tracing::info!(
-        event = "funds_held",
-        order = "kept open of_keepers reserved unsettled passed",
-        held = held.join(", "),
-    );
-}
--- a/crates/gateway/src/money/mod.rs
+++ b/crates/gateway/src/money/mod.rs
@@ -4,7 +4,7 @@
 //! the book in the store (`settle`) and passes tokens on to boxes near it (`shares`); the others draw from
 //! it (`draws`), and keepers lend to each other while the store cannot give (`lending`). `witness` promises
 //! another box what stays untouched, and `claims` are collected of boxes that died, and
-//! `bills` are what became of the tokens.
+//! `bills` are what became of the tokens. How much a box holds for an outage is sized by `outlook`.
 
 pub mod bills;
 pub mod claims;
@@ -15,6 +15,7 @@
 pub mod outlook;
 pub mod purse;
 pub mod rate;
+pub mod report;
 pub mod settle;
 pub mod shares;
 pub mod spacing;
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -15,8 +15,8 @@
     fleet::{entry, peers::Peers},
     metrics::Metrics,
     money::{
-        bills::Bills, claims, draws::Draws, ends::Ends, funds::Funds, outlook::Outlook, spacing,
-        witness::Naming,
+        bills::Bills, claims, draws::Draws, ends::Ends, funds::Funds, outlook::Outlook, report,
+        spacing, witness::Naming,
     },
     outage::{Contact, Outage, Probe},
     settings::{GATHER_MS, Settings},
@@ -135,8 +135,8 @@
             self.setup.bills.write(&self.setup.store, false).await;
             if told.elapsed() >= TELL {
                 told = Instant::now();
-                report_calls(&self.setup.store);
-                report_traffic(&self.setup.peers);
+                report::calls(&self.setup.store);
+                report::traffic(&self.setup.peers);
             }
             let settings = self.setup.settings.borrow().clone();
             let spacing = Duration::from_millis(settings.money.spacing_ms);
@@ -291,7 +291,7 @@
         self.stands = book.is_some_and(|book| book.writers.contains_key(&self.setup.holder));
         let claims = book.map_or(0, |book| book.claims.len());
         self.setup.metrics.claims.set(claims as i64);
-        report(&settlement, &granted);
+        report::settled(&settlement, &granted);
         self.setup.funds.landed(&settlement, granted);
         self.setup.naming.landed(&settlement.writer.witness, &self.setup.funds);
     }
@@ -423,58 +423,3 @@
         tracing::info!(event = "bills_handed_over", to = to.join(","), count);
     }
 }
-
-/// One line on the calls that this process made so far, by purpose.
-fn report_calls(store: &Client) {
-    let calls = store.calls().snapshot();
-    let calls: Vec<String> = calls
-        .iter()
-        .map(|((operation, kind), count)| format!("{operation:?} {kind}: {}", count.calls))
-        .collect();
-    tracing::info!(event = "store_calls", calls = calls.join(", "));
-}
-
-/// One line on what this box's questions to others took so far, by topic and availability zone.
-fn report_traffic(peers: &Peers) {
-    let flows = peers.traffic.snapshot();
-    let flows: Vec<String> = flows
-        .iter()
-        .map(|((topic, is_near), size)| {
-            let zone = if *is_near { "own" } else { "other" };
-            format!("{topic} {zone}: {} {}", size.sent, size.heard)
-        })
-        .collect();
-    tracing::info!(event = "peer_traffic", bytes = flows.join(", "));
-}
-
-fn report(settlement: &Settlement, granted: &[Granted]) {
-    for (item, granted) in settlement.items.iter().zip(granted) {
-        if granted.misfits > 0 {
-            let customer = &*item.customer;
-            tracing::error!(event = "transfers_misfit", customer, count = granted.misfits);
-        }
-        let changed = item.charged > 0
-            || granted.tokens > 0
-            || item.returned > 0
-            || item.waiting > 0
-            || !item.transfers.is_empty();
-        if changed {
-            tracing::info!(
-                event = "settled",
-                customer = &*item.customer,
-                write = settlement.writer.write,
-                charged = item.charged,
-                granted = granted.tokens,
-                returned = item.returned,
-                free = item.free,
-                need = item.need(),
-                should_hold = granted.target,
-                unspent = granted.unspent,
-                left = granted.left,
-                used = granted.used,
-                lost = granted.lost,
-                transfers = item.transfers.len(),
-            );
-        }
-    }
-}
