--- a/crates/gateway/src/money/outlook.rs
+++ b/crates/gateway/src/money/outlook.rs
@@ -3,8 +3,8 @@
 //! What a box holds serves its zone while the store is away, and is lost when all boxes die at once: no
 //! witness is left to tell what was untouched. So a box holds little right after it found the store, since
 //! what failed once fails again within seconds and boxes die most often then; it holds enough for an outage
-//! of the usual length once the store has answered for as long, and for one as long as the last for some
-//! time after that.
+//! once the store has answered for as long. For some time after one that the whole fleet saw, it holds nearly
+//! all that is left if need be: what lies in the book then is out of reach when the store is away again.
 
 use std::time::Duration;
 
@@ -57,8 +57,8 @@
 
     /// Tells the book of the outage that this settlement ends, if it ends one.
     pub fn tell(&self, book: &mut Book, now: Instant) {
-        if let (Some(lost), Some(away)) = (self.lost, self.away(now)) {
-            book.note_outage(lost.landed, away.as_millis() as u64);
+        if let (Some(lost), Some(_)) = (self.lost, self.away(now)) {
+            book.note_outage(lost.landed);
         }
     }
 
@@ -77,15 +77,10 @@
         ended
     }
 
-    /// Sizing of what this box holds from now on; `book` is the one that it is about to write.
-    pub fn policy(&self, policy: Policy, calm_s: u64, book: &Book, now: Instant) -> Policy {
+    /// Sizing of what this box holds from now on.
+    pub fn policy(&self, policy: Policy, now: Instant) -> Policy {
         let seen = self.seen.is_some_and(|(_, at)| now.saturating_duration_since(at) < REMEMBERED);
-        let prepares_s = match seen {
-            true => calm_s.max(as_long_again_s(book.outages.last_ms)),
-            false => calm_s,
-        };
         let policy = if seen { policy.after_outage() } else { policy };
-        let policy = Policy { offline_horizon: policy.offline_horizon.min(prepares_s), ..policy };
         let in_touch = match self.away(now) {
             // The settlement ends an outage.
             Some(_) => Duration::ZERO,
@@ -94,9 +89,3 @@
         policy.in_touch_for(in_touch.as_secs())
     }
 }
-
-/// Seconds of use that last for an outage as long as this one, and some more: the next may be longer, and
-/// use is not spread over boxes and customers as it was.
-fn as_long_again_s(outage_ms: u64) -> u64 {
-    (outage_ms + outage_ms / 3).div_ceil(1_000) + 1
-}
--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -308,7 +308,7 @@
         }
         let mut next = book.clone();
         self.outlook.tell(&mut next, Instant::now());
-        let policy = self.policy(&next);
+        let policy = self.policy();
         let granted = next.settle(settlement, policy);
         self.last = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
@@ -334,10 +334,9 @@
     }
 
     /// Sizing of grants now.
-    fn policy(&self, book: &Book) -> Policy {
-        let settings = self.setup.settings.borrow();
-        let calm_s = settings.money.calm_s;
-        let policy = self.outlook.policy(settings.policy(), calm_s, book, Instant::now());
+    fn policy(&self) -> Policy {
+        let policy = self.setup.settings.borrow().policy();
+        let policy = self.outlook.policy(policy, Instant::now());
         match self.setup.peers.am_keeper() {
             true => policy,
             false => policy.stand_in(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -134,9 +134,6 @@
     pub share: u64,
     /// Seconds of use that a box holds at most; outages of the store up to this are ridden out.
     pub horizon_s: u64,
-    /// Seconds of use that a box holds while no outage was seen lately; after one, as much as lasts for
-    /// another as long, up to `horizon_s`.
-    pub calm_s: u64,
     /// Time between two settlements that nothing asks for, in milliseconds.
     pub settle_ms: u64,
     /// Shortest time between two settlements that no request waits for, in milliseconds.
@@ -157,7 +154,6 @@
         Money {
             share: 600,
             horizon_s: 10,
-            calm_s: 5,
             settle_ms: 3_000,
             spacing_ms: 700,
             wait_ms: 250,
@@ -282,7 +278,6 @@
             ("store.watch_ms", store.watch_ms, 100, 30_000),
             ("money.share", money.share, 0, 1_000),
             ("money.horizon_s", money.horizon_s, 0, 86_400),
-            ("money.calm_s", money.calm_s, 0, 86_400),
             ("money.settle_ms", money.settle_ms, 100, 3_600_000),
             ("money.spacing_ms", money.spacing_ms, 10, 3_600_000),
             ("money.store_ms", money.store_ms, 2 * GATHER_MS, 60_000),
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -70,8 +70,6 @@
 pub struct Outages {
     /// So many.
     pub count: u64,
-    /// Length of the last one, as the box saw it that found it longest, in milliseconds.
-    pub last_ms: u64,
     /// Settlements that had landed when the last one was noted first.
     pub landed: u64,
 }
@@ -199,18 +197,17 @@
         names.len() as u64
     }
 
-    /// A box that had not reached the store for so long does again; before that, so many settlements had
-    /// landed. It was an outage of the store unless others went on to settle meanwhile.
-    pub fn note_outage(&mut self, landed_before: u64, ms: u64) {
+    /// A box that had not reached the store does again; before that, so many settlements had landed. It was an
+    /// outage of the store unless others went on to settle meanwhile.
+    pub fn note_outage(&mut self, landed_before: u64) {
         let return_all = SETTLE_AT_RETURN * self.boxes().max(1);
         if self.landed.saturating_sub(landed_before) > return_all {
             return;
         }
-        let Outages { count, last_ms, landed } = &mut self.outages;
+        let Outages { count, landed } = &mut self.outages;
         let is_same = *count > 0 && self.landed.saturating_sub(*landed) <= return_all;
-        match is_same {
-            true => *last_ms = ms.max(*last_ms),
-            false => (*count, *last_ms, *landed) = (*count + 1, ms, self.landed),
+        if !is_same {
+            (*count, *landed) = (*count + 1, self.landed);
         }
     }
 
