--- a/crates/gateway/src/money/settle.rs
+++ b/crates/gateway/src/money/settle.rs
@@ -56,11 +56,6 @@
     Write { reason: String },
 }
 
-/// Settlements in a row after an outage, without the usual time between them: the first one was planned
-/// before the outage, and only by its answer does the box know how little to hold now. What was used
-/// meanwhile is told and what is too much goes back with the second, before the next thing fails.
-const AFTER_OUTAGE: u32 = 1;
-
 /// What a settler works with.
 pub struct Setup {
     pub store: Client,
@@ -83,8 +78,10 @@
     setup: Setup,
     outage: Outage,
     contact: Contact,
-    /// Settlements to make without the usual time between them.
-    soon: u32,
+    /// An outage ended: the next settlement comes without the usual time before it. The one that ended it was
+    /// planned before, and only by its answer does the box know how little to hold now. The next one tells what
+    /// was used meanwhile and gives back what is too much, before something else fails.
+    at_once: bool,
     /// The book as it was last read or written, with its version; 0 where there is none.
     known: Option<(Book, u64)>,
     /// Whether a book was ever seen: it is not made anew then.
@@ -110,7 +107,7 @@
             setup,
             outage: Outage::new("book", Probe::Later, contact.clone()),
             contact,
-            soon: 0,
+            at_once: false,
             known: None,
             seen: false,
             outlook: Outlook::open(Instant::now()),
@@ -143,8 +140,7 @@
             let settle = Duration::from_millis(settings.money.settle_ms);
             let began = Instant::now();
             tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-            if self.soon > 0 {
-                self.soon -= 1;
+            if std::mem::take(&mut self.at_once) {
                 continue;
             }
             while !self.setup.funds.is_urgent() && began.elapsed() < self.pause(spacing, settle) {
@@ -284,10 +280,7 @@
         );
         self.outage.answered();
         let book = self.known.as_ref().map(|(book, _)| book);
-        if book.is_some_and(|book| self.outlook.landed(book, Instant::now())) {
-            self.soon = AFTER_OUTAGE;
-        }
-        let book = self.known.as_ref().map(|(book, _)| book);
+        self.at_once = book.is_some_and(|book| self.outlook.landed(book, Instant::now()));
         self.stands = book.is_some_and(|book| book.writers.contains_key(&self.setup.holder));
         let claims = book.map_or(0, |book| book.claims.len());
         self.setup.metrics.claims.set(claims as i64);
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -223,8 +223,7 @@
         if first {
             self.open_claims(holder);
         }
-        let is_idle = settlement.retires || policy.offline_share == 0;
-        match is_idle {
+        match is_idle(settlement, policy) {
             true => self.idle.insert(holder.clone()),
             false => self.idle.remove(holder),
         };
@@ -350,6 +349,11 @@
     name != holder && name.box_name() == holder.box_name()
 }
 
+/// Whether the box of a settlement holds nothing ahead of need.
+fn is_idle(settlement: &Settlement, policy: Policy) -> bool {
+    settlement.retires || policy.offline_share == 0
+}
+
 fn settle_item(
     ledger: &mut Ledger,
     settlement: &Settlement,
@@ -382,8 +386,7 @@
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
     if let Some(grant) = ledger.grants.get_mut(holder) {
         // The part of an idle box is the others'.
-        let is_idle = settlement.retires || policy.offline_share == 0;
-        grant.rate = if is_idle { 0 } else { item.observed.rate };
+        grant.rate = if is_idle(settlement, policy) { 0 } else { item.observed.rate };
     }
     if settlement.leaves {
         ledger.end(holder);
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -83,7 +83,7 @@
     #[serde(default)]
     pub lost: u64,
     /// Part of `lost` of which no witness knew anything: it died too.
-    #[serde(default, skip_serializing_if = "is_none")]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub unwitnessed: u64,
     /// Unspent grants by holder.
     pub grants: BTreeMap<Incarnation, Grant>,
@@ -101,7 +101,8 @@
     pub transfers: BTreeSet<Transfer>,
 }
 
-fn is_none(tokens: &u64) -> bool {
+/// For fields that most ledgers need not carry.
+fn is_zero(tokens: &u64) -> bool {
     *tokens == 0
 }
 
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -251,6 +251,24 @@
     assert!(book.writers.contains_key(&fourth) && ledger.is_sound());
 }
 
+/// Boxes hold less where whole fleets died, not where one box did whose witness lives.
+#[test]
+fn what_is_lost_with_no_witness_left_is_counted_apart() {
+    // What the witness tells of the dead life, in parts of what that held, and what counts as lost unwitnessed.
+    for (told, unwitnessed) in [(Some(2), 0), (None, 1)] {
+        let mut book = Book::default();
+        let first = dies(&mut book, 1, Vec::new());
+        let held = book.ledgers["bornova"].granted();
+        let tokens = told.map(|part| ("bornova".into(), held / part));
+        let witness = Witness { by: Incarnation::new("box-1", 1), term: 1 };
+        let untouched = Untouched { holder: first, witness, tokens: tokens.into_iter().collect() };
+        dies(&mut book, 2, vec![untouched]);
+        let ledger = &book.ledgers["bornova"];
+        assert!(ledger.lost > 0);
+        assert_eq!(ledger.unwitnessed, ledger.lost * unwitnessed, "{told:?}");
+    }
+}
+
 #[test]
 fn a_life_without_a_witness_leaves_nothing_to_ask_for() {
     let mut book = Book::default();
