The rest of one endpoint keeps its bound: a hundredth of what comes in 9 s

Now it is taken of the first 9 s, as it was. Passes at 1, 7, 75 and 300 boxes. The test of all endpoints is no easier by the length: refusals begin in the rest alone.

--- a/crates/balance/tests/rest.rs
+++ b/crates/balance/tests/rest.rs
@@ -306,7 +306,9 @@
 fn fleets_of_all_sizes_keep_the_rest_of_one_endpoint_and_come_back_bit_by_bit() {
     for boxes in [1, 7, 75, 300] {
         let model = play(boxes, THIRD, false, |_| 1);
-        assert!(model.refused * 100 < model.requests, "{boxes} boxes: {} refused", model.refused);
+        // A hundredth of what comes in the first 9 s, the rest among them.
+        let came = model.requests * 9_000 / LASTS as usize;
+        assert!(model.refused * 100 < came, "{boxes} boxes: {} refused", model.refused);
     }
 }
 
