--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -2,6 +2,8 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use soak::StopOrder;
+
 /// A soak run, with the cause of its failure if it failed before.
 struct Case {
     seed: u64,
@@ -68,8 +70,36 @@
     cause: "the box knew no other box",
 }];
 
+/// A box shuts down while the store is unreachable, and the store returns only after the box exited,
+/// shortly before all boxes are killed.
+const DELAYED_BY_STOP: [Case; 2] = [
+    Case {
+        seed: 222,
+        seconds: 15,
+        limits: true,
+        announcements: true,
+        cause: "the box waited for the store, the only box that received the bills was killed",
+    },
+    Case {
+        seed: 248,
+        seconds: 15,
+        limits: true,
+        announcements: true,
+        cause: "the box waited for the store, both boxes that received the bills were killed",
+    },
+];
+
+/// The same, but both boxes that received the bills are killed about a second later.
+const ALL_HOLDERS_KILLED: [Case; 1] = [Case {
+    seed: 432,
+    seconds: 15,
+    limits: true,
+    announcements: true,
+    cause: "two boxes waited for the store, all boxes that received the bills were killed",
+}];
+
 /// A box shuts down while the store is unreachable, and all boxes are killed at the end. The store
-/// must return before the run waits for the box, because the box waits for the store.
+/// returns while the box waits for it.
 const WAITING_FOR_STORE: [Case; 3] = [
     Case {
         seed: 222,
@@ -96,25 +126,35 @@
 
 #[tokio::test]
 async fn guarantees_hold_under_random_faults() {
-    run_cases(&CASES).await;
+    run_cases(&CASES, StopOrder::InLine).await;
 }
 
 #[tokio::test]
 async fn bills_survive_a_shutdown_without_the_store() {
-    run_cases(&BILLS_HANDED_OVER).await;
+    run_cases(&BILLS_HANDED_OVER, StopOrder::InLine).await;
 }
 
 #[tokio::test]
 async fn bills_survive_a_shutdown_without_known_peers() {
-    run_cases(&NO_KNOWN_PEERS).await;
+    run_cases(&NO_KNOWN_PEERS, StopOrder::InLine).await;
 }
 
 #[tokio::test]
 async fn bills_survive_a_shutdown_until_the_store_returns() {
-    run_cases(&WAITING_FOR_STORE).await;
+    run_cases(&WAITING_FOR_STORE, StopOrder::Concurrent).await;
+}
+
+#[tokio::test]
+async fn bills_survive_a_shutdown_that_other_changes_wait_for() {
+    run_cases(&DELAYED_BY_STOP, StopOrder::InLine).await;
+}
+
+#[tokio::test]
+async fn bills_survive_the_kill_of_all_boxes_that_received_them() {
+    run_cases(&ALL_HOLDERS_KILLED, StopOrder::InLine).await;
 }
 
-async fn run_cases(cases: &[Case]) {
+async fn run_cases(cases: &[Case], stops: StopOrder) {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
     for Case { seed, seconds, limits, announcements, cause } in cases {
         let options = soak::Options {
@@ -124,6 +164,7 @@
             length: Duration::from_secs(*seconds),
             limits: *limits,
             announcements: *announcements,
+            stops,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -34,6 +34,10 @@
     /// endpoints neither announce that they leave nor ask for back-offs
     #[argh(switch)]
     pub wordless: bool,
+
+    /// other faults do not wait for the exit of a box that stops
+    #[argh(switch)]
+    pub concurrent_stops: bool,
 }
 
 impl Options {
@@ -51,6 +55,10 @@
             length: Duration::from_secs(self.seconds),
             limits: !self.unlimited,
             announcements: !self.wordless,
+            stops: match self.concurrent_stops {
+                true => soak::StopOrder::Concurrent,
+                false => soak::StopOrder::InLine,
+            },
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,4 +17,4 @@
 
 mod run;
 
-pub use run::{Error, Options, Report, folder_beside, run};
+pub use run::{Error, Options, Report, StopOrder, folder_beside, run};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,6 +72,17 @@
     pub limits: bool,
     /// Whether endpoints announce that they leave, or ask for back-offs.
     pub announcements: bool,
+    /// What happens while a box stops.
+    pub stops: StopOrder,
+}
+
+/// What happens to faults that are due while a box stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopOrder {
+    /// They wait for the exit of the box, as in a rolling restart.
+    InLine,
+    /// They begin and end when they are due.
+    Concurrent,
 }
 
 /// Results of a run.
@@ -151,6 +162,7 @@
         version: 1,
         paid: INITIAL_PAID_TOKENS,
         has_late_route: false,
+        stops: options.stops,
         program: options.daemon.clone(),
         folder,
     };
@@ -193,6 +205,7 @@
     paid: u64,
     /// Whether the configuration has `Route::Late`.
     has_late_route: bool,
+    stops: StopOrder,
     program: PathBuf,
     folder: PathBuf,
 }
@@ -338,8 +351,8 @@
         Ok(Some(FaultEnd { kind: fault.kind, incarnation: None, until }))
     }
 
-    /// Undoes a fault; returns it if the daemon is still stopping. Does not wait for that daemon,
-    /// because the daemon may itself wait for the end of another fault.
+    /// Undoes a fault; returns it if the daemon is still stopping and other faults do not wait for
+    /// that.
     async fn undo(&mut self, end: FaultEnd) -> Result<Option<FaultEnd>, Error> {
         let platform = &self.shared.platform;
         match end.kind {
@@ -352,10 +365,14 @@
             Kind::Suspend { box_index } => self.signal(box_index, Signal::CONT)?,
             Kind::Kill { box_index } => self.start_if_down(box_index).await?,
             Kind::Stop { box_index } => {
+                let timeout = match self.stops {
+                    StopOrder::InLine => EXIT_TIMEOUT,
+                    StopOrder::Concurrent => Duration::ZERO,
+                };
                 if let Some(daemon) = &mut self.nodes[box_index].daemon
-                    && !daemon.wait_exit(Duration::ZERO).await
+                    && !daemon.wait_exit(timeout).await
                 {
-                    if Instant::now() < end.until {
+                    if self.stops == StopOrder::Concurrent && Instant::now() < end.until {
                         return Ok(Some(end));
                     }
                     // It may be suspended, so its planned stop cannot be checked.
