A box that stops without the store ends once others have its bills

A box stops while the store is away, hands its pages to two boxes after 0.6 s, and stands there until its grace of 6.0 s ends.

Cause: the stopping box waited for the store although nothing was left that only it could do; and having handed its pages over, it dropped them, so it was no copy either.

Now it keeps its pages while it runs, offers them to one box of each availability zone first, looks for a second receiver for 2.5 s once it has one, and ends when others have its pages and its witness knows that it uses no more tokens. Where no witness knows, it waits 2.5 s in all, since these tokens come back only through its last settlement. Receivers write such pages at the pace of a settlement in need, not with their next settlement (up to 3 s later).

Tests, failing before: a_box_ends_once_others_have_its_bills, handed_over_bills_do_not_wait_for_a_settlement; new: bills_are_offered_to_one_box_of_each_zone_first.

--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -284,6 +284,25 @@
         peers.into_iter().map(|(name, peer, _)| (name, peer)).collect()
     }
 
+    /// Reachable boxes that bills may be handed over to, in random order but with one of each
+    /// availability zone first, since boxes of one zone may die together.
+    pub fn bill_receivers(&self) -> Vec<Incarnation> {
+        let mut in_zone: HashMap<Arc<str>, usize> = HashMap::new();
+        let reachable = self.reachable();
+        let state = self.state.lock();
+        let mut ranked: Vec<(usize, Incarnation)> = reachable
+            .into_iter()
+            .filter_map(|(name, ..)| {
+                let count = in_zone.entry(state.known.get(&name)?.entry.zone.clone()).or_default();
+                *count += 1;
+                Some((*count, name))
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.truncate(MAX_RECIPIENTS);
+        ranked.into_iter().map(|(_, name)| name).collect()
+    }
+
     /// Some reachable boxes to publish a prompt to. Boxes in the same availability zone come first,
     /// since traffic between zones costs money; each box learns of as many prompts either way.
     pub fn prompt_recipients(&self) -> Vec<Incarnation> {
--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -28,8 +28,6 @@
 pub(super) const NOTIFY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of handing over a page of bills: some 200 KB over a slow link.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Boxes that bills are handed over to.
-const HAND_OVER_COPIES: usize = 2;
 
 /// What a witness reports of an incarnation that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -158,23 +156,12 @@
         }
     }
 
-    /// Hands over pages of bills to other boxes, which write them; returns those that accepted.
-    /// Each page goes to two boxes, since one may die before it reaches the store; the page is
-    /// stored once, whoever writes it first.
-    pub async fn hand_over_bills(&self, pages: &[BillPage]) -> Vec<Incarnation> {
-        let mut accepted = Vec::new();
-        for (name, peer) in self.some_reachable() {
-            let frame = Frame::HandOver { to: name.clone(), pages: pages.to_vec() };
-            if let Reply::Frame(Frame::Done) =
-                self.ask(&name, &peer, frame, HAND_OVER_TIMEOUT).await
-            {
-                accepted.push(name);
-            }
-            if accepted.len() >= HAND_OVER_COPIES {
-                break;
-            }
-        }
-        accepted
+    /// Hands over pages of bills to another box, which writes them; returns whether it accepted.
+    pub async fn hand_over_bills(&self, name: &Incarnation, pages: &[BillPage]) -> bool {
+        let Some(peer) = self.peer(name) else { return false };
+        let frame = Frame::HandOver { to: name.clone(), pages: pages.to_vec() };
+        let reply = self.ask(name, &peer, frame, HAND_OVER_TIMEOUT).await;
+        matches!(reply, Reply::Frame(Frame::Done))
     }
 
     /// Asks the witness of an incarnation that ended for its last promise, and to accept no more.
--- a/crates/gateway/src/fleet/promises.rs
+++ b/crates/gateway/src/fleet/promises.rs
@@ -8,6 +8,9 @@
 use ledger::{Incarnation, Promise};
 use parking_lot::Mutex;
 
+/// Number of the last promise of a box, before a planned stop.
+pub const LAST_PROMISE: u64 = u64::MAX;
+
 /// Promises of other boxes to this one.
 #[derive(Debug, Clone, Default)]
 pub struct Promises(Arc<Mutex<State>>);
--- a/crates/gateway/src/tokens/bills.rs
+++ b/crates/gateway/src/tokens/bills.rs
@@ -92,9 +92,26 @@
         state.open.len() + state.taken_over.len()
     }
 
+    /// Whether pages of other boxes wait to be written.
+    pub fn has_taken_over(&self) -> bool {
+        !self.0.lock().taken_over.is_empty()
+    }
+
     /// Takes over pages of a box that stops.
     pub fn take_over(&self, pages: Vec<BillPage>) {
-        self.0.lock().taken_over.extend(pages);
+        let mut state = self.0.lock();
+        for page in pages {
+            if !state.taken_over.iter().any(|known| known.name == page.name) {
+                state.taken_over.push(page);
+            }
+        }
+    }
+
+    /// Turns all that is not written into pages for other boxes, which stay here as well.
+    pub fn pages_for_others(&self) -> Vec<BillPage> {
+        let pages = self.hand_over();
+        self.take_over(pages.clone());
+        pages
     }
 
     /// Removes all that is not written, as pages for another box to write.
--- a/crates/gateway/src/tokens/mod.rs
+++ b/crates/gateway/src/tokens/mod.rs
@@ -6,7 +6,8 @@
 //! on to the boxes near them (`shares`) and borrow from each other while the store cannot grant any
 //! (`borrower`). `forecast` sizes what a box holds for an outage of the store. `witness` promises
 //! another box which tokens stay unused, and `claims` collects such promises of boxes that died.
-//! `bills` records what the tokens were charged for.
+//! `bills` records what the tokens were charged for, and `hand_over` passes bills on before a planned
+//! stop that the store does not see.
 
 pub mod acquirer;
 pub mod bills;
@@ -14,6 +15,7 @@
 pub mod claims;
 pub mod forecast;
 pub mod funds;
+pub mod hand_over;
 pub mod participation;
 pub mod rate;
 pub mod report;
--- a/crates/gateway/src/tokens/settle.rs
+++ b/crates/gateway/src/tokens/settle.rs
@@ -18,7 +18,7 @@
     outage::{Outage, Probe, Recovery},
     settings::{SETTLEMENT_BATCH_MS, Settings},
     tokens::{
-        acquirer::Acquirer, bills::Bills, claims, forecast::Forecast, funds::Funds,
+        acquirer::Acquirer, bills::Bills, claims, forecast::Forecast, funds::Funds, hand_over,
         participation::Participation, report, spacing, witness::Selector,
     },
 };
@@ -35,6 +35,9 @@
 /// Time for the store to accept the last settlement before other boxes are asked to write the
 /// bills. Longer than a slow call of the store.
 const HAND_OVER_DELAY: Duration = Duration::from_millis(600);
+/// Longest wait of a stopping box for the store if no witness knows which tokens it leaves unused,
+/// once other boxes have its bills. These tokens come back only through its last settlement.
+const UNWITNESSED_WAIT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the list of boxes before the first settlement; witnesses are looked up there.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Interval at which witnesses are asked that did not answer, or whose box was not known yet.
@@ -143,7 +146,7 @@
             while !self.setup.funds.is_urgent() && began.elapsed() < self.interval(spacing, settle)
             {
                 self.wait(spacing).await;
-                if self.collect().await {
+                if self.collect().await || self.setup.bills.has_taken_over() {
                     break;
                 }
             }
@@ -362,17 +365,30 @@
     /// Returns all tokens before a planned stop, until `until` at the latest.
     ///
     /// If the store does not accept them soon, other boxes help: the witness knows that no more
-    /// tokens are used, and the bills are handed over to another box, which writes them.
+    /// tokens are used, and the bills are handed over to boxes that write them. Once both is done,
+    /// nothing is left that only this box can do, and it does not wait for the store: a restart of
+    /// the next box, or what brings the store back, may wait for this one.
     pub async fn leave(&mut self, until: Instant) {
         let began = Instant::now();
-        let Setup { selector, funds, peers, acquirer, .. } = &self.setup;
+        let Setup { selector, funds, peers, acquirer, bills, .. } = &self.setup;
         acquirer.leave().await;
-        selector.promise_all(funds, peers).await;
+        let is_promised = selector.promise_all(funds, peers).await;
+        let (peers, bills) = (peers.clone(), bills.clone());
         let hand_over_at = until.min(Instant::now() + HAND_OVER_DELAY);
         let mut done = tokio::time::timeout_at(hand_over_at, self.leave_book()).await.is_ok();
         if !done {
-            self.hand_over().await;
-            done = tokio::time::timeout_at(until, self.leave_book()).await.is_ok();
+            let pages = bills.pages_for_others();
+            let helped = async {
+                hand_over::run(peers, pages).await;
+                if !is_promised {
+                    tokio::time::sleep_until(began + UNWITNESSED_WAIT).await;
+                }
+            };
+            tokio::select! {
+                () = self.leave_book() => done = true,
+                () = helped => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
         }
         tracing::info!(
             event = "funds_returned",
@@ -402,20 +418,4 @@
             entry::remove(&self.setup.store, &self.setup.holder, version).await;
         }
     }
-
-    async fn hand_over(&self) {
-        let pages = self.setup.bills.hand_over();
-        if pages.is_empty() {
-            return;
-        }
-        let count = pages.len();
-        let takers = self.setup.peers.hand_over_bills(&pages).await;
-        if takers.is_empty() {
-            tracing::warn!(event = "bills_not_handed_over", count);
-            self.setup.bills.take_over(pages);
-            return;
-        }
-        let to: Vec<&str> = takers.iter().map(Incarnation::as_str).collect();
-        tracing::info!(event = "bills_handed_over", to = to.join(","), count);
-    }
 }
--- a/crates/gateway/src/tokens/witness.rs
+++ b/crates/gateway/src/tokens/witness.rs
@@ -12,7 +12,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    fleet::peers::{Delivery, Peers},
+    fleet::{
+        peers::{Delivery, Peers},
+        promises::LAST_PROMISE,
+    },
     tokens::funds::Funds,
 };
 
@@ -20,9 +23,6 @@
 /// loop.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Number of the last promise, before a planned stop.
-const LAST_NUMBER: u64 = u64::MAX;
-
 /// Selects this box's witness.
 #[derive(Debug, Clone)]
 pub struct Selector {
@@ -72,15 +72,17 @@
         tracing::info!(event = "witness_lost", witness = witness.by.as_str());
     }
 
-    /// Promises to use no more tokens, before a planned stop. If the last settlement does not reach
-    /// the store, the next incarnation gets all of them back through the witness.
-    pub async fn promise_all(&self, funds: &Funds, peers: &Peers) {
-        let Some(witness) = self.named.borrow().clone() else { return };
+    /// Promises to use no more tokens, before a planned stop; returns whether the witness knows of
+    /// all of them. If the last settlement does not reach the store, the next incarnation gets them
+    /// back through the witness.
+    pub async fn promise_all(&self, funds: &Funds, peers: &Peers) -> bool {
         let tokens = funds.promise_all();
         let kept: u64 = tokens.values().sum();
-        let promise = Promise { term: witness.term, number: LAST_NUMBER, tokens };
+        let Some(witness) = self.named.borrow().clone() else { return kept == 0 };
+        let promise = Promise { term: witness.term, number: LAST_PROMISE, tokens };
         let outcome = peers.promise(&witness.by, promise).await;
         tracing::info!(event = "promised_all", witness = witness.by.as_str(), kept, outcome = ?outcome);
+        kept == 0 || outcome == Delivery::Taken
     }
 
     /// Whether another witness is to be named.
--- a/crates/gateway/tests/loopback/box_crash.rs
+++ b/crates/gateway/tests/loopback/box_crash.rs
@@ -7,11 +7,15 @@
 use ledger::Incarnation;
 use standin::ScriptedEndpoint;
 
-use crate::harness::{Harness, answer_ok, call, charged_tokens, wait_until, wait_until_served};
+use crate::harness::{
+    Harness, MAX_WAIT, answer_ok, call, charged_tokens, wait_until, wait_until_served,
+};
 
 const PAID: u64 = 1_000_000;
 /// Tokens that may be lost with one box: 3% of what is paid.
 const MAX_LOST: u64 = PAID * 3 / 100;
+/// Longest time of a planned stop, in milliseconds, which no test waits for.
+const UNREACHED_STOP_MS: u64 = 3_600_000;
 
 /// Two boxes that serve requests.
 struct Fleet {
@@ -168,6 +172,46 @@
     assert_eq!(count, 1, "{} is on {count} bills", req.id);
 }
 
+/// Guards against a box that stands there until the end of its grace, for which a restart of the
+/// next box or the return of the store may wait.
+#[tokio::test]
+async fn a_box_ends_once_others_have_its_bills() {
+    let harness = Harness::start(PAID, &["stream"]).await;
+    let _engine = harness.endpoint("i-1", "engines", answer_ok).await;
+    let one = harness.gateway_with_stop_time("box-1", UNREACHED_STOP_MS).await;
+    let others = [harness.gateway("box-2").await, harness.gateway("box-3").await];
+    wait_until_served(&harness, &one, "/stream/x").await;
+    wait_until("all know each other", async || {
+        one.peer_count() == 2 && others.iter().all(|other| other.peer_count() == 2)
+    })
+    .await;
+    let req = harness.new_request("key-b", 200, 10);
+    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    harness.platform.set(|faults| faults.down = true);
+    tokio::time::timeout(MAX_WAIT, one.stop()).await.expect("the box ends without the store");
+    let copies = others.iter().filter(|other| other.bills_waiting() > 0).count();
+    assert_eq!(copies, 2, "boxes that have its bills");
+    harness.platform.set(|faults| faults.down = false);
+    wait_until("its bill is written", async || harness.billed_keys().await.contains(&req.id)).await;
+}
+
+/// Guards against bills that are lost with their receivers although the store is back: a box that has
+/// nothing to settle writes them as soon as it reaches the store.
+#[tokio::test]
+async fn handed_over_bills_do_not_wait_for_a_settlement() {
+    let harness = Harness::start(PAID, &["stream"]).await;
+    let _engine = harness.endpoint("i-1", "engines", answer_ok).await;
+    let (one, link) = harness.gateway_with_link("box-1").await;
+    let two = harness.gateway_with_rare_settlements("box-2").await;
+    wait_until_served(&harness, &one, "/stream/x").await;
+    wait_until("both know each other", async || one.peer_count() + two.peer_count() == 2).await;
+    let req = harness.new_request("key-b", 200, 10);
+    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    link.set_cut(true);
+    one.stop().await;
+    wait_until("its bill is written", async || harness.billed_keys().await.contains(&req.id)).await;
+}
+
 /// The box that took the bills over is killed before it has written them.
 #[tokio::test]
 async fn handed_over_bills_survive_a_crash_of_the_recipient() {
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -176,6 +176,20 @@
         self.spawn_gateway(settings).await
     }
 
+    /// Starts a gateway whose planned stop may take `stop_ms`.
+    pub async fn gateway_with_stop_time(&self, name: &str, stop_ms: u64) -> Gateway {
+        let mut settings = settings(name, self.platform.socket());
+        settings.limits.stop_ms = stop_ms;
+        self.spawn_gateway(settings).await
+    }
+
+    /// Starts a gateway that settles only what a request waits for.
+    pub async fn gateway_with_rare_settlements(&self, name: &str) -> Gateway {
+        let mut settings = settings(name, self.platform.socket());
+        settings.money.settle_ms = 3_600_000;
+        self.spawn_gateway(settings).await
+    }
+
     /// Starts a gateway with a manual clock and a link to the store that can be cut.
     pub async fn gateway_with_clock(&self, name: &str) -> (Gateway, Link, Clock) {
         let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,6 +1,6 @@
-//! Which peers a box announces prompts to.
+//! Which peers a box announces prompts to, and which it hands bills over to.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use gateway::{Entry, Peers, Profile};
 use ledger::Incarnation;
@@ -29,3 +29,18 @@
         );
     }
 }
+
+/// Guards against a loss of bills with one availability zone.
+#[test]
+fn bills_are_offered_to_one_box_of_each_zone_first() {
+    let me = Profile { incarnation: Incarnation::new("z1-me", 7), zone: "z1".into(), capacity: 1 };
+    for seed in 0..20 {
+        let peers = Peers::open(me.clone(), None, seed);
+        let near = (0..9).map(|n| entry(n, "z1"));
+        let far = [entry(100, "z2"), entry(200, "z3")];
+        peers.update(near.chain(far).map(|entry| (entry, 1)).collect(), 1);
+        let first = peers.bill_receivers();
+        let zones: BTreeSet<&str> = first.iter().take(3).map(|name| &name.as_str()[..2]).collect();
+        assert_eq!((zones.len(), first.len()), (3, 11), "seed {seed}: {first:?}");
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -137,6 +137,8 @@
     interrupted: BTreeSet<Incarnation>,
     left: BTreeMap<Arc<str>, Instant>,
     disturbances: Vec<Disturbance>,
+    /// Faults begun and ended, a line each.
+    steps: String,
 }
 
 /// Runs the soak test with one seed.
@@ -274,6 +276,7 @@
         while let Some(next) = (0..due.len()).min_by_key(|index| due[*index].0) {
             let (due_at, step) = due.swap_remove(next);
             tokio::time::sleep_until(due_at).await;
+            self.log_step(&step, started, due_at);
             match step {
                 Step::Begin(fault) => {
                     let end = self.begin(fault).await?;
@@ -291,6 +294,17 @@
         Ok(())
     }
 
+    /// Notes a step: when it was due and when it began, since the start of the load.
+    fn log_step(&mut self, step: &Step, started: Instant, due_at: Instant) {
+        let (name, kind) = match step {
+            Step::Begin(fault) => ("begin", fault.kind),
+            Step::End(end) => ("end", end.kind),
+        };
+        let (due, now) = (due_at - started, started.elapsed());
+        let line = format!("due {due:.3?}, at {now:.3?}: {name} {kind:?}\n");
+        self.history.steps.push_str(&line);
+    }
+
     fn incarnation(&self, box_index: usize) -> Incarnation {
         Incarnation { box_index, number: self.nodes[box_index].starts }
     }
@@ -462,7 +476,8 @@
                 self.history.interrupted.insert(incarnation);
             }
         }
-        Ok(())
+        let steps = self.folder.join("faults.log");
+        std::fs::write(&steps, &self.history.steps).context(FileSnafu { path: &steps })
     }
 
     async fn report(&self, faults: usize) -> Report {
