A stopping witness waits until it was asked for the tokens of boxes that ended before it

What callers saw: refusals for lack of tokens after a rolling restart in an outage.

Cause, from the boxes' lines: front-bornova-1 ended by plan without the store and had promised its witness front-buca-1 that 797,771 tokens stay unused. The witness stopped by plan 5 s later and ended at 18.712 s, once the store was back; the next incarnation asked it at 18.797 s, got no answer, and later 'nothing'. Only the witness knew.

Now a stopping witness reads the book if it holds the last promise of a box that ended, and while the book still relies on that promise waits to be asked, within its grace.

Test, failing before (the claim stays open): a_stopping_witness_waits_for_the_claims_of_boxes_that_ended.

--- a/crates/gateway/src/fleet/promises.rs
+++ b/crates/gateway/src/fleet/promises.rs
@@ -73,6 +73,17 @@
         (record.promise.term == term).then(|| record.promise.tokens.clone())
     }
 
+    /// Incarnations that ended by plan and whose tokens nobody has asked for yet.
+    pub fn unclaimed(&self) -> Vec<Incarnation> {
+        let state = self.0.lock();
+        let unclaimed = state.promises.iter().filter(|(_, record)| {
+            !record.sealed
+                && record.promise.number == LAST_PROMISE
+                && record.promise.tokens.values().any(|tokens| *tokens > 0)
+        });
+        unclaimed.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Forgets incarnations that are not listed any more.
     pub fn retain(&self, is_listed: impl Fn(&Incarnation) -> bool) {
         self.0.lock().promises.retain(|name, _| is_listed(name));
--- a/crates/gateway/src/tokens/settle.rs
+++ b/crates/gateway/src/tokens/settle.rs
@@ -35,6 +35,8 @@
 /// Time for the store to accept the last settlement before other boxes are asked to write the
 /// bills. Longer than a slow call of the store.
 const HAND_OVER_DELAY: Duration = Duration::from_millis(600);
+/// Interval at which a stopping witness checks whether it was asked for the promises it holds.
+const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait of a stopping box for the store if no witness knows which tokens it leaves unused,
 /// once other boxes have its bills. These tokens come back only through its last settlement.
 const UNWITNESSED_WAIT: Duration = Duration::from_millis(2_500);
@@ -390,6 +392,9 @@
                 () = tokio::time::sleep_until(until) => {}
             }
         }
+        if done {
+            let _ = tokio::time::timeout_at(until, self.await_claims()).await;
+        }
         tracing::info!(
             event = "funds_returned",
             done,
@@ -398,6 +403,23 @@
         );
     }
 
+    /// Waits until all tokens of boxes that ended before this one, and to which it is the witness,
+    /// were asked for: nobody else knows that they are unused.
+    async fn await_claims(&mut self) {
+        if self.setup.peers.promises.unclaimed().is_empty() {
+            return;
+        }
+        let book = match self.read().await {
+            Ok((book, _)) => book,
+            Err(fault) => return tracing::warn!(event = "claims_not_awaited", %fault),
+        };
+        let Setup { peers, holder, .. } = &self.setup;
+        let relies = |name: &Incarnation| book.relies_on(holder, name);
+        while peers.promises.unclaimed().iter().any(relies) {
+            tokio::time::sleep(CLAIM_POLL_INTERVAL).await;
+        }
+    }
+
     /// Writes everything that is left. Cancel safe: the next call resumes it.
     async fn leave_book(&mut self) {
         self.setup.bills.write(&self.setup.store, true).await;
--- a/crates/gateway/tests/loopback/box_crash.rs
+++ b/crates/gateway/tests/loopback/box_crash.rs
@@ -14,6 +14,8 @@
 const PAID: u64 = 1_000_000;
 /// Tokens that may be lost with one box: 3% of what is paid.
 const MAX_LOST: u64 = PAID * 3 / 100;
+/// Time in which a box that waits for nothing ends by plan.
+const TIME_TO_STOP: Duration = Duration::from_millis(1_000);
 /// Longest time of a planned stop, in milliseconds, which no test waits for.
 const UNREACHED_STOP_MS: u64 = 3_600_000;
 
@@ -121,6 +123,25 @@
     drop(two);
 }
 
+/// Guards against tokens that are lost with a witness that stops by plan before the next incarnation
+/// of a box that stopped without the store has asked it.
+#[tokio::test]
+async fn a_stopping_witness_waits_for_the_claims_of_boxes_that_ended() {
+    let Fleet { harness, one, two, _endpoints } = Fleet::start().await;
+    wait_until_most_is_promised(&harness, &one).await;
+    harness.platform.set(|faults| faults.down = true);
+    let first = one.incarnation().clone();
+    one.stop().await;
+    harness.platform.set(|faults| faults.down = false);
+    let stopping = tokio::spawn(two.stop());
+    tokio::time::sleep(TIME_TO_STOP).await;
+    let restarted = harness.gateway("box-1").await;
+    wait_until_replaced(&harness, &first, &restarted).await;
+    let lost = harness.book().await.ledgers["bornova"].lost;
+    assert!(lost < MAX_LOST, "{lost} of {PAID} tokens lost");
+    stopping.await.expect("the witness ends");
+}
+
 #[tokio::test]
 async fn tokens_of_boxes_that_crash_together_count_as_spent() {
     let harness = Harness::start(PAID, &["stream"]).await;
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -271,6 +271,13 @@
         self.writers.keys().chain(self.claims.keys()).any(|name| is_earlier(name, holder))
     }
 
+    /// Whether the tokens of `holder` can only come back through the witness `by`.
+    pub fn relies_on(&self, by: &Incarnation, holder: &Incarnation) -> bool {
+        let claimed = self.claims.get(holder).map(|claim| &claim.witness);
+        let writer = self.writers.get(holder).and_then(|writer| writer.witness.as_ref());
+        claimed.or(writer).is_some_and(|witness| witness.by == *by)
+    }
+
     /// Returns the earlier incarnations of the box of `holder` whose witnesses are to be asked:
     /// those that are still listed as writers, and those with open claims.
     pub fn earlier_claims(&self, holder: &Incarnation) -> Vec<(Incarnation, Claim)> {
