Right after an outage a box draws for a quarter of a second of use

A settlement that ends an outage, and the next one that follows at once, held a second of use, and in addition each box's share of one large request of each customer: for hupu600 at front-bornova-1 9,914 tokens where it had no use at all.

Ruled out: claims (each witness had died with all others), a settlement in flight, requests that had used them (1,244).

Now a box holds a quarter of a second of use right after an outage, as the store is in reach, and the share of a large request grows over the first second as well.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -366,7 +366,7 @@
         ledger::Policy {
             offline_share: self.money.share,
             online_horizon: 0,
-            offline_horizon: self.money.horizon_s,
+            offline_horizon: Duration::from_secs(self.money.horizon_s),
             boxes: 1,
             scarcity_permille: SCARCITY_PERMILLE,
         }
--- a/crates/gateway/src/tokens/forecast.rs
+++ b/crates/gateway/src/tokens/forecast.rs
@@ -95,6 +95,6 @@
             Some(_) => Duration::ZERO,
             None => now.saturating_duration_since(self.reachable_since),
         };
-        policy.reachable_for(reachable.as_secs())
+        policy.reachable_for(reachable)
     }
 }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -416,8 +416,8 @@
 fn target(unspent: u64, paid: u64, share_permille: u64, observed: Observed, policy: Policy) -> u64 {
     let scarcity_limit = (paid * policy.scarcity_permille / 1_000).max(1);
     let share = unspent * share_permille / 1_000 * unspent.min(scarcity_limit) / scarcity_limit;
-    let large = observed.peak / policy.boxes.max(1);
-    share.min(observed.rate * policy.offline_horizon + large)
+    let large = policy.soon_after_outage(observed.peak / policy.boxes.max(1));
+    share.min(policy.offline_use(observed.rate) + large)
 }
 
 /// Reduces a target if boxes have died with tokens of the budget and no witness was left.
--- a/crates/ledger/src/sizing.rs
+++ b/crates/ledger/src/sizing.rs
@@ -4,6 +4,8 @@
 //! holder dies, so the only reason to hold more is to save ledger writes. The offline part serves
 //! requests during a partition and is stranded by a crash; its size is the operator's choice.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// What an operator prefers while the platform is unreachable.
@@ -37,8 +39,8 @@
     pub offline_share: u64,
     /// Seconds of use that the online part covers.
     pub online_horizon: u64,
-    /// Seconds of use that the offline part covers at most.
-    pub offline_horizon: u64,
+    /// Time of use that the offline part covers at most.
+    pub offline_horizon: Duration,
     /// Number of boxes that may hold a part.
     pub boxes: u64,
     /// Part of the paid amount, in thousandths, below which the offline part shrinks with what is
@@ -53,10 +55,22 @@
 /// Low, so that only the last tokens are not hoarded.
 const SCARCITY_PERMILLE_AFTER_OUTAGE: u64 = 100;
 
-/// Seconds of use that a box holds right after the platform has become reachable again.
-const MIN_HORIZON_S: u64 = 1;
+/// Time of use that a box holds right after the platform has become reachable again: that of a few
+/// writes, as what a box was just granted is lost if all boxes die now.
+const MIN_HORIZON: Duration = Duration::from_millis(250);
 
 impl Policy {
+    /// Tokens used within the offline horizon.
+    pub fn offline_use(self, rate: u64) -> u64 {
+        (u128::from(rate) * self.offline_horizon.as_millis() / 1_000) as u64
+    }
+
+    /// Reduces an amount in the first second after an outage.
+    pub fn soon_after_outage(self, tokens: u64) -> u64 {
+        let part = self.offline_horizon.min(Duration::from_secs(1));
+        (u128::from(tokens) * part.as_millis() / 1_000) as u64
+    }
+
     /// Returns the policy after a recent outage, which makes another one likely.
     pub fn after_outage(self) -> Policy {
         Policy {
@@ -73,13 +87,13 @@
         Policy { offline_share: 0, ..self }
     }
 
-    /// Returns the policy of a box that has reached the platform for this many seconds: it holds
-    /// tokens for an outage of the same length, up to the horizon.
+    /// Returns the policy of a box that has reached the platform for this time: it holds tokens for
+    /// an outage of the same length, up to the horizon.
     ///
     /// Failures come in series, so a box is most likely to die shortly after an outage, and with it
     /// all tokens that it was just granted.
-    pub fn reachable_for(self, seconds: u64) -> Policy {
-        Policy { offline_horizon: self.offline_horizon.min(seconds + MIN_HORIZON_S), ..self }
+    pub fn reachable_for(self, time: Duration) -> Policy {
+        Policy { offline_horizon: self.offline_horizon.min(time + MIN_HORIZON), ..self }
     }
 }
 
@@ -112,7 +126,7 @@
     let wanted_online = observed.rate * policy.online_horizon;
     let online = wanted_online.max(observed.largest * 4).min(even_share);
     let share = observed.unspent * policy.offline_share / 1_000 / boxes;
-    let wanted_offline = (observed.rate * policy.offline_horizon).max(observed.peak * 8);
+    let wanted_offline = policy.offline_use(observed.rate).max(observed.peak * 8);
     Target { online, offline: share.min(wanted_offline) }
 }
 
@@ -126,7 +140,7 @@
             let policy = Policy {
                 offline_share: prefer.offline_share(),
                 online_horizon: 10,
-                offline_horizon: 7_200,
+                offline_horizon: Duration::from_secs(7_200),
                 boxes,
                 scarcity_permille: 0,
             };
@@ -142,7 +156,7 @@
         let policy = Policy {
             offline_share: 0,
             online_horizon: 10,
-            offline_horizon: 7_200,
+            offline_horizon: Duration::from_secs(7_200),
             boxes: 8,
             scarcity_permille: 0,
         };
--- a/crates/session/src/funds.rs
+++ b/crates/session/src/funds.rs
@@ -412,7 +412,7 @@
         let policy = Policy {
             offline_share: share,
             online_horizon: options.online_horizon,
-            offline_horizon: options.offline_horizon,
+            offline_horizon: Duration::from_secs(options.offline_horizon),
             boxes: options.boxes,
             scarcity_permille: 0,
         };
