Before the first outage boxes hold a third of what is left, but three seconds of use

After 20 s of a calm store all boxes died and took 1,260,554 of 13,019,492 tokens, 986,976 of them kept for an outage; a customer with 15 s of use left lost 646,206 of its 1,382,682.

Cause: what may be held fell with what is left of the paid amount, not with what is left of its time: 10 s of use are kept of a budget that ends in 15 s.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -124,6 +124,9 @@
 /// Unspent part of what was paid, in thousandths, below which the share that boxes may hold shrinks
 /// along with it. Applies as long as no outage has been seen.
 const SCARCITY_PERMILLE: u64 = 500;
+/// Part of what is unspent, in thousandths, that all boxes hold by their use as long as no outage
+/// has been seen.
+const USE_PERMILLE: u64 = 350;
 
 /// How much of each budget a box holds, to serve requests without the store.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -369,6 +372,7 @@
             offline_horizon: Duration::from_secs(self.money.horizon_s),
             boxes: 1,
             scarcity_permille: SCARCITY_PERMILLE,
+            use_permille: USE_PERMILLE,
         }
     }
 }
--- a/crates/gateway/tests/forecast.rs
+++ b/crates/gateway/tests/forecast.rs
@@ -15,6 +15,7 @@
     offline_horizon: Duration::from_secs(10),
     boxes: 1,
     scarcity_permille: 500,
+    use_permille: 350,
 };
 
 /// Share of the remaining tokens that all boxes may hold, in thousandths: without a recent outage, and after one.
--- a/crates/gateway/tests/funds.rs
+++ b/crates/gateway/tests/funds.rs
@@ -13,6 +13,7 @@
     offline_horizon: Duration::from_secs(10),
     boxes: 1,
     scarcity_permille: 500,
+    use_permille: 350,
 };
 
 /// One box with a book of its own.
--- a/crates/gateway/tests/tokens.rs
+++ b/crates/gateway/tests/tokens.rs
@@ -27,6 +27,7 @@
     offline_horizon: Duration::from_secs(10),
     boxes: 1,
     scarcity_permille: 500,
+    use_permille: 350,
 };
 
 /// Fault that a variant of the model has.
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -374,8 +374,10 @@
     ledger.charge(holder, item.charged, item.requests);
     ledger.count_lost(holder, item.lost);
     let unspent = ledger.paid_wanted.saturating_sub(ledger.spent);
-    let share = share_permille(ledger, holder, item, policy);
-    let target = target(unspent, ledger.paid_wanted, share, item.observed, policy);
+    let fleet_rate = fleet_rate(ledger, holder, item);
+    let share = share_permille(fleet_rate, item.observed.rate, policy);
+    let by_use = by_use(unspent, fleet_rate, item.observed.rate, policy);
+    let target = target(unspent, ledger.paid_wanted, share, by_use, item.observed, policy);
     let target = reduce_after_losses(target, ledger);
     let left = (ledger.left() + item.returned).min(unspent);
     // If the rest does not cover the waiting requests, it is left for smaller ones on any box.
@@ -413,11 +415,30 @@
 /// policy, and its share of one large request, as boxes lend to each other. Limited to its share of
 /// what is unspent, and less than that if little of the budget is left: tokens that were not used
 /// in an outage can be used after it, but those that a box held when it died cannot.
-fn target(unspent: u64, paid: u64, share_permille: u64, observed: Observed, policy: Policy) -> u64 {
+fn target(
+    unspent: u64,
+    paid: u64,
+    share_permille: u64,
+    by_use: u64,
+    observed: Observed,
+    policy: Policy,
+) -> u64 {
     let scarcity_limit = (paid * policy.scarcity_permille / 1_000).max(1);
     let share = unspent * share_permille / 1_000 * unspent.min(scarcity_limit) / scarcity_limit;
     let large = policy.soon_after_outage(observed.peak / policy.boxes.max(1));
-    share.min(policy.offline_use(observed.rate) + large)
+    share.min(by_use + large)
+}
+
+/// Shortest outage that a box holds tokens for while the platform is reachable, however soon the
+/// budget ends, in seconds of use.
+const MIN_USE_S: u64 = 3;
+
+/// Returns the tokens that a box holds for its use in an outage. If the budget ends soon, most of
+/// it is left in the book: what boxes held when all of them died is missing at once then.
+fn by_use(unspent: u64, fleet_rate: u64, rate: u64, policy: Policy) -> u64 {
+    let part = u128::from(unspent) * u128::from(policy.use_permille) / 1_000;
+    let part_by_use = (part * u128::from(rate) / u128::from(fleet_rate.max(1))) as u64;
+    policy.offline_use(rate).min(part_by_use.max(rate * MIN_USE_S))
 }
 
 /// Reduces a target if boxes have died with tokens of the budget and no witness was left.
@@ -439,16 +460,20 @@
 
 /// Returns a box's share of what is unspent, in thousandths. Part of what all boxes may hold is
 /// split evenly, the rest by use.
-fn share_permille(ledger: &Ledger, holder: &Incarnation, item: &Item, policy: Policy) -> u64 {
-    let others = ledger.grants.iter().filter(|(name, _)| *name != holder);
-    let used: u64 = others.map(|(_, grant)| grant.rate).sum::<u64>() + item.observed.rate;
+fn share_permille(fleet_rate: u64, rate: u64, policy: Policy) -> u64 {
     let even = policy.offline_share / policy.boxes.max(1);
-    match used {
+    match fleet_rate {
         0 => even,
-        used => {
+        fleet_rate => {
             (even * EVEN_SHARE_PERMILLE
-                + policy.offline_share * item.observed.rate / used * (1_000 - EVEN_SHARE_PERMILLE))
+                + policy.offline_share * rate / fleet_rate * (1_000 - EVEN_SHARE_PERMILLE))
                 / 1_000
         }
     }
 }
+
+/// Tokens per second that all boxes use.
+fn fleet_rate(ledger: &Ledger, holder: &Incarnation, item: &Item) -> u64 {
+    let others = ledger.grants.iter().filter(|(name, _)| *name != holder);
+    others.map(|(_, grant)| grant.rate).sum::<u64>() + item.observed.rate
+}
--- a/crates/ledger/src/sizing.rs
+++ b/crates/ledger/src/sizing.rs
@@ -46,6 +46,8 @@
     /// Part of the paid amount, in thousandths, below which the offline part shrinks with what is
     /// unspent.
     pub scarcity_permille: u64,
+    /// Part of what is unspent, in thousandths, that all boxes hold by their use.
+    pub use_permille: u64,
 }
 
 /// Offline part after an outage, in thousandths. Nearly all: what is held is also bounded by
@@ -54,6 +56,8 @@
 /// Part of the paid amount, in thousandths, below which the offline part shrinks after an outage.
 /// Low, so that only the last tokens are not hoarded.
 const SCARCITY_PERMILLE_AFTER_OUTAGE: u64 = 100;
+/// Part of what is unspent that all boxes hold by their use after an outage, in thousandths.
+const USE_PERMILLE_AFTER_OUTAGE: u64 = 1_000;
 
 /// Time of use that a box holds right after the platform has become reachable again: that of a few
 /// writes, as what a box was just granted is lost if all boxes die now.
@@ -76,6 +80,7 @@
         Policy {
             offline_share: self.offline_share.max(SHARE_PERMILLE_AFTER_OUTAGE),
             scarcity_permille: self.scarcity_permille.min(SCARCITY_PERMILLE_AFTER_OUTAGE),
+            use_permille: self.use_permille.max(USE_PERMILLE_AFTER_OUTAGE),
             ..self
         }
     }
@@ -143,6 +148,7 @@
                 offline_horizon: Duration::from_secs(7_200),
                 boxes,
                 scarcity_permille: 0,
+                use_permille: 1_000,
             };
             let observed =
                 Observed { rate: 1_000_000, largest: 5_000, peak: 5_000, unspent: 1_000_000 };
@@ -159,6 +165,7 @@
             offline_horizon: Duration::from_secs(7_200),
             boxes: 8,
             scarcity_permille: 0,
+            use_permille: 1_000,
         };
         let observed = Observed { rate: 100, largest: 500, peak: 500, unspent: 800 };
         assert_eq!(target(policy, observed).online, 50);
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -14,6 +14,7 @@
     offline_horizon: Duration::from_secs(10),
     boxes: 1,
     scarcity_permille: 500,
+    use_permille: 350,
 };
 
 fn settle(book: &mut Book, name: usize, write: u64) -> Granted {
@@ -95,6 +96,18 @@
     assert!(held <= unspent / 5, "{held} of {unspent}");
 }
 
+/// Guards against a death of all boxes that takes most of a budget which would soon have ended.
+#[test]
+fn box_leaves_most_of_a_budget_that_ends_soon_in_the_book() {
+    let policy = Policy { offline_share: 600, ..POLICY };
+    for (seconds_left, most) in [(60, PAID / 2 / 6), (20, PAID / 2 * 35 / 100)] {
+        let held = held(PAID / 2, PAID / 2 / seconds_left, policy);
+        assert!(held <= most + LARGEST, "{held} of {} for {seconds_left} s", PAID / 2);
+    }
+    let before_the_end = held(PAID / 2, PAID / 4, policy);
+    assert!(before_the_end >= PAID / 4, "{before_the_end} for the last 2 s");
+}
+
 /// Guards against a death of all boxes right after an outage: what they drew at its end is lost.
 #[test]
 fn box_holds_next_to_nothing_right_after_an_outage() {
--- a/crates/session/src/funds.rs
+++ b/crates/session/src/funds.rs
@@ -415,6 +415,7 @@
             offline_horizon: Duration::from_secs(options.offline_horizon),
             boxes: options.boxes,
             scarcity_permille: 0,
+            use_permille: 1_000,
         };
         let unspent = next.paid.saturating_sub(next.spent);
         target(policy, Observed { rate, largest, peak, unspent })
