--- a/crates/gateway/tests/loopback/box_crash.rs
+++ b/crates/gateway/tests/loopback/box_crash.rs
@@ -5,6 +5,7 @@
 use gateway::Gateway;
 use http::StatusCode;
 use ledger::Incarnation;
+use platform::fixtures::CallerHead;
 use standin::ScriptedEndpoint;
 
 use crate::harness::{
@@ -42,6 +43,20 @@
     }
 }
 
+/// Sends a request that a box serves and bills.
+async fn serve_request(harness: &Harness, gateway: &Gateway) -> CallerHead {
+    let req = harness.new_request("key-b", 200, 10);
+    assert!(call(gateway.callers(), "/stream/x", &req).await.status.is_success());
+    req
+}
+
+/// Checks that a request is billed once.
+async fn assert_billed_once(harness: &Harness, req: &CallerHead) {
+    let keys = harness.billed_keys().await;
+    let count = keys.iter().filter(|key| **key == req.id).count();
+    assert_eq!(count, 1, "{} is on {count} bills", req.id);
+}
+
 /// Waits until a box holds many tokens and has promised its witness to keep most of them.
 async fn wait_until_most_is_promised(harness: &Harness, gateway: &Gateway) {
     wait_until("the box holds many tokens and keeps most of them", async || {
@@ -182,15 +197,12 @@
     let two = harness.gateway("box-2").await;
     wait_until_served(&harness, &one, "/stream/x").await;
     wait_until("both know each other", async || one.peer_count() + two.peer_count() == 2).await;
-    let req = harness.new_request("key-b", 200, 10);
-    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    let req = serve_request(&harness, &one).await;
     link.set_cut(true);
     one.stop().await;
     // The other box writes them together with its own when it stops.
     two.stop().await;
-    let keys = harness.billed_keys().await;
-    let count = keys.iter().filter(|key| **key == req.id).count();
-    assert_eq!(count, 1, "{} is on {count} bills", req.id);
+    assert_billed_once(&harness, &req).await;
 }
 
 /// Guards against a box that stands there until the end of its grace, for which a restart of the
@@ -206,8 +218,7 @@
         one.peer_count() == 2 && others.iter().all(|other| other.peer_count() == 2)
     })
     .await;
-    let req = harness.new_request("key-b", 200, 10);
-    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    let req = serve_request(&harness, &one).await;
     harness.platform.set(|faults| faults.down = true);
     tokio::time::timeout(MAX_WAIT, one.stop()).await.expect("the box ends without the store");
     let copies = others.iter().filter(|other| other.bills_waiting() > 0).count();
@@ -226,8 +237,7 @@
     let two = harness.gateway_with_rare_settlements("box-2").await;
     wait_until_served(&harness, &one, "/stream/x").await;
     wait_until("both know each other", async || one.peer_count() + two.peer_count() == 2).await;
-    let req = harness.new_request("key-b", 200, 10);
-    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    let req = serve_request(&harness, &one).await;
     link.set_cut(true);
     one.stop().await;
     wait_until("its bill is written", async || harness.billed_keys().await.contains(&req.id)).await;
@@ -245,8 +255,7 @@
         one.peer_count() == 2 && others.iter().all(|other| other.peer_count() == 2)
     })
     .await;
-    let req = harness.new_request("key-b", 200, 10);
-    assert!(call(one.callers(), "/stream/x", &req).await.status.is_success());
+    let req = serve_request(&harness, &one).await;
     link.set_cut(true);
     harness.platform.set(|faults| faults.down = true);
     one.stop().await;
@@ -257,9 +266,7 @@
     drop(others.remove(recipient));
     harness.platform.set(|faults| faults.down = false);
     others.remove(0).stop().await;
-    let keys = harness.billed_keys().await;
-    let count = keys.iter().filter(|key| **key == req.id).count();
-    assert_eq!(count, 1, "{} is on {count} bills", req.id);
+    assert_billed_once(&harness, &req).await;
 }
 
 /// A box starts while the others are cut off from the store, and stops while it is cut off itself.
@@ -284,9 +291,7 @@
     link_two.set_cut(false);
     one.stop().await;
     two.stop().await;
-    let keys = harness.billed_keys().await;
-    let count = keys.iter().filter(|key| **key == req.id).count();
-    assert_eq!(count, 1, "{} is on {count} bills", req.id);
+    assert_billed_once(&harness, &req).await;
 }
 
 /// A box is cut off from the store before it could read the entry of the only other box.
