--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -144,7 +144,12 @@
 /// Runs the soak test with one seed.
 pub async fn run(seed: u64, options: &Options) -> Result<Report, Error> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let folder = options.folder.join(format!("seed-{seed}"));
+    // Runs of one seed in both orders may overlap, and each has settings and logs of its own.
+    let name = match options.stops {
+        StopOrder::InLine => format!("seed-{seed}"),
+        StopOrder::Concurrent => format!("seed-{seed}-concurrent"),
+    };
+    let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
     let runs = Runs::default();
