Lists of endpoints and boxes cost their size, not its square

Cause: each change of the endpoints or of the boxes hands over the whole list, and both were matched with what is known by a search for each entry: Pool::update through a list that swap_remove had disordered, Peers::update twice through all known boxes. Endpoints by name were searched too, and keepers and watchers were ranked anew at each question, twice a second and more. Ruled out: the choice of an endpoint (1.5 ms at 10,000, once a second and box). Change: known entries are found by their name; the roles are chosen once for each state of the list of boxes.

--- a/crates/balance/src/pool/mod.rs
+++ b/crates/balance/src/pool/mod.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct Pool {
     endpoints: Vec<Endpoint>,
+    /// Positions in `endpoints` by name.
+    positions: HashMap<Arc<str>, usize>,
     prefixes: PrefixIndex,
     weights: Weights,
     zone: Arc<str>,
@@ -50,6 +52,7 @@
         let prefixes = PrefixIndex::new(MAX_PREFIX_BLOCKS);
         Pool {
             endpoints: Vec::new(),
+            positions: HashMap::new(),
             prefixes,
             weights,
             zone,
@@ -66,23 +69,23 @@
     /// state.
     pub fn update(&mut self, list: impl IntoIterator<Item = (Arc<str>, Arc<str>)>, now: u64) {
         let warm = self.endpoints.is_empty();
-        let mut known = std::mem::take(&mut self.endpoints);
+        let known = std::mem::take(&mut self.endpoints);
+        let mut known: Vec<Option<Endpoint>> = known.into_iter().map(Some).collect();
+        let previous = std::mem::take(&mut self.positions);
         for (name, zone) in list {
-            let at = known.iter().position(|endpoint| endpoint.name == name);
-            let endpoint = match at {
-                Some(at) => known.swap_remove(at),
-                None => {
-                    let back_off = self.back_offs.remove(&name).unwrap_or_default();
-                    let mut endpoint = Endpoint::new(name, zone, now, warm);
-                    endpoint.back_off = back_off;
-                    endpoint
-                }
-            };
+            let kept = previous.get(&name).and_then(|position| known[*position].take());
+            let endpoint = kept.unwrap_or_else(|| {
+                let back_off = self.back_offs.remove(&name).unwrap_or_default();
+                let mut endpoint = Endpoint::new(name.clone(), zone, now, warm);
+                endpoint.back_off = back_off;
+                endpoint
+            });
+            self.positions.insert(name, self.endpoints.len());
             self.endpoints.push(endpoint);
         }
         self.back_offs.retain(|_, back_off| back_off.remaining_ms(now) > 0);
         let active_back_offs =
-            known.into_iter().filter(|endpoint| endpoint.back_off.remaining_ms(now) > 0);
+            known.into_iter().flatten().filter(|endpoint| endpoint.back_off.remaining_ms(now) > 0);
         self.back_offs.extend(
             active_back_offs.take(MAX_BACK_OFFS).map(|endpoint| (endpoint.name, endpoint.back_off)),
         );
@@ -92,11 +95,11 @@
     }
 
     pub fn get(&self, name: &str) -> Option<&Endpoint> {
-        self.endpoints.iter().find(|endpoint| &*endpoint.name == name)
+        self.endpoints.get(*self.positions.get(name)?)
     }
 
     pub fn get_mut(&mut self, name: &str) -> Option<&mut Endpoint> {
-        self.endpoints.iter_mut().find(|endpoint| &*endpoint.name == name)
+        self.endpoints.get_mut(*self.positions.get(name)?)
     }
 
     pub fn endpoints(&self) -> &[Endpoint] {
--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -4,7 +4,7 @@
     accounting, capacity, changes,
     cli::Options,
     exit::Code,
-    herd, latency, plot,
+    fleet, herd, latency, plot,
     report::{self, Report},
     slopes,
 };
@@ -44,12 +44,14 @@
     Herd,
     /// Cost of each mechanism as a function of size.
     Slopes,
+    /// Cost of one change at a box, as a function of the size of the fleet.
+    Fleet,
     /// Costs of a large deployment, computed from measured slopes.
     Capacity,
 }
 
 impl Experiment {
-    const ALL: [Experiment; 17] = [
+    const ALL: [Experiment; 18] = [
         Experiment::Path,
         Experiment::Partition,
         Experiment::Crash,
@@ -66,6 +68,7 @@
         Experiment::Steady,
         Experiment::Herd,
         Experiment::Slopes,
+        Experiment::Fleet,
         Experiment::Capacity,
     ];
 
@@ -88,6 +91,7 @@
             Experiment::Steady => "steady",
             Experiment::Herd => "herd",
             Experiment::Slopes => "slopes",
+            Experiment::Fleet => "fleet",
             Experiment::Capacity => "capacity",
         }
     }
@@ -110,6 +114,7 @@
             Experiment::Steady => "platform writes and latency by interval of journal writes",
             Experiment::Herd => "boxes select endpoints from outdated load reports",
             Experiment::Slopes => "cost of each mechanism as a function of size",
+            Experiment::Fleet => "cost of one change at a box, by the size of its fleet",
             Experiment::Capacity => "costs of a large deployment, from measured slopes",
         }
     }
@@ -132,6 +137,7 @@
             Experiment::Steady => accounting::steady(options).await,
             Experiment::Herd => herd::run(options),
             Experiment::Slopes => slopes::run(options).await,
+            Experiment::Fleet => fleet::run(),
             Experiment::Capacity => capacity::run(),
         }
     }
--- a/crates/flintbench/src/main.rs
+++ b/crates/flintbench/src/main.rs
@@ -8,6 +8,7 @@
 mod cli;
 mod exit;
 mod experiment;
+mod fleet;
 mod herd;
 mod latency;
 mod load;
--- a/crates/flintbench/src/slopes.rs
+++ b/crates/flintbench/src/slopes.rs
@@ -17,13 +17,13 @@
 use crate::{cli::Options, latency::thread_cpu_seconds, report::Report};
 
 /// Measured sizes and costs of one mechanism.
-struct Series {
+pub struct Series {
     unit: &'static str,
     points: Vec<(f64, f64)>,
 }
 
 impl Series {
-    fn of(unit: &'static str, points: Vec<(f64, f64)>) -> Series {
+    pub fn of(unit: &'static str, points: Vec<(f64, f64)>) -> Series {
         Series { unit, points }
     }
 
@@ -43,7 +43,7 @@
         (slope, base, if total > 0.0 { 1.0 - residual_sum / total } else { 1.0 })
     }
 
-    fn value(&self) -> Value {
+    pub fn value(&self) -> Value {
         let (slope, base, r_squared) = self.fit();
         let round = |value: f64| (value * 1_000.0).round() / 1_000.0;
         let points: Vec<Value> = self.points.iter().map(|p| json!([p.0, round(p.1)])).collect();
@@ -101,7 +101,7 @@
 }
 
 /// Returns the microseconds per call, from the fastest of five rounds of `times` calls.
-fn micros_per_call(times: u32, mut work: impl FnMut()) -> f64 {
+pub fn micros_per_call(times: u32, mut work: impl FnMut()) -> f64 {
     let once = |work: &mut dyn FnMut()| {
         let start = std::time::Instant::now();
         (0..times).for_each(|_| work());
--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -13,7 +13,7 @@
 pub use requests::{Delivery, PromptNotice, WitnessReply};
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, atomic::AtomicU64},
@@ -70,12 +70,38 @@
     address: Option<SocketAddr>,
     profile: Profile,
     known: HashMap<Incarnation, Known>,
+    /// Roles in the fleet as known; `None` if they are to be chosen anew.
+    roles: Option<Arc<Roles>>,
     random: SmallRng,
     /// When another box was last heard from, and when a request last got no answer.
     last_received: Option<Instant>,
     last_unanswered: Option<Instant>,
 }
 
+/// The boxes with a role for the fleet, whether they are reachable or not.
+struct Roles {
+    keepers: Vec<Incarnation>,
+    watchers: Arc<Watchers>,
+}
+
+impl State {
+    /// The known incarnation of each box.
+    fn current_incarnations(&self) -> HashMap<Arc<str>, Incarnation> {
+        self.known.keys().map(|name| (name.box_name().into(), name.clone())).collect()
+    }
+
+    /// The roles in the fleet; chosen once for each state of the list of boxes.
+    fn roles(&mut self) -> Arc<Roles> {
+        let State { profile, known, roles, .. } = self;
+        let choose = || {
+            let others: Vec<Profile> = known.values().map(|known| known.entry.profile()).collect();
+            let watchers = Arc::new(watchers(profile, &others));
+            Arc::new(Roles { keepers: keepers(profile, &others), watchers })
+        };
+        roles.get_or_insert_with(choose).clone()
+    }
+}
+
 struct Known {
     entry: Entry,
     /// Version of the entry in the store.
@@ -102,6 +128,7 @@
             address,
             profile: me,
             known: HashMap::new(),
+            roles: None,
             random,
             last_received,
             last_unanswered,
@@ -130,23 +157,32 @@
     /// Updates the list of boxes to its state at version `at` of the store; each entry comes with
     /// its own version. A stale list never replaces a newer entry.
     pub fn update(&self, entries: Vec<(Entry, u64)>, at: u64) {
-        let is_listed = |name: &Incarnation| {
-            entries.iter().any(|(entry, _)| entry.incarnation.box_name() == name.box_name())
-        };
+        let listed: HashSet<&str> =
+            entries.iter().map(|(entry, _)| entry.incarnation.box_name()).collect();
+        let is_listed = |name: &Incarnation| listed.contains(name.box_name());
         let mut state = self.state.lock();
+        let before = state.known.len();
         state.known.retain(|name, known| known.version > at || is_listed(name));
+        let mut is_changed = state.known.len() != before;
         self.promises.retain(|name| state.known.contains_key(name) || is_listed(name));
-        for (entry, version) in entries {
-            let name = entry.incarnation.clone();
-            let is_same = |known: &Incarnation| known.box_name() == name.box_name();
-            let is_current =
-                |(known, of): (&Incarnation, &Known)| is_same(known) && of.version >= version;
-            if is_same(&self.me) || state.known.iter().any(is_current) {
+        let mut current = state.current_incarnations();
+        for (entry, version) in &entries {
+            let name = &entry.incarnation;
+            let known = current.get(name.box_name());
+            let is_current = known.is_some_and(|name| state.known[name].version >= *version);
+            if is_current || name.box_name() == self.me.box_name() {
                 continue;
             }
-            state.known.retain(|known, _| !is_same(known));
+            if let Some(replaced) = current.insert(name.box_name().into(), name.clone()) {
+                state.known.remove(&replaced);
+            }
             let peer = Peer::new(entry.peer, self.source);
-            state.known.insert(name, Known { entry, version, peer, avoid_until: None });
+            let known = Known { entry: entry.clone(), version: *version, peer, avoid_until: None };
+            state.known.insert(name.clone(), known);
+            is_changed = true;
+        }
+        if is_changed {
+            state.roles = None;
         }
     }
 
@@ -164,20 +200,15 @@
     /// of them.
     pub fn keepers(&self) -> Vec<Incarnation> {
         let now = Instant::now();
-        let state = self.state.lock();
-        let others: Vec<Profile> =
-            state.known.values().map(|known| known.entry.profile()).collect();
-        let mut keepers = keepers(&state.profile, &others);
+        let mut state = self.state.lock();
+        let mut keepers = state.roles().keepers.clone();
         keepers.retain(|name| state.known.get(name).is_none_or(|known| known.is_reachable(now)));
         keepers
     }
 
     /// Watchers of the store, in the order in which this box asks them; may include this box.
-    pub fn watchers(&self) -> Watchers {
-        let state = self.state.lock();
-        let others: Vec<Profile> =
-            state.known.values().map(|known| known.entry.profile()).collect();
-        watchers(&state.profile, &others)
+    pub fn watchers(&self) -> Arc<Watchers> {
+        self.state.lock().roles().watchers.clone()
     }
 
     /// Whether a box is known and has not recently failed to answer.
@@ -209,6 +240,7 @@
             let entry = Entry { incarnation: successor.clone(), ..entry };
             let known = Known { entry, version, peer, avoid_until: None };
             state.known.entry(successor.clone()).or_insert(known);
+            state.roles = None;
         }
     }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,4 +1,4 @@
-//! Which peers a box announces prompts to, and which it hands bills over to.
+//! Which peers a box announces prompts to, and which it hands bills over to; lists of large fleets.
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -44,3 +44,29 @@
         assert_eq!((zones.len(), first.len()), (3, 11), "seed {seed}: {first:?}");
     }
 }
+
+/// Guards against lists of boxes that take a tenth of a second of processor time each, since every box was looked for
+/// among all others. Nothing here is timed: with such a search this takes minutes.
+#[test]
+fn lists_of_a_large_fleet_replace_only_older_entries() {
+    const BOXES: u16 = 20_000;
+    let me = Profile { incarnation: Incarnation::new("z1-me", 7), zone: "z1".into(), capacity: 1 };
+    let peers = Peers::open(me, None, 1);
+    let list = |of: std::ops::Range<u16>, version: u64| -> Vec<(Entry, u64)> {
+        of.map(|n| (entry(n, "z1"), version)).collect()
+    };
+    peers.update(list(0..BOXES, 5), 5);
+    let keepers = peers.keepers();
+    let restarted = Entry { incarnation: Incarnation::new("z1-3", 99), ..entry(3, "z1") };
+    for _ in 0..3 {
+        // Box 3 started again after this list; the entry of box 4 there is an old one.
+        peers.update(vec![(restarted.clone(), 9)], 4);
+        peers.update(list(0..BOXES, 4), 8);
+        assert_eq!(peers.len(), usize::from(BOXES));
+        assert!(peers.knows(&restarted.incarnation) && !peers.knows(&entry(3, "z1").incarnation));
+    }
+    assert_eq!(peers.keepers(), keepers, "the same boxes, of the same capacity");
+    peers.update(list(0..BOXES - 1, 10), 10);
+    assert_eq!(peers.len(), usize::from(BOXES - 1));
+    assert!(peers.knows(&entry(3, "z1").incarnation), "its entry of version 10 is the newest");
+}
