--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -98,13 +98,36 @@
 }
 
 impl Peers {
-    /// Polls a watcher once; `None` if it does not answer in time or does not watch the store.
-    pub async fn subscribe(&self, request: Subscribe, timeout: Duration) -> Option<Update> {
+    /// Polls a watcher once, with a further request for each part of an answer that is too large for
+    /// one message; `None` if it does not answer all of them in time. The first answer may take
+    /// `timeout`, each other one `part_timeout`.
+    pub async fn subscribe(
+        &self,
+        mut request: Subscribe,
+        timeout: Duration,
+        part_timeout: Duration,
+    ) -> Option<Update> {
         let watcher = request.watcher.clone();
-        let peer = self.peer(&watcher)?;
-        match self.ask(&watcher, &peer, Frame::Subscribe(request), timeout).await {
-            Reply::Frame(Frame::Update(update)) => Some(update),
-            Reply::Frame(_) | Reply::Replaced | Reply::NoAnswer => None,
+        let mut timeout = timeout;
+        let mut received: Option<Update> = None;
+        loop {
+            let peer = self.peer(&watcher)?;
+            let frame = Frame::Subscribe(request.clone());
+            let (update, is_last) = match self.ask(&watcher, &peer, frame, timeout).await {
+                Reply::Frame(Frame::Update(update)) => (update, true),
+                Reply::Frame(Frame::UpdatePart(update)) => (update, false),
+                Reply::Frame(_) | Reply::Replaced | Reply::NoAnswer => return None,
+            };
+            request.since = Some(update.last);
+            request.wait_ms = 0;
+            timeout = part_timeout;
+            match &mut received {
+                Some(received) => received.append(update),
+                None => received = Some(update),
+            }
+            if is_last {
+                return received;
+            }
         }
     }
 
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -14,7 +14,7 @@
 use crate::{
     fleet::{peers::Peers, promises::Acceptance},
     proxy::{endpoints::Endpoints, permits::Permits},
-    sync::view::View,
+    sync::view::{Answer, View},
     tokens::{bills::Bills, borrower::Borrower, funds::Funds},
 };
 
@@ -187,7 +187,8 @@
                 Frame::Refused { reason: "another incarnation was requested".into() }
             }
             Frame::Subscribe(subscribe) => match self.view.updates(&subscribe).await {
-                Some(updates) => Frame::Update(updates),
+                Some(Answer::All(update)) => Frame::Update(update),
+                Some(Answer::Part(update)) => Frame::UpdatePart(update),
                 None => Frame::Refused { reason: "this box does not yet monitor the store".into() },
             },
             Frame::Draw(draw) => self.draw(&request.from, draw).await,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,7 @@
 };
 pub use settings::Settings;
 pub use sync::{
-    change_log::ChangeLog,
+    change_log::{ChangeLog, Part},
     directory::Directory,
     evacuations::{Evacuations, Zones},
 };
--- a/crates/gateway/src/sync/change_log.rs
+++ b/crates/gateway/src/sync/change_log.rs
@@ -10,8 +10,14 @@
     sync::Arc,
 };
 
-use wire::Change;
+use wire::{Change, MAX_MESSAGE_BYTES};
 
+/// Maximum size of the changes in one answer; the rest is sent with the next one. A single larger
+/// change is sent alone: objects of the store have 1 MiB at most.
+const MAX_PART_BYTES: usize = MAX_MESSAGE_BYTES / 2;
+/// Upper bound on the encoded size of a change without its texts: three lengths, a version and the
+/// tag of an optional value.
+const CHANGE_BYTES: usize = 40;
 /// Maximum number of remembered deletions. Subscribers fetch them within a second, so this covers
 /// the deletions of a rolling update of all endpoints.
 const MAX_DELETIONS: usize = 1_024;
@@ -95,13 +101,51 @@
     /// The changes after number `since`, and whether they are a full snapshot. That is so for 0,
     /// and for numbers that are no longer remembered or were never assigned.
     pub fn since(&self, since: u64) -> (Vec<Change>, bool) {
+        let (changes, is_snapshot) = self.numbered_since(since);
+        (changes.map(|(_, change)| change).collect(), is_snapshot)
+    }
+
+    /// The changes after number `since` that a subscriber wants, as far as they fit into one
+    /// message.
+    pub fn part_since(&self, since: u64, wants: impl Fn(&Change) -> bool) -> Part {
+        let (numbered, is_snapshot) = self.numbered_since(since);
+        let (mut changes, mut bytes) = (Vec::new(), 0);
+        for (number, change) in numbered.filter(|(_, change)| wants(change)) {
+            bytes += encoded_bytes(&change);
+            if bytes > MAX_PART_BYTES && !changes.is_empty() {
+                return Part { changes, is_snapshot, last: number - 1, is_complete: false };
+            }
+            changes.push(change);
+        }
+        Part { changes, is_snapshot, last: self.last, is_complete: true }
+    }
+
+    fn numbered_since(&self, since: u64) -> (impl Iterator<Item = (u64, Change)>, bool) {
         let is_snapshot = since == 0 || since < self.dropped_until || since > self.last;
         let from = if is_snapshot { 0 } else { since };
-        let changes = self.order.range(from + 1..).map(|(_, id)| {
+        let changes = self.order.range(from + 1..).map(|(number, id)| {
             let entry = &self.objects[id];
             let (kind, name) = id.clone();
-            Change { kind, name, version: entry.version, value: entry.value.clone() }
+            (*number, Change { kind, name, version: entry.version, value: entry.value.clone() })
         });
-        (changes.collect(), is_snapshot)
+        (changes, is_snapshot)
     }
 }
+
+/// Changes that fit into one message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// Oldest change first.
+    pub changes: Vec<Change>,
+    /// Whether they are a full snapshot, or the first part of one.
+    pub is_snapshot: bool,
+    /// Number up to which the changes are included.
+    pub last: u64,
+    /// Whether there are no further changes.
+    pub is_complete: bool,
+}
+
+fn encoded_bytes(change: &Change) -> usize {
+    let value = change.value.as_ref().map_or(0, |value| value.len());
+    CHANGE_BYTES + change.kind.len() + change.name.len() + value
+}
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -29,7 +29,8 @@
 /// Additional time allowed for the answer: many times the round trip between availability zones,
 /// with a margin for a busy box.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// The same for a full snapshot, which a watcher may have to send to all its subscribers at once.
+/// The same for a full snapshot, or each part of it, which a watcher may have to send to all its
+/// subscribers at once.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause before watchers are asked again if none answered: standby watchers start to watch when
 /// they are asked, which takes a few calls to the store.
@@ -342,6 +343,6 @@
         let request =
             Subscribe { watcher: watcher.clone(), since, config, is_store_unreachable, wait_ms };
         let timeout_margin = if since == Some(0) { SNAPSHOT_TIMEOUT } else { ANSWER_TIMEOUT };
-        self.peers.subscribe(request, wait + timeout_margin).await
+        self.peers.subscribe(request, wait + timeout_margin, SNAPSHOT_TIMEOUT).await
     }
 }
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -14,6 +14,7 @@
 pub use boxes::read_box;
 use departures::DEPARTURES;
 use limits::LIMITS;
+pub use subscribers::Answer;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/sync/view/subscribers.rs
+++ b/crates/gateway/src/sync/view/subscribers.rs
@@ -6,6 +6,7 @@
 use wire::{Subscribe, Update};
 
 use super::View;
+use crate::sync::change_log::Part;
 
 /// Longest time that a subscriber may wait, in milliseconds: dead connections are noticed only by
 /// silence.
@@ -19,6 +20,23 @@
         || updates.store_unreachable_ms.is_some() != request.is_store_unreachable
 }
 
+/// An answer to a subscriber.
+#[derive(Debug)]
+pub enum Answer {
+    /// All updates that the subscriber does not know.
+    All(Update),
+    /// The first of them; the rest does not fit into the same message.
+    Part(Update),
+}
+
+impl Answer {
+    fn update(&self) -> &Update {
+        match self {
+            Answer::All(update) | Answer::Part(update) => update,
+        }
+    }
+}
+
 impl View {
     /// When another box asked for updates last.
     pub fn last_subscribed(&self) -> Option<Instant> {
@@ -32,7 +50,7 @@
 
     /// Updates for a subscriber: at once if there are any that it does not know, else when there
     /// are, or after its waiting time. `None` while this box does not watch the store itself.
-    pub async fn updates(&self, request: &Subscribe) -> Option<Update> {
+    pub async fn updates(&self, request: &Subscribe) -> Option<Answer> {
         let until = Instant::now() + Duration::from_millis(request.wait_ms.min(MAX_WAIT_MS));
         let mut updated = self.0.updates.subscribe();
         self.0.state.lock().last_subscribed = Some(Instant::now());
@@ -44,7 +62,7 @@
                     self.0.watch_requested.notify_one();
                     return None;
                 }
-                Some(updates) if is_new(&updates, request) => return Some(updates),
+                Some(answer) if is_new(answer.update(), request) => return Some(answer),
                 Some(_) => {}
             }
             if timeout_at(until, updated.changed()).await.is_err() {
@@ -53,25 +71,33 @@
         }
     }
 
-    fn updates_now(&self, request: &Subscribe) -> Option<Update> {
+    fn updates_now(&self, request: &Subscribe) -> Option<Answer> {
         let state = self.0.state.lock();
         if !state.loaded.is_complete() {
             return None;
         }
-        let logged = request.since.map(|since| state.change_log.since(since));
-        let (mut changes, is_snapshot) = logged.unwrap_or_default();
-        changes.retain(|change| {
+        let wants = |change: &wire::Change| {
             &*change.kind != platform::CONFIG.0 || change.version > request.config
-        });
-        Some(Update {
-            last: state.change_log.last(),
-            is_snapshot,
-            changes,
+        };
+        let part = match request.since {
+            Some(since) => state.change_log.part_since(since, wants),
+            None => Part {
+                changes: Vec::new(),
+                is_snapshot: false,
+                last: state.change_log.last(),
+                is_complete: true,
+            },
+        };
+        let update = Update {
+            last: part.last,
+            is_snapshot: part.is_snapshot,
+            changes: part.changes,
             endpoints_at: state.directory.at(),
             boxes_at: state.boxes_at,
             store_unreachable_ms: state
                 .unreachable_since
                 .map(|since| since.elapsed().as_millis() as u64),
-        })
+        };
+        Some(if part.is_complete { Answer::All(update) } else { Answer::Part(update) })
     }
 }
--- a/crates/gateway/tests/sync.rs
+++ b/crates/gateway/tests/sync.rs
@@ -13,6 +13,7 @@
 };
 use proptest::prelude::*;
 use serde_json::Value;
+use wire::{Change, Frame, Message, Update};
 
 fn profile(name: &str, zone: &str, capacity: u64) -> Profile {
     Profile { incarnation: Incarnation::new(name, 1), zone: zone.into(), capacity }
@@ -173,6 +174,89 @@
     assert!(!is_snapshot && changes.len() == 1);
 }
 
+/// Guards against a box that gets no snapshot at all: with 10,000 endpoints it is larger than a message between boxes
+/// may be, so that each box listed the store instead.
+#[test]
+fn snapshot_of_a_large_fleet_arrives_in_parts_that_fit_into_messages() {
+    let mut change_log = ChangeLog::default();
+    let text = |n: u64, state: &str| format!("{{\"state\":\"{state}\",\"pad\":\"{n:0>200}\"}}");
+    const ENDPOINTS: u64 = 20_000;
+    for n in 0..ENDPOINTS {
+        change_log.put("servers", &format!("i-{n}"), n + 1, Some(&text(n, "ready")));
+    }
+    let (mut parts, mut received): (u64, Option<Update>) = (0, None);
+    loop {
+        let since = received.as_ref().map_or(0, |update| update.last);
+        let part = change_log.part_since(since, |_| true);
+        let update = Update {
+            last: part.last,
+            is_snapshot: part.is_snapshot,
+            changes: part.changes,
+            endpoints_at: 0,
+            boxes_at: 0,
+            store_unreachable_ms: None,
+        };
+        let message = Message {
+            from: Incarnation::new("watcher", 1),
+            stamp: Default::default(),
+            frame: Frame::UpdatePart(update.clone()),
+        };
+        assert!(wire::encode(&message, wire::NEWEST_FORMAT).is_ok(), "part {parts} fits");
+        match &mut received {
+            Some(received) => received.append(update),
+            None => received = Some(update),
+        }
+        parts += 1;
+        // Meanwhile one endpoint that was sent already leaves, and one that was not begins to drain.
+        let (gone, drains) = (parts, ENDPOINTS - parts);
+        change_log.put("servers", &format!("i-{gone}"), ENDPOINTS + parts, None);
+        let draining = text(drains, "draining");
+        change_log.put("servers", &format!("i-{drains}"), ENDPOINTS + parts, Some(&draining));
+        if part.is_complete {
+            break;
+        }
+    }
+    let received = received.expect("at least one part");
+    assert!(parts > 4 && received.is_snapshot, "{parts} parts");
+    let newest: BTreeMap<&str, Option<&str>> =
+        received.changes.iter().map(|change| (&*change.name, change.value.as_deref())).collect();
+    assert_eq!(newest.len() as u64, ENDPOINTS, "each endpoint is included");
+    for part in 1..parts {
+        assert_eq!(newest[&*format!("i-{part}")], None, "it left after it was sent");
+        let drains = newest[&*format!("i-{}", ENDPOINTS - part)].expect("it has not left");
+        assert!(drains.contains("draining"), "its newest state: {drains}");
+    }
+}
+
+/// An answer in parts begins anew if the watcher no longer knows what came after the last part.
+#[test]
+fn another_first_part_replaces_what_came_before() {
+    let update = |is_snapshot, last, names: &[&str]| Update {
+        last,
+        is_snapshot,
+        changes: names
+            .iter()
+            .map(|name| Change {
+                kind: "servers".into(),
+                name: (*name).into(),
+                version: 1,
+                value: None,
+            })
+            .collect(),
+        endpoints_at: last,
+        boxes_at: last,
+        store_unreachable_ms: None,
+    };
+    let mut received = update(true, 3, &["a", "b"]);
+    received.append(update(false, 5, &["c"]));
+    assert_eq!(received, update(true, 5, &["a", "b", "c"]));
+    received.append(update(true, 2, &["d"]));
+    assert_eq!(received, update(true, 2, &["d"]));
+    let mut changes = update(false, 7, &["e"]);
+    changes.append(update(false, 8, &["f"]));
+    assert_eq!(changes, update(false, 8, &["e", "f"]));
+}
+
 /// An event at an endpoint, in the store, at one of two watchers, or at the subscriber.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -190,6 +190,19 @@
     pub store_unreachable_ms: Option<u64>,
 }
 
+impl Update {
+    /// Adds the next part of the same answer. If the watcher had to begin anew, that part is the
+    /// first of another full snapshot, which replaces what came before.
+    pub fn append(&mut self, next: Update) {
+        let earlier = std::mem::replace(self, next);
+        if !self.is_snapshot {
+            let later = std::mem::replace(&mut self.changes, earlier.changes);
+            self.changes.extend(later);
+            self.is_snapshot = earlier.is_snapshot;
+        }
+    }
+}
+
 /// The rate limit that an endpoint named for all boxes together, and how long ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitNotice {
@@ -316,13 +329,16 @@
     Greet { to: Incarnation, sender: Greeting },
     /// The endpoint at this address is leaving; for the receiver to distribute.
     Departure { endpoint: Arc<str>, address: SocketAddr },
+    /// Answer to [`Frame::Subscribe`] that does not fit into one message: its first part. The rest
+    /// follows on requests for the changes since then.
+    UpdatePart(Update),
 }
 
 impl Frame {
     /// Topic for traffic counters; a request and its answer have the same one.
     pub fn topic(&self) -> &'static str {
         match self {
-            Frame::Subscribe(_) | Frame::Update(_) => "news",
+            Frame::Subscribe(_) | Frame::Update(_) | Frame::UpdatePart(_) => "news",
             Frame::Draw(_) | Frame::Drawn(_) => "draws",
             Frame::Lend { .. } | Frame::Lent { .. } => "loans",
             Frame::Promise(_) | Frame::Promised { .. } => "promises",
