A changed endpoint costs a box by the change, not by all endpoints

Change: the directory remembers which entries changed, pools take over just these, the change log is searched for these alone. Boxes' entries are written as text only if they are new. Conclusion: what is left a change are a pass over the pool and the log of one line.

--- a/crates/balance/src/pool/mod.rs
+++ b/crates/balance/src/pool/mod.rs
@@ -6,7 +6,10 @@
 
 pub use choose::{Candidates, Choice, Weights};
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use crate::{
     Allowance, BackOff, Departure, Endpoint, Failure, Fleet, Prefix, PrefixIndex, Prompt, Report,
@@ -16,9 +19,8 @@
 /// The endpoints of a pool as one box sees them.
 #[derive(Debug)]
 pub struct Pool {
+    /// Sorted by name.
     endpoints: Vec<Endpoint>,
-    /// Positions in `endpoints` by name.
-    positions: HashMap<Arc<str>, usize>,
     prefixes: PrefixIndex,
     weights: Weights,
     zone: Arc<str>,
@@ -52,7 +54,6 @@
         let prefixes = PrefixIndex::new(MAX_PREFIX_BLOCKS);
         Pool {
             endpoints: Vec::new(),
-            positions: HashMap::new(),
             prefixes,
             weights,
             zone,
@@ -68,24 +69,47 @@
     /// Replaces the list of endpoints, given as pairs of name and zone; known endpoints keep their
     /// state.
     pub fn update(&mut self, list: impl IntoIterator<Item = (Arc<str>, Arc<str>)>, now: u64) {
+        let mut list: Vec<_> = list.into_iter().collect();
+        list.sort();
+        let is_listed =
+            |name: &Arc<str>| list.binary_search_by(|(listed, _)| listed.cmp(name)).is_ok();
+        let removed =
+            self.endpoints.iter().map(|endpoint| &endpoint.name).filter(|name| !is_listed(name));
+        let removed = removed.cloned().collect();
+        list.retain(|(name, _)| self.get(name).is_none());
+        self.apply(list, &removed, now);
+    }
+
+    /// Adds endpoints, given as pairs of name and zone, and removes some; the others keep their
+    /// state.
+    pub fn apply(
+        &mut self,
+        added: Vec<(Arc<str>, Arc<str>)>,
+        removed: &HashSet<Arc<str>>,
+        now: u64,
+    ) {
         let warm = self.endpoints.is_empty();
-        let known = std::mem::take(&mut self.endpoints);
-        let mut known: Vec<Option<Endpoint>> = known.into_iter().map(Some).collect();
-        let previous = std::mem::take(&mut self.positions);
-        for (name, zone) in list {
-            let kept = previous.get(&name).and_then(|position| known[*position].take());
-            let endpoint = kept.unwrap_or_else(|| {
+        let mut gone = Vec::new();
+        if !removed.is_empty() {
+            gone.extend(self.endpoints.extract_if(.., |endpoint| removed.contains(&endpoint.name)));
+        }
+        if !added.is_empty() {
+            for (name, zone) in added {
                 let back_off = self.back_offs.remove(&name).unwrap_or_default();
-                let mut endpoint = Endpoint::new(name.clone(), zone, now, warm);
+                let mut endpoint = Endpoint::new(name, zone, now, warm);
                 endpoint.back_off = back_off;
-                endpoint
-            });
-            self.positions.insert(name, self.endpoints.len());
-            self.endpoints.push(endpoint);
+                self.endpoints.push(endpoint);
+            }
+            self.endpoints.sort_by(|a, b| a.name.cmp(&b.name));
         }
+        self.remember_back_offs(gone, now);
+    }
+
+    /// Keeps the active back-offs of endpoints that are no longer listed.
+    fn remember_back_offs(&mut self, gone: Vec<Endpoint>, now: u64) {
         self.back_offs.retain(|_, back_off| back_off.remaining_ms(now) > 0);
         let active_back_offs =
-            known.into_iter().flatten().filter(|endpoint| endpoint.back_off.remaining_ms(now) > 0);
+            gone.into_iter().filter(|endpoint| endpoint.back_off.remaining_ms(now) > 0);
         self.back_offs.extend(
             active_back_offs.take(MAX_BACK_OFFS).map(|endpoint| (endpoint.name, endpoint.back_off)),
         );
@@ -94,12 +118,17 @@
         }
     }
 
+    fn position(&self, name: &str) -> Option<usize> {
+        self.endpoints.binary_search_by(|endpoint| (*endpoint.name).cmp(name)).ok()
+    }
+
     pub fn get(&self, name: &str) -> Option<&Endpoint> {
-        self.endpoints.get(*self.positions.get(name)?)
+        self.endpoints.get(self.position(name)?)
     }
 
     pub fn get_mut(&mut self, name: &str) -> Option<&mut Endpoint> {
-        self.endpoints.get_mut(*self.positions.get(name)?)
+        let position = self.position(name)?;
+        self.endpoints.get_mut(position)
     }
 
     pub fn endpoints(&self) -> &[Endpoint] {
--- a/crates/flintbench/src/fleet.rs
+++ b/crates/flintbench/src/fleet.rs
@@ -67,10 +67,9 @@
     let endpoints = pool(&list);
     let mut leaves = true;
     micros_per_call(4, || {
-        let without = if leaves { count / 2 } else { count };
+        let (id, entry) = &list[count / 2];
+        black_box(endpoints.apply(vec![(id.clone(), (!leaves).then_some(entry))]));
         leaves = !leaves;
-        let ready = list.iter().enumerate().filter(|(at, _)| *at != without);
-        black_box(endpoints.update(ready.map(|(_, (id, entry))| (id, entry))));
     })
 }
 
--- a/crates/gateway/src/proxy/endpoints/departures.rs
+++ b/crates/gateway/src/proxy/endpoints/departures.rs
@@ -33,12 +33,14 @@
 }
 
 impl Departures {
-    /// The announcement of an instance at this address.
-    pub fn get(&self, instance: &str, address: SocketAddr) -> Option<Departure> {
-        self.0
-            .get(instance)
-            .filter(|announced| announced.address == address)
-            .map(|announced| announced.departure)
+    /// The announcement of an instance at this address, which is only looked up if there is one.
+    pub fn get(
+        &self,
+        instance: &str,
+        address: impl FnOnce() -> Option<SocketAddr>,
+    ) -> Option<Departure> {
+        let announced = self.0.get(instance)?;
+        (address() == Some(announced.address)).then_some(announced.departure)
     }
 
     /// Records an announcement; returns whether it is new. At capacity, evicts the instance that was last listed
@@ -49,7 +51,7 @@
         announced: Announced,
         is_listed: impl Fn(&Arc<str>) -> bool,
     ) -> bool {
-        if self.get(instance, announced.address).is_some() {
+        if self.get(instance, || Some(announced.address)).is_some() {
             return false;
         }
         if self.0.len() >= MAX_DEPARTURES {
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -73,11 +73,29 @@
 #[derive(Debug, Clone)]
 struct Listing {
     id: Arc<str>,
+    service: Arc<str>,
     address: SocketAddr,
     /// Heartbeat from which the cold time was last read.
     heartbeat: u64,
 }
 
+/// What changed entries change in the pools.
+#[derive(Debug, Default)]
+struct Batch {
+    by_service: BTreeMap<Arc<str>, Changed>,
+    /// Service, name and remaining cold time of cold instances.
+    cold: Vec<(Arc<str>, Arc<str>, Duration)>,
+    /// Addresses no longer in use.
+    unused: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Default)]
+struct Changed {
+    added: Vec<Located>,
+    removed: HashSet<Arc<str>>,
+    has_engines: bool,
+}
+
 /// Name of an endpoint instance; distinct per start, so that nothing learned of an earlier one applies.
 fn instance_name(id: &Arc<str>, entry: &Entry) -> Arc<str> {
     match entry.started {
@@ -102,6 +120,8 @@
     services: HashMap<Arc<str>, Pool>,
     /// Listed instances by name.
     listed: HashMap<Arc<str>, Listing>,
+    /// Names of the listed instances by id.
+    instances: HashMap<Arc<str>, Arc<str>>,
     /// Draining instances, listed or not.
     departures: departures::Departures,
     /// Evacuated availability zones.
@@ -120,7 +140,7 @@
             let restored = pool.set_leaving(|endpoint| self.evacuated.contains(&endpoint.zone));
             restored.iter().for_each(|instance| pool.mark_cold(instance, None, now));
             pool.set_departures(|instance| {
-                self.departures.get(instance, self.listed.get(instance)?.address)
+                self.departures.get(instance, || Some(self.listed.get(instance)?.address))
             });
         }
     }
@@ -135,13 +155,45 @@
         }
     }
 
-    /// Applies the cold time of an entry, once per heartbeat.
-    fn mark_cold(&mut self, instance: &Arc<str>, entry: &Entry, now: u64) {
-        let is_applied =
-            self.listed.get(instance).is_some_and(|listed| listed.heartbeat == entry.heartbeat);
-        if let Some(pool) = self.services.get_mut(&entry.service).filter(|_| !is_applied) {
-            pool.mark_cold(instance, Some(entry.cold.as_millis() as u64), now);
+    /// Lists an endpoint as its entry says, or no longer if there is none, and adds to `batch` what
+    /// that changes.
+    fn list(&mut self, id: &Arc<str>, entry: Option<&Entry>, batch: &mut Batch) {
+        let instance = entry.map(|entry| instance_name(id, entry));
+        let previous = self.instances.get(id).cloned();
+        let previous = previous.and_then(|name| Some((self.listed.get(&name)?.clone(), name)));
+        let stays = previous.as_ref().is_some_and(|(listing, name)| {
+            instance.as_ref() == Some(name) && entry.is_some_and(|e| e.service == listing.service)
+        });
+        if let Some((listing, name)) = &previous {
+            if !stays || entry.is_some_and(|entry| entry.address != listing.address) {
+                batch.unused.push(listing.address);
+            }
+            if !stays {
+                self.listed.remove(name);
+                self.instances.remove(id);
+                let changed = batch.by_service.entry(listing.service.clone()).or_default();
+                changed.removed.insert(name.clone());
+            }
+        }
+        let (Some(entry), Some(instance)) = (entry, instance) else { return };
+        let changed = batch.by_service.entry(entry.service.clone()).or_default();
+        changed.has_engines |= entry.engine;
+        if !stays {
+            changed.added.push((instance.clone(), entry.zone.clone()));
         }
+        // The cold time of an entry applies once per heartbeat.
+        let heartbeat = previous.filter(|_| stays).map(|(listing, _)| listing.heartbeat);
+        if entry.cold > Duration::ZERO && heartbeat != Some(entry.heartbeat) {
+            batch.cold.push((entry.service.clone(), instance.clone(), entry.cold));
+        }
+        let listing = Listing {
+            id: id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            heartbeat: entry.heartbeat,
+        };
+        self.instances.insert(id.clone(), instance.clone());
+        self.listed.insert(instance, listing);
     }
 }
 
@@ -153,6 +205,7 @@
             random,
             services: HashMap::new(),
             listed: HashMap::new(),
+            instances: HashMap::new(),
             departures: departures::Departures::default(),
             evacuated: BTreeSet::new(),
             allowances: HashMap::new(),
@@ -171,51 +224,40 @@
         &self,
         ready: impl Iterator<Item = (&'a Arc<str>, &'a Entry)>,
     ) -> Vec<SocketAddr> {
+        let ready: HashMap<Arc<str>, &Entry> =
+            ready.map(|(id, entry)| (id.clone(), entry)).collect();
+        let gone: Vec<Arc<str>> = {
+            let state = self.state.lock();
+            state.instances.keys().filter(|id| !ready.contains_key(*id)).cloned().collect()
+        };
+        let gone = gone.into_iter().map(|id| (id, None));
+        let ready = ready.into_iter().map(|(id, entry)| (id, Some(entry)));
+        self.apply(gone.chain(ready).collect())
+    }
+
+    /// Takes over changed endpoints: the entry if they accept requests, `None` if they do not.
+    /// Returns the addresses no longer in use. Costs by the changes, not by the endpoints known.
+    pub fn apply(&self, changes: Vec<(Arc<str>, Option<&Entry>)>) -> Vec<SocketAddr> {
         let now = self.now();
-        let mut engines: HashSet<Arc<str>> = HashSet::new();
-        let mut by_service: BTreeMap<Arc<str>, Vec<Located>> = BTreeMap::new();
-        let mut listed: HashMap<Arc<str>, Listing> = HashMap::new();
-        let mut cold: Vec<(Arc<str>, &Entry)> = Vec::new();
-        for (id, entry) in ready {
-            let instance = instance_name(id, entry);
-            let instances = by_service.entry(entry.service.clone()).or_default();
-            instances.push((instance.clone(), entry.zone.clone()));
-            if entry.cold > Duration::ZERO {
-                cold.push((instance.clone(), entry));
-            }
-            let (id, address, heartbeat) = (id.clone(), entry.address, entry.heartbeat);
-            listed.insert(instance, Listing { id, address, heartbeat });
-            if entry.engine {
-                engines.insert(entry.service.clone());
-            }
-        }
         let state = &mut *self.state.lock();
-        for (service, pool) in &mut state.services {
-            if !by_service.contains_key(service) {
-                pool.update([], now);
-            }
+        let mut batch = Batch::default();
+        for (id, entry) in &changes {
+            state.list(id, *entry, &mut batch);
         }
-        for (service, mut list) in by_service {
-            list.sort();
-            let engines = engines.contains(&service);
-            let fresh = || Pool::new(self.zone.clone(), weights(engines));
-            state.services.entry(service).or_insert_with(fresh).update(list, now);
+        for (service, Changed { added, removed, has_engines }) in batch.by_service {
+            let fresh = || Pool::new(self.zone.clone(), weights(has_engines));
+            state.services.entry(service).or_insert_with(fresh).apply(added, &removed, now);
         }
         state.apply_allowances(now);
-        for (instance, entry) in cold {
-            state.mark_cold(&instance, entry, now);
+        for (service, instance, cold) in batch.cold {
+            if let Some(pool) = state.services.get_mut(&service) {
+                pool.mark_cold(&instance, Some(cold.as_millis() as u64), now);
+            }
         }
-        let previously_listed = std::mem::replace(&mut state.listed, listed);
         let State { departures, listed, .. } = &mut *state;
         departures.refresh(|instance| listed.contains_key(instance), now);
         state.mark_leaving(now);
-        let is_listed = |instance: &Arc<str>, previous: &Listing| {
-            state.listed.get(instance).is_some_and(|listed| listed.address == previous.address)
-        };
-        let gone = previously_listed
-            .into_iter()
-            .filter(|(instance, previous)| !is_listed(instance, previous));
-        gone.map(|(_, listed)| listed.address).collect()
+        batch.unused
     }
 
     /// Applies the configuration of services.
--- a/crates/gateway/src/sync/change_log.rs
+++ b/crates/gateway/src/sync/change_log.rs
@@ -91,6 +91,12 @@
         self.objects.get(&(kind.into(), name.into()))?.value.clone()
     }
 
+    /// The version of an object, unless deleted.
+    pub fn version(&self, kind: &str, name: &str) -> Option<u64> {
+        let entry = self.objects.get(&(kind.into(), name.into()))?;
+        entry.value.as_ref().map(|_| entry.version)
+    }
+
     /// Names and versions of the objects of a kind, without deleted ones.
     pub fn names(&self, kind: &str) -> Vec<(Arc<str>, u64)> {
         let present =
--- a/crates/gateway/src/sync/directory.rs
+++ b/crates/gateway/src/sync/directory.rs
@@ -32,6 +32,8 @@
     listed: Option<u64>,
     /// Removed entries.
     removed: HashMap<Arc<str>, Removed>,
+    /// Entries that were set or removed since [`Directory::take_changed`].
+    changed: HashSet<Arc<str>>,
     /// Store version up to which all entries are known.
     at: u64,
 }
@@ -106,6 +108,7 @@
         let is_current = is_newer && replaces_known && !was_removed;
         if is_current {
             self.removed.remove(&id);
+            self.changed.insert(id.clone());
             self.known.insert(id, Known { entry, version, missing: false });
         }
         is_current
@@ -156,7 +159,9 @@
             return;
         }
         let instance = known.and_then(|known| known.entry.started);
-        self.known.remove(id);
+        if let Some((id, _)) = self.known.remove_entry(id) {
+            self.changed.insert(id);
+        }
         self.record_removed(id.into(), Removed { at, instance });
     }
 
@@ -196,6 +201,18 @@
         self.known.values().any(|known| known.missing)
     }
 
+    /// The entries that were set or removed since the last call, each with the one that takes new
+    /// work now.
+    pub fn take_changed(&mut self) -> Vec<(Arc<str>, Option<&Entry>)> {
+        let changed = std::mem::take(&mut self.changed);
+        let known = &self.known;
+        let ready = |id: Arc<str>| {
+            let entry = known.get(&id).map(|known| &known.entry);
+            (id, entry.filter(|entry| entry.state == State::Ready))
+        };
+        changed.into_iter().map(ready).collect()
+    }
+
     /// Endpoints that take new work.
     pub fn ready(&self) -> impl Iterator<Item = (&Arc<str>, &Entry)> {
         let known = self.known.iter().filter(|(_, known)| known.entry.state == State::Ready);
--- a/crates/gateway/src/sync/view/boxes.rs
+++ b/crates/gateway/src/sync/view/boxes.rs
@@ -65,6 +65,9 @@
             }
         }
         for (name, (entry, version)) in &self.boxes {
+            if self.change_log.version(BOXES, name) == Some(*version) {
+                continue;
+            }
             let text = serde_json::to_string(entry).expect("entries always serialize");
             self.change_log.put(BOXES, name, *version, Some(&text));
         }
--- a/crates/gateway/src/sync/view/endpoints.rs
+++ b/crates/gateway/src/sync/view/endpoints.rs
@@ -1,13 +1,16 @@
 //! The endpoints, from the store or from another box.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use objects::{Change, Object};
 use platform::endpoint::Entry as Endpoint;
 use tokio::time::Instant;
 
 use super::{Consumers, State, View, log_unreadable};
-use crate::clock::Dataset;
+use crate::{
+    clock::Dataset,
+    sync::{change_log::ChangeLog, directory::Directory},
+};
 
 impl View {
     /// Takes over all entries of endpoints as read from the store at version `at`. `suspensions` is
@@ -78,9 +81,14 @@
 
     /// Puts the known endpoints in force.
     pub(super) fn publish_endpoints(&self, state: &mut State, by: &str, version: u64) {
-        state.add_endpoint_removals();
         let Consumers { endpoints, connections, .. } = &self.0.consumers;
-        let unused = endpoints.update(state.directory.ready());
+        let State { directory, change_log, .. } = &mut *state;
+        let changed = directory.take_changed();
+        let ids: Vec<Arc<str>> = changed.iter().map(|(id, _)| id.clone()).collect();
+        let unused = endpoints.apply(changed);
+        for id in ids {
+            add_endpoint_removal(directory, change_log, &id);
+        }
         unused.iter().for_each(|address| connections.forget(*address));
         state.drop_limits(|instance| endpoints.is_listed(instance));
         state.drop_departures(|instance| endpoints.remembers_departure(instance));
@@ -99,16 +107,6 @@
         }
     }
 
-    /// Records the removal of endpoints in the change log.
-    fn add_endpoint_removals(&mut self) {
-        for (id, version) in self.change_log.names(platform::ENDPOINTS) {
-            if self.directory.version(&id).is_none() {
-                let removed_at = self.directory.removed_at(&id).unwrap_or(version);
-                self.change_log.put(platform::ENDPOINTS, &id, removed_at, None);
-            }
-        }
-    }
-
     pub(super) fn apply_endpoints(
         &mut self,
         changes: Vec<wire::Change>,
@@ -141,6 +139,15 @@
     }
 }
 
+/// Records the removal of an endpoint in the change log, if it was removed.
+fn add_endpoint_removal(directory: &Directory, change_log: &mut ChangeLog, id: &str) {
+    let version = change_log.version(platform::ENDPOINTS, id);
+    if let Some(version) = version.filter(|_| directory.version(id).is_none()) {
+        let removed_at = directory.removed_at(id).unwrap_or(version);
+        change_log.put(platform::ENDPOINTS, id, removed_at, None);
+    }
+}
+
 fn read_endpoint(id: &str, text: &str) -> Option<Endpoint> {
     Endpoint::read(text).inspect_err(|error| log_unreadable(platform::ENDPOINTS, id, error)).ok()
 }
--- a/crates/gateway/src/sync/view/subscribers.rs
+++ b/crates/gateway/src/sync/view/subscribers.rs
@@ -93,7 +93,11 @@
     fn updates_now(&self, request: &Subscribe, origin: Origin) -> Option<Answer> {
         let state = self.0.state.lock();
         let relays = state.relayed_at.is_some_and(|at| at.elapsed() < MAX_RELAY_SILENCE);
-        if !state.loaded.is_complete() && !(relays && origin == Origin::StoreOrRoot) {
+        let is_current = match origin {
+            Origin::Store => state.loaded.is_complete(),
+            Origin::StoreOrRoot => state.loaded.is_complete() || relays,
+        };
+        if !is_current {
             return None;
         }
         let wants = |change: &wire::Change| {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -77,6 +77,19 @@
     [before, if given { part } else { "" }, after].concat()
 }
 
+/// Renders the template's section about regions, once for each zone.
+fn regions(text: &str, zones: &[(&str, &str)]) -> String {
+    let (before, rest) = text.split_once("{{#zones}}").expect("the section opens");
+    let (part, after) = rest.split_once("{{/zones}}").expect("the section closes");
+    let one = |(at, (zone, region)): (usize, &(&str, &str))| {
+        let comma = if at + 1 < zones.len() { "," } else { "" };
+        let part = part.replace("{{@}}", zone).replace("{{,}}", comma);
+        part.replace("{{.|json}}", &format!("{region:?}"))
+    };
+    let rendered: Vec<String> = zones.iter().enumerate().map(one).collect();
+    [before, &rendered.concat(), after].concat()
+}
+
 #[test]
 fn template_renders_to_valid_settings() {
     let template = include_str!("../../../deploy/settings.jsonc");
@@ -98,11 +111,15 @@
         text.replace(placeholder, value)
     });
     for (given, cold) in [(true, Cold { factor: 1.5, extra: 5.0 }), (false, Cold::default())] {
+        let zones: &[(&str, &str)] = if given { &[("z1", "north"), ("z2", "south")] } else { &[] };
+        let rendered = regions(&rendered, zones);
         let rendered = section(&rendered, "bounds.cold_overage", given);
         assert!(!rendered.contains("{{"), "a placeholder is left: {rendered}");
         let settings = Settings::read(&rendered).expect("valid");
         assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
         assert_eq!(settings.machine.capacity(), 20, "the link is the scarcest resource");
         assert_eq!(settings.cold, cold);
+        let of_zones = zones.iter().map(|(zone, region)| ((*zone).into(), (*region).into()));
+        assert_eq!(settings.regions, of_zones.collect());
     }
 }
