Requests run only in the regions that their route and customer allow

The choice of an endpoint takes just the zones whose region both allow; if there are none the request is refused at once (503, not run). A box elsewhere passes requests on to an endpoint of an allowed region. The loopback test was not run on the code before.

--- a/crates/balance/src/pool/choose.rs
+++ b/crates/balance/src/pool/choose.rs
@@ -1,6 +1,6 @@
 //! The choice of an endpoint for one request.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeSet, sync::Arc};
 
 use rand::{Rng, seq::IteratorRandom, seq::SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -58,7 +58,7 @@
     pub load: f64,
 }
 
-/// Which endpoints are considered.
+/// Which endpoints are considered, by the limits that they name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Candidates {
     /// All that take work.
@@ -81,19 +81,21 @@
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        self.choose_from(Candidates::All, prefix, tried, now, random)
+        self.choose_from(Candidates::All, None, prefix, tried, now, random)
     }
 
-    /// Like [`Pool::choose`], among all endpoints or some of them.
+    /// Like [`Pool::choose`], among all endpoints or some of them, and in all availability zones or
+    /// some of them.
     pub fn choose_from(
         &self,
         filter: Candidates,
+        zones: Option<&BTreeSet<Arc<str>>>,
         prefix: &Prefix,
         tried: &[Arc<str>],
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let available = self.available(tried, filter, now);
+        let available = self.available(tried, filter, zones, now);
         if let Some(probe) = available.iter().find(|endpoint| endpoint.wants_probe(now)) {
             return Some(self.evaluate(probe, prefix, 0, now).1);
         }
@@ -122,7 +124,13 @@
 
     /// Endpoints that may get a request of this box now, without those in `tried`. If there are
     /// none, those that signaled recently that they leave.
-    fn available(&self, tried: &[Arc<str>], filter: Candidates, now: u64) -> Vec<&Endpoint> {
+    fn available(
+        &self,
+        tried: &[Arc<str>],
+        filter: Candidates,
+        zones: Option<&BTreeSet<Arc<str>>>,
+        now: u64,
+    ) -> Vec<&Endpoint> {
         let staying = self.staying().count();
         let suspected = self.staying().filter(|e| e.suspected_cold.is_active(now)).count();
         let avoids_suspects = self.allowance.is_some() && suspected * 2 < staying.max(1);
@@ -130,7 +138,8 @@
             let fits = move |e: &&Endpoint| {
                 let may_be_cold = avoids_suspects && e.suspected_cold.wait_ms(now) > 0;
                 let is_limited = filter == Candidates::Unlimited && e.limit().is_some();
-                !may_be_cold && !is_limited && self.availability(e, now) == wanted
+                let is_allowed = zones.is_none_or(|zones| zones.contains(&e.zone));
+                is_allowed && !may_be_cold && !is_limited && self.availability(e, now) == wanted
             };
             self.endpoints.iter().filter(fits).filter(|e| !tried.contains(&e.name)).collect()
         };
--- a/crates/balance/tests/back_off.rs
+++ b/crates/balance/tests/back_off.rs
@@ -202,7 +202,8 @@
         for _ in 0..2 {
             let prefix = Prefix::of_parts([]);
             let pool = &mut self.boxes[at];
-            let choice = pool.choose_from(Candidates::All, &prefix, &tried, now, &mut self.random);
+            let choice =
+                pool.choose_from(Candidates::All, None, &prefix, &tried, now, &mut self.random);
             let Some(choice) = choice else { break };
             let endpoint: usize = choice.name[1..].parse().expect("a number");
             pool.start(&choice.name, &prefix, now);
--- a/crates/balance/tests/limit.rs
+++ b/crates/balance/tests/limit.rs
@@ -153,7 +153,7 @@
 /// Names of the endpoints that are chosen at `now`.
 fn chosen(pool: &Pool, filter: Candidates, now: u64) -> Vec<Arc<str>> {
     let mut random = SmallRng::seed_from_u64(7);
-    let choose = |_| pool.choose_from(filter, &Prefix::default(), &[], now, &mut random);
+    let choose = |_| pool.choose_from(filter, None, &Prefix::default(), &[], now, &mut random);
     let mut names: Vec<Arc<str>> = (0..200).filter_map(choose).map(|choice| choice.name).collect();
     names.sort();
     names.dedup();
--- a/crates/flintbench/src/fleet.rs
+++ b/crates/flintbench/src/fleet.rs
@@ -77,7 +77,7 @@
     let endpoints = pool(&engines(count));
     let prefix = Prefix::of_parts([(7, 2_500), (8, 3_000), (9, 800)]);
     micros_per_call(20, || {
-        black_box(endpoints.choose("engines", Candidates::All, &prefix, &[]));
+        black_box(endpoints.choose("engines", Candidates::All, None, &prefix, &[]));
     })
 }
 
--- a/crates/gateway/src/fleet/regions.rs
+++ b/crates/gateway/src/fleet/regions.rs
@@ -1,9 +1,15 @@
-//! Which region an availability zone is in.
+//! Which region an availability zone is in, and in which zones a request may be served.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
-/// Regions by availability zone. Zones without one count as parts of a region of their own.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+use serde::Deserialize;
+
+/// Regions by availability zone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
 pub struct Regions(HashMap<Arc<str>, Arc<str>>);
 
 impl Regions {
@@ -21,4 +27,14 @@
     pub fn is_same(&self, zone: &str, other: &str) -> bool {
         self.of(zone).is_none() || self.of(other).is_none() || self.of(zone) == self.of(other)
     }
+
+    /// Zones whose region is in each of these lists, of which empty ones allow all regions; `None` if
+    /// all lists are empty. A zone whose region is not known is in no list.
+    pub fn allowed_zones(&self, lists: &[&[Arc<str>]]) -> Option<BTreeSet<Arc<str>>> {
+        let lists = || lists.iter().filter(|list| !list.is_empty());
+        lists().next()?;
+        let is_allowed = |region: &Arc<str>| lists().all(|list| list.contains(region));
+        let zones = self.0.iter().filter(|(_, region)| is_allowed(region));
+        Some(zones.map(|(zone, _)| zone.clone()).collect())
+    }
 }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::{Clock, Watchdog},
-    fleet::{entry::Entry, keepers::Profile, peers::Peers, regions::Regions},
+    fleet::{entry::Entry, keepers::Profile, peers::Peers},
     inbound::{admin, peer_service::PeerService, serve},
     metrics::Metrics,
     outage::Recovery,
@@ -118,7 +118,7 @@
             capacity: settings.machine.capacity(),
         };
         let peers = Peers::open(profile, settings.listen.peers, random.random());
-        peers.set_regions(Regions::new(settings.regions.clone()));
+        peers.set_regions(settings.regions.clone());
         let (in_force_settings, settings_updates) = watch::channel(Arc::new(settings.clone()));
         let borrower = Borrower::new(funds.clone(), peers.clone());
         let acquirer =
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a request: finds its route and customer, reads its body and reserves its tokens.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use balance::Prefix;
 use bytes::Bytes;
@@ -47,6 +47,8 @@
     pub fingerprint: Fingerprint,
     pub route: Route,
     pub service: Arc<str>,
+    /// Availability zones in which it may be served; `None` for all.
+    pub zones: Option<BTreeSet<Arc<str>>>,
     /// Limit of connections from this box to one endpoint.
     pub max_connections: usize,
     /// The rank to send to the endpoint; `None` if the service has no engines.
@@ -96,6 +98,12 @@
             })?
             .clone();
         exchange.service = Some(service.clone());
+        let of_customer = customer.map_or(&[][..], |customer| &customer.allowed_regions);
+        let zones = self.settings().regions.allowed_zones(&[&route.allowed_regions, of_customer]);
+        if zones.as_ref().is_some_and(BTreeSet::is_empty) {
+            let detail = "the route and the customer allow no region that has endpoints";
+            return Err(Reason::NoEndpoint.after(UNREADY_RETRY_DELAY, detail));
+        }
         let service_config = table.service(&service);
         let engine = service_config.and_then(|service| service.engine.as_ref());
         exchange.event_tokens = engine.map_or(1, |engine| engine.event_tokens);
@@ -127,6 +135,7 @@
             fingerprint,
             route,
             service,
+            zones,
             max_connections,
             engine_rank,
             rank,
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -77,8 +77,8 @@
             } else {
                 Candidates::Unlimited
             };
-            let chosen =
-                self.endpoints.choose(&admitted.service, candidates, &admitted.prefix, &tried);
+            let AdmittedRequest { service, zones, prefix, .. } = admitted;
+            let chosen = self.endpoints.choose(service, candidates, zones.as_ref(), prefix, &tried);
             let Some(chosen) = chosen else { break };
             if exchange.attempts >= admitted.route.max_attempts
                 || (delivered > 0 && !self.can_repeat(admitted))
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -311,18 +311,20 @@
         self.state.lock().evacuated.len()
     }
 
-    /// Selects an endpoint of a service that is not in `tried`.
+    /// Selects an endpoint of a service that is not in `tried`, in one of `zones` if there are any
+    /// bounds.
     pub fn choose(
         &self,
         service: &str,
         candidates: Candidates,
+        zones: Option<&BTreeSet<Arc<str>>>,
         prefix: &Prefix,
         tried: &[Arc<str>],
     ) -> Option<Chosen> {
         let now = self.now();
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
-        let choice = pool.choose_from(candidates, prefix, tried, now, &mut state.random)?;
+        let choice = pool.choose_from(candidates, zones, prefix, tried, now, &mut state.random)?;
         let Listing { id, address, .. } = state.listed.get(&choice.name)?.clone();
         let Choice { name: instance, cached: cached_tokens, load } = choice;
         let endpoint = pool.get(&instance)?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,10 +1,12 @@
 //! Settings of a box on the users' platform: JSON with comments.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonc::{Error, Violation};
 use serde::Deserialize;
 
+use crate::fleet::regions::Regions;
+
 /// All settings. Addresses and names are required; everything else has defaults.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -14,9 +16,9 @@
     pub box_name: Arc<str>,
     /// Availability zone of the box.
     pub zone: Arc<str>,
-    /// Region of each availability zone; needed only where there are several regions.
+    /// Region of each availability zone, as an object; needed only where there are several.
     #[serde(default)]
-    pub regions: HashMap<Arc<str>, Arc<str>>,
+    pub regions: Regions,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Resources of the box.
--- a/crates/gateway/tests/loopback/endpoints.rs
+++ b/crates/gateway/tests/loopback/endpoints.rs
@@ -185,3 +185,49 @@
     );
     assert_eq!(malformed.arrived(), [], "not at any time");
 }
+
+/// Guards against requests that run in a region which their route or customer does not allow.
+#[tokio::test]
+async fn requests_run_only_in_the_regions_that_route_and_customer_allow() {
+    const REGIONS: [(&str, &str); 2] = [("centro-a", "centro"), ("sur-a", "sur")];
+    let harness = Harness::start(PAID, &["open"]).await;
+    let (centro, sur) =
+        (ScriptedEndpoint::spawn(answer_ok).await, ScriptedEndpoint::spawn(answer_ok).await);
+    for (id, endpoint, zone) in [("i-1", &centro, "centro-a"), ("i-2", &sur, "sur-a")] {
+        let entry = Registration { zone, ..registration("plain", endpoint.address()) };
+        harness.write_raw_entry(id, entry.entry().to_string()).await;
+    }
+    // A box of the one region passes requests on to the other one where only that is allowed.
+    let (gateway, _link) = harness.gateway_in_zone("box-1", "centro-a", &REGIONS).await;
+    wait_until_served(&harness, &gateway, "/open/x").await;
+    let cases: [(&str, &[&str], &[&str], [bool; 2]); 5] = [
+        ("open", &["sur"], &[], [false, true]),
+        ("cancel", &[], &["centro"], [true, false]),
+        ("third", &["sur", "centro"], &["sur"], [false, true]),
+        ("fourth", &["sur"], &["centro"], [false, false]),
+        ("fifth", &["norte"], &[], [false, false]),
+    ];
+    for (at, (route, by_route, by_customer, expected)) in cases.into_iter().enumerate() {
+        let version = at as u64 + 2;
+        let text = fixtures::config(version, PAID, &[route]);
+        let mut config: Value = serde_json::from_str(&text).expect("JSON");
+        config["routes"][0]["allowed_regions"] = json!(by_route);
+        config["tenants"][0]["allowed_regions"] = json!(by_customer);
+        harness.write_config(config.to_string()).await;
+        let path = format!("/{route}/x");
+        let status = async || {
+            call(gateway.callers(), &path, &harness.new_request("key-b", 1, 1)).await.status
+        };
+        wait_until("the version is in force", async || status().await != StatusCode::NOT_FOUND)
+            .await;
+        let arrived = || [centro.arrived().len(), sur.arrived().len()];
+        let before = arrived();
+        for _ in 0..10 {
+            let served = expected.contains(&true);
+            assert_eq!(status().await == StatusCode::OK, served, "{route}");
+            assert!(served || status().await == StatusCode::SERVICE_UNAVAILABLE, "{route}");
+        }
+        let after = arrived();
+        assert_eq!([after[0] > before[0], after[1] > before[1]], expected, "{route}");
+    }
+}
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use gateway::{Clock, Gateway, Settings};
+use gateway::{Clock, Gateway, Regions, Settings};
 use http::{HeaderMap, StatusCode};
 use objects::{Expect, Store};
 use platform::{
@@ -88,6 +88,12 @@
         self.write(kind, name, fixtures::config(version, paid, routes)).await;
     }
 
+    /// Writes an arbitrary configuration.
+    pub async fn write_config(&self, text: String) {
+        let (kind, name) = platform::CONFIG;
+        self.write(kind, name, text).await;
+    }
+
     /// Writes the entry of an endpoint.
     pub async fn write_entry(&self, id: &str, service: &str, address: SocketAddr, ready: bool) {
         self.write(platform::ENDPOINTS, id, fixtures::entry(service, address, ready)).await;
@@ -165,8 +171,8 @@
         let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
         let mut settings = settings(name, link.address());
         settings.zone = zone.into();
-        settings.regions =
-            regions.iter().map(|(zone, region)| ((*zone).into(), (*region).into())).collect();
+        let regions = regions.iter().map(|(zone, region)| ((*zone).into(), (*region).into()));
+        settings.regions = Regions::new(regions.collect());
         (self.spawn_gateway(settings).await, link)
     }
 
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -120,6 +120,6 @@
         assert_eq!(settings.machine.capacity(), 20, "the link is the scarcest resource");
         assert_eq!(settings.cold, cold);
         let of_zones = zones.iter().map(|(zone, region)| ((*zone).into(), (*region).into()));
-        assert_eq!(settings.regions, of_zones.collect());
+        assert_eq!(settings.regions, gateway::Regions::new(of_zones.collect()));
     }
 }
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -49,7 +49,7 @@
     }
 
     fn choose(&self) -> Option<Chosen> {
-        self.endpoints.choose(SERVICE, Candidates::All, &Prefix::of_parts([]), &[])
+        self.endpoints.choose(SERVICE, Candidates::All, None, &Prefix::of_parts([]), &[])
     }
 
     /// Repeats the choice until it falls on the endpoint.
