A box that starts reads two pages of boxes from the store, the rest from watchers

Cause: each of 985 boxes reads all 985 entries, 300 kB, and again each 0.7 s until a copy shows its own: 295 MB a round over a store's link of 1,000 Mbit/s, so that its answers took longer than boxes wait. Change: a start reads two pages at most, the same ones for all boxes, so that they turn to the same few first; these pass on the list of all. A partial list adds and never removes. Test: a box of a fleet of more than two pages knows all others and lists nothing.

--- a/crates/gateway/src/sync/discovery.rs
+++ b/crates/gateway/src/sync/discovery.rs
@@ -1,6 +1,8 @@
 //! Discovery of boxes: each box keeps one object in the store with its address.
 //!
-//! A box writes its object once per start and then reads those of all others. It reads from
+//! A box writes its object once per start and then reads those of others, at most
+//! [`MAX_PAGES`] pages of them: all boxes of a large fleet that start together could not each read
+//! all others from one store. The rest comes from the watchers that these few know. It reads from
 //! replicas, which may be out of date: that is cheap, and an outdated list costs only a request to
 //! a box that is gone. Later changes come with the other updates. If a newer incarnation of a box
 //! answers in place of an earlier one, that alone updates the list without a read.
@@ -25,6 +27,9 @@
 /// Interval between two reads until a replica shows the own entry, and so those of boxes that
 /// started together.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Maximum number of pages of a read. Boxes of a large fleet read the same ones, so that they first
+/// turn to the same few boxes.
+const MAX_PAGES: usize = 2;
 /// Maximum number of these reads: replicas are at most some seconds behind.
 const MAX_READS: usize = 8;
 
@@ -108,10 +113,14 @@
 
     /// Reads a replica; returns the store version that it shows.
     async fn read(&mut self) -> Option<u64> {
-        match self.store.list_stale(BOXES).await {
+        match self.store.list_stale_pages(BOXES, MAX_PAGES).await {
             Ok(list) => {
                 self.outage.record_success();
-                self.view.load_boxes(watcher::entries(&list.objects), list.version);
+                let entries = watcher::entries(&list.objects);
+                match list.is_complete {
+                    true => self.view.load_boxes(entries, list.version),
+                    false => self.view.add_boxes(entries),
+                }
                 Some(list.version)
             }
             Err(error) => {
--- a/crates/gateway/src/sync/view/boxes.rs
+++ b/crates/gateway/src/sync/view/boxes.rs
@@ -27,19 +27,25 @@
         self.publish_boxes(&mut state, at);
     }
 
+    /// Takes over the entries of some boxes; tells nothing of others.
+    pub fn add_boxes(&self, entries: Vec<(Entry, u64)>) {
+        let mut state = self.0.state.lock();
+        for (entry, version) in entries {
+            let name: Arc<str> = entry.incarnation.box_name().into();
+            if state.boxes.get(&name).is_none_or(|(_, known)| *known < version) {
+                state.boxes.insert(name, (entry, version));
+            }
+        }
+        let at = state.boxes_at;
+        self.publish_boxes(&mut state, at);
+    }
+
     /// Takes over the address of a box that registered after this one, which this one may not have
     /// read: it may be cut off from the store since.
     pub fn receive_greeting(&self, from: &Incarnation, sender: Greeting) {
         let Greeting { zone, peer, capacity, version } = sender;
-        let name: Arc<str> = from.box_name().into();
         let entry = Entry { incarnation: from.clone(), zone, peer, capacity };
-        let mut state = self.0.state.lock();
-        if state.boxes.get(&name).is_some_and(|(_, known)| *known >= version) {
-            return;
-        }
-        state.boxes.insert(name, (entry, version));
-        let at = state.boxes_at;
-        self.publish_boxes(&mut state, at);
+        self.add_boxes(vec![(entry, version)]);
     }
 
     /// Version of the entry of a box, if it is known.
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -94,6 +94,11 @@
         self.write(kind, name, text).await;
     }
 
+    /// Writes an arbitrary text as the entry of a box.
+    pub async fn write_box(&self, name: &str, entry: String) {
+        self.write("boxes", name, entry).await;
+    }
+
     /// Writes the entry of an endpoint.
     pub async fn write_entry(&self, id: &str, service: &str, address: SocketAddr, ready: bool) {
         self.write(platform::ENDPOINTS, id, fixtures::entry(service, address, ready)).await;
--- a/crates/gateway/tests/loopback/sync.rs
+++ b/crates/gateway/tests/loopback/sync.rs
@@ -91,6 +91,38 @@
     );
 }
 
+/// Guards against a start at which each box reads all others from the store: 985 boxes filled its link for seconds, did
+/// not learn of each other, and each read everything else there as well.
+#[tokio::test]
+async fn starting_boxes_read_few_others_from_the_store_and_learn_of_all() {
+    const MANY: usize = 2 * platform::store_server::PAGE_SIZE + 10;
+    let harness = Harness::start(PAID, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    // Weak boxes that ended without removing their entries.
+    for n in 0..MANY {
+        let incarnation = Incarnation::new(&format!("b-{n}"), 1);
+        let entry = serde_json::json!({
+            "incarnation": incarnation, "zone": "z1", "peer": "127.0.0.1:1", "strength": 1,
+        });
+        harness.write_box(&format!("b-{n}"), entry.to_string()).await;
+    }
+    // The strong ones are among the first names, and read the store.
+    let strong = [harness.gateway("a-0").await, harness.gateway("a-1").await];
+    for gateway in &strong {
+        wait_until_within(FLEET_MAX_WAIT, "a strong box knows all others", async || {
+            gateway.peer_count() == MANY + 1
+        })
+        .await;
+    }
+    let weak = harness.gateway_with_bandwidth("c-0", 10.0).await;
+    wait_until_within(FLEET_MAX_WAIT, "a weak box knows all others", async || {
+        weak.peer_count() == MANY + 2
+    })
+    .await;
+    wait_until_served(&harness, &weak, "/open/x").await;
+    assert_eq!(store_reads(&weak), 0, "it learned of them from the strong ones");
+}
+
 #[tokio::test]
 async fn watchers_probe_during_an_outage_and_announce_its_end() {
     let harness = Harness::start(PAID, &["open"]).await;
