A starting box whose store does not answer waits for the list of boxes

The store's pages hold some 500 objects, so two pages were the whole list after all; its link was full of lists, reads timed out after a second, and after three a box that knew nobody took itself for alone and read configuration, endpoints and boxes as well. Change: a read takes one page; after one without an answer the next comes up to 1.4 s later, at random; a box that knows nobody waits until it has read a list (or has given up after its reads), instead of 3 s. A box without peers does not spin meanwhile.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -188,7 +188,8 @@
                 peer,
                 capacity: settings.machine.capacity(),
             };
-            Discovery::new(store.clone(), me, peers.clone(), view.clone(), recovery.clone())
+            let seed = random.random();
+            Discovery::new(store.clone(), me, peers.clone(), view.clone(), recovery.clone(), seed)
         });
         let registered = discovery
             .as_ref()
--- a/crates/gateway/src/sync/discovery.rs
+++ b/crates/gateway/src/sync/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery of boxes: each box keeps one object in the store with its address.
 //!
 //! A box writes its object once per start and then reads those of others, at most
-//! [`MAX_PAGES`] pages of them: all boxes of a large fleet that start together could not each read
-//! all others from one store. The rest comes from the watchers that these few know. It reads from
+//! [`MAX_PAGES`] of them, some 500: all boxes of a large fleet that start together could not each
+//! read all others from one store. The rest comes from the watchers that these few know. It reads from
 //! replicas, which may be out of date: that is cheap, and an outdated list costs only a request to
 //! a box that is gone. Later changes come with the other updates. If a newer incarnation of a box
 //! answers in place of an earlier one, that alone updates the list without a read.
@@ -11,6 +11,7 @@
 
 use objects::Expect;
 use platform::store::{Client, Put};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::watch;
 
 use crate::{
@@ -29,7 +30,9 @@
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Maximum number of pages of a read. Boxes of a large fleet read the same ones, so that they first
 /// turn to the same few boxes.
-const MAX_PAGES: usize = 2;
+const MAX_PAGES: usize = 1;
+/// Longest additional pause after a read that got no answer.
+const MAX_BACKOFF: Duration = Duration::from_millis(1_400);
 /// Maximum number of these reads: replicas are at most some seconds behind.
 const MAX_READS: usize = 8;
 
@@ -42,6 +45,7 @@
     outage: Outage,
     /// Version of the own entry, set once it is written and the others were read.
     registered: watch::Sender<Option<u64>>,
+    random: SmallRng,
 }
 
 impl Discovery {
@@ -51,9 +55,11 @@
         peers: Peers,
         view: View,
         recovery: Recovery,
+        seed: u64,
     ) -> Discovery {
         let outage = Outage::new("boxes", Probe::Lazy, recovery);
-        Discovery { store, own_entry, peers, view, outage, registered: watch::channel(None).0 }
+        let (registered, random) = (watch::channel(None).0, SmallRng::seed_from_u64(seed));
+        Discovery { store, own_entry, peers, view, outage, registered, random }
     }
 
     /// The version of the own entry, which is needed to remove it.
@@ -74,7 +80,7 @@
             if is_shown {
                 break;
             }
-            tokio::time::sleep(READ_INTERVAL).await;
+            tokio::time::sleep(READ_INTERVAL + self.backoff()).await;
         }
         self.registered.send_replace(Some(version));
         loop {
@@ -111,6 +117,15 @@
         }
     }
 
+    /// Additional pause after a read without an answer, at random: the store's link may be full of the
+    /// lists for other boxes that start.
+    fn backoff(&mut self) -> Duration {
+        match self.outage.since() {
+            Some(_) => MAX_BACKOFF.mul_f64(self.random.random()),
+            None => Duration::ZERO,
+        }
+    }
+
     /// Reads a replica; returns the store version that it shows.
     async fn read(&mut self) -> Option<u64> {
         match self.store.list_stale_pages(BOXES, MAX_PAGES).await {
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -60,7 +60,7 @@
 const RECOVERY_DELAY: Duration = Duration::from_millis(1_000);
 /// Interval at which a box checks whether it is a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time that a starting box waits to learn of other boxes.
+/// How long a starting box looks for a watcher before it watches the store itself.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Receives the updates of this box.
@@ -130,15 +130,15 @@
     }
 
     /// Waits until this box knows others or has read the list: boxes that start together know few
-    /// others at first.
+    /// others at first. However long that takes, a box that knows nobody only because the store does
+    /// not answer must not read everything else there too.
     async fn wait_for_others(&mut self) {
-        let peers = self.peers.clone();
-        let listed = async {
-            while peers.is_empty() && self.listed.borrow().is_none() {
-                let _ = timeout(RETRY_DELAY, self.listed.changed()).await;
+        while self.peers.is_empty() && self.listed.borrow().is_none() {
+            // A box that serves no others registers nowhere and knows nobody.
+            if let Ok(Err(_)) = timeout(RETRY_DELAY, self.listed.changed()).await {
+                return;
             }
-        };
-        let _ = timeout(DISCOVERY_TIMEOUT, listed).await;
+        }
     }
 
     fn is_root(&self) -> bool {
