A relay passes on evacuations, crashes and signals at once; doc comments wrapped

Found by reading the diff: updates that hold neither an endpoint, a box nor a configuration woke no subscriber that waits at a relay, so that they came with the next heartbeat, up to half a second later. Before relays nobody subscribed to a box that had its updates from another one. No test: none asserts timings.

--- a/crates/gateway/src/fleet/keepers.rs
+++ b/crates/gateway/src/fleet/keepers.rs
@@ -1,9 +1,9 @@
 //! Choice of keepers: the boxes that hold tokens for others, in the order in which a box asks them.
 //!
-//! [`KEEPER_ZONES`] availability zones have a keeper, as far as there are so many, whatever the size of
-//! the fleet. The keeper is the box with the largest capacity in its zone; rendezvous hashing decides between equals. A box in such a zone asks that
-//! keeper first, then the next boxes of the zone, then the keepers of other zones. A box in any
-//! other zone asks the keepers first.
+//! [`KEEPER_ZONES`] availability zones have a keeper, as far as there are so many, whatever the size
+//! of the fleet. The keeper is the box with the largest capacity in its zone; rendezvous hashing
+//! decides between equals. A box in such a zone asks that keeper first, then the next boxes of the
+//! zone, then the keepers of other zones. A box in any other zone asks the keepers first.
 //!
 //! Boxes that know the same fleet choose the same keepers. Where their views differ, two boxes draw
 //! from the book and their writes conflict at times, which only costs calls.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! `entry` is a box's entry in the store, `peers` are all known boxes. `keepers` chooses the
 //! keepers of tokens and `watchers` the watchers of the store; every box computes the same choice
-//! without communication. `regions` tells which zones are near each other. `promises` holds promises of other boxes to this one, `traffic` counts
-//! the bytes of requests to others.
+//! without communication. `regions` tells which zones are near each other. `promises` holds promises
+//! of other boxes to this one, `traffic` counts the bytes of requests to others.
 
 pub mod entry;
 pub mod watchers;
--- a/crates/gateway/src/sync/directory.rs
+++ b/crates/gateway/src/sync/directory.rs
@@ -69,8 +69,8 @@
 impl Directory {
     /// The store is reachable again after an outage since `lost_since`: missing entries may come
     /// back until `until`. Has no effect if a list was read since then: that list already showed
-    /// the end of the outage, and a task that notices it later must not prolong the grace period: told
-    /// again 2 s later, an endpoint that had left got work for 1.3 s longer than it may.
+    /// the end of the outage, and a task that notices it later must not prolong the grace period:
+    /// told again 2 s later, an endpoint that had left got work for 1.3 s longer than it may.
     pub fn store_returned(&mut self, lost_since: u64, until: u64) {
         if self.listed.is_none_or(|listed| listed < lost_since) {
             self.grace_until = until;
--- a/crates/gateway/src/sync/discovery.rs
+++ b/crates/gateway/src/sync/discovery.rs
@@ -1,11 +1,11 @@
 //! Discovery of boxes: each box keeps one object in the store with its address.
 //!
-//! A box writes its object once per start and then reads those of others, at most
-//! [`MAX_PAGES`] of them, some 500: all boxes of a large fleet that start together could not each
-//! read all others from one store. The rest comes from the watchers that these few know. It reads from
-//! replicas, which may be out of date: that is cheap, and an outdated list costs only a request to
-//! a box that is gone. Later changes come with the other updates. If a newer incarnation of a box
-//! answers in place of an earlier one, that alone updates the list without a read.
+//! A box writes its object once per start and then reads those of others, one page of them: if all
+//! boxes of a large fleet start together, each cannot read all others from one store. The rest comes
+//! from the watchers that these few know. It reads from replicas, which may be out of date: that is
+//! cheap, and an outdated list costs only a request to a box that is gone. Later changes come with
+//! the other updates. If a newer incarnation of a box answers in place of an earlier one, that alone
+//! updates the list without a read.
 
 use std::time::Duration;
 
@@ -28,8 +28,8 @@
 /// Interval between two reads until a replica shows the own entry, and so those of boxes that
 /// started together.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
-/// Maximum number of pages of a read. Boxes of a large fleet read the same ones, so that they first
-/// turn to the same few boxes.
+/// Pages of a read, of some 500 boxes each. Boxes of a large fleet read the same ones, so that they
+/// first turn to the same few boxes.
 const MAX_PAGES: usize = 1;
 /// Longest additional pause after a read that got no answer.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_400);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -1,9 +1,10 @@
 //! Keeps this box's view of the store current: the configuration, the entries of endpoints, the
 //! other boxes.
 //!
-//! A few boxes, the watchers, watch the store itself; all other boxes subscribe to one of them. If
-//! every box watched the store, that would cause most of all calls to it. A watcher also has to
-//! notice quickly when the store is unreachable. A subscriber sends one long-poll request at a time
+//! A few boxes, the watchers, know the store; all other boxes subscribe to one of them. Two of them,
+//! the roots, watch the store itself, and the rest relay what a root knows. If every box watched the
+//! store, that would cause most of all calls to it. A root also has to notice quickly when the store
+//! is unreachable. A subscriber sends one long-poll request at a time
 //! to a watcher, answered when there are updates, or after a moment as a heartbeat. Both apply what
 //! they learn to the [`View`](view::View), which puts it in force on this box and keeps it for
 //! subscribers in a [`ChangeLog`](change_log::ChangeLog).
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -219,6 +219,7 @@
 
     /// Takes over updates from a watcher.
     pub fn apply(&self, updates: Update) {
+        let is_new = !updates.changes.is_empty();
         let mut state = self.0.state.lock();
         let mut endpoints = Vec::new();
         let mut boxes = Vec::new();
@@ -269,6 +270,10 @@
         if let (Some(lost_since), None) = (before, unreachable_since) {
             self.0.consumers.recovery.announce(lost_since);
         }
+        // Subscribers of a relay wait for what came with no endpoint, box or configuration too.
+        if is_new {
+            self.notify();
+        }
     }
 }
 
