A relay that begins to read the store itself answers its subscribers meanwhile

It stopped to relay before it had read the store, so that its fifty subscribers each read all from another one. What it knows is at most 1.5 s old either way.

--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -185,12 +185,6 @@
     /// Subscribes to watchers until this box should watch the store itself; returns false if no
     /// watcher answers. Relays to others meanwhile if this box is to.
     async fn subscribe(&mut self) -> bool {
-        let watches = self.subscribe_to_watchers().await;
-        self.setup.view.set_relaying(false);
-        watches
-    }
-
-    async fn subscribe_to_watchers(&mut self) -> bool {
         let mut subscription: Option<Subscription> = None;
         let mut last_contact = Instant::now();
         let mut next_probe = Instant::now();
