--- a/crates/gateway/tests/loopback/endpoints.rs
+++ b/crates/gateway/tests/loopback/endpoints.rs
@@ -200,12 +200,12 @@
     // A box of the one region passes requests on to the other one where only that is allowed.
     let (gateway, _link) = harness.gateway_in_zone("box-1", "centro-a", &REGIONS).await;
     wait_until_served(&harness, &gateway, "/open/x").await;
-    let cases: [(&str, &[&str], &[&str], [bool; 2]); 5] = [
-        ("open", &["sur"], &[], [false, true]),
-        ("cancel", &[], &["centro"], [true, false]),
-        ("third", &["sur", "centro"], &["sur"], [false, true]),
-        ("fourth", &["sur"], &["centro"], [false, false]),
-        ("fifth", &["norte"], &[], [false, false]),
+    let cases = [
+        ("open", vec!["sur"], vec![], [false, true]),
+        ("cancel", vec![], vec!["centro"], [true, false]),
+        ("third", vec!["sur", "centro"], vec!["sur"], [false, true]),
+        ("fourth", vec!["sur"], vec!["centro"], [false, false]),
+        ("fifth", vec!["norte"], vec![], [false, false]),
     ];
     for (at, (route, by_route, by_customer, expected)) in cases.into_iter().enumerate() {
         let version = at as u64 + 2;
