After a loss of power boxes read the book and give up on watchers one after the other

From then on none of the 163 boxes whose lines were kept got a configuration in 12 s: 163 lost the book ('operation timed out'), 198 times the list of boxes, and 118 began to read everything themselves after 3 s. Cause: each box reads the book at its start, some 250 kB, and again within 0.4 s while that takes longer than a second; 985 of them ask for 246 MB a second of a link that brings 125, so that nobody's read ends, roots' reads of configuration and endpoints among them. That the book's size has grown since the first start, when all went well, was inferred. Change: keepers and boxes that need the book read it at once, the others within 10 ms a box of the fleet, at random; a box without a configuration gives up on watchers after 3 s and up to 5 ms a box more. On 7 boxes that is up to 70 and 35 ms. Ruled out: a stale read, a tenth of the price but the same bytes. Test: 100 boxes a second at any size.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -207,6 +207,7 @@
             registered: registered.clone(),
             bills,
             holder: incarnation.clone(),
+            first_read_at: random.random(),
             settings: settings_updates,
         };
         let settler = Settler::new(setup, recovery.clone());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,5 +55,5 @@
     forecast::Forecast,
     funds::{Balance, Funds, Hold, Shortage},
     participation::Participation,
-    spacing::interval_factor,
+    spacing::{first_read_delay, interval_factor},
 };
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -49,6 +49,9 @@
 /// A standby watcher keeps watching for this long after the last request: longer than the other
 /// watchers of its subscribers take to restart.
 const STANDBY_TIME: Duration = Duration::from_secs(10);
+/// Time for each box of the fleet over which boxes that start together give up to find a watcher:
+/// each of them then reads everything from the store.
+const GIVE_UP_SPREAD: Duration = Duration::from_millis(5);
 /// Interval at which a box probes the store itself while no watcher reaches it, up to half longer
 /// at random: the store may be reachable from here only. Long enough that a whole fleet may do so
 /// during an outage; each probe is a cheap read.
@@ -71,6 +74,8 @@
     listed: watch::Receiver<Option<u64>>,
     random: SmallRng,
     started: Instant,
+    /// When this box gives up after its start, as a part of the time that the fleet takes; random.
+    gives_up_at: f64,
 }
 
 /// State of the subscription to one watcher.
@@ -110,8 +115,9 @@
         listed: watch::Receiver<Option<u64>>,
         seed: u64,
     ) -> Subscriber {
-        let (random, started) = (SmallRng::seed_from_u64(seed), Instant::now());
-        Subscriber { peers, setup, listed, random, started }
+        let (mut random, started) = (SmallRng::seed_from_u64(seed), Instant::now());
+        let gives_up_at = random.random();
+        Subscriber { peers, setup, listed, random, started, gives_up_at }
     }
 
     /// Receives updates for as long as the box runs.
@@ -267,7 +273,10 @@
     fn search_time(&self) -> Duration {
         match self.setup.view.knows_config() {
             true => RETRY_DELAY,
-            false => DISCOVERY_TIMEOUT,
+            false => {
+                let spread = GIVE_UP_SPREAD * self.peers.boxes() as u32;
+                DISCOVERY_TIMEOUT + spread.mul_f64(self.gives_up_at)
+            }
         }
     }
 
--- a/crates/gateway/src/tokens/settle.rs
+++ b/crates/gateway/src/tokens/settle.rs
@@ -39,6 +39,8 @@
 /// Interval at which witnesses are asked that did not answer, or whose box was not known yet.
 const COLLECT_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_WITNESSES_ASKED: usize = 8;
+/// Interval at which a box that waits for its first read looks whether it needs the book.
+const FIRST_READ_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before the first grants are requested, during which the other boxes register.
 const REGISTER_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -67,6 +69,8 @@
     pub registered: watch::Receiver<Option<u64>>,
     pub bills: Bills,
     pub holder: Incarnation,
+    /// When this box first reads the book, as a part of the time that the fleet takes; random.
+    pub first_read_at: f64,
     pub settings: watch::Receiver<Arc<Settings>>,
 }
 
@@ -211,6 +215,7 @@
         let mut registered = self.setup.registered.clone();
         let listed = registered.wait_for(Option::is_some);
         let _ = tokio::time::timeout(LIST_TIMEOUT, listed).await;
+        self.wait_for_first_read().await;
         let mut delay = RETRY_DELAY;
         let book = loop {
             match self.read().await {
@@ -226,6 +231,15 @@
         self.settle(Participation::Active).await;
     }
 
+    /// Waits for this box's turn to read the book, or until it needs it.
+    async fn wait_for_first_read(&mut self) {
+        let delay = spacing::first_read_delay(self.setup.peers.boxes(), self.setup.first_read_at);
+        let until = Instant::now() + delay;
+        while Instant::now() < until && !self.uses_book() {
+            tokio::time::sleep(FIRST_READ_CHECK_INTERVAL.min(until - Instant::now())).await;
+        }
+    }
+
     /// Returns this box's entry in the book for the next write, under a new number.
     fn writer(&mut self) -> Writer {
         self.write += 1;
--- a/crates/gateway/tests/order.rs
+++ b/crates/gateway/tests/order.rs
@@ -1,8 +1,8 @@
 //! The order in which a box asks keepers for tokens.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use gateway::{Profile, interval_factor, keepers};
+use gateway::{Profile, first_read_delay, interval_factor, keepers};
 use ledger::Incarnation;
 
 fn profile(name: &str, zone: &str, capacity: u64) -> Profile {
@@ -100,3 +100,20 @@
         assert_eq!(interval_factor(writers), factor, "{writers} writers");
     }
 }
+
+/// Guards against a fleet that gets no configuration after a loss of power, since each box reads the book at once and
+/// again, which fills the store's link.
+#[test]
+fn boxes_that_start_together_read_the_book_one_after_the_other() {
+    for boxes in [1_u64, 7, 79, 295, 985, 1_970] {
+        let parts = (0..boxes).map(|n| n as f64 / boxes as f64);
+        let delays: Vec<Duration> = parts.map(|part| first_read_delay(boxes, part)).collect();
+        let in_one_second = |from: &Duration| {
+            let until = *from + Duration::from_secs(1);
+            delays.iter().filter(|delay| (*from..until).contains(*delay)).count()
+        };
+        let most = delays.iter().map(in_one_second).max();
+        assert!(most <= Some(101), "{most:?} of {boxes} boxes in one second");
+        assert!(boxes > 7 || delays.iter().all(|delay| delay.as_millis() < 100), "{delays:?}");
+    }
+}
