--- a/crates/gateway/tests/sync.rs
+++ b/crates/gateway/tests/sync.rs
@@ -103,8 +103,7 @@
     }
 }
 
-/// Guards against a fleet in which each watcher lists all endpoints for itself: at 985 boxes and 10,000 endpoints that
-/// took 8,400 calls of the store.
+/// Guards against a fleet in which each watcher lists all endpoints for itself: at 985 boxes 62 did so within 28 s.
 #[test]
 fn few_watchers_of_a_large_fleet_read_the_store_themselves() {
     for (boxes, roots, active) in [(7, 2, 2), (89, 2, 2), (295, 2, 6), (985, 2, 20), (2_600, 2, 52)]
