--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -8,9 +8,9 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
+use tokio::{task::AbortHandle, time::Instant};
 
-use crate::Fault;
+use crate::{Dialer, Fault};
 
 /// A connection, idle or in use.
 #[derive(Debug)]
@@ -24,12 +24,13 @@
 impl Connection {
     /// Connects, without sending anything.
     pub async fn open(
+        dialer: &Dialer,
         address: SocketAddr,
         connect_timeout: Duration,
         ack_timeout: Duration,
     ) -> Result<Connection, Fault> {
         let unsent = |reason: String| Fault::Unsent { reason };
-        let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address))
+        let stream = tokio::time::timeout(connect_timeout, dialer.dial(address))
             .await
             .map_err(|_| {
                 unsent(format!("connecting timed out after {} ms", connect_timeout.as_millis()))
--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::{Body, Fault, connection::Connection};
+use crate::{Body, Dialer, Fault, connection::Connection};
 
 /// Timeouts of connections.
 #[derive(Debug, Clone)]
@@ -49,6 +49,7 @@
 #[derive(Debug, Clone)]
 pub struct Connections {
     options: Arc<Options>,
+    dialer: Dialer,
     hosts: Arc<Mutex<HashMap<SocketAddr, Host>>>,
 }
 
@@ -61,8 +62,8 @@
 
 impl Connections {
     /// Starts without connections.
-    pub fn new(options: Options) -> Connections {
-        Connections { options: Arc::new(options), hosts: Arc::default() }
+    pub fn new(options: Options, dialer: Dialer) -> Connections {
+        Connections { options: Arc::new(options), dialer, hosts: Arc::default() }
     }
 
     /// Sends a request on an exclusive connection; at most `max_open` may be open to this address.
@@ -86,9 +87,9 @@
         let mut slot = self.reserve_slot(address, max_open)?;
         let reused = slot.connection.is_some();
         if !reused {
+            let Options { connect_timeout, ack_timeout, .. } = *self.options;
             let opened =
-                Connection::open(address, self.options.connect_timeout, self.options.ack_timeout)
-                    .await?;
+                Connection::open(&self.dialer, address, connect_timeout, ack_timeout).await?;
             self.hosts.lock().entry(address).or_default().opened += 1;
             slot.connection = Some(opened);
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,10 +9,12 @@
 //! these two failures apart.
 
 mod body;
+mod dial;
 mod fault;
 mod connection;
 mod connections;
 
 pub use body::Body;
 pub use connections::{Answer, Connections, Options, ReadyConnection, Request};
+pub use dial::Dialer;
 pub use fault::Fault;
--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forward::{Answer, Connections, Fault, Options, Request};
+use forward::{Answer, Connections, Dialer, Fault, Options, Request};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
 use standin::{Reply, ScriptedEndpoint};
@@ -13,12 +13,15 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 fn connections() -> Connections {
-    Connections::new(Options {
-        connect_timeout: Duration::from_secs(2),
-        ack_timeout: Duration::from_secs(5),
-        idle_timeout: Duration::from_secs(60),
-        idle_margin: Duration::from_secs(1),
-    })
+    Connections::new(
+        Options {
+            connect_timeout: Duration::from_secs(2),
+            ack_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(60),
+            idle_margin: Duration::from_secs(1),
+        },
+        Dialer::system(),
+    )
 }
 
 fn request() -> Request {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use forward::Connections;
+use forward::{Connections, Dialer};
 use ledger::Incarnation;
 use objects::Calls;
 use parking_lot::Mutex;
@@ -85,11 +85,16 @@
     /// Starts a box. `seed` feeds its random choices, including its incarnation, and must be
     /// different at each start.
     pub async fn spawn(settings: Settings, seed: u64) -> Result<Gateway, Error> {
-        Gateway::spawn_with(settings, seed, Clock::system()).await
+        Gateway::spawn_with(settings, seed, Clock::system(), Dialer::system()).await
     }
 
-    /// Starts a box with a given clock.
-    pub async fn spawn_with(settings: Settings, seed: u64, clock: Clock) -> Result<Gateway, Error> {
+    /// Starts a box with a given clock and a given way to open connections to endpoints.
+    pub async fn spawn_with(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        dialer: Dialer,
+    ) -> Result<Gateway, Error> {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let incarnation = Incarnation::new(&settings.box_name, random.random());
         let store = Client::open(settings.store());
@@ -99,7 +104,7 @@
         let (in_force, table) = watch::channel(None);
         let (stopping, stops) = watch::channel(false);
         let (closing, closes) = watch::channel(false);
-        let connections = Connections::new(settings.connections());
+        let connections = Connections::new(settings.connections(), dialer.clone());
         let (to_store, to_endpoints) = (store.clone(), connections.clone());
         let watchdog = Watchdog::open(clock.clone(), move || {
             to_store.reset_connections();
@@ -107,7 +112,7 @@
         });
         let (zone, seed) = (settings.zone.clone(), random.random());
         let endpoints = Arc::new(Endpoints::new(zone, settings.cold, &clock, seed));
-        let prober = connect_prober(settings.connections().connect_timeout);
+        let prober = connect_prober(dialer, settings.connections().connect_timeout);
         let (crashes, reports) =
             Crashes::open(incarnation.clone(), settings.quarantine(), prober, &clock);
         let funds = Funds::open();
--- a/crates/gateway/src/proxy/crashes.rs
+++ b/crates/gateway/src/proxy/crashes.rs
@@ -19,12 +19,12 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use forward::Dialer;
 use futures_util::future::BoxFuture;
 use ledger::Incarnation;
 use parking_lot::Mutex;
 use quarantine::{Finding, Fingerprint, Limits, Registry, Report, Verdict};
 use tokio::{
-    net::TcpStream,
     sync::{mpsc, watch},
     time::{Instant, sleep, timeout, timeout_at},
 };
@@ -71,11 +71,12 @@
 pub type Prober = Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Liveness> + Send + Sync>;
 
 /// A prober that connects to the endpoint, with this timeout.
-pub fn connect_prober(connect_timeout: Duration) -> Prober {
+pub fn connect_prober(dialer: Dialer, connect_timeout: Duration) -> Prober {
     Box::new(move |address| {
+        let dialer = dialer.clone();
         Box::pin(async move {
             sleep(PROBE_DELAY).await;
-            match timeout(connect_timeout, TcpStream::connect(address)).await {
+            match timeout(connect_timeout, dialer.dial(address)).await {
                 Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Ended,
                 Ok(Err(_)) | Err(_) => Liveness::Unreachable,
                 Ok(Ok(_)) => Liveness::Running,
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use forward::Dialer;
 use gateway::{Clock, Gateway, Regions, Settings};
 use http::{HeaderMap, StatusCode};
 use objects::{Expect, Store};
@@ -18,6 +19,8 @@
 };
 use standin::{Link, Platform, ReceivedRequest, Reply, ScriptedEndpoint};
 
+use crate::endpoint_cut::EndpointCut;
+
 /// Upper bound on any single wait; a test that reaches it fails.
 pub const MAX_WAIT: Duration = Duration::from_secs(20);
 
@@ -230,10 +233,24 @@
         let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
         let clock = Clock::manual();
         let seed = self.ids.fetch_add(1, Ordering::Relaxed);
-        let started = Gateway::spawn_with(settings(name, link.address()), seed, clock.clone());
+        let started = Gateway::spawn_with(
+            settings(name, link.address()),
+            seed,
+            clock.clone(),
+            Dialer::system(),
+        );
         (started.await.expect("the gateway starts"), link, clock)
     }
 
+    /// Starts a gateway that can be cut off from endpoints.
+    pub async fn gateway_with_endpoint_cut(&self, name: &str) -> (Gateway, EndpointCut) {
+        let cut = EndpointCut::default();
+        let seed = self.ids.fetch_add(1, Ordering::Relaxed);
+        let settings = settings(name, self.platform.socket());
+        let started = Gateway::spawn_with(settings, seed, Clock::system(), cut.dialer());
+        (started.await.expect("the gateway starts"), cut)
+    }
+
     /// Starts a gateway that reaches the store at this address.
     pub async fn gateway_with_store(&self, name: &str, store: SocketAddr) -> Gateway {
         self.spawn_gateway(settings(name, store)).await
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -3,7 +3,9 @@
 mod back_off;
 mod bills;
 mod box_crash;
+mod cut_off;
 mod dead_watch;
+mod endpoint_cut;
 mod endpoints;
 mod harness;
 mod keepers;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -25,6 +25,8 @@
     target: Option<SocketAddr>,
     /// Calls of `stall_open_connections` so far; connections opened at a lower count are stalled.
     stall_count: u64,
+    /// Calls of `close_open_connections` so far; connections opened at a lower count are closed.
+    close_count: u64,
 }
 
 impl Filter {
@@ -83,6 +85,11 @@
         self.filter.send_modify(|filter| filter.stall_count += 1);
     }
 
+    /// Closes the connections that are open now; new ones work.
+    pub fn close_open_connections(&self) {
+        self.filter.send_modify(|filter| filter.close_count += 1);
+    }
+
     /// Stops or resumes forwarding of connections from one source address.
     pub fn set_blocked(&self, source: IpAddr, blocked: bool) {
         self.filter.send_modify(|filter| {
@@ -106,7 +113,11 @@
     delay: Duration,
     mut filter: watch::Receiver<Filter>,
 ) {
-    let opened_at_count = filter.borrow().stall_count;
+    let (opened_at_count, close_count) = {
+        let filter = filter.borrow();
+        (filter.stall_count, filter.close_count)
+    };
+    let mut closes = filter.clone();
     let passed = filter.wait_for(|filter| filter.passes(source, opened_at_count)).await;
     let Ok(target) = passed.map(|filter| filter.target) else { return };
     let Some(target) = target else { return };
@@ -116,7 +127,10 @@
     let (server_read, server_write) = server.into_split();
     let upstream = copy(client_read, server_write, delay, source, opened_at_count, filter.clone());
     let downstream = copy(server_read, client_write, delay, source, opened_at_count, filter);
-    tokio::join!(upstream, downstream);
+    tokio::select! {
+        _ = async { tokio::join!(upstream, downstream) } => {}
+        _ = closes.wait_for(|filter| filter.close_count > close_count) => {}
+    }
 }
 
 async fn copy(
