RECOVER: a box that is cut off from an endpoint reaches it through another box

What callers saw: 503, or no answer within their deadline, from every box that had lost its endpoints, while other boxes served the same requests.

Cause: a box knew one way to an endpoint, its own link. Each request tried up to four endpoints on it and was refused. Ruled out: quarantine (no refusal named it), late notice (with resets a connect fails within a round trip and nothing is served all the same), tokens and configuration (both there).

Change: connections to endpoints are opened directly or through another box, raced, the way that is expected to work 0.1 s ahead. The other box passes bytes on (one h2 stream, CONNECT) and nothing else: tokens, bill, retries, permits and choice stay with the box that the caller asked, so one owner, one bill, one run. A box opens no tunnel for a tunnel: one hop. A refused tunnel is "not sent"; one that breaks later may have run. The cut ends with the first direct connection, tried every 0.5 s.

New: the close of a caller behind another box, its planned stop, its death.

--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -8,15 +8,22 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{task::AbortHandle, time::Instant};
+use tokio::{net::TcpStream, sync::watch, task::AbortHandle, time::Instant};
 
-use crate::{Dialer, Fault};
+use crate::{
+    Dialer, Fault,
+    detour::{Stream, Tunnel, Way},
+};
 
 /// A connection, idle or in use.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Way on which it was opened.
+    pub way: Way,
+    /// Whether the box that carries it is about to stop.
+    closing: Option<watch::Receiver<bool>>,
     /// When it must not be reused any more, as the endpoint may close it for being idle.
     pub reusable_until: Instant,
 }
@@ -36,16 +43,26 @@
                 unsent(format!("connecting timed out after {} ms", connect_timeout.as_millis()))
             })?
             .map_err(|error| unsent(error.to_string()))?;
-        stream.set_nodelay(true).map_err(|error| unsent(error.to_string()))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(ack_timeout))
-            .map_err(|error| unsent(error.to_string()))?;
+        configure(&stream, ack_timeout).map_err(|error| unsent(error.to_string()))?;
+        Connection::over(stream, Way::Direct, None).await
+    }
+
+    /// Uses a connection through another box, without sending anything.
+    pub async fn over_tunnel(tunnel: Tunnel) -> Result<Connection, Fault> {
+        Connection::over(tunnel.stream, Way::Detour, Some(tunnel.closing)).await
+    }
+
+    async fn over(
+        stream: impl Stream + 'static,
+        way: Way,
+        closing: Option<watch::Receiver<bool>>,
+    ) -> Result<Connection, Fault> {
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| unsent(error.to_string()))?;
+            .map_err(|error| Fault::Unsent { reason: error.to_string() })?;
         // The pending request receives the error too, so it may be ignored here.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, reusable_until: Instant::now() })
+        Ok(Connection { sender, task, way, closing, reusable_until: Instant::now() })
     }
 
     /// Whether a request can be sent now, as no earlier one is still being sent.
@@ -53,9 +70,10 @@
         self.sender.is_ready()
     }
 
-    /// Whether the connection is closed.
+    /// Whether the connection is closed, or is to get no more requests.
     pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        let is_closing = self.closing.as_ref().is_some_and(|closing| *closing.borrow());
+        is_closing || self.sender.is_closed()
     }
 
     /// Sends a request and waits for the head of its response.
@@ -73,6 +91,12 @@
     }
 }
 
+/// Sets the options of a TCP connection to an endpoint.
+pub fn configure(stream: &TcpStream, ack_timeout: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(ack_timeout))
+}
+
 impl Drop for Connection {
     /// Closes the connection at once, so that the endpoint cancels the request on it.
     fn drop(&mut self) {
--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -7,22 +7,20 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use tokio::time::Instant;
+use tokio::{net::TcpStream, time::Instant};
 
-use crate::{Body, Dialer, Fault, connection::Connection};
+use crate::{
+    Body, Dialer, Fault,
+    connection::{self, Connection},
+    detour::{Detour, Way},
+    opener::{Opened, Opener, Port},
+    options::Options,
+};
 
-/// Timeouts of connections.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// Timeout for connecting.
-    pub connect_timeout: Duration,
-    /// A connection fails when sent bytes stay unacknowledged for this long (`TCP_USER_TIMEOUT`).
-    pub ack_timeout: Duration,
-    /// Idle timeout where the endpoint sends no `Keep-Alive` timeout.
-    pub idle_timeout: Duration,
-    /// Connections are not reused during this last part of the idle timeout, since the endpoint may close them.
-    pub idle_margin: Duration,
-}
+/// Interval at which the direct way to an endpoint is tried while requests take the detour.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of endpoints that are checked at a time because another one was cut off.
+const MAX_SWEPT: usize = 32;
 
 /// A request to send.
 #[derive(Debug, Clone)]
@@ -48,9 +46,10 @@
 /// All connections to endpoints.
 #[derive(Debug, Clone)]
 pub struct Connections {
-    options: Arc<Options>,
-    dialer: Dialer,
+    opener: Opener,
     hosts: Arc<Mutex<HashMap<SocketAddr, Host>>>,
+    /// When kept connections to other endpoints were last checked.
+    swept_at: Arc<Mutex<Option<Instant>>>,
 }
 
 #[derive(Debug, Default)]
@@ -58,12 +57,46 @@
     idle: Vec<Connection>,
     open: usize,
     opened: u64,
+    /// Set while the detour is expected to work and the direct way is not.
+    cut_off: Option<CutOff>,
+}
+
+/// This box is cut off from an endpoint that other boxes reach.
+#[derive(Debug)]
+struct CutOff {
+    /// When the direct way is tried again.
+    next_check: Instant,
+}
+
+impl Host {
+    /// Closes the idle connections for which a condition holds.
+    fn close_idle(&mut self, is_closed: impl Fn(&Connection) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain(|connection| !is_closed(connection));
+        self.open -= before - self.idle.len();
+    }
+
+    /// Position of an idle connection that can be used now; a direct one if there is one.
+    fn ready_position(&self) -> Option<usize> {
+        let ready = |way| {
+            self.idle
+                .iter()
+                .rposition(move |connection| connection.is_ready() && connection.way == way)
+        };
+        ready(Way::Direct).or_else(|| ready(Way::Detour))
+    }
+
+    /// Whether a connection may be kept: one through another box only while it is needed.
+    fn keeps(&self, connection: &Connection) -> bool {
+        connection.way == Way::Direct || self.cut_off.is_some()
+    }
 }
 
 impl Connections {
     /// Starts without connections.
-    pub fn new(options: Options, dialer: Dialer) -> Connections {
-        Connections { options: Arc::new(options), dialer, hosts: Arc::default() }
+    pub fn new(options: Options, dialer: Dialer, detour: Detour) -> Connections {
+        let opener = Opener { options: Arc::new(options), dialer, detour };
+        Connections { opener, hosts: Arc::default(), swept_at: Arc::default() }
     }
 
     /// Sends a request on an exclusive connection; at most `max_open` may be open to this address.
@@ -86,14 +119,121 @@
     ) -> Result<ReadyConnection, Fault> {
         let mut slot = self.reserve_slot(address, max_open)?;
         let reused = slot.connection.is_some();
+        let expected = self.expected_way(address);
         if !reused {
-            let Options { connect_timeout, ack_timeout, .. } = *self.options;
-            let opened =
-                Connection::open(&self.dialer, address, connect_timeout, ack_timeout).await?;
-            self.hosts.lock().entry(address).or_default().opened += 1;
-            slot.connection = Some(opened);
+            let opened = self.opener.open(address, expected).await?;
+            self.record_opened(address, &opened);
+            slot.connection = Some(opened.connection);
+        }
+        Ok(ReadyConnection { slot, reused, options: self.opener.options.clone() })
+    }
+
+    /// The way that is expected to reach an address. Now and then, tries whether the direct one does again.
+    fn expected_way(&self, address: SocketAddr) -> Way {
+        let mut hosts = self.hosts.lock();
+        let Some(host) = hosts.get_mut(&address) else { return Way::Direct };
+        let Some(cut_off) = &mut host.cut_off else { return Way::Direct };
+        let now = Instant::now();
+        if cut_off.next_check <= now {
+            cut_off.next_check = now + CHECK_INTERVAL;
+            let (connections, opening) = (self.clone(), self.opener.begin(address, Way::Direct));
+            tokio::spawn(async move {
+                if opening.await.is_ok() {
+                    connections.end_cut(address);
+                }
+            });
+        }
+        Way::Detour
+    }
+
+    /// Learns from an opened connection whether the box is cut off from the endpoint.
+    fn record_opened(&self, address: SocketAddr, opened: &Opened) {
+        self.hosts.lock().entry(address).or_default().opened += 1;
+        match opened.connection.way {
+            Way::Direct => self.end_cut(address),
+            Way::Detour => self.begin_cut(address, opened.direct_hangs),
+        }
+    }
+
+    /// The detour reaches an address and the direct way does not.
+    fn begin_cut(&self, address: SocketAddr, hangs: bool) {
+        {
+            let mut hosts = self.hosts.lock();
+            let host = hosts.entry(address).or_default();
+            if hangs {
+                host.close_idle(|connection| connection.way == Way::Direct);
+            }
+            if host.cut_off.is_some() {
+                return;
+            }
+            host.cut_off = Some(CutOff { next_check: Instant::now() + CHECK_INTERVAL });
         }
-        Ok(ReadyConnection { slot, reused, options: self.options.clone() })
+        tracing::warn!(event = "endpoint_cut_off", %address, hangs);
+        self.sweep(address);
+    }
+
+    /// The direct way to an address works.
+    fn end_cut(&self, address: SocketAddr) {
+        let mut hosts = self.hosts.lock();
+        let ended = hosts.get_mut(&address).and_then(|host| host.cut_off.take());
+        if ended.is_some() {
+            tracing::info!(event = "endpoint_reached_again", %address);
+        }
+    }
+
+    /// Checks the direct way to other endpoints to which idle connections are kept: a cut seldom concerns a single
+    /// one, and a request that is sent on a dead connection is lost.
+    fn sweep(&self, except: SocketAddr) {
+        let now = Instant::now();
+        let is_recent = |at: Instant| now < at + CHECK_INTERVAL;
+        if self.swept_at.lock().replace(now).is_some_and(is_recent) {
+            return;
+        }
+        let addresses: Vec<SocketAddr> = {
+            let hosts = self.hosts.lock();
+            let at_risk = hosts.iter().filter(|(address, host)| {
+                **address != except && host.cut_off.is_none() && !host.idle.is_empty()
+            });
+            at_risk.map(|(address, _)| *address).take(MAX_SWEPT).collect()
+        };
+        for address in addresses {
+            let connections = self.clone();
+            tokio::spawn(async move { connections.check(address).await });
+        }
+    }
+
+    /// Opens a connection to an address to see which way works, and keeps it.
+    async fn check(&self, address: SocketAddr) {
+        let Ok(opened) = self.opener.open(address, Way::Direct).await else { return };
+        self.record_opened(address, &opened);
+        self.hosts.lock().entry(address).or_default().open += 1;
+        let connection = Some(opened.connection);
+        Slot { address, connection, hosts: self.hosts.clone() }
+            .keep_idle(Instant::now() + self.opener.options.reuse_time());
+    }
+
+    /// Whether this box is cut off from an endpoint that others reach.
+    pub fn is_cut_off(&self, address: SocketAddr) -> bool {
+        self.hosts.lock().get(&address).is_some_and(|host| host.cut_off.is_some())
+    }
+
+    /// Number of endpoints that this box is cut off from.
+    pub fn count_cut_off(&self) -> usize {
+        self.hosts.lock().values().filter(|host| host.cut_off.is_some()).count()
+    }
+
+    /// Sets the options of a connection to an endpoint that is opened for another box.
+    pub fn configure(&self, stream: &TcpStream) -> std::io::Result<()> {
+        connection::configure(stream, self.opener.options.ack_timeout)
+    }
+
+    /// Looks at the port of an endpoint, from here and, if it is closed, from other boxes.
+    pub async fn probe(&self, address: SocketAddr) -> Port {
+        let probe = self.opener.probe(address).await;
+        if probe.is_cut_off {
+            self.begin_cut(address, false);
+        }
+        probe.port
     }
 
     /// Reserves one of the connections allowed to an address, with an idle connection if there is one.
@@ -101,10 +241,8 @@
         let mut hosts = self.hosts.lock();
         let host = hosts.entry(address).or_default();
         let now = Instant::now();
-        let before = host.idle.len();
-        host.idle.retain(|connection| !connection.is_closed() && connection.reusable_until > now);
-        host.open -= before - host.idle.len();
-        let position = host.idle.iter().rposition(Connection::is_ready);
+        host.close_idle(|connection| connection.is_closed() || connection.reusable_until <= now);
+        let position = host.ready_position();
         let connection = position.map(|at| host.idle.remove(at));
         match connection {
             Some(_) => {}
@@ -118,8 +256,7 @@
     pub fn forget(&self, address: SocketAddr) {
         let mut hosts = self.hosts.lock();
         if let Some(host) = hosts.get_mut(&address) {
-            host.open -= host.idle.len();
-            host.idle.clear();
+            host.close_idle(|_| true);
         }
         hosts.retain(|_, host| host.open > 0);
     }
@@ -127,10 +264,7 @@
     /// Closes all idle connections, which may have broken unnoticed.
     pub fn close_idle(&self) {
         let mut hosts = self.hosts.lock();
-        for host in hosts.values_mut() {
-            host.open -= host.idle.len();
-            host.idle.clear();
-        }
+        hosts.values_mut().for_each(|host| host.close_idle(|_| true));
     }
 
     /// Number of connections opened so far to addresses in use.
@@ -163,12 +297,16 @@
         Ok(Answer { head, body: Body::new(body, lease), reused: self.reused })
     }
 
+    /// Whether another box carries the connection.
+    pub fn is_detour(&self) -> bool {
+        self.slot.connection.as_ref().is_some_and(|connection| connection.way == Way::Detour)
+    }
+
     /// Returns the connection unused.
     pub fn release(self) {
         let previous = self.slot.connection.as_ref().map(|connection| connection.reusable_until);
         let until = previous.filter(|_| self.reused);
-        let fresh =
-            Instant::now() + self.options.idle_timeout.saturating_sub(self.options.idle_margin);
+        let fresh = Instant::now() + self.options.reuse_time();
         self.slot.keep_idle(until.unwrap_or(fresh));
     }
 }
@@ -199,6 +337,9 @@
         connection.reusable_until = until;
         let mut hosts = self.hosts.lock();
         let host = hosts.entry(self.address).or_default();
+        if !host.keeps(&connection) {
+            return;
+        }
         // Offsets the decrement in `drop`: the idle connection stays open.
         host.open += 1;
         host.idle.push(connection);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,12 +9,18 @@
 //! these two failures apart.
 
 mod body;
+mod detour;
 mod dial;
 mod fault;
 mod connection;
 mod connections;
+mod opener;
+mod options;
 
 pub use body::Body;
-pub use connections::{Answer, Connections, Options, ReadyConnection, Request};
+pub use connections::{Answer, Connections, ReadyConnection, Request};
+pub use detour::{Detour, Stream, Tunnel, Unreached, Way};
 pub use dial::Dialer;
 pub use fault::Fault;
+pub use opener::Port;
+pub use options::Options;
--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forward::{Answer, Connections, Dialer, Fault, Options, Request};
+use forward::{Answer, Connections, Detour, Dialer, Fault, Options, Request};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
 use standin::{Reply, ScriptedEndpoint};
@@ -21,6 +21,7 @@
             idle_margin: Duration::from_secs(1),
         },
         Dialer::system(),
+        Detour::none(),
     )
 }
 
--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -8,6 +8,7 @@
 mod greetings;
 mod requests;
 mod permits;
+mod tunnels;
 
 pub use permits::MAX_HOPS;
 pub use requests::{Delivery, HAND_OVER_TIMEOUT, PromptNotice, REPLICATE_TIMEOUT, WitnessReply};
@@ -113,9 +114,15 @@
     version: u64,
     peer: Peer,
     avoid_until: Option<Instant>,
+    /// Until when it is asked last for connections to endpoints.
+    avoid_as_exit_until: Option<Instant>,
 }
 
 impl Known {
+    fn new(entry: Entry, version: u64, peer: Peer) -> Known {
+        Known { entry, version, peer, avoid_until: None, avoid_as_exit_until: None }
+    }
+
     fn is_reachable(&self, now: Instant) -> bool {
         self.avoid_until.is_none_or(|end| end <= now)
     }
@@ -190,7 +197,7 @@
                 state.known.remove(&replaced);
             }
             let peer = Peer::new(entry.peer, self.source);
-            let known = Known { entry: entry.clone(), version: *version, peer, avoid_until: None };
+            let known = Known::new(entry.clone(), *version, peer);
             state.known.insert(name.clone(), known);
             is_changed = true;
         }
@@ -262,7 +269,7 @@
         let mut state = self.state.lock();
         if let Some(Known { entry, version, peer, .. }) = state.known.remove(name) {
             let entry = Entry { incarnation: successor.clone(), ..entry };
-            let known = Known { entry, version, peer, avoid_until: None };
+            let known = Known::new(entry, version, peer);
             state.known.entry(successor.clone()).or_insert(known);
             state.roles = None;
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use forward::{Connections, Dialer};
+use forward::{Connections, Detour, Dialer};
 use ledger::Incarnation;
 use objects::Calls;
 use parking_lot::Mutex;
@@ -32,6 +32,7 @@
         context::Context,
         crashes::{Crashes, connect_prober},
         endpoints::Endpoints,
+        exits::Exits,
         link::Link,
         permits::{self, Permits},
     },
@@ -71,6 +72,8 @@
     closing: watch::Sender<bool>,
     /// Connections of callers.
     tasks: TaskTracker,
+    /// Connections to endpoints that are carried for other boxes.
+    tunnels: TaskTracker,
     /// Deadline of the last settlement; set once the box stops.
     settle_deadline: watch::Sender<Option<Instant>>,
     settler: Option<JoinHandle<()>>,
@@ -104,26 +107,31 @@
         let (in_force, table) = watch::channel(None);
         let (stopping, stops) = watch::channel(false);
         let (closing, closes) = watch::channel(false);
-        let connections = Connections::new(settings.connections(), dialer.clone());
+        let (zone, seed) = (settings.zone.clone(), random.random());
+        let profile = Profile {
+            incarnation: incarnation.clone(),
+            zone: settings.zone.clone(),
+            capacity: settings.machine.capacity(),
+        };
+        let peers = Peers::open(profile, settings.listen.peers, random.random());
+        peers.set_regions(settings.regions.clone());
+        let by_peers = peers.clone();
+        let detour = Detour::new(move |address| {
+            let peers = by_peers.clone();
+            Box::pin(async move { peers.open_tunnel(address).await })
+        });
+        let connections = Connections::new(settings.connections(), dialer.clone(), detour);
         let (to_store, to_endpoints) = (store.clone(), connections.clone());
         let watchdog = Watchdog::open(clock.clone(), move || {
             to_store.reset_connections();
             to_endpoints.close_idle();
         });
-        let (zone, seed) = (settings.zone.clone(), random.random());
         let endpoints = Arc::new(Endpoints::new(zone, settings.cold, &clock, seed));
-        let prober = connect_prober(dialer, settings.connections().connect_timeout);
+        let prober = connect_prober(dialer.clone(), settings.connections().connect_timeout);
         let (crashes, reports) =
             Crashes::open(incarnation.clone(), settings.quarantine(), prober, &clock);
         let funds = Funds::open();
         let bills = Bills::open(incarnation.clone());
-        let profile = Profile {
-            incarnation: incarnation.clone(),
-            zone: settings.zone.clone(),
-            capacity: settings.machine.capacity(),
-        };
-        let peers = Peers::open(profile, settings.listen.peers, random.random());
-        peers.set_regions(settings.regions.clone());
         let (in_force_settings, settings_updates) = watch::channel(Arc::new(settings.clone()));
         let borrower = Borrower::new(funds.clone(), peers.clone());
         let acquirer =
@@ -148,7 +156,20 @@
             started: clock.now(),
             announcer: announcer.clone(),
         });
+        let tunnels = TaskTracker::new();
+        let exits = Exits {
+            dialer,
+            connect_timeout: settings.connections().connect_timeout,
+            endpoints: endpoints.clone(),
+            connections: connections.clone(),
+            peers: peers.clone(),
+            metrics: metrics.clone(),
+            stopping: stops.clone(),
+            tunnels: tunnels.clone(),
+            slots: Exits::slots(),
+        };
         let peer_service = PeerService {
+            exits,
             me: incarnation.clone(),
             funds: funds.clone(),
             peers: peers.clone(),
@@ -301,6 +322,7 @@
             stopping,
             closing,
             tasks,
+            tunnels,
             settle_deadline,
             settler,
             peer_server,
@@ -404,7 +426,9 @@
         self.accepting.abort();
         self.closing.send_replace(true);
         let remaining = limit.saturating_sub(began.elapsed());
-        let finished = tokio::time::timeout(remaining, self.tasks.wait()).await.is_ok();
+        self.tunnels.close();
+        let ends = async { tokio::join!(self.tasks.wait(), self.tunnels.wait()) };
+        let finished = tokio::time::timeout(remaining, ends).await.is_ok();
         let remaining = limit.saturating_sub(began.elapsed());
         self.settle_deadline
             .send_replace(Some(Instant::now() + remaining + FINAL_SETTLEMENT_TIMEOUT));
--- a/crates/gateway/src/inbound/admin.rs
+++ b/crates/gateway/src/inbound/admin.rs
@@ -74,6 +74,7 @@
             let labels = Endpoint { endpoint: endpoint.to_string() };
             metrics.limits.get_or_create(&labels).set(per_s);
         }
+        metrics.cut_off.set(context.connections.count_cut_off() as i64);
         let (reports, quarantined) = context.crashes.counts();
         metrics.crashes.set(reports as i64);
         metrics.quarantined.set(quarantined as i64);
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -5,15 +5,15 @@
 //! request names the incarnation of the receiver, whose 64 random bits only the store and the fleet
 //! know. Sealing a promise requires the incarnation of the box that made it, for the same reason.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use ledger::{Demand, Incarnation};
 use tokio::{sync::watch, time::Instant};
-use wire::{Draw, Drawn, Frame, Message};
+use wire::{Draw, Drawn, Frame, Message, tunnel};
 
 use crate::{
     fleet::{peers::Peers, promises::Acceptance},
-    proxy::{endpoints::Endpoints, permits::Permits},
+    proxy::{endpoints::Endpoints, exits::Exits, permits::Permits},
     sync::view::{Answer, Origin, View},
     tokens::{bills::Bills, borrower::Borrower, funds::Funds},
 };
@@ -36,6 +36,7 @@
     pub bills: Bills,
     pub view: View,
     pub permits: Permits,
+    pub exits: Exits,
     /// Whether a planned stop has begun.
     pub stopping: watch::Receiver<bool>,
 }
@@ -218,4 +219,16 @@
         };
         self.peers.message(frame)
     }
+
+    async fn dial(
+        &self,
+        from: &Incarnation,
+        target: SocketAddr,
+    ) -> Result<tunnel::Exit, tunnel::Refusal> {
+        self.exits.dial(from, target).await
+    }
+
+    async fn wait_stopping(&self) {
+        self.exits.wait_stopping().await;
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -120,6 +120,12 @@
     pub permits: Family<PermitOutcome, Counter>,
     /// Permits issued to this box and others.
     pub permits_issued: Counter,
+    /// Requests sent to endpoints through another box.
+    pub detours: Counter,
+    /// Connections to endpoints that this box opened for others.
+    pub tunnels: Counter,
+    /// Endpoints that this box does not reach and others do.
+    pub cut_off: Gauge,
     /// Crash reports, and suspect requests that were answered completely.
     pub crashes: Gauge,
     /// Quarantined requests.
@@ -162,6 +168,9 @@
             limited_sends: Family::default(),
             permits: Family::default(),
             permits_issued: Counter::default(),
+            detours: Counter::default(),
+            tunnels: Counter::default(),
+            cut_off: Gauge::default(),
             crashes: Gauge::default(),
             quarantined: Gauge::default(),
             watches: Gauge::default(),
@@ -255,6 +264,21 @@
             "Turns at endpoints that name a limit which this box handed out",
             self.permits_issued.clone(),
         );
+        registry.register(
+            "detours",
+            "Requests sent to endpoints through another box",
+            self.detours.clone(),
+        );
+        registry.register(
+            "tunnels",
+            "Connections to endpoints that this box opened for others",
+            self.tunnels.clone(),
+        );
+        registry.register(
+            "endpoints_cut_off",
+            "Endpoints that this box does not reach and others do",
+            self.cut_off.clone(),
+        );
         registry.register(
             "crash_reports",
             "Reports of endpoints that ended, and of suspect requests that were answered whole",
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -205,6 +205,8 @@
             Ok(connection) => connection,
             Err(unsent) => return unsent,
         };
+        exchange.is_detour = connection.is_detour();
+        self.metrics.detours.inc_by(u64::from(exchange.is_detour));
         // From here on the endpoint may have the request, also if this future is dropped.
         let (may_have_run_before, attempts_before) = (exchange.may_have_run, exchange.attempts);
         (exchange.may_have_run, exchange.attempts) = (true, exchange.attempts + 1);
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -285,6 +285,11 @@
         state.apply_allowances(self.now());
     }
 
+    /// Whether a listed endpoint has this address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        self.state.lock().listed.values().any(|listing| listing.address == address)
+    }
+
     /// Number of cold endpoints.
     pub fn count_cold(&self) -> usize {
         let now = self.now();
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -52,6 +52,8 @@
     pub endpoint: Option<Arc<str>>,
     /// Number of endpoints that it was sent to, without those that turned out to be gone.
     pub attempts: u32,
+    /// Whether another box carried the last attempt.
+    pub is_detour: bool,
     /// Whether some endpoint may have run it.
     pub may_have_run: bool,
     /// Time until the head of the response.
@@ -88,6 +90,7 @@
             event_tokens: 1,
             endpoint: None,
             attempts: 0,
+            is_detour: false,
             may_have_run: false,
             time_to_head: None,
             longest_pause: None,
@@ -170,6 +173,7 @@
             status,
             detail,
             sent = self.attempts,
+            detour = self.is_detour,
             held = reserved,
             charged,
             events,
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -24,4 +24,5 @@
 pub mod retries;
 pub mod announcer;
 pub mod exchange;
+pub mod exits;
 pub mod permits;
--- a/crates/gateway/tests/loopback/cut_off.rs
+++ b/crates/gateway/tests/loopback/cut_off.rs
@@ -7,11 +7,13 @@
 use http::StatusCode;
 use platform::fixtures;
 use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
+use tokio::task::JoinHandle;
 
 use crate::{
     endpoint_cut::{Cut, EndpointCut},
     harness::{
-        Harness, answer_ok, call, charged_tokens, request, send, wait_until, wait_until_served,
+        Harness, Response, answer_ok, call, charged_tokens, request, send, wait_until,
+        wait_until_served, wait_until_within,
     },
 };
 
@@ -41,9 +43,12 @@
 /// Script of the endpoints: bodies that start with `long` get a slow stream, others are answered at once.
 fn respond(arrived: &ReceivedRequest) -> Reply {
     let headers = fixtures::response_headers(&arrived.head.id, None);
-    match arrived.body.starts_with(b"long") {
-        true => Reply::Events(headers, vec!["data: x\n\n".into(); EVENTS], EVENT_PAUSE),
-        false => answer_ok(arrived),
+    match &arrived.body[..] {
+        body if body.starts_with(b"long") => {
+            Reply::Events(headers, vec!["data: x\n\n".into(); EVENTS], EVENT_PAUSE)
+        }
+        b"unanswered" => Reply::Silent,
+        _ => answer_ok(arrived),
     }
 }
 
@@ -106,6 +111,24 @@
         served
     }
 
+    /// Cuts the box off, and waits until it serves all routes through other boxes.
+    async fn cut_off(&self) {
+        self.cut.begin(Cut::Reset);
+        for path in PATHS {
+            wait_until_served(&self.harness, &self.cut_box, path).await;
+        }
+    }
+
+    /// Sends a request with this body to the box that is cut off, and waits until it runs.
+    async fn start_request(&self, path: &str, body: String) -> JoinHandle<Response> {
+        let arrived = self.arrived();
+        let head = self.harness.new_request("key-b", TOKENS, 1_000);
+        let sent = request(self.cut_box.callers(), path, &head).body(body);
+        let response = tokio::spawn(send(sent));
+        wait_until("the request runs", async || self.arrived() > arrived).await;
+        response
+    }
+
     /// Number of requests that reached endpoints.
     fn arrived(&self) -> usize {
         self.endpoints.iter().map(|endpoint| endpoint.arrived().len()).sum()
@@ -155,17 +178,58 @@
 #[tokio::test]
 async fn a_box_that_is_cut_off_reports_no_crashes() {
     let fleet = Fleet::start().await;
-    let arrived = fleet.arrived();
-    let requests = (0..ENDPOINTS).map(|n| {
-        let head = fleet.harness.new_request("key-b", TOKENS, 1_000);
-        let body = format!("long {n}");
-        tokio::spawn(send(request(fleet.cut_box.callers(), "/stream/x", &head).body(body)))
-    });
-    let requests: Vec<_> = requests.collect();
-    wait_until("the requests run", async || fleet.arrived() == arrived + ENDPOINTS).await;
+    let mut requests = Vec::new();
+    for n in 0..ENDPOINTS {
+        requests.push(fleet.start_request("/stream/x", format!("long {n}")).await);
+    }
     tokio::time::sleep(EVENT_PAUSE).await;
     fleet.cut.begin(Cut::Reset);
     join_all(requests).await;
     tokio::time::sleep(TIME_TO_REPORT).await;
     assert_eq!(fleet.harness.count("crashes").await, 0, "reports of crashes in the store");
 }
+
+/// Guards against a box between that holds a request of a caller who has left: the engine would go on for nobody.
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_request_behind_another_box() {
+    let fleet = Fleet::start().await;
+    fleet.cut_off().await;
+    let request = fleet.start_request("/stream/x", "long".into()).await;
+    let closed = |fleet: &Fleet| fleet.endpoints.iter().map(|e| e.closed()).sum::<usize>();
+    let before = closed(&fleet);
+    request.abort();
+    let is_cancelled = async || closed(&fleet) > before;
+    wait_until_within(EVENT_PAUSE * EVENTS as u32 / 2, "the endpoint is told", is_cancelled).await;
+}
+
+/// Guards against a planned stop that cuts off what the box carries for another one.
+#[tokio::test]
+async fn a_planned_stop_waits_for_connections_carried_for_other_boxes() {
+    let mut fleet = Fleet::start().await;
+    fleet.cut_off().await;
+    let mut requests = Vec::new();
+    for n in 0..2 * ENDPOINTS {
+        requests.push(fleet.start_request("/stream/x", format!("long {n}")).await);
+    }
+    let first = fleet.others.remove(0);
+    let stops = tokio::spawn(first.stop());
+    for request in requests {
+        let response = request.await.expect("the task ends");
+        assert_eq!(response.body.expect("a whole answer").matches("data").count(), EVENTS);
+    }
+    assert_eq!(fleet.served().await, TRIES * PATHS.len(), "first tries served during the stop");
+    stops.await.expect("the box stops");
+}
+
+/// Guards against a box that calls a request "not run" although it was lost with the box that carried it.
+#[tokio::test]
+async fn a_request_lost_with_the_box_between_may_have_run() {
+    let mut fleet = Fleet::start().await;
+    fleet.cut_off().await;
+    let arrived = fleet.arrived();
+    let request = fleet.start_request("/confirm/x", "unanswered".into()).await;
+    fleet.others.clear();
+    let response = request.await.expect("the task ends");
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(fleet.arrived(), arrived + 1, "not sent a second time");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each stream carries one request and its answer. A message starts with its format number and its
 //! size is checked before it is decoded; an unknown format or frame is a typed error. The protocol
-//! has no consensus and stores nothing.
+//! has no consensus and stores nothing. Beside messages, boxes carry each other's connections to endpoints: [`tunnel`].
 
 mod error;
 mod format;
@@ -10,6 +10,8 @@
 mod compression;
 mod peer;
 mod server;
+mod socket;
+pub mod tunnel;
 
 pub use error::Error;
 pub use format::{MAX_MESSAGE_BYTES, NEWEST_FORMAT, OLDEST_FORMAT, decode, encode};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,13 +9,11 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::header;
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    sync::Mutex,
-};
+use tokio::sync::Mutex;
 
 use crate::{
-    Error, MAX_MESSAGE_BYTES, Message, NEWEST_FORMAT, compression, decode, encode, server::read_all,
+    Error, MAX_MESSAGE_BYTES, Message, NEWEST_FORMAT, compression, decode, encode,
+    server::read_all, socket::connect, tunnel,
 };
 
 /// Client for one peer, with a single connection that is opened on demand.
@@ -24,6 +22,7 @@
     address: SocketAddr,
     source: IpAddr,
     connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    tunnels: tunnel::Client,
     format: u16,
 }
 
@@ -40,7 +39,8 @@
     /// Creates a client for `address` that connects from the local address `source`; opens nothing
     /// yet.
     pub fn new(address: SocketAddr, source: IpAddr) -> Peer {
-        Peer { address, source, connection: Arc::default(), format: NEWEST_FORMAT }
+        let tunnels = tunnel::Client::new(address, source);
+        Peer { address, source, connection: Arc::default(), tunnels, format: NEWEST_FORMAT }
     }
 
     /// Uses a given format instead of the newest.
@@ -52,6 +52,11 @@
         self.address
     }
 
+    /// Client for tunnels through this peer.
+    pub fn tunnels(&self) -> &tunnel::Client {
+        &self.tunnels
+    }
+
     /// Sends a request and waits for the answer.
     pub async fn ask(&self, message: &Message, timeout: Duration) -> Result<Message, Error> {
         self.ask_with_size(message, timeout).await.map(|(answer, _)| answer)
@@ -105,21 +110,12 @@
         Ok((decode(&body)?.0, size))
     }
 
-    async fn connect(&self) -> std::io::Result<TcpStream> {
-        let socket = match self.address.is_ipv4() {
-            true => TcpSocket::new_v4()?,
-            false => TcpSocket::new_v6()?,
-        };
-        socket.bind((self.source, 0).into())?;
-        socket.connect(self.address).await
-    }
-
     async fn sender(&self) -> Result<SendRequest<Bytes>, Error> {
         let mut connection = self.connection.lock().await;
         if let Some(sender) = &*connection {
             return Ok(sender.clone());
         }
-        let stream = self.connect().await.map_err(unreachable)?;
+        let stream = connect(self.address, self.source).await.map_err(unreachable)?;
         let _ = stream.set_nodelay(true);
         let mut builder = h2::client::Builder::new();
         builder
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,15 +1,18 @@
 //! Server side: answers to other boxes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::header;
+use http::{Method, header};
+use ledger::Incarnation;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{Error, MAX_MESSAGE_BYTES, Message, compression, decode, encode};
+use crate::{
+    Error, MAX_MESSAGE_BYTES, Message, compression, decode, encode, socket::configure, tunnel,
+};
 
 /// Concurrent streams on one connection.
 const MAX_STREAMS: u32 = 256;
@@ -20,6 +23,20 @@
 #[async_trait::async_trait]
 pub trait Answer: Send + Sync + 'static {
     async fn answer(&self, request: Message) -> Message;
+
+    /// Connects to an address on behalf of another box, which does not reach it.
+    async fn dial(
+        &self,
+        _from: &Incarnation,
+        _target: SocketAddr,
+    ) -> Result<tunnel::Exit, tunnel::Refusal> {
+        Err(tunnel::Refusal::Declined)
+    }
+
+    /// Waits until this box opens no more tunnels, as it is about to stop.
+    async fn wait_stopping(&self) {
+        std::future::pending().await
+    }
 }
 
 /// A running server for other boxes; it stops when dropped.
@@ -65,13 +82,36 @@
 }
 
 async fn serve(stream: TcpStream, answer: Arc<dyn Answer>) {
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = configure(&stream) {
+        tracing::debug!(%error, "the connection of a peer ended at once");
+        return;
+    }
     let mut builder = h2::server::Builder::new();
     builder.max_concurrent_streams(MAX_STREAMS).max_header_list_size(4 << 10);
     builder.initial_window_size(MAX_MESSAGE_BYTES as u32).initial_connection_window_size(4 << 20);
     let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else { return };
     let mut streams = JoinSet::new();
-    while let Some(Ok((request, respond))) = connection.accept().await {
+    let mut carries_tunnels = false;
+    let stopping = answer.clone();
+    let mut stopping = pin!(stopping.wait_stopping());
+    let mut is_stopping = false;
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = &mut stopping, if carries_tunnels && !is_stopping => {
+                is_stopping = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+        };
+        let Some(Ok((request, respond))) = accepted else { return };
+        if request.method() == Method::CONNECT {
+            carries_tunnels = true;
+            let answer = answer.clone();
+            let dial = async move |from, target| answer.dial(&from, target).await;
+            streams.spawn(tunnel::serve(request, respond, dial));
+            continue;
+        }
         let accepts_compression = request
             .headers()
             .get(header::ACCEPT_ENCODING)
