A box that is cut off does not take closed ports for crashes of endpoints

Cause: the probe after a broken connection took a closed port as proof of a crash, seen from one box only. A box that is cut off by resets sees every port closed.

Change: if the port is closed, other boxes look as well, over a tunnel, before the report; all that answer have to find it closed.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -127,7 +127,7 @@
             to_endpoints.close_idle();
         });
         let endpoints = Arc::new(Endpoints::new(zone, settings.cold, &clock, seed));
-        let prober = connect_prober(dialer.clone(), settings.connections().connect_timeout);
+        let prober = connect_prober(connections.clone());
         let (crashes, reports) =
             Crashes::open(incarnation.clone(), settings.quarantine(), prober, &clock);
         let funds = Funds::open();
--- a/crates/gateway/src/proxy/crashes.rs
+++ b/crates/gateway/src/proxy/crashes.rs
@@ -13,20 +13,19 @@
 use std::{
     collections::{HashMap, VecDeque},
     fmt,
-    io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use forward::Dialer;
+use forward::{Connections, Port};
 use futures_util::future::BoxFuture;
 use ledger::Incarnation;
 use parking_lot::Mutex;
 use quarantine::{Finding, Fingerprint, Limits, Registry, Report, Verdict};
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::clock::{Clock, Moment};
@@ -70,16 +69,16 @@
 /// Probes whether an endpoint crashed.
 pub type Prober = Box<dyn Fn(SocketAddr) -> BoxFuture<'static, Liveness> + Send + Sync>;
 
-/// A prober that connects to the endpoint, with this timeout.
-pub fn connect_prober(dialer: Dialer, connect_timeout: Duration) -> Prober {
+/// A prober that connects to the endpoint, and lets other boxes do so if its port is closed: this box may be cut off.
+pub fn connect_prober(connections: Connections) -> Prober {
     Box::new(move |address| {
-        let dialer = dialer.clone();
+        let connections = connections.clone();
         Box::pin(async move {
             sleep(PROBE_DELAY).await;
-            match timeout(connect_timeout, dialer.dial(address)).await {
-                Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Ended,
-                Ok(Err(_)) | Err(_) => Liveness::Unreachable,
-                Ok(Ok(_)) => Liveness::Running,
+            match connections.probe(address).await {
+                Port::Closed => Liveness::Ended,
+                Port::Unknown => Liveness::Unreachable,
+                Port::Open => Liveness::Running,
             }
         })
     })
