Failing tests of CONFIG: a store that comes back from an older copy

What callers saw: 404 for routes of a configuration acknowledged more than 2 s before. The stand-in store learns to come back from a copy: objects and revision of then, no history since, and Store-Era one higher. No logic changed. Four tests fail: configuration (not in force on boxes that subscribe), money (29,500 of 20,000 tokens spent), bills (16 lost), entries of boxes (lost).

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -15,5 +15,6 @@
 mod proxy;
 mod quarantine;
 mod rate_limit;
+mod store_copy;
 mod suspended;
 mod sync;
--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -124,6 +124,8 @@
         let (status, body) = self.serve(request).await;
         response.status_code(status);
         let _ = response.add_header(header::CONTENT_TYPE, "application/json", true);
+        let era = self.0.memory.era().to_string();
+        let _ = response.add_header(platform::store_server::ERA, era, true);
         let _ = response.write_body(body);
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,4 +22,4 @@
 pub use scripted::{ReceivedRequest, Reply, ScriptedEndpoint};
 pub use serve::Server;
 pub use service::{Execution, Service};
-pub use store::{Memory, Usage};
+pub use store::{Copy, Memory, Usage};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -41,6 +41,15 @@
     usage: Usage,
     by_kind: BTreeMap<Arc<str>, u64>,
     hosts: Vec<Host>,
+    /// Number of returns from a copy so far.
+    era: u64,
+}
+
+/// A copy of the objects at one version, from which a store can return.
+#[derive(Clone)]
+pub struct Copy {
+    objects: BTreeMap<Id, Stored>,
+    version: u64,
 }
 
 /// An object store with the semantics of the platform's API and no faults.
@@ -67,6 +76,28 @@
         self.state.lock().by_kind.clone()
     }
 
+    /// Copies all objects.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock();
+        Copy { objects: state.objects.clone(), version: state.version }
+    }
+
+    /// Returns to a copy: what was written since is gone, and versions are given out again.
+    pub fn return_from(&self, copy: Copy) {
+        let mut state = self.state.lock();
+        state.objects = copy.objects;
+        state.version = copy.version;
+        state.log.retain(|change| change.version <= copy.version);
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Number of returns from a copy so far.
+    pub fn era(&self) -> u64 {
+        self.state.lock().era
+    }
+
     /// Sets the list of boxes.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
         self.state.lock().hosts = hosts;
@@ -144,7 +175,8 @@
         let start = state.log.partition_point(|change| change.version <= from);
         let fresh = state.log.range(start..);
         let changes = fresh.filter(|change| kinds.contains(&&*change.kind)).cloned().collect();
-        Watch { changes, next: state.version.max(from), gap: from + 1 < oldest }
+        let gap = from + 1 < oldest || (state.era > 0 && from > state.version);
+        Watch { changes, next: state.version.max(from), gap }
     }
 
     pub(crate) async fn wait(&self, kinds: &[&str], from: u64, wait: Duration) -> Watch {
