CONFIG: versions hold the store's era, so a store that comes back from a copy does not outrank itself

What callers saw: 404 for routes of a configuration that had been acknowledged more than 2 s before, from boxes that subscribe to others.

Cause: everything that must not go backwards is compared by the store's revision. After a return from a copy, revisions go back and are given out again, so what is newer has the lower one: configuration 92 came as revision 370 after 88 as 387, and no watcher told its subscribers. Ruled out: watches that ask ahead of the store (both watchers were current within 20 ms), refused writes.

A new era has watches opened again; entries of endpoints missing from the copy get the time of an outage; entries of boxes missing from the first list stay, and each box looks whether its own is there. An endpoint whose removal was known stays removed where the copy shows its last heartbeat again.

The book and the bills stay on the list: what was written in the lost seconds has to be written again by whoever knows it.

--- a/crates/gateway/src/sync/directory.rs
+++ b/crates/gateway/src/sync/directory.rs
@@ -1,5 +1,7 @@
 //! Which endpoints there are, from the entries in the store.
 //!
+//! A store that comes back from an older copy shows entries of then, with newer versions; their heartbeats are known.
+//!
 //! An entry that disappears while the store is reachable means that the endpoint left. Entries also
 //! expire while the store is unreachable, so entries that a list lacks shortly after an outage are
 //! kept until the platform had time to write them again. An entry whose removal a watch reports did
@@ -16,7 +18,10 @@
     sync::Arc,
 };
 
-use platform::endpoint::{Entry, StartTime, State};
+use platform::{
+    endpoint::{Entry, StartTime, State},
+    version,
+};
 
 /// Maximum number of remembered removals. Outdated updates arrive within about a second, so only
 /// recent removals matter.
@@ -52,6 +57,17 @@
     at: u64,
     /// The last known instance.
     instance: Option<StartTime>,
+    /// Its last known heartbeat.
+    heartbeat: u64,
+}
+
+impl Removed {
+    /// Whether an entry was written before the removal. An older copy of the store shows it with a newer version.
+    fn excludes(&self, entry: &Entry, version: u64) -> bool {
+        let is_from_copy = version::era(version) > version::era(self.at);
+        let is_same = entry.started == self.instance && entry.heartbeat <= self.heartbeat;
+        version <= self.at || entry.started < self.instance || (is_from_copy && is_same)
+    }
 }
 
 impl Known {
@@ -104,8 +120,7 @@
         let is_newer = known.is_none_or(|known| known.version <= version);
         let replaces_known = known.is_none_or(|known| known.is_replaced_by(&entry));
         let removed = self.removed.get(&id);
-        let was_removed = removed
-            .is_some_and(|removed| version <= removed.at || entry.started < removed.instance);
+        let was_removed = removed.is_some_and(|removed| removed.excludes(&entry, version));
         let is_current = is_newer && replaces_known && !was_removed;
         if is_current {
             self.removed.remove(&id);
@@ -160,10 +175,11 @@
             return;
         }
         let instance = known.and_then(|known| known.entry.started);
+        let heartbeat = known.map_or(0, |known| known.entry.heartbeat);
         if let Some((id, _)) = self.known.remove_entry(id) {
             self.changed.insert(id);
         }
-        self.record_removed(id.into(), Removed { at, instance });
+        self.record_removed(id.into(), Removed { at, instance, heartbeat });
     }
 
     /// Store version at which an entry was known to be removed.
@@ -177,7 +193,11 @@
         }
         let newest = self.removed.entry(id).or_default();
         newest.at = removed.at.max(newest.at);
+        if removed.instance > newest.instance {
+            newest.heartbeat = 0;
+        }
         newest.instance = removed.instance.max(newest.instance);
+        newest.heartbeat = removed.heartbeat.max(newest.heartbeat);
     }
 
     /// Time until missing entries count as removed; `None` if none is missing.
--- a/crates/gateway/src/sync/discovery.rs
+++ b/crates/gateway/src/sync/discovery.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use objects::Expect;
+use objects::{Expect, Object};
 use platform::store::{Client, Put};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::watch;
@@ -20,7 +20,10 @@
         peers::Peers,
     },
     outage::{Outage, Probe, Recovery},
-    sync::{view::View, watcher},
+    sync::{
+        view::{View, read_box},
+        watcher,
+    },
 };
 
 /// Time over which requests for a new list are collected into one read.
@@ -72,6 +75,7 @@
     pub async fn run(mut self) {
         // Learns of the boxes that already run before the first request comes.
         self.read().await;
+        let mut eras = self.store.eras();
         let version = self.register().await;
         let mut greeted = Vec::new();
         for _ in 0..MAX_READS {
@@ -84,10 +88,18 @@
         }
         self.registered.send_replace(Some(version));
         loop {
-            self.peers.stale_list().await;
-            // One read serves all requests made in the meantime.
-            tokio::time::sleep(BATCH_DELAY).await;
-            self.read().await;
+            tokio::select! {
+                () = self.peers.stale_list() => {
+                    // One read serves all requests made in the meantime.
+                    tokio::time::sleep(BATCH_DELAY).await;
+                    self.read().await;
+                }
+                // The own entry may be missing from the copy.
+                Ok(()) = eras.changed() => {
+                    let version = self.register().await;
+                    self.registered.send_replace(Some(version));
+                }
+            }
         }
     }
 
@@ -105,8 +117,8 @@
                     tracing::info!(event = "box_registered", name, version);
                     return version;
                 }
-                // The entry is of an earlier incarnation, or of this one if an answer was lost:
-                // overwrite it.
+                // Written already: an answer was lost, or a copy of the store has it.
+                Put::Refused(Some(object)) if self.is_own(&object) => return object.version,
                 Put::Refused(Some(object)) => expect = Expect::Version(object.version),
                 Put::Refused(None) => expect = Expect::Absent,
                 Put::Failed(reason) | Put::Unknown(reason) => {
@@ -117,6 +129,11 @@
         }
     }
 
+    /// Whether an object is the entry of this incarnation, as it is now.
+    fn is_own(&self, object: &Object) -> bool {
+        read_box(&object.name, &object.value).is_some_and(|entry| entry == self.own_entry)
+    }
+
     /// Additional pause after a read without an answer, at random: the store's link may be full of the
     /// lists for other boxes that start.
     fn backoff(&mut self) -> Duration {
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -259,10 +259,16 @@
             is_store_unreachable: updates.store_unreachable_ms.is_some(),
             ..subscription.clone()
         };
-        self.setup.view.apply(updates);
+        self.apply(updates);
         (!renewed.is_store_unreachable).then_some(renewed)
     }
 
+    /// Puts updates of another box in force.
+    fn apply(&self, updates: Update) {
+        self.setup.store.note_version(updates.endpoints_at.max(updates.boxes_at));
+        self.setup.view.apply(updates);
+    }
+
     /// A duration, up to half longer at random.
     fn jitter(&mut self, time: Duration) -> Duration {
         time.mul_f64(1.0 + self.random.random::<f64>() / 2.0)
@@ -302,7 +308,7 @@
             ..subscription.clone()
         };
         let lost_store = renewed.is_store_unreachable && !subscription.is_store_unreachable;
-        self.setup.view.apply(updates);
+        self.apply(updates);
         match lost_store {
             true => self.find_other_watcher(&subscription.watcher).await.or(Some(renewed)),
             false => Some(renewed),
@@ -378,7 +384,7 @@
             last: updates.last,
             is_store_unreachable: updates.store_unreachable_ms.is_some(),
         };
-        self.setup.view.apply(updates);
+        self.apply(updates);
         subscription
     }
 
--- a/crates/gateway/src/sync/view/boxes.rs
+++ b/crates/gateway/src/sync/view/boxes.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use ledger::Incarnation;
+use platform::version;
 use wire::Greeting;
 
 use super::{State, View, log_unreadable};
@@ -12,14 +13,16 @@
     /// Takes over all entries of boxes, as read at a store version that may be out of date.
     pub fn load_boxes(&self, entries: Vec<(Entry, u64)>, at: u64) {
         let mut state = self.0.state.lock();
+        let is_from_copy = version::era(state.boxes_at) < version::era(at);
         let named = |(entry, version): (Entry, u64)| {
             (Arc::from(entry.incarnation.box_name()), (entry, version))
         };
         let mut listed: BTreeMap<Arc<str>, (Entry, u64)> = entries.into_iter().map(named).collect();
         for (name, known) in std::mem::take(&mut state.boxes) {
             let newer = listed.get(&name).is_none_or(|(_, version)| known.1 > *version);
-            // An entry newer than the list is not removed by it.
-            if newer && known.1 > at {
+            // An entry newer than the list is not removed by it. One that the first list from a copy of the
+            // store lacks is written again.
+            if newer && (known.1 > at || is_from_copy) {
                 listed.insert(name, known);
             }
         }
--- a/crates/gateway/src/sync/view/endpoints.rs
+++ b/crates/gateway/src/sync/view/endpoints.rs
@@ -63,6 +63,11 @@
         self.0.state.lock().directory.store_returned(lost_since, until);
     }
 
+    /// Store version up to which all entries are known.
+    pub fn endpoints_at(&self) -> u64 {
+        self.0.state.lock().directory.at()
+    }
+
     /// Time until missing entries count as removed; `None` if none is missing.
     pub fn grace_left(&self) -> Option<Duration> {
         let left = self.0.state.lock().directory.grace_left(self.now());
--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -4,8 +4,11 @@
 use std::{sync::Arc, time::Duration};
 
 use objects::{Change, Error, Object};
-use platform::store::{Client, List};
-use tokio::{sync::watch, task::JoinSet};
+use platform::{
+    store::{Client, List},
+    version,
+};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 use crate::{
     clock::Watchdog,
@@ -80,10 +83,15 @@
 /// watches opened again if the store answers, but only on a new connection.
 async fn probe_store(setup: Setup, probe: Probe, reopen: watch::Sender<()>) {
     let mut outage = outage(&setup, "store", probe);
+    let mut eras = setup.store.eras();
     loop {
         match ping_store(&setup).await {
             Ok(answered) => {
-                let was_lost = outage.record_success().is_some();
+                let mut was_lost = outage.record_success().is_some();
+                if eras.has_changed().is_ok_and(|has_changed| has_changed) {
+                    eras.mark_unchanged();
+                    was_lost = true;
+                }
                 if let Answered::OnNewConnection { reason } = &answered {
                     tracing::info!(event = "watches_reopened", %reason);
                 }
@@ -242,6 +250,10 @@
             Ok(list) => {
                 store_answered(&setup, &mut outage);
                 reopened.mark_unchanged();
+                if version::era(list.version) > version::era(setup.view.endpoints_at()) {
+                    // Entries of the lost seconds are written again.
+                    setup.view.store_returned(Instant::now(), setup.grace);
+                }
                 setup.view.load_endpoints(&list.objects, list.version, suspensions);
                 tokio::select! {
                     () = watch_endpoints(&setup, &mut outage, &mut reopened, list.version) => {}
--- a/crates/gateway/tests/loopback/store_copy.rs
+++ b/crates/gateway/tests/loopback/store_copy.rs
@@ -148,3 +148,36 @@
         .await;
     drop(gateway);
 }
+
+/// Guards against an endpoint that gets new work again because the copy still shows its entry.
+#[tokio::test]
+async fn an_endpoint_that_left_gets_no_work_after_the_store_came_back_from_a_copy() {
+    let fleet = Fleet::start(PAID, &["open"]).await;
+    let leaving = fleet.harness.endpoint("i-2", "plain", answer_ok).await;
+    let send_some = async || {
+        for n in 0..4 * BOXES {
+            let request = fleet.harness.new_request("key-b", 1, 1);
+            call(fleet.boxes[n % BOXES].callers(), "/open/x", &request).await;
+        }
+    };
+    wait_until("the endpoint gets work", async || {
+        send_some().await;
+        !leaving.arrived().is_empty()
+    })
+    .await;
+    let copy = fleet.harness.platform.memory().copy();
+    fleet.harness.remove_entry("i-2").await;
+    wait_until("the endpoint gets no more work", async || {
+        let before = leaving.arrived().len();
+        send_some().await;
+        leaving.arrived().len() == before
+    })
+    .await;
+    let before = leaving.arrived().len();
+    fleet.return_from(copy).await;
+    for _ in 0..5 {
+        send_some().await;
+        tokio::time::sleep(AWAY).await;
+    }
+    assert_eq!(leaving.arrived().len(), before, "requests at the endpoint that left");
+}
