BUDGET after a copy: what boxes drew in the lost seconds is written to the book again, before anything new is granted

A test of our own: 29,500 of 20,000 paid tokens spent, as the copy shows as left what boxes hold or have spent.

Cause: the book was the only memory of a settlement. It is lost with the seconds in which it landed.

Change: the book counts settlements, so each box knows after which one its own landed. The first write in an era notes the count that the copy shows. A box remembers its settlements of 120 s; those after that count it writes again with its next write, with the grants of then, charges in full. Every box with a settlement in memory looks at the book when an era begins, and for 2 s no box draws anything, as what the copy shows as left may be granted already. A write without an answer is remembered as it was sent. A book that the copy lacks altogether is created again.

Left: a keeper that dies in the same seconds takes its memory along; transfers whose giver has not written again count as spent until it does.

--- a/crates/gateway/src/tokens/funds/settlements.rs
+++ b/crates/gateway/src/tokens/funds/settlements.rs
@@ -62,6 +62,7 @@
             items,
             unused_by_earlier: earlier,
             retires,
+            withholds: false,
             leaves,
         }
     }
--- a/crates/gateway/src/tokens/settle.rs
+++ b/crates/gateway/src/tokens/settle.rs
@@ -4,13 +4,20 @@
 //! refused write returns the current book, and a write whose answer was lost is resolved by its
 //! number.
 
+mod history;
 mod leave;
 
 use std::{sync::Arc, time::Duration};
 
-use ledger::{BOOK, Book, Claim, Granted, Incarnation, Policy, Settlement, Unused, Writer};
+use history::History;
+use ledger::{
+    BOOK, Book, Claim, Granted, Incarnation, Landed, Policy, Return, Settlement, Unused, Writer,
+};
 use objects::{Expect, Store};
-use platform::store::{Client, Put};
+use platform::{
+    store::{Client, Put},
+    version,
+};
 use snafu::Snafu;
 use tokio::{sync::watch, time::Instant};
 
@@ -44,6 +51,11 @@
 /// Delay before the first grants are requested, during which the other boxes register.
 const REGISTER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time after a return of the store from a copy in which nothing new is drawn: all boxes learn of it and write again what
+/// they drew in the lost seconds. As long as a subscriber takes to notice that its watcher is gone and to find another
+/// one.
+const RESTORE_TIME: Duration = Duration::from_millis(2_000);
+
 /// Why the book could not be read or written.
 #[derive(Debug, Snafu)]
 enum Fault {
@@ -74,6 +86,16 @@
     pub settings: watch::Receiver<Arc<Settings>>,
 }
 
+/// An attempt to write a settlement.
+struct Attempt {
+    /// The settlement as it stands in the book if the attempt lands.
+    landed: Landed,
+    /// The return of the store from a copy that the book shows.
+    returned: Return,
+    /// Number of earlier settlements that it writes again.
+    restored: usize,
+}
+
 /// Settles this box's tokens with the book.
 pub struct Settler {
     setup: Setup,
@@ -85,38 +107,48 @@
     settle_at_once: bool,
     /// The book as last read or written, with its version; version 0 if there is none in the store.
     known: Option<(Book, u64)>,
-    /// Whether a book was ever seen; if it is missing later, no new one is created.
-    book_seen: bool,
+    /// Era of the store in which the book was last seen; if it is missing later in this era, no new one is created.
+    book_era: Option<u64>,
     forecast: Forecast,
     /// Number of the last write.
     write: u64,
     /// The settlement in progress. It must land even if this task is interrupted.
     pending: Option<Settlement>,
-    /// What the newest attempt to write it would grant, in case the answer is lost.
-    last_granted: Option<Vec<Granted>>,
+    /// The newest attempt to write it, in case the answer is lost.
+    last_attempt: Option<Attempt>,
     /// Whether this box is listed as a writer in the book.
     is_listed: bool,
     /// Tokens that dead incarnations left unused, for the next settlement.
     collected: Vec<Unused>,
     last_asked: Option<Instant>,
+    /// Settlements that landed lately.
+    history: History,
+    /// The newest era of the store in which this box used the book, and when it first did.
+    era: Option<(u64, Instant)>,
+    /// Notifies of further eras of the store.
+    eras: watch::Receiver<Option<u64>>,
 }
 
 impl Settler {
     pub fn new(setup: Setup, recovery: Recovery) -> Settler {
+        let eras = setup.store.eras();
         Settler {
             setup,
             outage: Outage::new("book", Probe::Lazy, recovery.clone()),
             recovery,
             settle_at_once: false,
             known: None,
-            book_seen: false,
+            book_era: None,
             forecast: Forecast::open(Instant::now()),
             write: 0,
             pending: None,
-            last_granted: None,
+            last_attempt: None,
             is_listed: false,
             collected: Vec::new(),
             last_asked: None,
+            history: History::default(),
+            era: None,
+            eras,
         }
     }
 
@@ -144,14 +176,27 @@
             }
             while !self.setup.funds.is_urgent() && began.elapsed() < self.interval(spacing, settle)
             {
-                self.wait(spacing).await;
-                if self.collect().await {
+                if self.wait_for_era(spacing).await || self.collect().await {
                     break;
                 }
             }
         }
     }
 
+    /// Waits until requests want tokens, at most for `timeout`; returns whether the store came back from a copy
+    /// meanwhile. The known book may be missing there.
+    async fn wait_for_era(&mut self, timeout: Duration) -> bool {
+        let mut eras = self.eras.clone();
+        tokio::select! {
+            () = self.wait(timeout) => false,
+            Ok(()) = eras.changed() => {
+                self.eras = eras;
+                self.known = None;
+                true
+            }
+        }
+    }
+
     /// Asks the witnesses of dead incarnations for which the book has open claims: a keeper asks
     /// for all of them, another box for its own. Returns whether there is anything to settle.
     async fn collect(&mut self) -> bool {
@@ -183,6 +228,29 @@
             || collected
             || peers.is_keeper()
             || funds.uses_book()
+            || self.may_miss_settlements()
+    }
+
+    /// Whether the store has come back from a copy that may lack settlements of this box.
+    fn may_miss_settlements(&self) -> bool {
+        match &self.known {
+            Some((book, _)) => self.history.is_missing_from(book),
+            None => !self.history.is_empty(),
+        }
+    }
+
+    /// Whether this box is to draw nothing yet, since others may not have written again what they drew.
+    fn withholds(&mut self, era: u64, book: &Book) -> bool {
+        let now = Instant::now();
+        // The first book of a store is no copy, whatever its era.
+        let is_from_copy = book.landed > 0 && (book.returned.era < era || book.returned.landed > 0);
+        match self.era {
+            Some((known, since)) if known == era => is_from_copy && now < since + RESTORE_TIME,
+            _ => {
+                self.era = Some((era, now));
+                is_from_copy
+            }
+        }
     }
 
     /// Whether this box goes on drawing from the book or retires from it, as another box is the
@@ -313,19 +381,26 @@
         };
         if book.has_landed(&settlement.holder, settlement.writer.write) {
             self.known = Some((book, version));
-            return Ok(Some(self.last_granted.take().unwrap_or_default()));
+            return Ok(Some(self.record_landed(version::era(version))));
         }
         let mut next = book.clone();
+        let era = if version == 0 { self.store_era() } else { version::era(version) };
+        next.note_era(era);
+        let restored = self.history.restore(&mut next);
+        let withholds = self.withholds(era, &book);
+        let settlement = &Settlement { withholds, ..settlement.clone() };
         self.forecast.report_outage(&mut next, Instant::now());
         let policy = self.policy();
         let granted = next.settle(settlement, policy);
-        self.last_granted = Some(granted.clone());
         let expect = if version == 0 { Expect::Absent } else { Expect::Version(version) };
+        let (landed, returned) = (next.landed, next.returned);
+        let landed = Landed { settlement: settlement.clone(), granted, era, landed };
+        self.last_attempt = Some(Attempt { landed, returned, restored });
         match self.setup.store.replace(BOOK.0, BOOK.1, &next.to_json(), expect).await {
             Put::Landed(version) => {
                 self.known = Some((next, version));
-                self.book_seen = true;
-                Ok(Some(granted))
+                self.book_era = Some(version::era(version));
+                Ok(Some(self.record_landed(version::era(version))))
             }
             Put::Refused(Some(object)) => {
                 self.set_known(&object)?;
@@ -352,6 +427,26 @@
         }
     }
 
+    /// The newest known era of the store.
+    fn store_era(&self) -> u64 {
+        self.eras.borrow().unwrap_or_default()
+    }
+
+    /// Remembers the newest attempt, which landed in this era; returns what it granted.
+    fn record_landed(&mut self, era: u64) -> Vec<Granted> {
+        let Some(Attempt { landed, returned, restored }) = self.last_attempt.take() else {
+            return Vec::new();
+        };
+        let landed = Landed { era, ..landed };
+        if restored > 0 {
+            tracing::warn!(event = "settlements_written_again", era = landed.era, restored);
+            self.history.restored(returned, landed.era, landed.landed);
+        }
+        let granted = landed.granted.clone();
+        self.history.add(landed, Instant::now());
+        granted
+    }
+
     async fn read(&mut self) -> Result<(Book, u64), Fault> {
         let found = self.setup.store.get(BOOK.0, BOOK.1).await;
         match found.map_err(|source| Fault::Store { source })? {
@@ -359,7 +454,8 @@
                 self.set_known(&object)?;
                 self.known.take().ok_or(Fault::Gone)
             }
-            None if self.book_seen => Err(Fault::Gone),
+            // A copy of the store may be older than the book.
+            None if self.book_era == Some(self.store_era()) => Err(Fault::Gone),
             None => Ok((Book::default(), 0)),
         }
     }
@@ -367,7 +463,7 @@
     fn set_known(&mut self, object: &objects::Object) -> Result<(), Fault> {
         let book = serde_json::from_str(&object.value).map_err(|source| Fault::Book { source })?;
         self.known = Some((book, object.version));
-        self.book_seen = true;
+        self.book_era = Some(version::era(object.version));
         Ok(())
     }
 }
--- a/crates/gateway/tests/forecast.rs
+++ b/crates/gateway/tests/forecast.rs
@@ -51,6 +51,7 @@
             items: Vec::new(),
             unused_by_earlier: Vec::new(),
             retires: false,
+            withholds: false,
             leaves: false,
         };
         self.book.settle(&settlement, POLICY);
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -18,7 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer, Unused, Witness};
+use crate::{Draw, Incarnation, Ledger, Observed, Policy, Transfer, Unused, Witness, copy::Return};
 
 /// Part of what all boxes may hold that is split evenly, in thousandths. Thus a box that is the
 /// first to get a customer's requests has some tokens.
@@ -57,6 +57,9 @@
     /// Writers that hold no tokens ahead of need, and are left out when the rest is split.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub idle: BTreeSet<Incarnation>,
+    /// The newest return of the store from an older copy.
+    #[serde(default, skip_serializing_if = "Return::is_none")]
+    pub returned: Return,
     /// Dead incarnations of which it is unknown how many tokens they left unused.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub claims: BTreeMap<Incarnation, Claim>,
@@ -151,6 +154,8 @@
     /// The box draws no more, and returns what it can. Once it has nothing to report and holds
     /// nothing, it is removed, so that the book only lists boxes that draw.
     pub retires: bool,
+    /// The box draws nothing, as the store came back from a copy that may lack grants of others.
+    pub withholds: bool,
     /// The box is about to stop: its grants end, too, and nothing of them can be used later.
     pub leaves: bool,
 }
@@ -220,10 +225,7 @@
     /// Applies a settlement; returns what it granted of each budget.
     pub fn settle(&mut self, settlement: &Settlement, policy: Policy) -> Vec<Granted> {
         let holder = &settlement.holder;
-        let first = self.writers.insert(holder.clone(), settlement.writer.clone()).is_none();
-        if first {
-            self.open_claims(holder);
-        }
+        let first = self.add_writer(holder, &settlement.writer);
         match is_idle(settlement, policy) {
             true => self.idle.insert(holder.clone()),
             false => self.idle.remove(holder),
@@ -253,6 +255,15 @@
         granted
     }
 
+    /// Lists a box as a writer, in place of earlier incarnations of it; returns whether it was not listed.
+    pub(crate) fn add_writer(&mut self, holder: &Incarnation, writer: &Writer) -> bool {
+        let first = self.writers.insert(holder.clone(), writer.clone()).is_none();
+        if first {
+            self.open_claims(holder);
+        }
+        first
+    }
+
     /// Removes a box if it holds nothing.
     fn forget(&mut self, holder: &Incarnation) {
         if !self.holds(holder) {
@@ -264,7 +275,7 @@
     }
 
     /// Whether a newer incarnation of the box of `holder` writes here.
-    fn is_replaced(&self, holder: &Incarnation) -> bool {
+    pub(crate) fn is_replaced(&self, holder: &Incarnation) -> bool {
         let newer = |name: &Incarnation| name != holder && name.box_name() == holder.box_name();
         !self.writers.contains_key(holder) && self.writers.keys().any(newer)
     }
@@ -324,7 +335,7 @@
 
     /// Closes a claim by the answer of its witness: unused tokens are free again, the rest counts
     /// as spent. Ignored if the claim is closed already or names another witness.
-    fn close_claim(&mut self, unused: &Unused) {
+    pub(crate) fn close_claim(&mut self, unused: &Unused) {
         let claim = self.claims.get(&unused.holder);
         if claim.is_some_and(|claim| claim.witness == unused.witness) {
             self.claims.remove(&unused.holder);
@@ -391,7 +402,7 @@
     let ahead =
         if waiting > 0 { ahead(left - waiting.min(left), item.observed, policy) } else { 0 };
     let wanted = (target_now.max(ahead) + waiting).saturating_sub(item.free);
-    let draws = !settlement.leaves && !settlement.retires;
+    let draws = !settlement.leaves && !settlement.retires && !settlement.withholds;
     let tokens = if draws { wanted.min(left) } else { 0 };
     let draw = Draw { offline: tokens, return_offline: item.returned, ..Draw::default() };
     let drawn = ledger.draw(holder, draw, settlement.writer.write).is_ok();
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::{Bill, Grant, Incarnation, Journal, Page, Part, RangeSet, Record, Statement, Transfer};
+use crate::{
+    Bill, Grant, Incarnation, Item, Journal, Page, Part, RangeSet, Record, Statement, Transfer,
+};
 
 /// Number of bills on one page.
 pub const BILLS_PER_PAGE: usize = 200;
@@ -285,6 +287,19 @@
         self.statement.tokens += tokens;
     }
 
+    /// Writes again what a settlement of `holder` reported and was granted. What its grant does not cover counts as spent
+    /// all the same: another box may restore the part that it passed on later.
+    pub(crate) fn restore(&mut self, holder: &Incarnation, item: &Item, granted: u64) {
+        let grant = self.grants.entry(holder.clone()).or_default();
+        let used = item.charged + item.lost + item.returned;
+        grant.offline = (grant.offline + granted).saturating_sub(used);
+        self.spent += item.charged + item.lost;
+        self.lost += item.lost;
+        self.statement.count += item.requests;
+        self.statement.tokens += item.charged;
+        self.lower_paid();
+    }
+
     /// Counts tokens as spent that `holder` passed on to boxes that died.
     pub fn count_lost(&mut self, holder: &Incarnation, tokens: u64) {
         let Some(held) = self.grants.get_mut(holder) else { return };
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -30,6 +30,7 @@
         items: vec![item],
         unused_by_earlier: Vec::new(),
         retires: false,
+        withholds: false,
         leaves: false,
     };
     book.settle(&settlement, POLICY).remove(0)
@@ -67,6 +68,7 @@
             items: vec![item],
             unused_by_earlier: Vec::new(),
             retires: false,
+            withholds: false,
             leaves: false,
         };
         target = book.settle(&settlement, policy).remove(0).target;
@@ -134,6 +136,7 @@
         items: vec![item],
         unused_by_earlier: Vec::new(),
         retires: false,
+        withholds: false,
         leaves: false,
     };
     book.settle(&settlement, policy).remove(0)
@@ -215,6 +218,7 @@
             items: vec![item],
             unused_by_earlier: Vec::new(),
             retires: true,
+            withholds: false,
             leaves: false,
         };
         let granted = book.settle(&settlement, POLICY).remove(0);
@@ -245,6 +249,7 @@
             items: vec![item.clone()],
             unused_by_earlier: earlier.clone(),
             retires: false,
+            withholds: false,
             leaves: false,
         };
         book.settle(&settlement, POLICY);
