Bills of the lost seconds are written again after the store came back from a copy

What callers saw: nothing; operators would have missed the bills of some seconds.

Cause: authors and writers forget a bill once its page is acknowledged, and the copy lacks the page.

When an era begins, it creates each of them again before it writes anything else, or reads what stands in its place. Bills that are on none of them in the end go to a new page of its log; so none is on two pages.

Left: a writer that dies or stops in the same seconds takes its pages along.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
     bills::{
         Bills,
         pending::{Draft, Pending},
+        recent::Recent,
     },
     forecast::Forecast,
     funds::{Balance, Funds, Hold, Shortage},
--- a/crates/gateway/src/tokens/bills/mod.rs
+++ b/crates/gateway/src/tokens/bills/mod.rs
@@ -7,6 +7,7 @@
 //! them to the same log, or the box itself does. `pending` says why a bill is on one page only.
 
 pub mod pending;
+pub mod recent;
 pub mod replicator;
 pub mod writer;
 
@@ -14,14 +15,18 @@
 
 use futures_util::future::join_all;
 use ledger::{BILLS, Bill, Ended, Evidence, Incarnation, Page, Part};
-use objects::Expect;
+use objects::{Expect, Object};
 use parking_lot::Mutex;
-use platform::store::{Client, Put};
+use platform::{
+    store::{Client, Put},
+    version,
+};
 use snafu::Snafu;
 use tokio::{sync::Notify, time::Instant};
 use wire::{BillPage, Replica, Segment};
 
 use pending::{Draft, Pending};
+use recent::Recent;
 
 /// Time after which a write without an answer counts as failed towards other boxes: they turn to
 /// another one. Longer than a slow call of the store.
@@ -51,6 +56,8 @@
 #[derive(Debug)]
 struct State {
     pending: Pending,
+    /// Pages that this box created lately.
+    recent: Recent,
     /// Pages of older versions that stopped, to be written by this box.
     taken_over: Vec<BillPage>,
     /// Whether everything is to be written at once, before a planned stop.
@@ -73,6 +80,7 @@
     pub fn open(by: Incarnation) -> Bills {
         let state = State {
             pending: Pending::new(by),
+            recent: Recent::default(),
             taken_over: Vec::new(),
             is_flushing: false,
             writing_since: None,
@@ -211,20 +219,17 @@
     /// Creates a page, or reads the one that exists.
     async fn write_page(&self, store: &Client, draft: Draft) -> Result<(), Fault> {
         let Draft { log, number, page } = draft;
-        let name = format!("{log}.{number:06}");
+        let name = page_name(&log, number);
         let text = serde_json::to_string(&page).expect("bills always serialize");
         let existing = match store.replace(BILLS, &name, &text, Expect::Absent).await {
-            Put::Landed(_) => {
+            Put::Landed(version) => {
                 tracing::info!(event = "bills_written", page = name, count = page.bills.len());
+                let draft = Draft { log: log.clone(), number, page: page.clone() };
+                let era = version::era(version);
+                self.0.state.lock().recent.add(draft, era, Instant::now());
                 page
             }
-            Put::Refused(Some(object)) => match serde_json::from_str(&object.value) {
-                Ok(existing) => existing,
-                Err(error) => {
-                    tracing::warn!(event = "bills_unreadable", page = name, %error);
-                    Page { bills: Vec::new() }
-                }
-            },
+            Put::Refused(Some(object)) => read_page(&name, &object),
             Put::Refused(None) => return self.fail(&name, "the existing page was not sent".into()),
             Put::Failed(reason) | Put::Unknown(reason) => return self.fail(&name, reason),
         };
@@ -233,12 +238,47 @@
         Ok(())
     }
 
+    /// Creates pages again that the store may lack in an era, or reads what is in their place.
+    async fn write_again(&self, store: &Client, era: u64) -> Result<(), Fault> {
+        loop {
+            let Some(draft) = self.0.state.lock().recent.missing(era) else { return Ok(()) };
+            let name = page_name(&draft.log, draft.number);
+            let text = serde_json::to_string(&draft.page).expect("bills always serialize");
+            let existing = match store.replace(BILLS, &name, &text, Expect::Absent).await {
+                Put::Landed(_) => {
+                    let count = draft.page.bills.len();
+                    tracing::warn!(event = "bills_written_again", page = name, count);
+                    draft.page.clone()
+                }
+                Put::Refused(Some(object)) => read_page(&name, &object),
+                Put::Refused(None) => {
+                    return self.fail(&name, "the existing page was not sent".into());
+                }
+                Put::Failed(reason) | Put::Unknown(reason) => return self.fail(&name, reason),
+            };
+            let mut state = self.0.state.lock();
+            let lost = state.recent.record_found(&draft, &existing, era);
+            state.pending.restore(lost);
+        }
+    }
+
     fn fail(&self, page: &str, reason: String) -> Result<(), Fault> {
         tracing::warn!(event = "bills_wait", page, waiting = self.waiting(), reason);
         StoreSnafu { reason }.fail()
     }
 }
 
+fn page_name(log: &Incarnation, number: u64) -> String {
+    format!("{log}.{number:06}")
+}
+
+fn read_page(name: &str, object: &Object) -> Page {
+    serde_json::from_str(&object.value).unwrap_or_else(|error| {
+        tracing::warn!(event = "bills_unreadable", page = name, %error);
+        Page { bills: Vec::new() }
+    })
+}
+
 impl State {
     /// Whether the last write failed lately or gets no answer.
     fn is_store_unreachable(&self) -> bool {
--- a/crates/gateway/src/tokens/bills/pending.rs
+++ b/crates/gateway/src/tokens/bills/pending.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Takes bills to this box's own log that were on its pages and are on none any more.
+    pub fn restore(&mut self, bills: Vec<Bill>) {
+        if bills.is_empty() {
+            return;
+        }
+        let page = self.next_page;
+        let bills = bills.into_iter().map(|bill| ((bill.by.clone(), bill.n), Entry { page, bill }));
+        self.logs.entry(self.me.clone()).or_default().extend(bills);
+    }
+
     /// Numbers of the author's bills that this box holds.
     pub fn unwritten_of(&self, author: &Incarnation) -> RangeSet {
         let entries = self.logs.values().flat_map(|log| of_author(log, author));
--- a/crates/gateway/src/tokens/bills/writer.rs
+++ b/crates/gateway/src/tokens/bills/writer.rs
@@ -5,7 +5,7 @@
 use platform::store::Client;
 use tokio::time::Instant;
 
-use super::Bills;
+use super::{Bills, Fault};
 use crate::outage::Recovery;
 
 /// First time from the start of a failed write to the next one; doubles.
@@ -17,11 +17,19 @@
 /// Writes pages as they are due, for as long as the box runs.
 pub async fn run(bills: Bills, store: Client, recovery: Recovery) {
     let mut delay = RETRY_DELAY;
+    let mut eras = store.eras();
     loop {
-        bills.due().await;
+        let era = eras.borrow_and_update().unwrap_or_default();
+        let is_missing = bills.0.state.lock().recent.missing(era).is_some();
+        if !is_missing {
+            tokio::select! {
+                () = bills.due() => {}
+                Ok(()) = eras.changed() => continue,
+            }
+        }
         let began = Instant::now();
         let written = tokio::select! {
-            written = bills.write(&store, false) => written.is_ok(),
+            written = bills.write_next(&store, is_missing.then_some(era)) => written.is_ok(),
             // A write that was sent before the store returned may get no answer. It is repeated,
             // and if both are carried out, the second one finds the page.
             _ = recovery.recovered() => {
@@ -39,6 +47,14 @@
 }
 
 impl Bills {
+    /// Writes what is due; before that, pages that the store may lack in an era.
+    async fn write_next(&self, store: &Client, incomplete_era: Option<u64>) -> Result<(), Fault> {
+        match incomplete_era {
+            Some(era) => self.write_again(store, era).await,
+            None => self.write(store, false).await,
+        }
+    }
+
     /// Forgets that a write is in progress, which was given up.
     fn forget_attempt(&self) {
         self.0.state.lock().writing_since = None;
--- a/crates/gateway/src/tokens/settle/history.rs
+++ b/crates/gateway/src/tokens/settle/history.rs
@@ -6,9 +6,9 @@
 use tokio::time::Instant;
 
 /// How long a settlement is remembered: far longer than a copy of the store is old.
-const HISTORY_TIME: Duration = Duration::from_secs(120);
-/// Maximum number of remembered settlements: a hundred seconds of the most that a box writes.
-const MAX_SETTLEMENTS: usize = 2_000;
+const HISTORY_TIME: Duration = Duration::from_secs(60);
+/// Maximum number of remembered settlements, some 2 MB.
+const MAX_SETTLEMENTS: usize = 1_000;
 
 /// Settlements that landed, oldest first.
 #[derive(Debug, Default)]
