LIMIT: endpoints that say that they are brittle have to reject few requests

What callers saw: nothing yet; Server-Brittle is new on the users' pages, and was counted as an unknown header. An endpoint that has to reject more than N requests in a second for want of room crashes.

Change: the signal is read with the others. While it stands, a box keeps to its share of the endpoint's slots unless the newest load report leaves room for a request of every box, and after a rejection it backs off for as long as all boxes together need to stay below N, with the window that follows every back-off. An endpoint that has not answered this box yet is held for as brittle as the one of its service that answered last. Retry-After says when there may be room.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -7,6 +7,7 @@
 use crate::{
     availability::Departure,
     back_off::BackOff,
+    brittle::{Brittle, Occupancy},
     cold::Throttle,
     limit::{Limit, LimitSignal},
     pace::Pace,
@@ -104,6 +105,8 @@
     permits_deferred_until: u64,
     /// Back-off that it asked this box for.
     pub back_off: BackOff,
+    /// Set while it signals that it crashes if it has to reject too many requests.
+    pub brittle: Option<Brittle>,
     /// Set once it signaled that it leaves.
     pub departure: Option<Departure>,
 }
@@ -149,6 +152,7 @@
             limit_signal: None,
             permits_deferred_until: 0,
             back_off: BackOff::default(),
+            brittle: None,
             departure: None,
         }
     }
@@ -203,6 +207,25 @@
         self.back_off.wait_ms(self.unanswered, now)
     }
 
+    /// Milliseconds until this box, one of `boxes`, may send a request there without risking a rejection that the endpoint
+    /// does not bear; 0 if it is not brittle. `others` is what endpoints of the service that answered lately bear.
+    pub fn room_wait_ms(&self, others: Option<Brittle>, boxes: usize, now: u64) -> u64 {
+        let (brittle, report) = match self.report {
+            Some(report) => (self.brittle, report),
+            None => (others, Report::default()),
+        };
+        if brittle.is_none() {
+            return 0;
+        }
+        let occupancy = Occupancy {
+            requests: self.load(now),
+            slots: report.slots,
+            report_age_ms: now.saturating_sub(report.at),
+            own: self.in_flight,
+        };
+        occupancy.wait_ms(boxes)
+    }
+
     /// Records a request that was sent to it.
     pub fn start(&mut self, now: u64) {
         self.cold.record_sent(now);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,12 +12,14 @@
 mod pool;
 mod prefix;
 mod back_off;
+mod brittle;
 mod speed;
 mod availability;
 mod permits;
 
 pub use availability::{Availability, Departure, LAST_RESORT_MS};
 pub use back_off::BackOff;
+pub use brittle::Brittle;
 pub use cold::{Allowance, Fleet, Throttle};
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use limit::{Limit, LimitSignal};
--- a/crates/balance/src/pool/mod.rs
+++ b/crates/balance/src/pool/mod.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    Allowance, BackOff, Departure, Endpoint, Failure, Fleet, Prefix, PrefixIndex, Prompt, Report,
-    Snapshot, speed::Speed,
+    Allowance, BackOff, Brittle, Departure, Endpoint, Failure, Fleet, Prefix, PrefixIndex, Prompt,
+    Report, Snapshot, speed::Speed,
 };
 
 /// The endpoints of a pool as one box sees them.
@@ -31,6 +31,8 @@
     allowance: Option<Allowance>,
     /// The boxes that share this rate; `None` until the other boxes are known.
     fleet: Option<Fleet>,
+    /// What the endpoint that answered last bears.
+    brittle: Option<Brittle>,
     /// Latest retry time given to a request that was refused because of rate limits.
     last_retry_at: u64,
     /// Back-offs of endpoints that are not listed now: an entry that expired may come back within
@@ -61,6 +63,7 @@
             speed: Speed::default(),
             allowance: None,
             fleet: None,
+            brittle: None,
             last_retry_at: 0,
             back_offs: HashMap::new(),
         }
@@ -207,6 +210,27 @@
         endpoint.back_off.extend(ms, unanswered, now)
     }
 
+    /// Number of boxes in the fleet; 1 until the others are known.
+    fn boxes(&self) -> usize {
+        self.fleet.as_ref().map_or(1, |fleet| fleet.others.len() + 1)
+    }
+
+    /// Records what an endpoint says in an answer of the rejections that it bears.
+    pub fn set_brittle(&mut self, name: &str, brittle: Option<Brittle>) {
+        self.brittle = brittle;
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.brittle = brittle;
+        }
+    }
+
+    /// Backs off from an endpoint that rejected a request for want of room, if it is brittle. Returns whether that ends
+    /// later than before.
+    pub fn back_off_if_brittle(&mut self, name: &str, now: u64) -> bool {
+        let boxes = self.boxes();
+        let brittle = self.get(name).and_then(|endpoint| endpoint.brittle);
+        brittle.is_some_and(|brittle| self.back_off(name, brittle.back_off_ms(boxes), now))
+    }
+
     /// Number of cold endpoints.
     pub fn cold(&self, now: u64) -> usize {
         self.endpoints.iter().filter(|endpoint| endpoint.cold.is_active(now)).count()
--- a/crates/balance/src/pool/wait.rs
+++ b/crates/balance/src/pool/wait.rs
@@ -38,7 +38,12 @@
     /// Whether an endpoint may get a request of this box now.
     pub fn availability(&self, endpoint: &Endpoint, now: u64) -> Availability {
         let cold = self.allowance.map_or(0, |_| endpoint.cold.wait_ms(now));
-        match cold.max(endpoint.permit_wait_ms(now)).max(endpoint.back_off_wait_ms(now)) {
+        let limited = endpoint.permit_wait_ms(now).max(endpoint.room_wait_ms(
+            self.brittle,
+            self.boxes(),
+            now,
+        ));
+        match cold.max(limited).max(endpoint.back_off_wait_ms(now)) {
             _ if endpoint.has_left(now) => Availability::Leaving,
             0 if endpoint.departure.is_some() => Availability::LastResort,
             0 => Availability::Open,
@@ -64,7 +69,7 @@
         }
         let limits = self.staying().map(|endpoint| endpoint.limit().map(Limit::as_per_s));
         let Some(per_s) = limits.sum::<Option<f64>>() else { return Some(wait) };
-        let boxes = self.fleet.as_ref().map_or(1, |fleet| fleet.others.len() + 1) as f64;
+        let boxes = self.boxes() as f64;
         let spacing_ms = (1_000.0 * boxes / per_s).min(MAX_RETRY_SPACING_MS as f64) as u64;
         let soonest = now + wait;
         self.last_retry_at =
--- a/crates/gateway/src/proxy/endpoints/signals.rs
+++ b/crates/gateway/src/proxy/endpoints/signals.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use balance::{Departure, Endpoint, Limit, Pool, Report};
+use balance::{Brittle, Departure, Endpoint, Limit, Pool, Report};
 use platform::{answer::Head, signal::Signal};
 
 use super::{Chosen, Endpoints};
@@ -72,6 +72,10 @@
         if let Some(signal) = &signals.back_off {
             start_back_off(pool, instance, signal, now);
         }
+        pool.set_brittle(instance, signals.brittle.as_ref().map(read_brittle));
+        if head.not_run && pool.back_off_if_brittle(instance, now) {
+            tracing::info!(event = "endpoint_brittle", endpoint = &**instance);
+        }
         let Some(endpoint) = pool.get_mut(instance) else {
             return Changes { leaves, limit: false };
         };
@@ -130,6 +134,15 @@
     }
 }
 
+/// How many rejections an endpoint bears. One that says so in an unreadable way may bear none.
+fn read_brittle(signal: &Signal<f64>) -> Brittle {
+    let rejections_per_s = match signal {
+        Signal::Valid(per_s) => *per_s,
+        Signal::Unreadable(_) => 0.0,
+    };
+    Brittle { rejections_per_s }
+}
+
 fn start_back_off(pool: &mut Pool, instance: &str, signal: &Signal<Duration>, now: u64) {
     let back_off = match signal {
         Signal::Valid(back_off) => *back_off,
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 mod back_off;
 mod bills;
 mod box_crash;
+mod brittle;
 mod cut_off;
 mod dead_watch;
 mod endpoint_cut;
