Soak: boxes are cut off from all endpoints now and then

Endpoints of the soak drop packets of single sources (a socket filter on their listeners) and close the connections of these: a cut from one box only, with real processes. For that a box opens its connections to endpoints from the address on which it serves other boxes. Cuts are drawn from a stream of random numbers of their own (--cuts), so the faults of every seed that was played before stay as they are.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -118,11 +118,21 @@
     },
 ];
 
+/// Boxes lose all endpoints now and then, beside the other faults.
+const CUT_OFF: [Case; 1] =
+    [Case { seed: 601, seconds: 12, limits: true, announcements: true, cause: "never failed" }];
+
 #[tokio::test]
 async fn guarantees_hold_under_random_faults() {
     run_cases(&CASES, StopOrder::InLine).await;
 }
 
+/// Guards against guarantees that end where one box carries another one's connections to endpoints.
+#[tokio::test]
+async fn guarantees_hold_while_boxes_are_cut_off_from_endpoints() {
+    run_cases_with_cuts(&CUT_OFF, StopOrder::Concurrent, true).await;
+}
+
 #[tokio::test]
 async fn bills_survive_a_shutdown_without_the_store() {
     run_cases(&BILLS_HANDED_OVER, StopOrder::InLine).await;
@@ -154,6 +164,10 @@
 }
 
 async fn run_cases(cases: &[Case], stops: StopOrder) {
+    run_cases_with_cuts(cases, stops, false).await;
+}
+
+async fn run_cases_with_cuts(cases: &[Case], stops: StopOrder, cuts: bool) {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
     for Case { seed, seconds, limits, announcements, cause } in cases {
         let options = soak::Options {
@@ -164,6 +178,7 @@
             limits: *limits,
             announcements: *announcements,
             stops,
+            cuts,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -20,7 +20,7 @@
             idle_timeout: Duration::from_secs(60),
             idle_margin: Duration::from_secs(1),
         },
-        Dialer::system(),
+        Dialer::system(None),
         Detour::none(),
     )
 }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -88,7 +88,9 @@
     /// Starts a box. `seed` feeds its random choices, including its incarnation, and must be
     /// different at each start.
     pub async fn spawn(settings: Settings, seed: u64) -> Result<Gateway, Error> {
-        Gateway::spawn_with(settings, seed, Clock::system(), Dialer::system()).await
+        // Endpoints see each box under its own address.
+        let dialer = Dialer::system(settings.listen.peers.map(|peers| peers.ip()));
+        Gateway::spawn_with(settings, seed, Clock::system(), dialer).await
     }
 
     /// Starts a box with a given clock and a given way to open connections to endpoints.
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -237,7 +237,7 @@
             settings(name, link.address()),
             seed,
             clock.clone(),
-            Dialer::system(),
+            Dialer::system(None),
         );
         (started.await.expect("the gateway starts"), link, clock)
     }
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -38,6 +38,10 @@
     /// other faults do not wait for the exit of a box that stops
     #[argh(switch)]
     pub concurrent_stops: bool,
+
+    /// boxes are cut off from all endpoints now and then
+    #[argh(switch)]
+    pub cuts: bool,
 }
 
 impl Options {
@@ -55,6 +59,7 @@
             length: Duration::from_secs(self.seconds),
             limits: !self.unlimited,
             announcements: !self.wordless,
+            cuts: self.cuts,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -3,7 +3,12 @@
 //! The number in the id of a request determines how the endpoint responds: completely in most
 //! cases, in some with an error or a violation of the protocol.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use parking_lot::Mutex;
@@ -182,6 +187,11 @@
         Endpoint { name, service, scripted }
     }
 
+    /// Cuts a box off, by its address, or ends that.
+    pub fn set_cut_off(&self, source: Ipv4Addr, is_cut_off: bool) {
+        self.scripted.set_cut_off(source, is_cut_off);
+    }
+
     /// Address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.scripted.address()
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// A failure or an operator's action.
@@ -16,6 +16,8 @@
     StoreDropsResponses,
     /// The link between a box and the store carries no bytes.
     CutLink { box_index: usize },
+    /// A box loses all endpoints: its connections to them are closed, and new ones hang.
+    CutEndpoints { box_index: usize },
     /// Open connections from a box to the store stall without a reset; new ones work.
     StallConnections { box_index: usize },
     /// One daemon is killed.
@@ -48,7 +50,11 @@
             | Kind::Kill { box_index }
             | Kind::Suspend { box_index }
             | Kind::Stop { box_index } => Some(Some(box_index)),
-            Kind::Reload { .. } | Kind::Leave { .. } | Kind::Configure | Kind::TopUp => None,
+            Kind::CutEndpoints { .. }
+            | Kind::Reload { .. }
+            | Kind::Leave { .. }
+            | Kind::Configure
+            | Kind::TopUp => None,
         }
     }
 }
@@ -63,6 +69,8 @@
     pub kind: Kind,
 }
 
+/// Stream of random numbers for cuts of boxes from endpoints.
+const CUT_STREAM: u64 = 1;
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL: Duration = Duration::from_millis(900);
 /// Shortest and longest duration of a fault, in milliseconds.
@@ -95,6 +103,26 @@
     faults
 }
 
+/// Mean time between two cuts of a box from all endpoints.
+const MEAN_CUT_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Shortest and longest duration of such a cut, in milliseconds.
+const CUT_MS: (u64, u64) = (500, 6_000);
+
+/// Draws cuts of boxes from all endpoints, from a seed of their own: the other faults of a seed stay as they are. Cuts may
+/// overlap, also so that all boxes are cut off.
+pub fn draw_cuts(seed: u64, boxes: usize, length: Duration) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CUT_STREAM);
+    let count = length.as_millis() / MEAN_CUT_INTERVAL.as_millis();
+    let cut = |_| {
+        let start = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
+        let duration = Duration::from_millis(random.random_range(CUT_MS.0..CUT_MS.1));
+        let box_index = random.random_range(0..boxes);
+        Fault { start, duration, kind: Kind::CutEndpoints { box_index } }
+    };
+    (0..count).map(cut).collect()
+}
+
 fn kind(random: &mut ChaCha8Rng, boxes: usize) -> Kind {
     let box_index = random.random_range(0..boxes);
     match random.random_range(0..14) {
--- a/crates/soak/src/run/fleet.rs
+++ b/crates/soak/src/run/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::Arc,
     time::Duration,
@@ -57,11 +57,24 @@
     store: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
+    /// Whether each box has an address of its own.
+    has_addresses: bool,
+}
+
+/// Address from which a box opens connections, in runs in which it is cut off from endpoints.
+pub fn box_address(box_index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, box_index as u8 + 1)
 }
 
 impl Fleet {
     /// A fleet without boxes.
-    pub fn new(shared: Arc<Shared>, store: SocketAddr, program: PathBuf, folder: PathBuf) -> Fleet {
+    pub fn new(
+        shared: Arc<Shared>,
+        store: SocketAddr,
+        program: PathBuf,
+        folder: PathBuf,
+        has_addresses: bool,
+    ) -> Fleet {
         Fleet {
             nodes: Vec::new(),
             stopped: BTreeMap::new(),
@@ -71,6 +84,7 @@
             store,
             program,
             folder,
+            has_addresses,
         }
     }
 
@@ -83,12 +97,13 @@
                 "box": "box-{box_index}", "zone": "z{zone}",
                 "listen": {{
                     "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
-                    "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
+                    "operators": "127.0.0.1:0", "peers": "{address}:0"
                 }},
                 "store": {{ "address": "{store}", "timeout_ms": 500 }},
                 "limits": {{ "notice_ms": {NOTICE_MS}, "stop_ms": {STOP_MS} }},
             }}"#,
             zone = box_index % 2,
+            address = if self.has_addresses { box_address(box_index) } else { Ipv4Addr::LOCALHOST },
             store = link.address(),
         );
         std::fs::write(&settings, text).context(FileSnafu { path: &settings })?;
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -56,6 +56,8 @@
     pub announcements: bool,
     /// What happens while a box stops.
     pub stops: StopOrder,
+    /// Whether boxes are cut off from endpoints.
+    pub cuts: bool,
 }
 
 /// Results of a run.
@@ -77,17 +79,18 @@
 pub async fn run(seed: u64, options: &Options) -> Result<Report, Error> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     // Runs of one seed in both orders may overlap, and each has settings and logs of its own.
-    let name = match options.stops {
-        StopOrder::InLine => format!("seed-{seed}"),
-        StopOrder::Concurrent => format!("seed-{seed}-concurrent"),
+    let order = match options.stops {
+        StopOrder::InLine => "",
+        StopOrder::Concurrent => "-concurrent",
     };
+    let name = format!("seed-{seed}{order}{}", if options.cuts { "-cuts" } else { "" });
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
     let (runs, arrivals) = (Runs::default(), Arrivals::default());
     let shared = Arc::new(Shared::new(seed, options.boxes));
-    let fleet =
-        Fleet::new(shared.clone(), platform.socket(), options.daemon.clone(), folder.clone());
+    let (program, store) = (options.daemon.clone(), platform.socket());
+    let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), options.cuts);
     let mut schedule = Schedule::new(platform, fleet, options.stops);
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
@@ -105,7 +108,10 @@
     for box_index in 0..options.boxes {
         schedule.fleet.add_box(box_index).await?;
     }
-    let faults = fault::draw(&mut random, options.boxes, ENDPOINTS.len(), options.length);
+    let mut faults = fault::draw(&mut random, options.boxes, ENDPOINTS.len(), options.length);
+    if options.cuts {
+        faults.extend(fault::draw_cuts(seed, options.boxes, options.length));
+    }
     let count = faults.len();
     let mut callers = JoinSet::new();
     for number in 0..options.boxes * CALLERS_PER_BOX {
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -13,7 +13,7 @@
     call::Incarnation,
     endpoint::Endpoint,
     fault::{Fault, Kind},
-    run::fleet::{EXIT_TIMEOUT, Error, FileSnafu, Fleet},
+    run::fleet::{self, EXIT_TIMEOUT, Error, FileSnafu, Fleet},
     verdict::Disturbance,
 };
 
@@ -171,6 +171,7 @@
                 trace.losing.set(true, Instant::now());
             }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, true),
+            Kind::CutEndpoints { box_index } => self.set_cut_off(box_index, true),
             Kind::StallConnections { box_index } => {
                 self.fleet.stall(box_index);
                 return Ok(None);
@@ -219,6 +220,12 @@
         Ok(Some(FaultEnd { kind: fault.kind, incarnation: None, until }))
     }
 
+    /// Cuts a box off from all endpoints, or ends that.
+    fn set_cut_off(&self, box_index: usize, is_cut_off: bool) {
+        let source = fleet::box_address(box_index);
+        self.endpoints.iter().for_each(|endpoint| endpoint.set_cut_off(source, is_cut_off));
+    }
+
     /// Undoes a fault; returns it if the daemon is still stopping and other faults do not wait for
     /// that.
     async fn undo(&mut self, end: FaultEnd) -> Result<Option<FaultEnd>, Error> {
@@ -241,6 +248,7 @@
                 trace.losing.set(false, Instant::now());
             }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, false),
+            Kind::CutEndpoints { box_index } => self.set_cut_off(box_index, false),
             Kind::Suspend { box_index } => self.fleet.signal(box_index, Signal::CONT)?,
             Kind::Kill { box_index } => self.fleet.start_if_down(box_index).await?,
             Kind::Stop { box_index } => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod link;
 mod scripted;
+mod source_filter;
 
 mod serve;
 mod service;
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -1,7 +1,12 @@
 //! An endpoint that responds to each request as a script decides, even in violation of the
 //! protocol.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{HeaderMap, StatusCode};
 use parking_lot::Mutex;
@@ -9,10 +14,12 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, watch},
     task::{JoinHandle, JoinSet},
 };
 
+use crate::source_filter;
+
 /// Largest head of a request, in bytes; a larger one ends the connection.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -67,6 +74,8 @@
 pub struct ScriptedEndpoint {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// Sources that are cut off.
+    cut_off: watch::Sender<BTreeSet<Ipv4Addr>>,
     task: JoinHandle<()>,
 }
 
@@ -79,6 +88,7 @@
         let address = listener.local_addr().expect("a bound socket has an address");
         let state: Arc<Mutex<State>> = Arc::default();
         let (script, shared): (Arc<Script>, _) = (Arc::new(script), state.clone());
+        let (cut_off, mut cuts) = watch::channel(BTreeSet::new());
         let task = tokio::spawn(async move {
             let crash = Arc::new(Notify::new());
             // Dropping the set closes all open connections.
@@ -86,14 +96,19 @@
             loop {
                 tokio::select! {
                     accepted = listener.accept() => {
-                        let Ok((stream, _)) = accepted else { return };
-                        open.spawn(serve(stream, script.clone(), shared.clone(), crash.clone()));
+                        let Ok((stream, source)) = accepted else { return };
+                        let serving = serve(stream, script.clone(), shared.clone(), crash.clone());
+                        open.spawn(until_cut(serving, source.ip(), cuts.clone()));
+                    }
+                    Ok(()) = cuts.changed() => {
+                        let sources = cuts.borrow_and_update().clone();
+                        source_filter::attach(&listener, &sources).expect("the filter is valid");
                     }
                     () = crash.notified() => return,
                 }
             }
         });
-        ScriptedEndpoint { address, state, task }
+        ScriptedEndpoint { address, state, cut_off, task }
     }
 
     /// Address that it listens on.
@@ -101,6 +116,16 @@
         self.address
     }
 
+    /// Cuts a source off, or ends that: its open connections are closed, and new ones get no answer.
+    pub fn set_cut_off(&self, source: Ipv4Addr, is_cut_off: bool) {
+        self.cut_off.send_modify(|sources| {
+            match is_cut_off {
+                true => sources.insert(source),
+                false => sources.remove(&source),
+            };
+        });
+    }
+
     /// All requests received so far, in order.
     pub fn arrived(&self) -> Vec<ReceivedRequest> {
         self.state.lock().arrived.clone()
@@ -128,6 +153,19 @@
     }
 }
 
+/// Serves a connection until its source is cut off.
+async fn until_cut(
+    serving: impl Future<Output = ()>,
+    source: IpAddr,
+    mut cuts: watch::Receiver<BTreeSet<Ipv4Addr>>,
+) {
+    let is_cut = |sources: &BTreeSet<Ipv4Addr>| matches!(source, IpAddr::V4(source) if sources.contains(&source));
+    tokio::select! {
+        () = serving => {}
+        _ = cuts.wait_for(is_cut) => {}
+    }
+}
+
 async fn serve(
     mut stream: TcpStream,
     script: Arc<Script>,
