Detours after review: stale cuts, zones that are cut as one, endpoints that nobody reaches

Three faults found by reading the diff, none seen by callers. A box told others that it does not reach an endpoint long after it had last tried: now for 2 s after the last sign of the cut. The three boxes that are asked could be all of the own zone, whose boxes may be cut together: now one of the own zone, then one of another. Connections between boxes get TCP_USER_TIMEOUT only once they carry tunnels, so that messages of a box that stands still wait as before.

--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -19,6 +19,10 @@
 
 /// Interval at which the direct way to an endpoint is tried while requests take the detour.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a cut that nothing confirmed since is told to other boxes.
+const CUT_TTL: Duration = Duration::from_millis(2_000);
+/// How long the detour to an endpoint is not tried again after it failed.
+const DETOUR_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of endpoints that are checked at a time because another one was cut off.
 const MAX_SWEPT: usize = 32;
 
@@ -59,6 +63,8 @@
     opened: u64,
     /// Set while the detour is expected to work and the direct way is not.
     cut_off: Option<CutOff>,
+    /// When the detour did not reach the address either.
+    detour_failed_at: Option<Instant>,
 }
 
 /// This box is cut off from an endpoint that other boxes reach.
@@ -66,6 +72,8 @@
 struct CutOff {
     /// When the direct way is tried again.
     next_check: Instant,
+    /// When that was seen last.
+    seen_at: Instant,
 }
 
 impl Host {
@@ -121,13 +129,33 @@
         let reused = slot.connection.is_some();
         let expected = self.expected_way(address);
         if !reused {
-            let opened = self.opener.open(address, expected).await?;
-            self.record_opened(address, &opened);
-            slot.connection = Some(opened.connection);
+            let opened = self.open(address, expected).await?;
+            slot.connection = Some(opened);
         }
         Ok(ReadyConnection { slot, reused, options: self.opener.options.clone() })
     }
 
+    /// Opens a connection. If neither way worked just now, only the direct one is tried: an endpoint that is down or
+    /// overloaded does not get the attempts of other boxes as well.
+    async fn open(&self, address: SocketAddr, expected: Way) -> Result<Connection, Fault> {
+        let is_recent = |at: Instant| at.elapsed() < DETOUR_RETRY_DELAY;
+        let has_failed = {
+            let hosts = self.hosts.lock();
+            hosts.get(&address).and_then(|host| host.detour_failed_at).is_some_and(is_recent)
+        };
+        let opened = match has_failed {
+            true => self.opener.open_directly(address).await?,
+            false => {
+                let opened = self.opener.open(address, expected).await;
+                self.hosts.lock().entry(address).or_default().detour_failed_at =
+                    opened.is_err().then(Instant::now);
+                opened?
+            }
+        };
+        self.record_opened(address, &opened);
+        Ok(opened.connection)
+    }
+
     /// The way that is expected to reach an address. Now and then, tries whether the direct one does again.
     fn expected_way(&self, address: SocketAddr) -> Way {
         let mut hosts = self.hosts.lock();
@@ -163,10 +191,12 @@
             if hangs {
                 host.close_idle(|connection| connection.way == Way::Direct);
             }
-            if host.cut_off.is_some() {
+            let now = Instant::now();
+            if let Some(cut_off) = &mut host.cut_off {
+                cut_off.seen_at = now;
                 return;
             }
-            host.cut_off = Some(CutOff { next_check: Instant::now() + CHECK_INTERVAL });
+            host.cut_off = Some(CutOff { next_check: now + CHECK_INTERVAL, seen_at: now });
         }
         tracing::warn!(event = "endpoint_cut_off", %address, hangs);
         self.sweep(address);
@@ -204,17 +234,18 @@
 
     /// Opens a connection to an address to see which way works, and keeps it.
     async fn check(&self, address: SocketAddr) {
-        let Ok(opened) = self.opener.open(address, Way::Direct).await else { return };
-        self.record_opened(address, &opened);
+        let Ok(connection) = self.open(address, Way::Direct).await else { return };
         self.hosts.lock().entry(address).or_default().open += 1;
-        let connection = Some(opened.connection);
+        let connection = Some(connection);
         Slot { address, connection, hosts: self.hosts.clone() }
             .keep_idle(Instant::now() + self.opener.options.reuse_time());
     }
 
-    /// Whether this box is cut off from an endpoint that others reach.
+    /// Whether this box was cut off just now from an endpoint that others reach.
     pub fn is_cut_off(&self, address: SocketAddr) -> bool {
-        self.hosts.lock().get(&address).is_some_and(|host| host.cut_off.is_some())
+        let hosts = self.hosts.lock();
+        let cut_off = hosts.get(&address).and_then(|host| host.cut_off.as_ref());
+        cut_off.is_some_and(|cut_off| cut_off.seen_at.elapsed() < CUT_TTL)
     }
 
     /// Number of endpoints that this box is cut off from.
--- a/crates/forward/src/opener.rs
+++ b/crates/forward/src/opener.rs
@@ -77,6 +77,12 @@
         Ok(Opened { connection, direct_hangs })
     }
 
+    /// Opens a connection by the direct way only.
+    pub async fn open_directly(&self, address: SocketAddr) -> Result<Opened, Fault> {
+        let connection = self.begin(address, Way::Direct).await?;
+        Ok(Opened { connection, direct_hangs: false })
+    }
+
     /// Begins to open a connection on one way.
     pub fn begin(&self, address: SocketAddr, way: Way) -> Opening {
         let Opener { options, dialer, detour } = self.clone();
--- a/crates/gateway/src/fleet/peers/tunnels.rs
+++ b/crates/gateway/src/fleet/peers/tunnels.rs
@@ -1,14 +1,15 @@
 //! Connections to endpoints through other boxes, while this box does not reach them itself.
 //!
-//! Each box asks a few others only, always the same ones while they answer: those of its own availability zone if there
-//! are any, by a hash of both names, so that the boxes of a fleet that are cut off together spread over those that are not.
+//! Each box asks a few others only, always the same ones while they answer, by a hash of both names, so that the boxes of a
+//! fleet that are cut off together spread over those that are not. One of the own availability zone comes first, since
+//! traffic between zones costs money, and one of another zone next, since the boxes of a zone may be cut off together.
 
 use std::{net::SocketAddr, time::Duration};
 
 use forward::{Tunnel, Unreached};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use ledger::Incarnation;
-use rand::seq::SliceRandom;
+use rand::Rng;
 use tokio::time::Instant;
 use wire::{Peer, tunnel};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -17,8 +18,8 @@
 
 /// Maximum number of boxes that are asked for one connection. Boxes may be cut off together, so more than one.
 const MAX_EXITS: usize = 3;
-/// Boxes among which the first one to ask is drawn.
-const FIRST_EXITS: usize = 2;
+/// Boxes of the same rank among which one is drawn, so that they share the load.
+const EQUAL_EXITS: usize = 2;
 /// Time without an answer after which the next box is asked as well: a few round trips, and the time of a busy endpoint to
 /// accept a connection.
 const EXIT_HEAD_START: Duration = Duration::from_millis(60);
@@ -27,6 +28,26 @@
 /// How long a box that did not open a tunnel is asked last.
 const EXIT_AVOID_TIME: Duration = Duration::from_millis(1_000);
 
+/// A box that may open connections for this one.
+struct Exit {
+    is_avoided: bool,
+    is_other_zone: bool,
+    hash: u64,
+    name: Incarnation,
+    peer: Peer,
+}
+
+impl Exit {
+    fn rank(&self) -> (bool, bool, u64) {
+        (self.is_avoided, self.is_other_zone, self.hash)
+    }
+
+    /// Boxes of the same costs are as good as each other.
+    fn costs(&self) -> (bool, bool) {
+        (self.is_avoided, self.is_other_zone)
+    }
+}
+
 impl Peers {
     /// Opens a connection to an endpoint through the first of a few boxes that reaches it.
     pub async fn open_tunnel(&self, target: SocketAddr) -> Result<Tunnel, Unreached> {
@@ -77,31 +98,34 @@
         }
     }
 
-    /// Boxes to ask for a connection, in this order.
+    /// Boxes to ask for a connection, in this order: one of the own zone, one of another, and the next best one.
     fn exits(&self) -> Vec<(Incarnation, Peer)> {
         let now = Instant::now();
         let mut state = self.state.lock();
-        let mut ranked: Vec<_> = state
-            .known
-            .iter()
-            .filter(|(_, known)| known.is_reachable(now))
-            .map(|(name, known)| {
-                let is_avoided = known.avoid_as_exit_until.is_some_and(|end| end > now);
-                let is_other_zone = known.entry.zone != state.profile.zone;
-                let hash = xxh3_64_with_seed(name.as_str().as_bytes(), self.exit_seed());
-                ((is_avoided, is_other_zone, hash), name.clone(), known.peer.clone())
+        let reachable = state.known.iter().filter(|(_, known)| known.is_reachable(now));
+        let mut ranked: Vec<Exit> = reachable
+            .map(|(name, known)| Exit {
+                is_avoided: known.avoid_as_exit_until.is_some_and(|end| end > now),
+                is_other_zone: known.entry.zone != state.profile.zone,
+                hash: xxh3_64_with_seed(name.as_str().as_bytes(), self.exit_seed()),
+                name: name.clone(),
+                peer: known.peer.clone(),
             })
             .collect();
-        ranked.sort_unstable_by_key(|(rank, ..)| *rank);
-        ranked.truncate(MAX_EXITS);
-        // Only boxes of the same rank share the load: another zone costs more.
-        let rank = ranked
-            .first()
-            .map(|((is_avoided, is_other_zone, _), ..)| (*is_avoided, *is_other_zone));
-        let equal = ranked.iter().take_while(|((a, z, _), ..)| Some((*a, *z)) == rank).count();
-        let first = equal.min(FIRST_EXITS);
-        ranked[..first].shuffle(&mut state.random);
-        ranked.into_iter().map(|(_, name, peer)| (name, peer)).collect()
+        ranked.sort_unstable_by_key(Exit::rank);
+        let mut chosen: Vec<Exit> = Vec::new();
+        while !ranked.is_empty() && chosen.len() < MAX_EXITS {
+            // The boxes of a zone may be cut off together.
+            let first_zone = chosen.first().map(|exit| exit.is_other_zone);
+            let differs = |exit: &Exit| chosen.len() == 1 && first_zone != Some(exit.is_other_zone);
+            let best = ranked.iter().position(differs).unwrap_or_default();
+            let rank = ranked[best].rank();
+            let equal = ranked[best..].iter().take(EQUAL_EXITS);
+            let equal = equal.take_while(|exit| exit.costs() == (rank.0, rank.1)).count();
+            let drawn = best + state.random.random_range(0..equal);
+            chosen.push(ranked.remove(drawn));
+        }
+        chosen.into_iter().map(|exit| (exit.name, exit.peer)).collect()
     }
 
     fn exit_seed(&self) -> u64 {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,17 +1,19 @@
 //! Server side: answers to other boxes.
 
-use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{net::SocketAddr, os::fd::AsFd, pin::pin, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, header};
 use ledger::Incarnation;
+use socket2::{SockRef, Socket};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
 use crate::{
-    Error, MAX_MESSAGE_BYTES, Message, compression, decode, encode, socket::configure, tunnel,
+    Error, MAX_MESSAGE_BYTES, Message, compression, decode, encode, socket::limit_unacknowledged,
+    tunnel,
 };
 
 /// Concurrent streams on one connection.
@@ -82,10 +84,12 @@
 }
 
 async fn serve(stream: TcpStream, answer: Arc<dyn Answer>) {
-    if let Err(error) = configure(&stream) {
-        tracing::debug!(%error, "the connection of a peer ended at once");
-        return;
-    }
+    let _ = stream.set_nodelay(true);
+    // The connection itself moves into the handshake.
+    let socket = match stream.as_fd().try_clone_to_owned() {
+        Ok(socket) => Socket::from(socket),
+        Err(error) => return tracing::warn!(event = "peer_not_served", %error),
+    };
     let mut builder = h2::server::Builder::new();
     builder.max_concurrent_streams(MAX_STREAMS).max_header_list_size(4 << 10);
     builder.initial_window_size(MAX_MESSAGE_BYTES as u32).initial_connection_window_size(4 << 20);
@@ -106,7 +110,9 @@
         };
         let Some(Ok((request, respond))) = accepted else { return };
         if request.method() == Method::CONNECT {
-            carries_tunnels = true;
+            if !std::mem::replace(&mut carries_tunnels, true) {
+                limit_unacknowledged(SockRef::from(&socket));
+            }
             let answer = answer.clone();
             let dial = async move |from, target| answer.dial(&from, target).await;
             streams.spawn(tunnel::serve(request, respond, dial));
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -21,8 +21,9 @@
     socket.connect(address).await
 }
 
-/// Sets the options of a connection that carries tunnels. Its keep-alive is that of `h2`: pings.
-pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(ACK_TIMEOUT))
+/// Has a connection that carries tunnels closed once data stays unacknowledged. Its keep-alive is that of `h2`: pings.
+pub(crate) fn limit_unacknowledged(socket: SockRef<'_>) {
+    if let Err(error) = socket.set_tcp_user_timeout(Some(ACK_TIMEOUT)) {
+        tracing::warn!(event = "socket_option_refused", %error);
+    }
 }
--- a/crates/wire/src/tunnel/client.rs
+++ b/crates/wire/src/tunnel/client.rs
@@ -10,10 +10,11 @@
 use h2::{Ping, PingPong, client::SendRequest};
 use http::{Method, Request};
 use ledger::Incarnation;
+use socket2::SockRef;
 use tokio::sync::{Mutex, watch};
 
 use super::{FROM, Refusal, Stream};
-use crate::socket::{configure, connect};
+use crate::socket::{connect, limit_unacknowledged};
 
 /// Bytes in flight on one tunnel, in each direction.
 const WINDOW_BYTES: u32 = 256 << 10;
@@ -99,7 +100,8 @@
 
     async fn connect(&self) -> Result<Connection, String> {
         let stream = connect(self.address, self.source).await.map_err(|error| error.to_string())?;
-        configure(&stream).map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        limit_unacknowledged(SockRef::from(&stream));
         let mut builder = h2::client::Builder::new();
         builder
             .initial_window_size(WINDOW_BYTES)
