Bills: a page is remembered also where the answer to its first write was lost

Found by reading. A page that was found as it had been sent was not remembered for a return of the store from a copy, so its bills could be lost with it.

--- a/crates/gateway/src/tokens/bills/mod.rs
+++ b/crates/gateway/src/tokens/bills/mod.rs
@@ -221,19 +221,22 @@
         let Draft { log, number, page } = draft;
         let name = page_name(&log, number);
         let text = serde_json::to_string(&page).expect("bills always serialize");
-        let existing = match store.replace(BILLS, &name, &text, Expect::Absent).await {
+        let (existing, version) = match store.replace(BILLS, &name, &text, Expect::Absent).await {
             Put::Landed(version) => {
                 tracing::info!(event = "bills_written", page = name, count = page.bills.len());
-                let draft = Draft { log: log.clone(), number, page: page.clone() };
-                let era = version::era(version);
-                self.0.state.lock().recent.add(draft, era, Instant::now());
-                page
+                (page.clone(), version)
             }
-            Put::Refused(Some(object)) => read_page(&name, &object),
+            Put::Refused(Some(object)) => (read_page(&name, &object), object.version),
             Put::Refused(None) => return self.fail(&name, "the existing page was not sent".into()),
             Put::Failed(reason) | Put::Unknown(reason) => return self.fail(&name, reason),
         };
-        self.0.state.lock().pending.record_page(&log, number, &existing, Instant::now());
+        let (mut state, now) = (self.0.state.lock(), Instant::now());
+        state.pending.record_page(&log, number, &existing, now);
+        // Also if the answer to an earlier attempt was lost.
+        if existing == page {
+            state.recent.add(Draft { log, number, page }, version::era(version), now);
+        }
+        drop(state);
         self.0.written.notify_waiters();
         Ok(())
     }
