forward: what is known of one address stands in a file of its own, and a cut is confirmed by each failed check

A cut box that used kept tunnels only told other boxes after 2 s that it may reach the endpoint; now each check of the direct way that fails says so. Checks of other endpoints were put off for as long as endpoints turned out to be cut off one after the other; cuts of other addresses were forgotten with any endpoint.

--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -13,14 +13,11 @@
     Body, Dialer, Fault,
     connection::{self, Connection},
     detour::{Detour, Way},
+    host::{CHECK_INTERVAL, Host},
     opener::{Opened, Opener, Port},
     options::Options,
 };
 
-/// Interval at which the direct way to an endpoint is tried while requests take the detour.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a cut that nothing confirmed since is told to other boxes.
-const CUT_TTL: Duration = Duration::from_millis(2_000);
 /// How long the detour to an endpoint is not tried again after it failed.
 const DETOUR_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of endpoints that are checked at a time because another one was cut off.
@@ -56,50 +53,6 @@
     swept_at: Arc<Mutex<Option<Instant>>>,
 }
 
-#[derive(Debug, Default)]
-struct Host {
-    idle: Vec<Connection>,
-    open: usize,
-    opened: u64,
-    /// Set while the detour is expected to work and the direct way is not.
-    cut_off: Option<CutOff>,
-    /// When the detour did not reach the address either.
-    detour_failed_at: Option<Instant>,
-}
-
-/// This box is cut off from an endpoint that other boxes reach.
-#[derive(Debug)]
-struct CutOff {
-    /// When the direct way is tried again.
-    next_check: Instant,
-    /// When that was seen last.
-    seen_at: Instant,
-}
-
-impl Host {
-    /// Closes the idle connections for which a condition holds.
-    fn close_idle(&mut self, is_closed: impl Fn(&Connection) -> bool) {
-        let before = self.idle.len();
-        self.idle.retain(|connection| !is_closed(connection));
-        self.open -= before - self.idle.len();
-    }
-
-    /// Position of an idle connection that can be used now; a direct one if there is one.
-    fn ready_position(&self) -> Option<usize> {
-        let ready = |way| {
-            self.idle
-                .iter()
-                .rposition(move |connection| connection.is_ready() && connection.way == way)
-        };
-        ready(Way::Direct).or_else(|| ready(Way::Detour))
-    }
-
-    /// Whether a connection may be kept: one through another box only while it is needed.
-    fn keeps(&self, connection: &Connection) -> bool {
-        connection.way == Way::Direct || self.cut_off.is_some()
-    }
-}
-
 impl Connections {
     /// Starts without connections.
     pub fn new(options: Options, dialer: Dialer, detour: Detour) -> Connections {
@@ -160,18 +113,16 @@
     fn expected_way(&self, address: SocketAddr) -> Way {
         let mut hosts = self.hosts.lock();
         let Some(host) = hosts.get_mut(&address) else { return Way::Direct };
-        let Some(cut_off) = &mut host.cut_off else { return Way::Direct };
-        let now = Instant::now();
-        if cut_off.next_check <= now {
-            cut_off.next_check = now + CHECK_INTERVAL;
+        if host.take_check(Instant::now()) {
             let (connections, opening) = (self.clone(), self.opener.begin(address, Way::Direct));
             tokio::spawn(async move {
-                if opening.await.is_ok() {
-                    connections.end_cut(address);
+                match opening.await {
+                    Ok(_) => connections.end_cut(address),
+                    Err(_) => connections.confirm_cut(address),
                 }
             });
         }
-        Way::Detour
+        host.expected_way()
     }
 
     /// Learns from an opened connection whether the box is cut off from the endpoint.
@@ -191,17 +142,21 @@
             if hangs {
                 host.close_idle(|connection| connection.way == Way::Direct);
             }
-            let now = Instant::now();
-            if let Some(cut_off) = &mut host.cut_off {
-                cut_off.seen_at = now;
+            if !host.begin_cut(Instant::now()) {
                 return;
             }
-            host.cut_off = Some(CutOff { next_check: now + CHECK_INTERVAL, seen_at: now });
         }
         tracing::warn!(event = "endpoint_cut_off", %address, hangs);
         self.sweep(address);
     }
 
+    /// The direct way to an address still does not work.
+    fn confirm_cut(&self, address: SocketAddr) {
+        if let Some(host) = self.hosts.lock().get_mut(&address) {
+            host.confirm_cut(Instant::now());
+        }
+    }
+
     /// The direct way to an address works.
     fn end_cut(&self, address: SocketAddr) {
         let mut hosts = self.hosts.lock();
@@ -215,9 +170,12 @@
     /// one, and a request that is sent on a dead connection is lost.
     fn sweep(&self, except: SocketAddr) {
         let now = Instant::now();
-        let is_recent = |at: Instant| now < at + CHECK_INTERVAL;
-        if self.swept_at.lock().replace(now).is_some_and(is_recent) {
-            return;
+        {
+            let mut swept_at = self.swept_at.lock();
+            if swept_at.is_some_and(|at| now < at + CHECK_INTERVAL) {
+                return;
+            }
+            *swept_at = Some(now);
         }
         let addresses: Vec<SocketAddr> = {
             let hosts = self.hosts.lock();
@@ -244,13 +202,12 @@
     /// Whether this box was cut off just now from an endpoint that others reach.
     pub fn is_cut_off(&self, address: SocketAddr) -> bool {
         let hosts = self.hosts.lock();
-        let cut_off = hosts.get(&address).and_then(|host| host.cut_off.as_ref());
-        cut_off.is_some_and(|cut_off| cut_off.seen_at.elapsed() < CUT_TTL)
+        hosts.get(&address).is_some_and(Host::is_cut_off)
     }
 
-    /// Number of endpoints that this box is cut off from.
+    /// Number of endpoints that this box was cut off from just now.
     pub fn count_cut_off(&self) -> usize {
-        self.hosts.lock().values().filter(|host| host.cut_off.is_some()).count()
+        self.hosts.lock().values().filter(|host| host.is_cut_off()).count()
     }
 
     /// Sets the options of a connection to an endpoint that is opened for another box.
@@ -289,7 +246,7 @@
         if let Some(host) = hosts.get_mut(&address) {
             host.close_idle(|_| true);
         }
-        hosts.retain(|_, host| host.open > 0);
+        hosts.retain(|known, host| host.open > 0 || (*known != address && host.is_cut_off()));
     }
 
     /// Closes all idle connections, which may have broken unnoticed.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod fault;
 mod connection;
 mod connections;
+mod host;
 mod opener;
 mod options;
 
