Log how an answer was framed and whether its stream stopped inside an event

Events are now recognized as the format defines them: a lone carriage return ends a line (a stream of such lines counted no events), a comment or a byte order mark begins none.

--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
-    Body, Dialer, Fault,
+    Body, Dialer, Fault, Framing,
     connection::{self, Connection},
     detour::{Detour, Way},
     host::{CHECK_INTERVAL, Host},
@@ -40,6 +40,8 @@
     pub head: response::Parts,
     /// Reading it to its end releases the connection; dropping it earlier closes the connection.
     pub body: Body,
+    /// What marks the end of the body.
+    pub framing: Framing,
     /// Whether it arrived on a reused connection.
     pub reused: bool,
 }
@@ -282,7 +284,8 @@
         let idle_time = idle_time(&response, &self.options);
         let lease = Lease { slot: self.slot, idle_time, options: self.options };
         let (head, body) = response.into_parts();
-        Ok(Answer { head, body: Body::new(body, lease), reused: self.reused })
+        let framing = Framing::of(&head.headers, http_body::Body::is_end_stream(&body));
+        Ok(Answer { head, body: Body::new(body, lease), framing, reused: self.reused })
     }
 
     /// Whether another box carries the connection.
--- a/crates/gateway/src/inbound/handle.rs
+++ b/crates/gateway/src/inbound/handle.rs
@@ -70,7 +70,9 @@
 ) -> Response<Body> {
     let headers = answer::caller_headers(&answer.head.headers);
     let status = answer.head.status;
-    let relay = Relay::new(answer.body, status.as_u16(), in_flight, exchange, link);
+    let is_event_stream = status.is_success() && answer::is_event_stream(&answer.head.headers);
+    let relay =
+        Relay::new(answer.body, status.as_u16(), is_event_stream, in_flight, exchange, link);
     let mut response = Response::new(Either::Right(relay));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use balance::{Candidates, Failure, Limit};
-use forward::{Answer, Fault};
-use http::{HeaderMap, StatusCode, header};
+use forward::{Answer, Fault, Framing};
+use http::StatusCode;
 use platform::{
     answer,
     config::{Kind, Route},
@@ -309,7 +309,8 @@
             );
         }
         exchange.time_to_head = Some(exchange.arrived_at.elapsed());
-        if !is_framed(&response.head.headers) {
+        exchange.framing = Some(response.framing);
+        if response.framing == Framing::Close {
             in_flight.unframed();
         }
         in_flight.finish_prefill();
@@ -349,11 +350,6 @@
     }
 }
 
-/// Whether the end of the body is distinguishable from a broken connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 fn is_repeatable(route: &Route) -> bool {
     route.kind == Kind::Repeatable || (route.kind == Kind::Streaming && route.resumable)
 }
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use forward::Framing;
 use ledger::Ended;
 use platform::request::{Head, Tokens};
 use quarantine::Fingerprint;
@@ -60,6 +61,10 @@
     pub time_to_head: Option<Duration>,
     /// Longest time between two events of the stream.
     pub longest_pause: Option<Duration>,
+    /// What marks the end of the response.
+    pub framing: Option<Framing>,
+    /// Whether the response, a stream of events, has stopped inside one.
+    pub is_in_event: bool,
     hold: Option<Hold>,
     metrics: Metrics,
     bills: Bills,
@@ -94,6 +99,8 @@
             may_have_run: false,
             time_to_head: None,
             longest_pause: None,
+            framing: None,
+            is_in_event: false,
             hold: None,
             metrics,
             bills,
@@ -177,6 +184,8 @@
             held = reserved,
             charged,
             events,
+            framing = self.framing.map(Framing::as_str),
+            in_event = self.is_in_event,
             first_byte_ms = self.time_to_head.map(|time| time.as_millis() as u64),
             longest_pause_ms = self.longest_pause.map(|time| time.as_millis() as u64),
             took_ms = self.arrived_at.elapsed().as_millis() as u64,
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -141,6 +141,8 @@
 pub struct Relay {
     body: forward::Body,
     event_counter: EventCounter,
+    /// Whether the body is a series of events.
+    is_event_stream: bool,
     status: u16,
     timeout: Pin<Box<Sleep>>,
     in_flight: InFlight,
@@ -153,6 +155,7 @@
     pub fn new(
         body: forward::Body,
         status: u16,
+        is_event_stream: bool,
         in_flight: InFlight,
         exchange: Exchange,
         link: Arc<Link>,
@@ -161,6 +164,7 @@
         let mut relay = Relay {
             body,
             event_counter: EventCounter::default(),
+            is_event_stream,
             status,
             timeout,
             in_flight,
@@ -179,6 +183,7 @@
 
     fn end(&mut self) {
         self.in_flight.watch.answered();
+        self.exchange.is_in_event = self.is_event_stream && self.event_counter.is_in_event();
         self.exchange.end(Outcome::Answered { status: self.status }, self.event_counter.events());
     }
 
@@ -189,6 +194,7 @@
     }
 
     fn break_off(&mut self, reason: String) {
+        self.exchange.is_in_event = self.is_event_stream && self.event_counter.is_in_event();
         self.exchange.end(Outcome::Broken { reason }, self.event_counter.events());
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -171,6 +171,41 @@
     }
 }
 
+/// Guards against streams that end inside an event and pass for whole ones.
+#[test]
+fn a_stream_is_inside_an_event_until_an_empty_line() {
+    let cases: [(&[u8], u64, bool); 19] = [
+        (b"", 0, false),
+        (b"data: x\n\n", 1, false),
+        (b"data: x\r\n\r\n", 1, false),
+        (b"data: x\r\r", 1, false),
+        (b"data: x\r\rdata: y\r\r", 2, false),
+        (b"data: x\n\r\n", 1, false),
+        (b"data: x", 0, true),
+        (b"data: x\n", 0, true),
+        (b"data: x\r\n", 0, true),
+        (b"data: x\r\n\r", 1, false),
+        (b"data: x\n\nid: 2", 1, true),
+        (b"data: x\n\nid: 2\nda", 1, true),
+        (b"data: x\n\n\n\r\n\r", 1, false),
+        (b"data: x\n\n: note\n", 1, false),
+        (b"data: x\n\n: half a no", 1, false),
+        (b"data: x\n: note\n", 0, true),
+        (b"\xEF\xBB\xBF", 0, false),
+        (b"\xEF\xBB\xBFdata: x\n\n", 1, false),
+        (b"data: x\n\n\xEF\xBB\xBF", 1, true),
+    ];
+    for (stream, events, is_in_event) in cases {
+        for size in 1..=stream.len().max(1) {
+            let mut event_counter = EventCounter::default();
+            stream.chunks(size).for_each(|part| event_counter.feed(part));
+            let found = (event_counter.events(), event_counter.is_in_event());
+            let text = String::from_utf8_lossy(stream);
+            assert_eq!(found, (events, is_in_event), "{text:?} in chunks of {size}");
+        }
+    }
+}
+
 #[test]
 fn not_run_statuses_are_used_only_for_unrun_requests() {
     let not_run_statuses =
