--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -8,6 +8,7 @@
 mod dead_watch;
 mod endpoint_cut;
 mod endpoints;
+mod framing;
 mod harness;
 mod keepers;
 mod leaving;
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -51,6 +51,8 @@
     Events(HeaderMap, Vec<String>, Duration),
     /// Sends events in chunks and closes the connection without the last chunk.
     Truncated(HeaderMap, Vec<String>),
+    /// Sends these bytes as they are, waits, and ends the connection.
+    Raw(Vec<u8>, Duration, Ending),
     /// Closes the connection without a response.
     Close,
     /// Never responds, but goes on reading.
@@ -61,6 +63,17 @@
     CrashUnframed(HeaderMap, Duration),
 }
 
+/// How an endpoint ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Its bytes end, as they do after a whole response.
+    Close,
+    /// With a reset.
+    Reset,
+    /// It stays open.
+    Stay,
+}
+
 type Script = dyn Fn(&ReceivedRequest) -> Reply + Send + Sync;
 
 #[derive(Default)]
@@ -297,6 +310,14 @@
             tokio::time::sleep(after).await;
             false
         }
+        Reply::Raw(bytes, pause, ending) => {
+            let sent = stream.write_all(&bytes).await.is_ok();
+            tokio::time::sleep(pause).await;
+            if ending == Ending::Reset {
+                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            }
+            sent && ending == Ending::Stay
+        }
         Reply::Close => false,
         Reply::Silent => {
             let mut rest = Vec::new();
