ORDER: a response ends for its caller as it ended for the box

What callers saw: a 200 in chunks, with the last chunk, of which a part was missing. Cause: the end of a connection was taken for the end of a response, and that end was then put into a frame which says that all of it came; nothing asked whether a stream had stopped inside an event.

Now the caller sees what the box saw. A response that ends with its connection is passed on as one (without chunks), and the connection is set to be reset before its first byte, so that a box that breaks it off, is killed or runs out of time never closes it in order; only a whole one is. That holds for callers of HTTP/1.0 too, for whom every response without a length ends so. A stream that ends inside an event is broken, whatever its frame says, and counts as such in bill, log, metrics and against the endpoint; where its last bytes came with the end, the part of the event is held back, so that no length is filled.

--- a/crates/gateway/src/inbound/handle.rs
+++ b/crates/gateway/src/inbound/handle.rs
@@ -3,19 +3,20 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use forward::Answer;
-use http::{Request, Response, header};
+use forward::{Answer, Framing};
+use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use platform::{answer, request::Head};
 
 use crate::proxy::{
     admit,
+    caller_close::CallerClose,
     context::Context,
     exchange::{Exchange, Outcome},
     link::Link,
     refusal::Refusal,
-    relay::{InFlight, Relay},
+    relay::{InFlight, Kind, Relay},
 };
 
 /// Time limit of a request that names no deadline.
@@ -27,13 +28,14 @@
     /// Serves one request.
     pub async fn handle(self: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
         let start = self.clock.now();
+        let caller = Caller::of(&request);
         let head = Head::read(request.headers());
         let deadline = start.at() + head.deadline.unwrap_or(DEFAULT_TIMEOUT);
         let mut exchange =
             Exchange::begin(&head, start, deadline, self.metrics.clone(), self.bills.clone());
         let mut response = match self.answer(request, head, &mut exchange).await {
             Ok((answer, in_flight)) => {
-                relay_answer(*answer, in_flight, exchange, self.link.clone())
+                relay_answer(*answer, caller, in_flight, exchange, self.link.clone())
             }
             Err(refusal) => {
                 let response = refusal.response(exchange.id.as_deref());
@@ -42,7 +44,7 @@
             }
         };
         if self.closes_connections() {
-            let close = header::HeaderValue::from_static("close");
+            let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
         response
@@ -62,19 +64,44 @@
     }
 }
 
+/// What the response to a caller depends on.
+struct Caller {
+    version: Version,
+    close: CallerClose,
+}
+
+impl Caller {
+    fn of(request: &Request<Incoming>) -> Caller {
+        let close = request.extensions().get::<CallerClose>().cloned().unwrap_or_default();
+        Caller { version: request.version(), close }
+    }
+}
+
 fn relay_answer(
     answer: Answer,
+    caller: Caller,
     in_flight: InFlight,
     exchange: Exchange,
     link: Arc<Link>,
 ) -> Response<Body> {
-    let headers = answer::caller_headers(&answer.head.headers);
-    let status = answer.head.status;
-    let is_event_stream = status.is_success() && answer::is_event_stream(&answer.head.headers);
-    let relay =
-        Relay::new(answer.body, status.as_u16(), is_event_stream, in_flight, exchange, link);
+    let Answer { head, body, framing, .. } = answer;
+    let mut headers = answer::caller_headers(&head.headers);
+    let is_event_stream = head.status.is_success() && answer::is_event_stream(&head.headers);
+    // A caller of HTTP/1.0 knows no chunks.
+    let ends_by_close = framing == Framing::Close
+        || (framing == Framing::Chunks && caller.version == Version::HTTP_10);
+    let close = ends_by_close.then_some(caller.close);
+    let kind = Kind { status: head.status.as_u16(), is_event_stream };
+    let relay = Relay::new(body, kind, close, in_flight, exchange, link);
+    if ends_by_close {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     let mut response = Response::new(Either::Right(relay));
-    *response.status_mut() = status;
+    if ends_by_close {
+        // `hyper` puts a response of HTTP/1.1 into chunks, and their end would say that it is whole.
+        *response.version_mut() = Version::HTTP_10;
+    }
+    *response.status_mut() = head.status;
     *response.headers_mut() = headers;
     response
 }
--- a/crates/gateway/src/inbound/serve.rs
+++ b/crates/gateway/src/inbound/serve.rs
@@ -15,7 +15,7 @@
 };
 use tokio_util::task::TaskTracker;
 
-use crate::{metrics::Metrics, proxy::bounds::Bounds};
+use crate::{inbound::caller_stream::CallerStream, metrics::Metrics, proxy::bounds::Bounds};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -101,7 +101,10 @@
         tracing::debug!(event = "caller_gone", %error);
         return;
     }
-    let service = service_fn(move |request| {
+    let stream = CallerStream::new(stream);
+    let close = stream.close();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(close.clone());
         let answer = serve(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
--- a/crates/gateway/src/proxy/event_counter.rs
+++ b/crates/gateway/src/proxy/event_counter.rs
@@ -32,11 +32,17 @@
 }
 
 impl EventCounter {
-    /// Processes the next bytes of the stream.
-    pub fn feed(&mut self, bytes: &[u8]) {
-        for byte in bytes {
+    /// Processes the next bytes of the stream. Returns how many of them come before the event that the stream is inside
+    /// of afterwards.
+    pub fn feed(&mut self, bytes: &[u8]) -> usize {
+        let mut event_start = 0;
+        for (index, byte) in bytes.iter().enumerate() {
             self.feed_byte(*byte);
+            if !self.is_in_event {
+                event_start = index + 1;
+            }
         }
+        event_start
     }
 
     fn feed_byte(&mut self, byte: u8) {
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod admit;
 pub mod bounds;
+pub mod caller_close;
 pub mod crashes;
 pub mod dispatch;
 pub mod endpoints;
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -16,6 +16,7 @@
 use crate::{
     fleet::peers::{Peers, PromptNotice},
     proxy::{
+        caller_close::CallerClose,
         crashes::Watch,
         endpoints::{Chosen, Endpoints},
         event_counter::EventCounter,
@@ -38,6 +39,9 @@
     /// The deadline of the request passed.
     #[snafu(display("the deadline of the request passed"))]
     Timeout,
+    /// The endpoint's response, a series of events, ended inside one.
+    #[snafu(display("the response ended inside an event"))]
+    InEvent,
 }
 
 /// A request at an endpoint; counted as load of the endpoint until dropped.
@@ -137,13 +141,23 @@
     }
 }
 
+/// What kind of response is relayed.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    pub status: u16,
+    /// Whether the body is a series of events.
+    pub is_event_stream: bool,
+}
+
 /// Body of a response, relayed as it arrives.
 pub struct Relay {
     body: forward::Body,
     event_counter: EventCounter,
-    /// Whether the body is a series of events.
-    is_event_stream: bool,
-    status: u16,
+    kind: Kind,
+    /// Set if the response to the caller ends with its connection.
+    close: Option<CallerClose>,
+    /// The body ended inside an event; the caller is yet to learn.
+    stops_in_event: bool,
     timeout: Pin<Box<Sleep>>,
     in_flight: InFlight,
     exchange: Exchange,
@@ -151,40 +165,44 @@
 }
 
 impl Relay {
-    /// Relays the body of a response with this status.
+    /// Relays the body of a response.
     pub fn new(
         body: forward::Body,
-        status: u16,
-        is_event_stream: bool,
+        kind: Kind,
+        close: Option<CallerClose>,
         in_flight: InFlight,
         exchange: Exchange,
         link: Arc<Link>,
     ) -> Relay {
+        if let Some(close) = &close {
+            close.begin();
+        }
         let timeout = Box::pin(tokio::time::sleep_until(exchange.deadline));
         let mut relay = Relay {
             body,
             event_counter: EventCounter::default(),
-            is_event_stream,
-            status,
+            kind,
+            close,
+            stops_in_event: false,
             timeout,
             in_flight,
             exchange,
             link,
         };
-        relay.end_if_complete();
-        relay
-    }
-
-    fn end_if_complete(&mut self) {
-        if self.body.is_end_stream() {
-            self.end();
+        if relay.body.is_end_stream() {
+            relay.end();
         }
+        relay
     }
 
+    /// The response is whole, as far as its frame and its events tell.
     fn end(&mut self) {
         self.in_flight.watch.answered();
-        self.exchange.is_in_event = self.is_event_stream && self.event_counter.is_in_event();
-        self.exchange.end(Outcome::Answered { status: self.status }, self.event_counter.events());
+        if let Some(close) = &self.close {
+            close.finish();
+        }
+        let status = self.kind.status;
+        self.exchange.end(Outcome::Answered { status }, self.event_counter.events());
     }
 
     /// Records events that arrived together.
@@ -194,9 +212,36 @@
     }
 
     fn break_off(&mut self, reason: String) {
-        self.exchange.is_in_event = self.is_event_stream && self.event_counter.is_in_event();
+        self.exchange.is_in_event = self.is_in_event();
         self.exchange.end(Outcome::Broken { reason }, self.event_counter.events());
     }
+
+    fn is_in_event(&self) -> bool {
+        self.kind.is_event_stream && self.event_counter.is_in_event()
+    }
+
+    /// Processes data on its way to the caller; of a body that ends inside an event, the part before that event remains.
+    fn pass_on(&mut self, data: &mut Bytes) {
+        self.link.record_chunk(data.len());
+        let before = self.event_counter.events();
+        let last_event_start = self.event_counter.feed(data);
+        self.record_events(self.event_counter.events() - before);
+        match self.body.is_end_stream() {
+            true if self.is_in_event() => {
+                data.truncate(last_event_start);
+                self.stops_in_event = true;
+            }
+            true => self.end(),
+            false => {}
+        }
+    }
+
+    /// The endpoint ended the body inside an event, so it broke off.
+    fn break_in_event(&mut self) -> BodyError {
+        self.in_flight.broke();
+        self.break_off(BodyError::InEvent.to_string());
+        BodyError::InEvent
+    }
 }
 
 impl Drop for Relay {
@@ -214,40 +259,40 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.stops_in_event {
+            return Poll::Ready(Some(Err(self.break_in_event())));
+        }
         let frame = match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
                 ready!(self.timeout.as_mut().poll(context));
-                self.break_off("the deadline of the request passed".into());
+                self.break_off(BodyError::Timeout.to_string());
                 return Poll::Ready(Some(Err(BodyError::Timeout)));
             }
         };
-        match frame {
+        Poll::Ready(match frame {
+            None if self.is_in_event() => Some(Err(self.break_in_event())),
             None => {
                 self.end();
-                Poll::Ready(None)
+                None
             }
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    self.link.record_chunk(data.len());
-                    let before = self.event_counter.events();
-                    self.event_counter.feed(data);
-                    let events = self.event_counter.events() - before;
-                    self.record_events(events);
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(mut data) => {
+                    self.pass_on(&mut data);
+                    Some(Ok(Frame::data(data)))
                 }
-                self.end_if_complete();
-                Poll::Ready(Some(Ok(frame)))
-            }
+                Err(other) => Some(Ok(other)),
+            },
             Some(Err(source)) => {
                 self.in_flight.broke();
                 self.break_off(source.to_string());
-                Poll::Ready(Some(Err(BodyError::Endpoint { source })))
+                Some(Err(BodyError::Endpoint { source }))
             }
-        }
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.is_end_stream() && !self.stops_in_event
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -165,7 +165,9 @@
     let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n: note\n\ndata: unfinished\n";
     for size in 1..stream.len() {
         let mut event_counter = EventCounter::default();
-        stream.chunks(size).for_each(|part| event_counter.feed(part));
+        for part in stream.chunks(size) {
+            event_counter.feed(part);
+        }
         assert_eq!(event_counter.events(), 3, "in chunks of {size}");
         assert!(event_counter.is_in_event(), "the last event has not ended");
     }
@@ -198,7 +200,9 @@
     for (stream, events, is_in_event) in cases {
         for size in 1..=stream.len().max(1) {
             let mut event_counter = EventCounter::default();
-            stream.chunks(size).for_each(|part| event_counter.feed(part));
+            for part in stream.chunks(size) {
+                event_counter.feed(part);
+            }
             let found = (event_counter.events(), event_counter.is_in_event());
             let text = String::from_utf8_lossy(stream);
             assert_eq!(found, (events, is_in_event), "{text:?} in chunks of {size}");
--- a/crates/gateway/tests/loopback/framing.rs
+++ b/crates/gateway/tests/loopback/framing.rs
@@ -5,18 +5,19 @@
     time::{Duration, Instant},
 };
 
-use gateway::Gateway;
+use gateway::{Gateway, Settings};
 use http::HeaderMap;
 use platform::fixtures;
 use standin::{Ending, ReceivedRequest, Reply};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    runtime::Runtime,
 };
 
 use crate::{
     endpoint_cut::Cut,
-    harness::{Harness, MAX_WAIT, answer_ok, wait_until, wait_until_served},
+    harness::{Harness, MAX_WAIT, answer_ok, settings, wait_until, wait_until_served},
 };
 
 /// Routes that the tests use; the first two are streams.
@@ -261,15 +262,44 @@
     }
 }
 
+/// A box with a runtime of its own, so that it can end as a process does: with all of its tasks.
+struct Process {
+    runtime: Runtime,
+    gateway: Gateway,
+}
+
+impl Process {
+    async fn start(settings: Settings) -> Process {
+        let runtime = Runtime::new().expect("a runtime");
+        let started = runtime.spawn(Gateway::spawn(settings, 77)).await.expect("it starts");
+        Process { runtime, gateway: started.expect("a gateway") }
+    }
+
+    /// Ends at once.
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+
+    /// Stops by plan.
+    async fn stop(self) {
+        let stopped = self.runtime.spawn(self.gateway.stop());
+        tokio::time::timeout(MAX_WAIT, stopped).await.expect("in time").expect("it stops");
+        self.runtime.shutdown_background();
+    }
+}
+
 /// Guards against responses without a frame that end like whole ones because the box dies.
 #[tokio::test]
 async fn a_response_without_a_frame_breaks_with_its_box() {
+    let fleet = start(held_open).await;
     for version in ["HTTP/1.1", "HTTP/1.0"] {
-        let fleet = start(held_open).await;
-        let mut caller =
-            Caller::send(fleet.gateway.callers(), version, "/stream/x", "held-1").await;
+        let settings = settings("box-2", fleet.harness.platform.socket());
+        let process = Process::start(settings).await;
+        let address = process.gateway.callers();
+        wait_until_served(&fleet.harness, &process.gateway, "/stream/x").await;
+        let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
         let bytes = caller.read_until("data: y\n\n").await;
-        drop(fleet.gateway);
+        process.kill();
         let (seen, _) = caller.finish(bytes).await;
         assert_eq!(seen, Seen::Broken, "{version}");
     }
@@ -279,13 +309,34 @@
 #[tokio::test]
 async fn a_response_without_a_frame_breaks_when_a_planned_stop_runs_out_of_time() {
     let fleet = start(held_open).await;
-    let gateway = fleet.harness.gateway_with_stop_time("box-2", 300).await;
-    wait_until_served(&fleet.harness, &gateway, "/stream/x").await;
-    let mut caller = Caller::send(gateway.callers(), "HTTP/1.1", "/stream/x", "held-1").await;
-    let bytes = caller.read_until("data: y\n\n").await;
-    tokio::time::timeout(MAX_WAIT, gateway.stop()).await.expect("the box stops");
-    let (seen, _) = caller.finish(bytes).await;
-    assert_eq!(seen, Seen::Broken);
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let mut settings = settings("box-2", fleet.harness.platform.socket());
+        settings.limits.stop_ms = 300;
+        let process = Process::start(settings).await;
+        let address = process.gateway.callers();
+        wait_until_served(&fleet.harness, &process.gateway, "/stream/x").await;
+        let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
+        let bytes = caller.read_until("data: y\n\n").await;
+        process.stop().await;
+        let (seen, _) = caller.finish(bytes).await;
+        assert_eq!(seen, Seen::Broken, "{version}");
+    }
+}
+
+/// Guards against a close that comes before the last bytes of a response without a frame, where its caller reads slowly.
+#[tokio::test]
+async fn a_slow_caller_gets_all_of_a_response_without_a_frame() {
+    let text = WHOLE.repeat(200_000);
+    let sent = text.clone();
+    let fleet = start(move |request| match &*request.head.id {
+        "large" => Reply::Raw(response(request, Frame::Close, &sent), PAUSE, Ending::Close),
+        _ => answer_ok(request),
+    })
+    .await;
+    let caller = Caller::send(fleet.gateway.callers(), "HTTP/1.1", "/stream/x", "large").await;
+    tokio::time::sleep(PAUSE * 10).await;
+    let (seen, body) = caller.finish(Vec::new()).await;
+    assert_eq!((seen, body.len()), (Seen::Closed, text.len()));
 }
 
 /// Guards against responses without a frame that change their end on the way through another box.
