Log the software version of endpoints, and which stream a request takes up

No line named a version, so its hypotheses looked alike. Entries of endpoints now keep their version and requests their Resumes, which may occur once; nothing acts on them.

--- a/crates/flintbench/src/fleet.rs
+++ b/crates/flintbench/src/fleet.rs
@@ -43,6 +43,7 @@
             service: "engines".into(),
             address: SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 8_000)),
             zone: zone(n),
+            version: "v1".into(),
             slots: 32,
             state: State::Ready,
             started: Some(StartTime::from_unix_ms(1_790_000_000_000 + n as u64)),
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -157,6 +157,7 @@
         exchange: &mut Exchange,
     ) -> Attempt {
         exchange.endpoint = Some(chosen.id.clone());
+        exchange.version = Some(chosen.version.clone());
         let left = exchange.time_left();
         let directives = Directives {
             instance: &chosen.id,
@@ -180,6 +181,9 @@
             event = "dispatched",
             id = exchange.id.as_deref(),
             endpoint = &*chosen.id,
+            version = &*chosen.version,
+            resumes = admitted.head.resumes.as_deref(),
+            resumed_after = admitted.head.resumed_after,
             service = &*admitted.service,
             fingerprint = %admitted.fingerprint,
             load = chosen.load,
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -57,6 +57,8 @@
     pub instance: Arc<str>,
     pub id: Arc<str>,
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Prompt tokens that it probably has cached.
     pub cached_tokens: u64,
     /// Requests at the endpoint, as estimated by this box.
@@ -78,6 +80,8 @@
     id: Arc<str>,
     service: Arc<str>,
     address: SocketAddr,
+    /// Version of its software.
+    version: Arc<str>,
     /// Heartbeat from which the cold time was last read.
     heartbeat: u64,
 }
@@ -193,6 +197,7 @@
             id: id.clone(),
             service: entry.service.clone(),
             address: entry.address,
+            version: entry.version.clone(),
             heartbeat: entry.heartbeat,
         };
         self.instances.insert(id.clone(), instance.clone());
@@ -333,7 +338,7 @@
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
         let choice = pool.choose_from(candidates, zones, prefix, tried, now, &mut state.random)?;
-        let Listing { id, address, .. } = state.listed.get(&choice.name)?.clone();
+        let Listing { id, address, version, .. } = state.listed.get(&choice.name)?.clone();
         let Choice { name: instance, cached: cached_tokens, load } = choice;
         let endpoint = pool.get(&instance)?;
         let limit = endpoint.limit();
@@ -341,7 +346,17 @@
         let leaves = leaves.map(Duration::from_millis);
         let back_off = Some(endpoint.back_off.remaining_ms(now)).filter(|ms| *ms > 0);
         let back_off = back_off.map(Duration::from_millis);
-        Some(Chosen { instance, id, address, cached_tokens, load, limit, leaves, back_off })
+        Some(Chosen {
+            instance,
+            id,
+            address,
+            version,
+            cached_tokens,
+            load,
+            limit,
+            leaves,
+            back_off,
+        })
     }
 
     /// Counts a request that is sent to an endpoint; returns the prompt tokens that the endpoint has to process.
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -51,6 +51,8 @@
     /// Maximum number of tokens in one event of the service's engines.
     pub event_tokens: u64,
     pub endpoint: Option<Arc<str>>,
+    /// Software version of that endpoint.
+    pub version: Option<Arc<str>>,
     /// Number of endpoints that it was sent to, without those that turned out to be gone.
     pub attempts: u32,
     /// Whether another box carried the last attempt.
@@ -94,6 +96,7 @@
             fingerprint: None,
             event_tokens: 1,
             endpoint: None,
+            version: None,
             attempts: 0,
             is_detour: false,
             may_have_run: false,
@@ -173,6 +176,7 @@
             route = self.route.as_deref(),
             service = self.service.as_deref(),
             endpoint = self.endpoint.as_deref(),
+            version = self.version.as_deref(),
             fingerprint = self.fingerprint.as_ref().map(tracing::field::display),
             config = self.config_version,
             outcome = outcome_name,
--- a/crates/gateway/tests/endpoint_changes.rs
+++ b/crates/gateway/tests/endpoint_changes.rs
@@ -20,6 +20,7 @@
         service: format!("service-{service}").into(),
         address: SocketAddr::from(([10, 0, 0, address], 80)),
         zone: "z1".into(),
+        version: "v1".into(),
         slots: 8,
         state: State::Ready,
         started: Some(StartTime::from_unix_ms(u64::from(start))),
--- a/crates/gateway/tests/loopback/framing.rs
+++ b/crates/gateway/tests/loopback/framing.rs
@@ -5,19 +5,19 @@
     time::{Duration, Instant},
 };
 
-use gateway::{Gateway, Settings};
+use gateway::Gateway;
 use http::HeaderMap;
 use platform::fixtures;
 use standin::{Ending, ReceivedRequest, Reply};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    runtime::Runtime,
 };
 
 use crate::{
     endpoint_cut::Cut,
     harness::{Harness, MAX_WAIT, answer_ok, settings, wait_until, wait_until_served},
+    process::Process,
 };
 
 /// Routes that the tests use; the first two are streams.
@@ -262,32 +262,6 @@
     }
 }
 
-/// A box with a runtime of its own, so that it can end as a process does: with all of its tasks.
-struct Process {
-    runtime: Runtime,
-    gateway: Gateway,
-}
-
-impl Process {
-    async fn start(settings: Settings) -> Process {
-        let runtime = Runtime::new().expect("a runtime");
-        let started = runtime.spawn(Gateway::spawn(settings, 77)).await.expect("it starts");
-        Process { runtime, gateway: started.expect("a gateway") }
-    }
-
-    /// Ends at once.
-    fn kill(self) {
-        self.runtime.shutdown_background();
-    }
-
-    /// Stops by plan.
-    async fn stop(self) {
-        let stopped = self.runtime.spawn(self.gateway.stop());
-        tokio::time::timeout(MAX_WAIT, stopped).await.expect("in time").expect("it stops");
-        self.runtime.shutdown_background();
-    }
-}
-
 /// Guards against responses without a frame that end like whole ones because the box dies.
 #[tokio::test]
 async fn a_response_without_a_frame_breaks_with_its_box() {
@@ -295,8 +269,8 @@
     for version in ["HTTP/1.1", "HTTP/1.0"] {
         let settings = settings("box-2", fleet.harness.platform.socket());
         let process = Process::start(settings).await;
-        let address = process.gateway.callers();
-        wait_until_served(&fleet.harness, &process.gateway, "/stream/x").await;
+        let address = process.gateway().callers();
+        wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
         let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
         let bytes = caller.read_until("data: y\n\n").await;
         process.kill();
@@ -313,8 +287,8 @@
         let mut settings = settings("box-2", fleet.harness.platform.socket());
         settings.limits.stop_ms = 300;
         let process = Process::start(settings).await;
-        let address = process.gateway.callers();
-        wait_until_served(&fleet.harness, &process.gateway, "/stream/x").await;
+        let address = process.gateway().callers();
+        wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
         let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
         let bytes = caller.read_until("data: y\n\n").await;
         process.stop().await;
--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -294,6 +294,7 @@
             deadline: Some(Duration::from_secs(10)),
             tokens: Some(Tokens { prompt, max_output }),
             parts: Vec::new(),
+            resumed: None,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -0,0 +1,289 @@
+//! Streams that callers take up again while endpoints of several software versions serve.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join_all;
+use http::{HeaderMap, StatusCode};
+use platform::fixtures::{self, CallerHead, Registration, Resumed};
+use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
+
+use crate::{
+    harness::{Harness, MAX_WAIT, Response, call, settings, wait_until, wait_until_served},
+    process::Process,
+};
+
+const PAID: u64 = 1_000_000;
+/// Streams of a test.
+const STREAMS: usize = 24;
+/// Availability zone of each box.
+const BOX_ZONES: [&str; 4] = ["z1", "z2", "z3", "z1"];
+/// Time after which a caller takes up a stream that broke.
+const CALLER_PAUSE: Duration = Duration::from_millis(100);
+/// The route of streams that may be taken up.
+const PATH: &str = "/resume/x";
+
+/// Begins streams and breaks them off after one event; finishes those that are taken up.
+fn respond(request: &ReceivedRequest) -> Reply {
+    let mut headers = fixtures::response_headers(&request.head.id, None);
+    headers.insert("content-type", "text/event-stream".parse().expect("a value"));
+    match request.head.last_event {
+        None => Reply::Truncated(headers, vec!["id: 1\ndata: x\n\n".into()]),
+        Some(_) => Reply::Events(headers, vec!["id: 2\ndata: y\n\n".into()], Duration::ZERO),
+    }
+}
+
+struct Fleet {
+    harness: Harness,
+    boxes: Vec<Process>,
+    /// Endpoints with their ids and versions.
+    endpoints: Vec<(String, &'static str, ScriptedEndpoint)>,
+}
+
+impl Fleet {
+    /// Starts the boxes, and an endpoint of each of these versions.
+    async fn start(versions: &[&'static str]) -> Fleet {
+        let harness = Harness::start(PAID, &["resume"]).await;
+        let mut fleet = Fleet { harness, boxes: Vec::new(), endpoints: Vec::new() };
+        for version in versions {
+            fleet.add_endpoint(version, respond).await;
+        }
+        for number in 0..BOX_ZONES.len() {
+            fleet.start_box(number).await;
+        }
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    async fn start_box(&mut self, number: usize) {
+        let mut settings = settings(&format!("box-{number}"), self.harness.platform.socket());
+        settings.zone = BOX_ZONES[number].into();
+        self.boxes.push(Process::start(settings).await);
+    }
+
+    async fn wait_until_ready(&self) {
+        for process in &self.boxes {
+            let others = self.boxes.len() - 1;
+            let knows_all = async || process.gateway().peer_count() == others;
+            wait_until("the boxes know each other", knows_all).await;
+            wait_until_served(&self.harness, process.gateway(), PATH).await;
+        }
+    }
+
+    async fn add_endpoint(
+        &mut self,
+        version: &'static str,
+        script: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    ) -> String {
+        let endpoint = ScriptedEndpoint::spawn(script).await;
+        let id = format!("engine-{}", self.endpoints.len());
+        let registration =
+            Registration { version, ..fixtures::registration("engines", endpoint.address()) };
+        self.harness.write_raw_entry(&id, registration.entry().to_string()).await;
+        self.endpoints.push((id.clone(), version, endpoint));
+        id
+    }
+
+    fn new_request(&self) -> CallerHead {
+        self.harness.new_request("key-b", 1, 1)
+    }
+
+    /// Sends a request to a box, again for as long as the box lacks tokens; returns the id of the last attempt.
+    async fn call(&self, number: usize, req: CallerHead) -> (String, Response) {
+        let until = Instant::now() + MAX_WAIT;
+        loop {
+            let req = CallerHead { id: self.new_request().id, ..req.clone() };
+            let response = call(self.boxes[number].gateway().callers(), PATH, &req).await;
+            if response.status != StatusCode::TOO_MANY_REQUESTS {
+                return (req.id, response);
+            }
+            assert!(Instant::now() < until, "tokens in time: {response:?}");
+            tokio::time::sleep(CALLER_PAUSE).await;
+        }
+    }
+
+    /// Begins a stream at a box; returns the id of the attempt.
+    async fn begin(&self, number: usize) -> String {
+        let (id, response) = self.call(number, self.new_request()).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+        assert!(response.body.is_err(), "it broke off: {response:?}");
+        id
+    }
+
+    /// Takes up a stream at a box.
+    async fn resume(&self, number: usize, first_attempt: &str, key: &str) -> (String, Response) {
+        let resumed =
+            Resumed { first_attempt: Some(first_attempt.to_owned()), last_event: Some(1) };
+        let key = Some(key.to_owned());
+        let req = CallerHead { resumed: Some(resumed), key, ..self.new_request() };
+        self.call(number, req).await
+    }
+
+    /// Version of the endpoint that got a request last.
+    fn version_of(&self, id: &str) -> Option<&'static str> {
+        let arrived = |endpoint: &ScriptedEndpoint| {
+            endpoint.arrived().iter().any(|request| request.head.id == id)
+        };
+        let mut versions = self.endpoints.iter();
+        versions.find(|(_, _, endpoint)| arrived(endpoint)).map(|(_, version, _)| *version)
+    }
+
+    /// Takes up streams at boxes in turn; returns how many went on, and fails if one did at another version.
+    async fn resume_all(&self, began: &[String], boxes: &[usize]) -> usize {
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let resumed = began
+            .iter()
+            .enumerate()
+            .map(|(n, first_attempt)| self.resume(boxes[n % boxes.len()], first_attempt, "key-b"));
+        let resumed = join_all(resumed).await;
+        let mut went_on = 0;
+        for (first_attempt, (id, response)) in began.iter().zip(resumed) {
+            match response.status {
+                StatusCode::OK => {
+                    went_on += 1;
+                    let versions = (self.version_of(first_attempt), self.version_of(&id));
+                    assert_eq!(versions.0, versions.1, "the stream of {first_attempt}");
+                }
+                status => assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{response:?}"),
+            }
+        }
+        went_on
+    }
+
+    /// Begins streams at a box; each version begins some of them.
+    async fn begin_many(&self, number: usize) -> Vec<String> {
+        let began = join_all((0..STREAMS).map(|_| self.begin(number))).await;
+        let mut by_version: BTreeMap<&str, usize> = BTreeMap::new();
+        for id in &began {
+            *by_version.entry(self.version_of(id).expect("it arrived")).or_default() += 1;
+        }
+        let versions: BTreeSet<&str> =
+            self.endpoints.iter().map(|(_, version, _)| *version).collect();
+        assert_eq!(by_version.len(), versions.len(), "each version begins some: {by_version:?}");
+        began
+    }
+}
+
+fn outcome(response: &Response) -> (u16, String, bool) {
+    let body = response.body.clone().unwrap_or_default();
+    (response.status.as_u16(), body, response.headers.contains_key("retry-after"))
+}
+
+/// Guards against streams that go on at another software version than the one that began them.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_version_that_began_it() {
+    let fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let began = fleet.begin_many(0).await;
+    assert_eq!(fleet.resume_all(&began, &[1, 2, 3]).await, STREAMS, "all go on elsewhere");
+    assert_eq!(fleet.resume_all(&began, &[0]).await, STREAMS, "all go on where they began");
+}
+
+/// Guards against streams that go on at another version, or nowhere, because the box that began them died.
+#[tokio::test]
+async fn a_stream_goes_on_at_its_version_after_its_box_died() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let began = fleet.begin_many(0).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    fleet.boxes.remove(0).kill();
+    let went_on = fleet.resume_all(&began, &[0, 1, 2]).await;
+    assert_eq!(went_on, STREAMS);
+}
+
+/// Guards against streams that go on at another version, or mostly nowhere, because a further box died, which may have
+/// known where they began.
+#[tokio::test]
+async fn a_stream_goes_on_at_its_version_after_two_boxes_died() {
+    for second in [1, 2] {
+        let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+        let began = fleet.begin_many(0).await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        fleet.boxes.remove(second).kill();
+        fleet.boxes.remove(0).kill();
+        let went_on = fleet.resume_all(&began, &[0, 1]).await;
+        assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+    }
+}
+
+/// Guards against streams of unknown origin that go on at any version.
+#[tokio::test]
+async fn a_stream_of_unknown_origin_is_refused_where_versions_differ() {
+    let fleet = Fleet::start(&["v1", "v2"]).await;
+    let began = fleet.begin(0).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    let never_seen = fleet.resume(1, "never-seen", "key-b").await.1;
+    let of_another = fleet.resume(1, &began, "key-p").await.1;
+    for response in [never_seen, of_another] {
+        let (status, body, _) = outcome(&response);
+        assert_eq!(status, 503, "{response:?}");
+        assert!(body.contains("not_run") && body.contains("version_unknown"), "{body}");
+    }
+    let without_attempt = Resumed { first_attempt: None, last_event: Some(1) };
+    let req = CallerHead { resumed: Some(without_attempt), ..fleet.new_request() };
+    let (_, response) = fleet.call(1, req).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE, "{response:?}");
+    let (_, own) = fleet.resume(1, &began, "key-b").await;
+    assert_eq!(own.status, StatusCode::OK, "its own caller goes on: {own:?}");
+}
+
+/// Guards against streams that go on elsewhere, or wait, where the last endpoint of their version has left.
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let mut fleet = Fleet::start(&["v1"]).await;
+    let began = fleet.begin(0).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    fleet.add_endpoint("v2", respond).await;
+    fleet.harness.remove_entry("engine-0").await;
+    for number in 0..fleet.boxes.len() {
+        // New streams begin at the version that is left.
+        wait_until("the endpoint left", async || {
+            let id = fleet.begin(number).await;
+            fleet.version_of(&id) == Some("v2")
+        })
+        .await;
+        let (status, body, may_return) = outcome(&fleet.resume(number, &began, "key-b").await.1);
+        assert_eq!((status, may_return), (503, false), "box {number}: {body}");
+        assert!(body.contains("not_run") && body.contains("version_gone"), "{body}");
+    }
+}
+
+/// Guards against a retry within one answer that takes a stream to another version.
+#[tokio::test]
+async fn a_retry_of_a_stream_that_is_taken_up_stays_at_its_version() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v2"]).await;
+    let decline = |request: &ReceivedRequest| match request.head.last_event {
+        None => respond(request),
+        Some(_) => {
+            let (status, headers): (StatusCode, HeaderMap) =
+                fixtures::not_run_response(&request.head.id);
+            Reply::Complete(status, headers, String::new())
+        }
+    };
+    fleet.add_endpoint("v1", decline).await;
+    fleet.wait_until_ready().await;
+    let mut began = Vec::new();
+    while began.len() < STREAMS / 3 {
+        let id = fleet.begin(0).await;
+        if fleet.version_of(&id) == Some("v1") {
+            began.push(id);
+        }
+    }
+    let went_on = fleet.resume_all(&began, &[1, 2, 3]).await;
+    assert!(went_on > 0, "one of its two endpoints takes them");
+}
+
+/// Guards against refusals where there never was but one version, also when no box remembers anything.
+#[tokio::test]
+async fn a_stream_goes_on_where_all_endpoints_have_one_version() {
+    let mut fleet = Fleet::start(&["v1", "v1"]).await;
+    let began = join_all((0..STREAMS).map(|_| fleet.begin(0))).await;
+    for process in fleet.boxes.drain(..) {
+        process.kill();
+    }
+    for number in 0..BOX_ZONES.len() {
+        fleet.start_box(number).await;
+    }
+    fleet.wait_until_ready().await;
+    assert_eq!(fleet.resume_all(&began, &[0, 1, 2, 3]).await, STREAMS);
+}
--- a/crates/soak/src/call.rs
+++ b/crates/soak/src/call.rs
@@ -111,6 +111,7 @@
         deadline: Some(DEADLINE),
         tokens: (route == Route::Stream).then_some(tokens),
         parts: Vec::new(),
+        resumed: None,
     };
     let url = format!("http://{address}/{}/x", route.name());
     let request = client.post(url).header(header::HOST, "desk.example").body("a body");
