--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -35,6 +35,7 @@
     keepers::{Profile, keepers},
     promises::Promises,
     regions::Regions,
+    streams::homes::{Homes, homes},
     traffic::Traffic,
     watchers::{Watchers, watchers},
 };
@@ -87,6 +88,7 @@
     keepers: Vec<Incarnation>,
     watchers: Arc<Watchers>,
     bill_writers: Vec<Incarnation>,
+    stream_homes: Arc<Homes>,
 }
 
 impl State {
@@ -102,7 +104,9 @@
             let others: Vec<Profile> = known.values().map(|known| known.entry.profile()).collect();
             let watchers = Arc::new(watchers(profile, &others, regions));
             let bill_writers = bill_writers(profile, &others);
-            Arc::new(Roles { keepers: keepers(profile, &others), watchers, bill_writers })
+            let stream_homes = Arc::new(homes(profile, &others));
+            let keepers = keepers(profile, &others);
+            Arc::new(Roles { keepers, watchers, bill_writers, stream_homes })
         };
         roles.get_or_insert_with(choose).clone()
     }
@@ -242,6 +246,11 @@
         self.state.lock().roles().watchers.clone()
     }
 
+    /// Boxes that remember where streams began; may include this box.
+    pub fn stream_homes(&self) -> Arc<Homes> {
+        self.state.lock().roles().stream_homes.clone()
+    }
+
     /// Whether a box is known and has not recently failed to answer.
     pub fn is_reachable(&self, name: &Incarnation) -> bool {
         let state = self.state.lock();
@@ -311,6 +320,12 @@
         self.promises.close();
     }
 
+    /// The known incarnation of the same box.
+    fn current_incarnation(&self, name: &Incarnation) -> Option<Incarnation> {
+        let state = self.state.lock();
+        state.known.keys().find(|other| other.box_name() == name.box_name()).cloned()
+    }
+
     /// Client for whichever incarnation of the same box is known. An answer from a later one shows
     /// that `name` has ended.
     fn current_peer(&self, name: &Incarnation) -> Option<Peer> {
--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -11,7 +11,9 @@
 use quarantine::Report;
 use timeline::Timestamp;
 use tokio::time::Instant;
-use wire::{Draw, Drawn, Frame, Message, Peer, Replica, Segment, Subscribe, Update};
+use wire::{
+    Draw, Drawn, Frame, Message, Peer, Replica, Segment, StreamKey, StreamRecord, Subscribe, Update,
+};
 
 use super::{Peers, SILENT_RETRY_DELAY, STOPPING_RETRY_DELAY};
 
@@ -30,6 +32,8 @@
 pub const REPLICATE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of handing over bills before a planned stop: some 100 KB over a slow link.
 pub const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Incarnations of a box that are asked for streams: the known one, and one that replaced it.
+const MAX_INCARNATIONS: usize = 2;
 
 /// What a witness reports of an incarnation that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -248,6 +252,50 @@
         }
     }
 
+    /// Sends origins of streams to a box that remembers them. Returns whether it took them.
+    pub async fn record_streams(&self, home: &Incarnation, records: Vec<StreamRecord>) -> bool {
+        let frame = Frame::StreamsBegan { records };
+        self.ask_home(home, frame, NOTIFY_TIMEOUT).await == Some(Frame::Done)
+    }
+
+    /// Asks a box for origins of streams; `None` if it does not answer.
+    pub async fn find_streams(
+        &self,
+        home: &Incarnation,
+        keys: Vec<StreamKey>,
+        timeout: Duration,
+    ) -> Option<Vec<StreamRecord>> {
+        match self.ask_home(home, Frame::FindStreams { keys }, timeout).await? {
+            Frame::StreamsFound { records } => Some(records),
+            _ => None,
+        }
+    }
+
+    /// Sends a request about streams to whichever incarnation of a box runs; `None` if it does not
+    /// answer or is of an older version, which does not know the request.
+    async fn ask_home(&self, home: &Incarnation, frame: Frame, timeout: Duration) -> Option<Frame> {
+        let deadline = Instant::now() + timeout;
+        let mut name = self.current_incarnation(home)?;
+        for _ in 0..MAX_INCARNATIONS {
+            let peer = self.peer(&name)?;
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            match self.exchange(&name, &peer, frame.clone(), remaining).await {
+                Ok(Reply::Frame(answer)) => return Some(answer),
+                Ok(Reply::Replaced) => name = self.current_incarnation(home)?,
+                Ok(Reply::NoAnswer) => return None,
+                Err(error @ wire::Error::Malformed { .. }) => {
+                    tracing::info!(event = "streams_not_known", peer = name.as_str(), %error);
+                    return None;
+                }
+                Err(error) => {
+                    self.record_silence(&name, &error);
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
     /// Sends a request to a box and records whether it is reachable.
     pub(super) async fn ask(
         &self,
@@ -259,14 +307,19 @@
         match self.exchange(name, peer, frame, timeout).await {
             Ok(reply) => reply,
             Err(error) => {
-                tracing::info!(event = "peer_silent", peer = name.as_str(), %error);
-                self.state.lock().last_unanswered = Some(Instant::now());
-                self.avoid_for(name, SILENT_RETRY_DELAY);
+                self.record_silence(name, &error);
                 Reply::NoAnswer
             }
         }
     }
 
+    /// Records that a box did not answer.
+    fn record_silence(&self, name: &Incarnation, error: &wire::Error) {
+        tracing::info!(event = "peer_silent", peer = name.as_str(), %error);
+        self.state.lock().last_unanswered = Some(Instant::now());
+        self.avoid_for(name, SILENT_RETRY_DELAY);
+    }
+
     /// Sends a request to a box. If there is no answer, that means nothing for other requests.
     async fn exchange(
         &self,
--- /dev/null
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -0,0 +1,345 @@
+//! At which service and version streams began, for callers that take them up again at any box.
+//!
+//! The box that relays the first event of a stream remembers its origin and sends it to the stream's
+//! homes, two other boxes. A box that is asked to take up a stream looks into its own memory, then asks
+//! those boxes that may be homes. Nothing is stored: an origin is lost if all three boxes end within
+//! [`STREAM_TTL`].
+
+pub mod homes;
+pub mod memory;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::{
+    future::join_all,
+    stream::{FuturesUnordered, StreamExt},
+};
+use ledger::Incarnation;
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinSet,
+    time::Instant,
+};
+use wire::{StreamKey, StreamOrigin, StreamRecord};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::fleet::peers::Peers;
+use homes::COPIES;
+use memory::Memory;
+
+/// Interval between two messages to a home.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time that a request waits for homes to answer: many round trips between availability
+/// zones.
+const FIND_TIMEOUT: Duration = Duration::from_millis(150);
+/// Origins that wait to be sent; the largest fleet begins as many streams in a second.
+const MAX_QUEUED: usize = 4_096;
+/// Origins in one message, which stays far below the largest one.
+const MAX_RECORDS: usize = 1_024;
+
+/// Key of the stream that an attempt of a customer began. Another customer's id yields another key.
+pub fn key(customer: Option<&str>, attempt: &str) -> StreamKey {
+    // The length first: it separates the two whatever bytes they contain.
+    let length = customer.map_or(u64::MAX, |customer| customer.len() as u64);
+    let customer = customer.unwrap_or_default();
+    let bytes = [&length.to_le_bytes(), customer.as_bytes(), attempt.as_bytes()].concat();
+    StreamKey(xxh3_128(&bytes))
+}
+
+/// What is known of a stream that is to be taken up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Found {
+    /// This box knows its origin.
+    Here(StreamOrigin),
+    /// Another box knows its origin.
+    AtHome(StreamOrigin),
+    /// All boxes that were asked answered, and none knows it.
+    Nowhere,
+    /// No box knows it, but some did not answer, or no other box is known.
+    Unheard,
+}
+
+impl Found {
+    /// Name for log lines.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Found::Here(_) => "here",
+            Found::AtHome(_) => "at_home",
+            Found::Nowhere => "nowhere",
+            Found::Unheard => "unheard",
+        }
+    }
+}
+
+/// Counters for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Streams that this box knows.
+    pub known: usize,
+    /// Copies of origins that no home took.
+    pub lost: u64,
+}
+
+/// Origins of streams: those that this box knows, and those that it sends to their homes.
+#[derive(Clone)]
+pub struct Streams(Arc<Shared>);
+
+struct Shared {
+    peers: Peers,
+    memory: Mutex<Memory>,
+    outbox: Mutex<Outbox>,
+    /// Notified when something is queued.
+    queued: Notify,
+    /// Number of batches that are being sent.
+    batches: watch::Sender<usize>,
+    lost: AtomicU64,
+}
+
+#[derive(Default)]
+struct Outbox {
+    queued: Vec<Queued>,
+    /// Origins that were dropped since the last batch was taken.
+    dropped: u64,
+}
+
+/// An origin to be sent.
+#[derive(Clone)]
+struct Queued {
+    key: StreamKey,
+    origin: StreamOrigin,
+    began: Instant,
+}
+
+impl Queued {
+    fn record(&self) -> StreamRecord {
+        let Queued { key, origin, began } = self.clone();
+        StreamRecord { key, origin, age_ms: began.elapsed().as_millis() as u64 }
+    }
+}
+
+/// An origin for one home.
+struct Copy {
+    queued: Queued,
+    /// The box that is sent the origin if the home does not take it.
+    substitute: Option<Incarnation>,
+}
+
+type Groups = HashMap<Incarnation, Vec<Copy>>;
+
+/// Origins taken from the queue; counted as being sent until dropped.
+struct Batch {
+    streams: Streams,
+    queued: Vec<Queued>,
+}
+
+impl Drop for Batch {
+    fn drop(&mut self) {
+        self.streams.0.batches.send_modify(|batches| *batches -= 1);
+    }
+}
+
+impl Streams {
+    /// Knows no streams yet; [`Streams::run`] sends what is recorded.
+    pub fn open(peers: Peers) -> Streams {
+        Streams(Arc::new(Shared {
+            peers,
+            memory: Mutex::new(Memory::new(Instant::now())),
+            outbox: Mutex::default(),
+            queued: Notify::new(),
+            batches: watch::Sender::new(0),
+            lost: AtomicU64::new(0),
+        }))
+    }
+
+    /// Sends origins to homes for as long as the box runs.
+    pub async fn run(self) {
+        let mut sending = JoinSet::new();
+        loop {
+            self.0.queued.notified().await;
+            tokio::time::sleep(FLUSH_INTERVAL).await;
+            // Each batch ends within two timeouts, so there are few at a time.
+            if let Some(batch) = self.take_queued() {
+                sending.spawn(deliver(batch));
+            }
+            while sending.try_join_next().is_some() {}
+        }
+    }
+
+    /// Remembers the origin of a stream that this box relays, and queues it for its homes. Renews a
+    /// known one.
+    pub fn record(&self, key: StreamKey, origin: StreamOrigin) {
+        let began = Instant::now();
+        let queued = Queued { key, origin, began };
+        self.0.memory.lock().insert(&queued.record(), began);
+        let mut outbox = self.0.outbox.lock();
+        match outbox.queued.len() < MAX_QUEUED {
+            true => outbox.queued.push(queued),
+            false => outbox.dropped += 1,
+        }
+        drop(outbox);
+        self.0.queued.notify_one();
+    }
+
+    /// Remembers origins that another box sent.
+    pub fn receive(&self, records: &[StreamRecord]) {
+        let now = Instant::now();
+        let mut memory = self.0.memory.lock();
+        records.iter().for_each(|record| memory.insert(record, now));
+    }
+
+    /// What this box itself knows of streams.
+    pub fn known(&self, keys: &[StreamKey]) -> Vec<StreamRecord> {
+        let now = Instant::now();
+        let memory = self.0.memory.lock();
+        keys.iter().filter_map(|key| memory.get(*key, now)).collect()
+    }
+
+    /// Finds the origin of a stream, here or at its homes.
+    pub async fn find(&self, key: StreamKey, deadline: Instant) -> Found {
+        if let Some(record) = self.known(&[key]).pop() {
+            return Found::Here(record.origin);
+        }
+        let began = Instant::now();
+        let deadline = deadline.min(began + FIND_TIMEOUT);
+        let found = tokio::time::timeout_at(deadline, self.ask_homes(key, deadline)).await;
+        let found = found.unwrap_or(Found::Unheard);
+        tracing::info!(
+            event = "stream_sought",
+            key = format!("{:032x}", key.0),
+            found = found.as_str(),
+            took_ms = began.elapsed().as_millis() as u64,
+        );
+        found
+    }
+
+    /// Asks the boxes that may know a stream, until the first one does.
+    async fn ask_homes(&self, key: StreamKey, deadline: Instant) -> Found {
+        let peers = &self.0.peers;
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let homes = peers.stream_homes().asked(key, peers.me());
+        if homes.is_empty() {
+            return Found::Unheard;
+        }
+        let ask = |home| async move { peers.find_streams(&home, vec![key], timeout).await };
+        let mut answers: FuturesUnordered<_> = homes.into_iter().map(ask).collect();
+        let mut all_answered = true;
+        while let Some(answer) = answers.next().await {
+            let record = answer.as_ref().and_then(|records| records.iter().find(|r| r.key == key));
+            if let Some(record) = record {
+                self.receive(std::slice::from_ref(record));
+                return Found::AtHome(record.origin.clone());
+            }
+            all_answered &= answer.is_some();
+        }
+        match all_answered {
+            true => Found::Nowhere,
+            false => Found::Unheard,
+        }
+    }
+
+    /// Sends what is queued, and waits until all that was queued before is sent.
+    pub async fn flush(&self) {
+        if let Some(batch) = self.take_queued() {
+            deliver(batch).await;
+        }
+        // Fails only without a sender, and this box is one.
+        let _ = self.0.batches.subscribe().wait_for(|batches| *batches == 0).await;
+    }
+
+    pub fn counts(&self) -> Counts {
+        let lost = self.0.lost.load(Ordering::Relaxed);
+        Counts { known: self.0.memory.lock().len(), lost }
+    }
+
+    fn take_queued(&self) -> Option<Batch> {
+        let Outbox { queued, dropped } = std::mem::take(&mut *self.0.outbox.lock());
+        if dropped > 0 {
+            // Each would have been sent to all its homes.
+            self.count_lost(dropped * COPIES as u64, "queue_full");
+        }
+        if queued.is_empty() {
+            return None;
+        }
+        self.0.batches.send_modify(|batches| *batches += 1);
+        Some(Batch { streams: self.clone(), queued })
+    }
+
+    /// Groups origins by the boxes to send them to. A home that recently did not answer is replaced at
+    /// once.
+    fn group(&self, batch: &[Queued]) -> Groups {
+        let peers = &self.0.peers;
+        let homes = peers.stream_homes();
+        let mut groups = Groups::new();
+        let mut lost = 0;
+        for queued in batch {
+            let recipients = homes.recipients(queued.key, peers.me());
+            for copy in 0..COPIES.min(recipients.len()) {
+                let boxes = [recipients.get(copy), recipients.get(copy + COPIES)];
+                let mut reachable = boxes.into_iter().flatten().filter(|b| peers.is_reachable(b));
+                let Some(home) = reachable.next() else {
+                    lost += 1;
+                    continue;
+                };
+                let substitute = reachable.next().cloned();
+                let copy = Copy { queued: queued.clone(), substitute };
+                groups.entry(home.clone()).or_default().push(copy);
+            }
+        }
+        self.count_lost(lost, "no_home_reachable");
+        groups
+    }
+
+    /// Sends origins to one home, and those that it does not take to their substitutes.
+    async fn send(&self, home: Incarnation, copies: Vec<Copy>) {
+        if self.try_send(&home, &copies).await {
+            return;
+        }
+        let mut groups = Groups::new();
+        let mut lost = 0;
+        for mut copy in copies {
+            match copy.substitute.take() {
+                Some(substitute) => groups.entry(substitute).or_default().push(copy),
+                None => lost += 1,
+            }
+        }
+        self.count_lost(lost, "no_substitute");
+        let send_again = |(substitute, copies): (Incarnation, Vec<Copy>)| async move {
+            if !self.try_send(&substitute, &copies).await {
+                self.count_lost(copies.len() as u64, "not_taken");
+            }
+        };
+        join_all(groups.into_iter().map(send_again)).await;
+    }
+
+    /// Returns whether a box took all of the origins.
+    async fn try_send(&self, home: &Incarnation, copies: &[Copy]) -> bool {
+        for part in copies.chunks(MAX_RECORDS) {
+            let records = part.iter().map(|copy| copy.queued.record()).collect();
+            if !self.0.peers.record_streams(home, records).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn count_lost(&self, copies: u64, reason: &'static str) {
+        if copies > 0 {
+            self.0.lost.fetch_add(copies, Ordering::Relaxed);
+            tracing::warn!(event = "stream_origins_lost", copies, reason);
+        }
+    }
+}
+
+/// Sends a batch of origins to their homes.
+async fn deliver(batch: Batch) {
+    let groups = batch.streams.group(&batch.queued);
+    join_all(groups.into_iter().map(|(home, copies)| batch.streams.send(home, copies))).await;
+}
--- a/crates/gateway/src/fleet/watchers.rs
+++ b/crates/gateway/src/fleet/watchers.rs
@@ -124,7 +124,7 @@
 }
 
 /// Orders the first box of each zone, then the second of each, and so on.
-fn interleave_zones(profiles: Vec<&Profile>) -> Vec<&Profile> {
+pub fn interleave_zones(profiles: Vec<&Profile>) -> Vec<&Profile> {
     let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
     let mut ranked: Vec<(usize, &Profile)> = Vec::with_capacity(profiles.len());
     for profile in profiles {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::{Clock, Watchdog},
-    fleet::{entry::Entry, keepers::Profile, peers::Peers},
+    fleet::{entry::Entry, keepers::Profile, peers::Peers, streams::Streams},
     inbound::{admin, peer_service::PeerService, serve},
     metrics::Metrics,
     outage::Recovery,
@@ -170,8 +170,10 @@
             tunnels: tunnels.clone(),
             slots: Exits::slots(),
         };
+        let streams = Streams::open(peers.clone());
         let peer_service = PeerService {
             exits,
+            streams: streams.clone(),
             me: incarnation.clone(),
             funds: funds.clone(),
             peers: peers.clone(),
@@ -193,6 +195,7 @@
             funds: funds.clone(),
             bills: bills.clone(),
             peers: peers.clone(),
+            streams: streams.clone(),
             acquirer: acquirer.clone(),
             link: Arc::new(Link::new(settings.machine.link_mbps)),
             retries: Mutex::default(),
@@ -302,6 +305,7 @@
             tokio::spawn(acquirer.run()),
             tokio::spawn(replicator.run()),
             tokio::spawn(write_bills),
+            tokio::spawn(streams.run()),
             tokio::spawn(for_balancer),
             tokio::spawn(for_operators),
         ];
--- a/crates/gateway/src/inbound/admin.rs
+++ b/crates/gateway/src/inbound/admin.rs
@@ -75,6 +75,9 @@
             metrics.limits.get_or_create(&labels).set(per_s);
         }
         metrics.cut_off.set(context.connections.count_cut_off() as i64);
+        let streams = context.streams.counts();
+        metrics.streams_known.set(streams.known as i64);
+        metrics.stream_copies_lost.set(streams.lost as i64);
         let (reports, quarantined) = context.crashes.counts();
         metrics.crashes.set(reports as i64);
         metrics.quarantined.set(quarantined as i64);
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -12,7 +12,7 @@
 use wire::{Draw, Drawn, Frame, Message, tunnel};
 
 use crate::{
-    fleet::{peers::Peers, promises::Acceptance},
+    fleet::{peers::Peers, promises::Acceptance, streams::Streams},
     proxy::{endpoints::Endpoints, exits::Exits, permits::Permits},
     sync::view::{Answer, Origin, View},
     tokens::{bills::Bills, borrower::Borrower, funds::Funds},
@@ -37,6 +37,7 @@
     pub view: View,
     pub permits: Permits,
     pub exits: Exits,
+    pub streams: Streams,
     /// Whether a planned stop has begun.
     pub stopping: watch::Receiver<bool>,
 }
@@ -140,6 +141,8 @@
             | Frame::PermitRequest(_)
             | Frame::Limit { .. }
             | Frame::Departure { .. }
+            | Frame::StreamsBegan { .. }
+            | Frame::FindStreams { .. }
                 if !self.peers.knows(&request.from) =>
             {
                 self.peers.report_stale_list();
@@ -179,7 +182,10 @@
                 self.view.receive_departure(&endpoint, address);
                 Frame::Done
             }
-            Frame::Bills { .. } | Frame::HandOver { .. } | Frame::Replicate { .. }
+            Frame::Bills { .. }
+            | Frame::HandOver { .. }
+            | Frame::Replicate { .. }
+            | Frame::StreamsBegan { .. }
                 if *self.stopping.borrow() =>
             {
                 Frame::Refused { reason: "this receiver is itself stopping".into() }
@@ -199,6 +205,13 @@
             Frame::Replicate { segments, .. } => {
                 Frame::Replica(self.bills.keep(&request.from, segments))
             }
+            Frame::StreamsBegan { records } => {
+                self.streams.receive(&records);
+                Frame::Done
+            }
+            Frame::FindStreams { keys } => {
+                Frame::StreamsFound { records: self.streams.known(&keys) }
+            }
             Frame::Subscribe(_) | Frame::SubscribeToRoot(_) if *self.stopping.borrow() => {
                 Frame::Refused { reason: "this receiver is itself stopping".into() }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,12 @@
     peers::Peers,
     promises::{Acceptance, Promises},
     regions::Regions,
+    streams::{
+        Counts as StreamCounts, Found, Streams,
+        homes::{Homes, homes},
+        key as stream_key,
+        memory::{MAX_STREAMS, Memory, STREAM_TTL},
+    },
     watchers::{Watchers, watchers},
 };
 pub use gateway::{Error, Gateway};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -126,6 +126,10 @@
     pub tunnels: Counter,
     /// Endpoints that this box does not reach and others do.
     pub cut_off: Gauge,
+    /// Streams whose origin this box knows.
+    pub streams_known: Gauge,
+    /// Copies of origins of streams that no other box took.
+    pub stream_copies_lost: Gauge,
     /// Crash reports, and suspect requests that were answered completely.
     pub crashes: Gauge,
     /// Quarantined requests.
@@ -171,6 +175,8 @@
             detours: Counter::default(),
             tunnels: Counter::default(),
             cut_off: Gauge::default(),
+            streams_known: Gauge::default(),
+            stream_copies_lost: Gauge::default(),
             crashes: Gauge::default(),
             quarantined: Gauge::default(),
             watches: Gauge::default(),
@@ -279,6 +285,16 @@
             "Endpoints that this box does not reach and others do",
             self.cut_off.clone(),
         );
+        registry.register(
+            "streams_known",
+            "Streams of which this box knows at which version they began",
+            self.streams_known.clone(),
+        );
+        registry.register(
+            "stream_copies_lost",
+            "Copies of what this box knows of streams that no other box took",
+            self.stream_copies_lost.clone(),
+        );
         registry.register(
             "crash_reports",
             "Reports of endpoints that ended, and of suspect requests that were answered whole",
--- a/crates/gateway/src/proxy/context.rs
+++ b/crates/gateway/src/proxy/context.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock::{Clock, Moment, Watchdog},
     config_table::ConfigTable,
-    fleet::peers::Peers,
+    fleet::{peers::Peers, streams::Streams},
     metrics::Metrics,
     proxy::{
         announcer::Announcer, bounds::Bounds, crashes::Crashes, endpoints::Endpoints, link::Link,
@@ -35,6 +35,8 @@
     pub connections: Connections,
     pub funds: Funds,
     pub peers: Peers,
+    /// Origins of streams that callers may take up again.
+    pub streams: Streams,
     pub acquirer: Acquirer,
     /// Load of the network link of this box.
     pub link: Arc<Link>,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -268,6 +268,27 @@
     Stopping,
 }
 
+/// Identifies a stream that callers may take up again: a hash of its customer and its first attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StreamKey(pub u128);
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    pub service: Arc<str>,
+    /// Software version of the endpoint.
+    pub version: Arc<str>,
+}
+
+/// The origin of a stream, as boxes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    pub key: StreamKey,
+    pub origin: StreamOrigin,
+    /// Time since the stream began or was taken up, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A request or an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -361,6 +382,12 @@
     Replicate { to: Incarnation, segments: Vec<Segment> },
     /// Answer to [`Frame::Replicate`].
     Replica(Replica),
+    /// Origins of streams, for the receiver to remember.
+    StreamsBegan { records: Vec<StreamRecord> },
+    /// Asks for the origins of streams.
+    FindStreams { keys: Vec<StreamKey> },
+    /// Answer to [`Frame::FindStreams`]: the origins that the receiver knows.
+    StreamsFound { records: Vec<StreamRecord> },
 }
 
 impl Frame {
@@ -385,6 +412,9 @@
             Frame::Limit { .. } => "limits",
             Frame::Departure { .. } => "departures",
             Frame::Greet { .. } => "greetings",
+            Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
+                "streams"
+            }
             _ => "other",
         }
     }
