--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -274,12 +274,10 @@
     /// Sends a request about streams to whichever incarnation of a box runs; `None` if it does not
     /// answer or is of an older version, which does not know the request.
     async fn ask_home(&self, home: &Incarnation, frame: Frame, timeout: Duration) -> Option<Frame> {
-        let deadline = Instant::now() + timeout;
         let mut name = self.current_incarnation(home)?;
         for _ in 0..MAX_INCARNATIONS {
             let peer = self.peer(&name)?;
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            match self.exchange(&name, &peer, frame.clone(), remaining).await {
+            match self.exchange(&name, &peer, frame.clone(), timeout).await {
                 Ok(Reply::Frame(answer)) => return Some(answer),
                 Ok(Reply::Replaced) => name = self.current_incarnation(home)?,
                 Ok(Reply::NoAnswer) => return None,
--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -17,14 +17,11 @@
     time::Duration,
 };
 
-use futures_util::{
-    future::join_all,
-    stream::{FuturesUnordered, StreamExt},
-};
+use futures_util::future::join_all;
 use ledger::Incarnation;
 use parking_lot::Mutex;
 use tokio::{
-    sync::{Notify, watch},
+    sync::{Notify, mpsc, watch},
     task::JoinSet,
     time::Instant,
 };
@@ -209,7 +206,7 @@
         }
         let began = Instant::now();
         let deadline = deadline.min(began + FIND_TIMEOUT);
-        let found = tokio::time::timeout_at(deadline, self.ask_homes(key, deadline)).await;
+        let found = tokio::time::timeout_at(deadline, self.ask_homes(key)).await;
         let found = found.unwrap_or(Found::Unheard);
         tracing::info!(
             event = "stream_sought",
@@ -221,17 +218,25 @@
     }
 
     /// Asks the boxes that may know a stream, until the first one does.
-    async fn ask_homes(&self, key: StreamKey, deadline: Instant) -> Found {
+    async fn ask_homes(&self, key: StreamKey) -> Found {
         let peers = &self.0.peers;
-        let timeout = deadline.saturating_duration_since(Instant::now());
         let homes = peers.stream_homes().asked(key, peers.me());
         if homes.is_empty() {
             return Found::Unheard;
         }
-        let ask = |home| async move { peers.find_streams(&home, vec![key], timeout).await };
-        let mut answers: FuturesUnordered<_> = homes.into_iter().map(ask).collect();
+        let (sender, mut answers) = mpsc::channel(homes.len());
+        for home in homes {
+            let (peers, sender) = (peers.clone(), sender.clone());
+            // On its own: a short deadline of the request says nothing about the box.
+            tokio::spawn(async move {
+                let answer = peers.find_streams(&home, vec![key], FIND_TIMEOUT).await;
+                // Fails if another box was faster, or the deadline has passed.
+                let _ = sender.send(answer).await;
+            });
+        }
+        drop(sender);
         let mut all_answered = true;
-        while let Some(answer) = answers.next().await {
+        while let Some(answer) = answers.recv().await {
             let record = answer.as_ref().and_then(|records| records.iter().find(|r| r.key == key));
             if let Some(record) = record {
                 self.receive(std::slice::from_ref(record));
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -11,13 +11,24 @@
 use timeline::Timestamp;
 use wire::{
     Answer, Error, Frame, MAX_MESSAGE_BYTES, Message, NEWEST_FORMAT, OLDEST_FORMAT, Peer,
-    PlatformCall, Server, Status, decode, encode,
+    PlatformCall, Server, Status, StreamKey, StreamOrigin, StreamRecord, decode, encode,
 };
 
 fn message(frame: Frame) -> Message {
     Message { from: Incarnation::from("a.1"), stamp: Timestamp { ms: 5, count: 1 }, frame }
 }
 
+fn stream_record(key: u128, service: &str, version: &str, age_ms: u64) -> StreamRecord {
+    let origin = StreamOrigin { service: service.into(), version: version.into() };
+    StreamRecord { key: StreamKey(key), origin, age_ms }
+}
+
+fn stream_records() -> impl Strategy<Value = Vec<StreamRecord>> {
+    let record = (any::<u128>(), "[a-z]{0,12}", "[a-z0-9.]{0,12}", any::<u64>())
+        .prop_map(|(key, service, version, age_ms)| stream_record(key, &service, &version, age_ms));
+    prop::collection::vec(record, 0..5)
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     let word = "[a-z]{0,12}";
     prop_oneof![
@@ -37,6 +48,11 @@
         prop::collection::vec(word, 0..5).prop_map(|objects| Frame::Objects {
             objects: objects.into_iter().map(Into::into).collect(),
         }),
+        stream_records().prop_map(|records| Frame::StreamsBegan { records }),
+        stream_records().prop_map(|records| Frame::StreamsFound { records }),
+        prop::collection::vec(any::<u128>(), 0..5).prop_map(|keys| Frame::FindStreams {
+            keys: keys.into_iter().map(StreamKey).collect(),
+        }),
     ]
 }
 
@@ -72,6 +88,34 @@
     assert!(encode(&message(large), NEWEST_FORMAT).is_err());
 }
 
+/// Number of a frame with an empty list.
+fn number(frame: Frame) -> u32 {
+    let bytes = encode(&message(frame), NEWEST_FORMAT).expect("below the size limit");
+    let at = bytes.len() - size_of::<u64>() - size_of::<u32>();
+    u32::from_le_bytes(bytes[at..][..4].try_into().expect("four bytes"))
+}
+
+#[test]
+fn frames_about_streams_keep_their_numbers() {
+    let frames = [
+        Frame::Objects { objects: Vec::new() },
+        Frame::StreamsBegan { records: Vec::new() },
+        Frame::FindStreams { keys: Vec::new() },
+        Frame::StreamsFound { records: Vec::new() },
+    ];
+    assert!(frames[1..].iter().all(|frame| frame.topic() == "streams"));
+    assert_eq!(frames.map(number), [4, 38, 39, 40]);
+}
+
+#[test]
+fn a_frame_of_a_later_version_is_a_typed_error() {
+    let last = Frame::StreamsFound { records: Vec::new() };
+    let mut bytes = encode(&message(last), NEWEST_FORMAT).expect("below the size limit");
+    let at = bytes.len() - size_of::<u64>() - size_of::<u32>();
+    bytes[at] += 1;
+    assert!(matches!(decode(&bytes), Err(Error::Malformed { .. })));
+}
+
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 struct Echo;
--- a/crates/wire/tests/size.rs
+++ b/crates/wire/tests/size.rs
@@ -16,7 +16,10 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use wire::{Answer, Change, Frame, Message, Peer, Server, Subscribe, Update, encode};
+use wire::{
+    Answer, Change, Frame, Message, Peer, Server, StreamKey, StreamOrigin, StreamRecord, Subscribe,
+    Update, encode,
+};
 
 /// Number of endpoints in the update.
 const ENDPOINTS: u64 = 3_000;
@@ -138,3 +141,15 @@
     let (answer, _) = wire::decode(&bytes).expect("a valid message");
     assert_eq!(answer, message(full_update(ENDPOINTS)));
 }
+
+#[test]
+fn origins_of_streams_take_few_bytes() {
+    let bytes = |count: u128| {
+        let origin = StreamOrigin { service: "engines".into(), version: "2026.12.1".into() };
+        let record = |key| StreamRecord { key: StreamKey(key), origin: origin.clone(), age_ms: 10 };
+        let records = (0..count).map(record).collect();
+        let frame = Frame::StreamsBegan { records };
+        encode(&message(frame), wire::NEWEST_FORMAT).expect("below the size limit").len()
+    };
+    assert_eq!((bytes(1), bytes(100)), (112, 5_656));
+}
