Which services have had only one software version: history, record and writer

Streams of unknown origin may go on where every stream began at one version. A box knows that from its own history of the endpoints once it has watched for as long as streams can be taken up, and before that from a record in the store, which the roots keep. Nothing acts on it yet.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -37,11 +37,13 @@
         permits::{self, Permits},
     },
     settings::Settings,
+    sole_versions::handle::SoleVersions,
     sync::{
         discovery::Discovery,
         reporter::Reporter,
         signals,
         subscriber::Subscriber,
+        version_writer::VersionWriter,
         view::{Consumers, View},
         watcher,
     },
@@ -138,6 +140,8 @@
         let borrower = Borrower::new(funds.clone(), peers.clone());
         let acquirer =
             Acquirer::new(funds.clone(), peers.clone(), borrower.clone(), settings_updates.clone());
+        let sole_versions =
+            SoleVersions::open(store.clone(), clock.now(), settings.streams.memory_ms);
         let view = View::open(Consumers {
             in_force,
             funds: funds.clone(),
@@ -145,6 +149,7 @@
             connections: connections.clone(),
             peers: peers.clone(),
             crashes: crashes.clone(),
+            sole_versions: sole_versions.clone(),
             recovery: recovery.clone(),
             watchdog: watchdog.clone(),
             started: clock.now(),
@@ -184,8 +189,9 @@
         };
         let peer_server = bind_peers(settings.listen.peers, peer_service, &peers).await?;
         let context = Arc::new(Context {
-            table,
+            table: table.clone(),
             endpoints: endpoints.clone(),
+            sole_versions: sole_versions.clone(),
             crashes,
             permits,
             announcer,
@@ -250,6 +256,14 @@
             view: view.clone(),
             recovery: recovery.clone(),
         };
+        let version_writer = VersionWriter {
+            store: store.clone(),
+            view: view.clone(),
+            peers: context.peers.clone(),
+            sole_versions,
+            table,
+            recovery: recovery.clone(),
+        };
         let watcher_setup = watcher::Setup {
             store: store.clone(),
             view: view.clone(),
@@ -291,6 +305,7 @@
         let mut background = vec![
             tokio::spawn(subscriber.run()),
             tokio::spawn(reporter.run(reports)),
+            tokio::spawn(version_writer.run()),
             tokio::spawn(signals::publish(
                 view.clone(),
                 context.peers.clone(),
@@ -388,6 +403,12 @@
         self.context.endpoints.count_leaving()
     }
 
+    /// The version at which every stream of a service began that can still be taken up, if there is
+    /// only one and this box can find it out by `deadline`.
+    pub async fn sole_version(&self, service: &str, deadline: Instant) -> Option<Arc<str>> {
+        self.context.sole_versions.sole_version(&service.into(), deadline).await
+    }
+
     /// Number of endpoints in a back-off towards this box.
     pub fn backing_off(&self) -> usize {
         self.context.endpoints.count_backing_off()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //!   platform's store;
 //! - `proxy`: one request, from its head to the end of the endpoint's answer;
 //! - `tokens`: the tokens that this box may spend of each budget, and how it gets more;
-//! - `fleet`: the other boxes and requests to them.
+//! - `fleet`: the other boxes and requests to them;
+//! - `sole_versions`: whether a service has run only one software version.
 
 mod clock;
 mod inbound;
@@ -23,6 +24,7 @@
 pub mod settings;
 mod config_table;
 mod proxy;
+mod sole_versions;
 
 pub use clock::{Clock, Dataset, Watchdog};
 pub use config_table::ConfigTable;
@@ -46,6 +48,10 @@
     retries::Retries,
 };
 pub use settings::Settings;
+pub use sole_versions::{
+    history::{Listed, Seen, VersionHistory},
+    record::{Record, VERSIONS},
+};
 pub use sync::{
     change_log::{ChangeLog, Part},
     directory::Directory,
--- a/crates/gateway/src/proxy/context.rs
+++ b/crates/gateway/src/proxy/context.rs
@@ -17,6 +17,7 @@
         permits::Permits, retries::Retries,
     },
     settings::Settings,
+    sole_versions::handle::SoleVersions,
     tokens::{acquirer::Acquirer, bills::Bills, funds::Funds},
 };
 
@@ -26,6 +27,8 @@
     pub settings: watch::Sender<Arc<Settings>>,
     pub table: watch::Receiver<Option<Arc<ConfigTable>>>,
     pub endpoints: Arc<Endpoints>,
+    /// Services that have had only one software version.
+    pub sole_versions: SoleVersions,
     /// Requests that crashed endpoints.
     pub crashes: Crashes,
     /// Permits for endpoints that name a rate limit.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,9 @@
     /// Requests to cold endpoints.
     #[serde(default)]
     pub cold: Cold,
+    /// Streams that callers take up again.
+    #[serde(default)]
+    pub streams: Streams,
     /// Quarantine of requests that crash endpoints.
     #[serde(default)]
     pub quarantine: Quarantine,
@@ -205,6 +208,20 @@
     }
 }
 
+/// Streams that callers take up again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Streams {
+    /// How long after its end a stream may be taken up, in milliseconds.
+    pub memory_ms: u64,
+}
+
+impl Default for Streams {
+    fn default() -> Streams {
+        Streams { memory_ms: 60_000 }
+    }
+}
+
 /// When a request that crashes endpoints is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -289,6 +306,7 @@
             ("money.keeper_ms", money.keeper_ms, 10, 60_000),
             ("money.wait_ms", money.wait_ms, 0, 60_000),
             ("retries.window_s", self.retries.window_s, 1, 3_600),
+            ("streams.memory_ms", self.streams.memory_ms, 100, 86_400_000),
             ("quarantine.ended", self.quarantine.ended as u64, 1, 1_000),
             ("quarantine.keep_s", self.quarantine.keep_s, 1, 31_536_000),
             ("limits.connections", limits.connections as u64, 1, 1_000_000),
@@ -338,6 +356,7 @@
             ("listen", self.listen != next.listen),
             ("store", self.store != next.store),
             ("cold", self.cold != next.cold),
+            ("streams", self.streams != next.streams),
             ("quarantine", self.quarantine != next.quarantine),
             ("limits", limits(self) != limits(next)),
             ("log", self.log != next.log),
--- /dev/null
+++ b/crates/gateway/src/sole_versions/handle.rs
@@ -0,0 +1,141 @@
+//! Answers whether a service has had only one version, from what this box saw or from the store.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use futures_util::{
+    FutureExt,
+    future::{BoxFuture, Shared},
+};
+use objects::Store;
+use parking_lot::Mutex;
+use platform::store::Client;
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout, timeout_at},
+};
+
+use super::{
+    history::{Listed, Seen, VersionHistory},
+    record::{Record, VERSIONS},
+};
+use crate::clock::Moment;
+
+/// Longest time for a read of the store, in which a request waits.
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time from the start of a read for which its result is used.
+const REUSE_TIME: Duration = Duration::from_millis(1_000);
+
+/// What this box knows of the versions of services. Clones share it.
+#[derive(Clone)]
+pub struct SoleVersions(Arc<Inner>);
+
+struct Inner {
+    history: Mutex<VersionHistory>,
+    store: Client,
+    started: Moment,
+    /// The last read of each service.
+    reads: Mutex<HashMap<Arc<str>, Read>>,
+    /// Notified when a service gains or loses a version.
+    changed: Notify,
+}
+
+/// A read of the store, in progress or ended, for all who want its result.
+#[derive(Clone)]
+struct Read {
+    began: Instant,
+    result: Shared<BoxFuture<'static, Option<Arc<str>>>>,
+}
+
+impl SoleVersions {
+    /// Starts without knowledge; streams can be taken up for `memory_ms`. Reads go to `store`.
+    pub fn open(store: Client, started: Moment, memory_ms: u64) -> SoleVersions {
+        let (reads, changed) = (Mutex::default(), Notify::new());
+        let history = Mutex::new(VersionHistory::new(memory_ms));
+        SoleVersions(Arc::new(Inner { history, store, started, reads, changed }))
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.0.started.elapsed().as_millis() as u64
+    }
+
+    /// This box knows all listed endpoints as they are now.
+    pub fn look(&self) {
+        self.0.history.lock().look(self.now_ms());
+    }
+
+    /// Takes over changed endpoints, by id; `None` for those that are no longer listed.
+    pub fn apply(&self, changes: Vec<(Arc<str>, Option<Listed>)>) {
+        if self.0.history.lock().apply(changes, self.now_ms()) {
+            self.0.changed.notify_one();
+        }
+    }
+
+    /// Waits until a service gains or loses a version. For one task only.
+    pub async fn changed(&self) {
+        self.0.changed.notified().await;
+    }
+
+    /// The record to write in the store in place of the current one, if it has to change.
+    pub fn next_record(&self, current: Option<&Record>, service: &str) -> Option<Record> {
+        Record::next(current, service, &self.0.history.lock(), self.now_ms())
+    }
+
+    /// The version at which every stream of a service began that can still be taken up, if there is
+    /// only one and this box can find it out by `deadline`.
+    pub async fn sole_version(&self, service: &Arc<str>, deadline: Instant) -> Option<Arc<str>> {
+        if let Some(version) = self.0.history.lock().lasting(service, self.now_ms()) {
+            return Some(version);
+        }
+        // A service with several versions needs no call.
+        self.present(service)?;
+        let until = deadline.min(Instant::now() + READ_TIMEOUT);
+        let result = self.read(service).result;
+        let recorded = timeout_at(until, result).await.ok().flatten()?;
+        // A second one may have appeared in the meantime.
+        (self.present(service)? == recorded).then_some(recorded)
+    }
+
+    /// The only version that this box sees or has seen lately.
+    fn present(&self, service: &str) -> Option<Arc<str>> {
+        match self.0.history.lock().seen(service, self.now_ms()) {
+            Seen::Sole { version, .. } => Some(version),
+            Seen::Several | Seen::Nothing => None,
+        }
+    }
+
+    /// The last read of a service, or a new one if that is too old.
+    fn read(&self, service: &Arc<str>) -> Read {
+        let mut reads = self.0.reads.lock();
+        reads.retain(|_, read| read.began.elapsed() < REUSE_TIME);
+        let start = || {
+            // A task of its own, because whoever asks first may give up before the others.
+            let task = tokio::spawn(read_record(self.0.store.clone(), service.clone()));
+            let result = task.map(|result| result.ok().flatten()).boxed().shared();
+            Read { began: Instant::now(), result }
+        };
+        reads.entry(service.clone()).or_insert_with(start).clone()
+    }
+}
+
+/// The sole version of a service by its record in the store.
+async fn read_record(store: Client, service: Arc<str>) -> Option<Arc<str>> {
+    let found = match timeout(READ_TIMEOUT, store.get(VERSIONS, &service)).await {
+        Ok(Ok(found)) => found,
+        Ok(Err(error)) => {
+            tracing::warn!(event = "sole_version_not_read", service = &*service, %error);
+            return None;
+        }
+        Err(_) => {
+            tracing::warn!(event = "sole_version_not_read", service = &*service, error = "timeout");
+            return None;
+        }
+    };
+    let sole = found.as_ref().and_then(|object| Record::read(object).sole);
+    tracing::info!(
+        event = "sole_version_read",
+        service = &*service,
+        is_recorded = found.is_some(),
+        sole = sole.as_deref(),
+    );
+    sole
+}
--- a/crates/gateway/src/sync/directory.rs
+++ b/crates/gateway/src/sync/directory.rs
@@ -222,6 +222,12 @@
         self.known.values().any(|known| known.missing)
     }
 
+    /// The entries that were set or removed since [`Directory::take_changed`], each with the known
+    /// one, whatever its state.
+    pub fn changed(&self) -> impl Iterator<Item = (&Arc<str>, Option<&Entry>)> {
+        self.changed.iter().map(|id| (id, self.known.get(id).map(|known| &known.entry)))
+    }
+
     /// The entries that were set or removed since the last call, each with the one that takes new
     /// work now.
     pub fn take_changed(&mut self) -> Vec<(Arc<str>, Option<&Entry>)> {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -14,7 +14,8 @@
 //! use two at once, or receive outdated updates from a box that was suspended.
 //!
 //! What boxes find out themselves is passed on the same way: crash reports by `reporter`, signals
-//! of endpoints by `signals`.
+//! of endpoints by `signals`. `version_writer` keeps in the store which services have had only one
+//! software version.
 
 pub mod directory;
 pub mod evacuations;
@@ -25,3 +26,4 @@
 pub mod change_log;
 pub mod view;
 pub mod signals;
+pub mod version_writer;
--- a/crates/gateway/src/sync/view/endpoints.rs
+++ b/crates/gateway/src/sync/view/endpoints.rs
@@ -9,6 +9,7 @@
 use super::{Consumers, State, View, log_unreadable};
 use crate::{
     clock::Dataset,
+    sole_versions::history::Listed,
     sync::{change_log::ChangeLog, directory::Directory},
 };
 
@@ -86,8 +87,11 @@
 
     /// Puts the known endpoints in force.
     pub(super) fn publish_endpoints(&self, state: &mut State, by: &str, version: u64) {
-        let Consumers { endpoints, connections, .. } = &self.0.consumers;
+        let Consumers { endpoints, connections, sole_versions, .. } = &self.0.consumers;
         let State { directory, change_log, .. } = &mut *state;
+        let listed = directory.changed().map(|(id, entry)| (id.clone(), entry.map(listed)));
+        // A version counts before the first request is sent to it.
+        sole_versions.apply(listed.collect());
         let changed = directory.take_changed();
         let ids: Vec<Arc<str>> = changed.iter().map(|(id, _)| id.clone()).collect();
         let unused = endpoints.apply(changed);
@@ -153,6 +157,11 @@
     }
 }
 
+/// What the history of versions needs to know of a listed endpoint.
+fn listed(Endpoint { service, version, .. }: &Endpoint) -> Listed {
+    Listed { service: service.clone(), version: version.clone() }
+}
+
 fn read_endpoint(id: &str, text: &str) -> Option<Endpoint> {
     Endpoint::read(text).inspect_err(|error| log_unreadable(platform::ENDPOINTS, id, error)).ok()
 }
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -37,6 +37,7 @@
     },
     outage::Recovery,
     proxy::{crashes::Crashes, endpoints::Endpoints},
+    sole_versions::handle::SoleVersions,
     sync::{change_log::ChangeLog, directory::Directory, evacuations::Evacuations},
     tokens::funds::Funds,
 };
@@ -52,6 +53,8 @@
     pub connections: forward::Connections,
     pub peers: Peers,
     pub crashes: Crashes,
+    /// Which software versions the services have.
+    pub sole_versions: SoleVersions,
     /// Announces to all tasks of the box that the store answers again.
     pub recovery: Recovery,
     /// Reports suspensions of this box.
@@ -185,6 +188,9 @@
             state.last_contact = Some(Instant::now());
         }
         drop(state);
+        if since.is_none() {
+            self.0.consumers.sole_versions.look();
+        }
         if before.is_some() != since.is_some() {
             self.notify();
         }
