ORDER: a stream goes on at the software version that began it

What callers saw: streams that they took up again held events of two software versions.

The request goes to that version only, through every retry, and to that service where a route splits its traffic. Where no endpoint of the version is left, it is refused at once with no time to come back. The choice itself is bounded in balance::Filter, so that health, load and limits count among the endpoints of the version.

--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -77,6 +77,8 @@
     pub name: Arc<str>,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Version of its software; `None` if not known.
+    pub version: Option<Arc<str>>,
     /// Gets no new work, by pool specification, platform list or operator.
     pub leaving: bool,
     report: Option<Report>,
@@ -135,6 +137,7 @@
         Endpoint {
             name,
             zone,
+            version: None,
             leaving: false,
             report: None,
             in_flight: 0,
@@ -157,6 +160,11 @@
         }
     }
 
+    /// Whether it runs this software version; any does for `None`.
+    pub fn has_version(&self, version: Option<&str>) -> bool {
+        version.is_none_or(|version| self.version.as_deref() == Some(version))
+    }
+
     /// Its newest limit signal, if it ever named a limit.
     pub fn limit_signal(&self) -> Option<LimitSignal> {
         self.limit_signal
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -24,5 +24,5 @@
 pub use endpoint::{Endpoint, Failure, Prompt, Report, Snapshot};
 pub use limit::{Limit, LimitSignal};
 pub use permits::{Permit, Permits};
-pub use pool::{Candidates, Choice, Pool, Weights};
+pub use pool::{Candidates, Choice, Filter, Pool, Weights};
 pub use prefix::{BLOCK_BYTES, Prefix, PrefixIndex};
--- a/crates/balance/src/pool/choose.rs
+++ b/crates/balance/src/pool/choose.rs
@@ -67,6 +67,22 @@
     Unlimited,
 }
 
+/// Which endpoints are considered.
+#[derive(Debug, Clone, Copy)]
+pub struct Filter<'a> {
+    pub candidates: Candidates,
+    /// Availability zones; `None` for all.
+    pub zones: Option<&'a BTreeSet<Arc<str>>>,
+    /// Software version; `None` for all.
+    pub version: Option<&'a str>,
+}
+
+impl Filter<'static> {
+    /// All endpoints.
+    pub const ALL: Filter<'static> =
+        Filter { candidates: Candidates::All, zones: None, version: None };
+}
+
 impl Pool {
     /// Chooses an endpoint for a prompt, skipping those in `tried`.
     ///
@@ -81,21 +97,19 @@
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        self.choose_from(Candidates::All, None, prefix, tried, now, random)
+        self.choose_from(Filter::ALL, prefix, tried, now, random)
     }
 
-    /// Like [`Pool::choose`], among all endpoints or some of them, and in all availability zones or
-    /// some of them.
+    /// Like [`Pool::choose`], among all endpoints or some of them.
     pub fn choose_from(
         &self,
-        filter: Candidates,
-        zones: Option<&BTreeSet<Arc<str>>>,
+        filter: Filter,
         prefix: &Prefix,
         tried: &[Arc<str>],
         now: u64,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let available = self.available(tried, filter, zones, now);
+        let available = self.available(tried, filter, now);
         if let Some(probe) = available.iter().find(|endpoint| endpoint.wants_probe(now)) {
             return Some(self.evaluate(probe, prefix, 0, now).1);
         }
@@ -124,21 +138,18 @@
 
     /// Endpoints that may get a request of this box now, without those in `tried`. If there are
     /// none, those that signaled recently that they leave.
-    fn available(
-        &self,
-        tried: &[Arc<str>],
-        filter: Candidates,
-        zones: Option<&BTreeSet<Arc<str>>>,
-        now: u64,
-    ) -> Vec<&Endpoint> {
-        let staying = self.staying().count();
-        let suspected = self.staying().filter(|e| e.suspected_cold.is_active(now)).count();
+    fn available(&self, tried: &[Arc<str>], filter: Filter, now: u64) -> Vec<&Endpoint> {
+        let Filter { candidates, zones, version } = filter;
+        let staying = self.staying_at(version).count();
+        let suspected =
+            self.staying_at(version).filter(|e| e.suspected_cold.is_active(now)).count();
         let avoids_suspects = self.allowance.is_some() && suspected * 2 < staying.max(1);
         let having = |wanted: Availability| {
             let fits = move |e: &&Endpoint| {
                 let may_be_cold = avoids_suspects && e.suspected_cold.wait_ms(now) > 0;
-                let is_limited = filter == Candidates::Unlimited && e.limit().is_some();
-                let is_allowed = zones.is_none_or(|zones| zones.contains(&e.zone));
+                let is_limited = candidates == Candidates::Unlimited && e.limit().is_some();
+                let is_allowed =
+                    zones.is_none_or(|zones| zones.contains(&e.zone)) && e.has_version(version);
                 is_allowed && !may_be_cold && !is_limited && self.availability(e, now) == wanted
             };
             self.endpoints.iter().filter(fits).filter(|e| !tried.contains(&e.name)).collect()
--- a/crates/balance/src/pool/mod.rs
+++ b/crates/balance/src/pool/mod.rs
@@ -4,7 +4,7 @@
 mod choose;
 mod wait;
 
-pub use choose::{Candidates, Choice, Weights};
+pub use choose::{Candidates, Choice, Filter, Weights};
 
 use std::{
     collections::{HashMap, HashSet},
@@ -138,6 +138,13 @@
         &self.endpoints
     }
 
+    /// Sets the software version of an endpoint.
+    pub fn set_version(&mut self, name: &str, version: Arc<str>) {
+        if let Some(endpoint) = self.get_mut(name) {
+            endpoint.version = Some(version);
+        }
+    }
+
     /// Marks the endpoints that get no new work; returns those that get work again.
     pub fn set_leaving(&mut self, leaves: impl Fn(&Endpoint) -> bool) -> Vec<Arc<str>> {
         let mut back = Vec::new();
--- a/crates/balance/src/pool/wait.rs
+++ b/crates/balance/src/pool/wait.rs
@@ -35,6 +35,17 @@
         self.endpoints.iter().filter(|endpoint| !endpoint.leaving && endpoint.departure.is_none())
     }
 
+    /// Endpoints that do not leave, of one software version or of all.
+    pub(super) fn staying_at(&self, version: Option<&str>) -> impl Iterator<Item = &Endpoint> {
+        self.staying().filter(move |endpoint| endpoint.has_version(version))
+    }
+
+    /// Whether an endpoint of a software version may get requests now or later.
+    pub fn serves_version(&self, version: &str, now: u64) -> bool {
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|endpoint| endpoint.has_version(Some(version)) && !endpoint.has_left(now))
+    }
+
     /// Whether an endpoint may get a request of this box now.
     pub fn availability(&self, endpoint: &Endpoint, now: u64) -> Availability {
         let cold = self.allowance.map_or(0, |_| endpoint.cold.wait_ms(now));
@@ -77,9 +88,9 @@
         Some(self.last_retry_at - now)
     }
 
-    /// Whether an endpoint other than this one takes a request of this box now.
-    pub fn has_alternative(&self, name: &str, now: u64) -> bool {
-        let mut others = self.staying().filter(|endpoint| &*endpoint.name != name);
+    /// Whether an endpoint other than this one, of one software version or of any, takes a request of this box now.
+    pub fn has_alternative(&self, name: &str, version: Option<&str>, now: u64) -> bool {
+        let mut others = self.staying_at(version).filter(|endpoint| &*endpoint.name != name);
         others.any(|endpoint| self.availability(endpoint, now) == Availability::Open)
     }
 }
--- a/crates/balance/tests/back_off.rs
+++ b/crates/balance/tests/back_off.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, ops::Range, sync::Arc};
 
-use balance::{Availability, BackOff, Candidates, Failure, Fleet, Pool, Prefix, Weights};
+use balance::{Availability, BackOff, Failure, Filter, Fleet, Pool, Prefix, Weights};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// Step of the simulation, in milliseconds.
@@ -202,8 +202,7 @@
         for _ in 0..2 {
             let prefix = Prefix::of_parts([]);
             let pool = &mut self.boxes[at];
-            let choice =
-                pool.choose_from(Candidates::All, None, &prefix, &tried, now, &mut self.random);
+            let choice = pool.choose_from(Filter::ALL, &prefix, &tried, now, &mut self.random);
             let Some(choice) = choice else { break };
             let endpoint: usize = choice.name[1..].parse().expect("a number");
             pool.start(&choice.name, &prefix, now);
--- a/crates/balance/tests/choose.rs
+++ b/crates/balance/tests/choose.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balance::{Failure, Pool, Prefix, Prompt, Report, Weights};
+use balance::{Failure, Filter, Pool, Prefix, Prompt, Report, Weights};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -275,3 +275,32 @@
     let choice = pool.choose(&again, &[], 300, &mut random()).expect("an endpoint");
     assert_eq!((choice.name, choice.cached), (other, 6_000));
 }
+
+/// Guards against a stream that goes on at another software version, by choice or as a last resort.
+#[test]
+fn a_software_version_bounds_the_choice() {
+    let mut pool = pool(4);
+    for (name, version) in [("e0", "v1"), ("e1", "v2"), ("e2", "v1")] {
+        pool.set_version(name, version.into());
+    }
+    let mut random = random();
+    let mut chosen = |pool: &Pool, version: &str, tried: &[Arc<str>]| {
+        let filter = Filter { version: Some(version), ..Filter::ALL };
+        let choose = |_| pool.choose_from(filter, &Prefix::default(), tried, 10, &mut random);
+        let mut names: Vec<String> =
+            (0..100).filter_map(choose).map(|choice| choice.name.to_string()).collect();
+        names.sort();
+        names.dedup();
+        names
+    };
+    assert_eq!(chosen(&pool, "v1", &[]), ["e0", "e2"]);
+    assert_eq!(chosen(&pool, "v1", &["e0".into()]), ["e2"]);
+    assert_eq!(chosen(&pool, "v2", &[]), ["e1"]);
+    assert!(chosen(&pool, "v2", &["e1".into()]).is_empty());
+    assert!(chosen(&pool, "v3", &[]).is_empty());
+    assert!(pool.has_alternative("e0", Some("v1"), 10) && pool.has_alternative("e1", None, 10));
+    assert!(!pool.has_alternative("e1", Some("v2"), 10));
+    pool.set_leaving(|endpoint| &*endpoint.name == "e1");
+    assert!(chosen(&pool, "v2", &[]).is_empty(), "its last endpoint leaves");
+    assert!(pool.serves_version("v1", 10) && !pool.serves_version("v2", 10));
+}
--- a/crates/balance/tests/limit.rs
+++ b/crates/balance/tests/limit.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use balance::{
-    Candidates, Endpoint, Fleet, Limit, LimitSignal, Permit, Permits, Pool, Prefix, Weights,
+    Candidates, Endpoint, Filter, Fleet, Limit, LimitSignal, Permit, Permits, Pool, Prefix, Weights,
 };
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -151,9 +151,10 @@
 }
 
 /// Names of the endpoints that are chosen at `now`.
-fn chosen(pool: &Pool, filter: Candidates, now: u64) -> Vec<Arc<str>> {
+fn chosen(pool: &Pool, candidates: Candidates, now: u64) -> Vec<Arc<str>> {
     let mut random = SmallRng::seed_from_u64(7);
-    let choose = |_| pool.choose_from(filter, None, &Prefix::default(), &[], now, &mut random);
+    let filter = Filter { candidates, ..Filter::ALL };
+    let choose = |_| pool.choose_from(filter, &Prefix::default(), &[], now, &mut random);
     let mut names: Vec<Arc<str>> = (0..200).filter_map(choose).map(|choice| choice.name).collect();
     names.sort();
     names.dedup();
--- a/crates/flintbench/src/fleet.rs
+++ b/crates/flintbench/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::{hint::black_box, net::SocketAddr, sync::Arc, time::Duration};
 
-use balance::{Candidates, Prefix};
+use balance::{Filter, Prefix};
 use gateway::{Clock, Endpoints, Entry as BoxEntry, Peers, Profile, settings::Cold};
 use ledger::Incarnation;
 use platform::endpoint::{Entry, StartTime, State};
@@ -78,7 +78,7 @@
     let endpoints = pool(&engines(count));
     let prefix = Prefix::of_parts([(7, 2_500), (8, 3_000), (9, 800)]);
     micros_per_call(20, || {
-        black_box(endpoints.choose("engines", Candidates::All, None, &prefix, &[]));
+        black_box(endpoints.choose("engines", Filter::ALL, &prefix, &[]));
     })
 }
 
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -456,6 +456,8 @@
         self.tunnels.close();
         let ends = async { tokio::join!(self.tasks.wait(), self.tunnels.wait()) };
         let finished = tokio::time::timeout(remaining, ends).await.is_ok();
+        // Bounds its own time.
+        self.context.streams.flush().await;
         let remaining = limit.saturating_sub(began.elapsed());
         self.settle_deadline
             .send_replace(Some(Instant::now() + remaining + FINAL_SETTLEMENT_TIMEOUT));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of streams that callers took up.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakenUp {
+    /// How the software version that began them was known, or `unknown` or `unheard`.
+    pub known_from: &'static str,
+}
+
 /// Labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCall {
@@ -124,6 +131,8 @@
     pub detours: Counter,
     /// Connections to endpoints that this box opened for others.
     pub tunnels: Counter,
+    /// Streams that callers took up, by what was known of their origin.
+    pub streams_taken_up: Family<TakenUp, Counter>,
     /// Endpoints that this box does not reach and others do.
     pub cut_off: Gauge,
     /// Streams whose origin this box knows.
@@ -174,6 +183,7 @@
             permits_issued: Counter::default(),
             detours: Counter::default(),
             tunnels: Counter::default(),
+            streams_taken_up: Family::default(),
             cut_off: Gauge::default(),
             streams_known: Gauge::default(),
             stream_copies_lost: Gauge::default(),
@@ -275,6 +285,11 @@
             "Requests sent to endpoints through another box",
             self.detours.clone(),
         );
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers took up, by what was known of their origin",
+            self.streams_taken_up.clone(),
+        );
         registry.register(
             "tunnels",
             "Connections to endpoints that this box opened for others",
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -18,14 +18,12 @@
     proxy::{
         context::Context,
         exchange::Exchange,
-        refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
+        origins::Destination,
+        refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal, UNREADY_RETRY_DELAY},
     },
     tokens::funds::Shortage,
 };
 
-/// `Retry-After` while this box lacks tokens or a configuration; a settlement or a read of the
-/// configuration has completed by then.
-const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// Connections to one endpoint that each box may hold, however small its share is.
 const MIN_CONNECTIONS: u64 = 4;
 /// Connections to one endpoint from all boxes, unless the configuration sets a limit.
@@ -47,6 +45,8 @@
     pub fingerprint: Fingerprint,
     pub route: Route,
     pub service: Arc<str>,
+    /// Software version that began the stream that it takes up, if any.
+    pub version: Option<Arc<str>>,
     /// Availability zones in which it may be served; `None` for all.
     pub zones: Option<BTreeSet<Arc<str>>>,
     /// Limit of connections from this box to one endpoint.
@@ -90,13 +90,8 @@
         exchange.customer = customer.map(|customer| customer.name.clone());
         let paid = customer.is_some_and(|customer| customer.paid.is_some());
         exchange.tokens = head.tokens.filter(|_| paid);
-        let id = head.id.as_deref().unwrap_or_default();
-        let service = table
-            .target(&route, id)
-            .ok_or_else(|| {
-                Reason::NoEndpoint.after(UNREADY_RETRY_DELAY, "the route has no service")
-            })?
-            .clone();
+        let Destination { service, version } =
+            self.destination(&table, &route, &head, exchange).await?;
         exchange.service = Some(service.clone());
         let of_customer = customer.map_or(&[][..], |customer| &customer.allowed_regions);
         let zones = self.settings().regions.allowed_zones(&[&route.allowed_regions, of_customer]);
@@ -135,6 +130,7 @@
             fingerprint,
             route,
             service,
+            version,
             zones,
             max_connections,
             engine_rank,
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use balance::{Candidates, Failure, Limit};
+use balance::{Candidates, Failure, Filter, Limit};
 use forward::{Answer, Fault, Framing};
 use http::StatusCode;
 use platform::{
@@ -10,6 +10,7 @@
     config::{Kind, Route},
     request::{self, Directives},
 };
+use wire::StreamOrigin;
 
 use crate::{
     clock::Moment,
@@ -77,8 +78,9 @@
             } else {
                 Candidates::Unlimited
             };
-            let AdmittedRequest { service, zones, prefix, .. } = admitted;
-            let chosen = self.endpoints.choose(service, candidates, zones.as_ref(), prefix, &tried);
+            let AdmittedRequest { service, version, zones, prefix, .. } = admitted;
+            let filter = Filter { candidates, zones: zones.as_ref(), version: version.as_deref() };
+            let chosen = self.endpoints.choose(service, filter, prefix, &tried);
             let Some(chosen) = chosen else { break };
             if exchange.attempts >= admitted.route.max_attempts
                 || (delivered > 0 && !self.can_repeat(admitted))
@@ -128,6 +130,12 @@
     /// The refusal when no endpoint can be selected: the service has none, or the limits of cold and rate-limited
     /// endpoints are used up.
     fn no_endpoint(&self, admitted: &AdmittedRequest) -> Refusal {
+        let AdmittedRequest { service, version, .. } = admitted;
+        let is_gone = |version: &Arc<str>| !self.endpoints.serves_version(service, version);
+        if version.as_ref().is_some_and(is_gone) {
+            let detail = "no endpoint runs the software version that began the stream";
+            return Reason::VersionGone.with(detail);
+        }
         match self.endpoints.retry_delay(&admitted.service, admitted.rank) {
             Some(wait) if wait > CAPACITY_RETRY_DELAY => Reason::NoEndpoint.after(
                 wait,
@@ -304,7 +312,11 @@
         let should_repeat = is_repeatable(&admitted.route)
             && status.is_server_error()
             && exchange.attempts < admitted.route.max_attempts
-            && self.endpoints.has_alternative(&admitted.service, &chosen.instance)
+            && self.endpoints.has_alternative(
+                &admitted.service,
+                &chosen.instance,
+                admitted.version.as_deref(),
+            )
             && self.can_repeat(admitted);
         if should_repeat {
             in_flight.end_without_failure();
@@ -317,6 +329,11 @@
         if response.framing == Framing::Close {
             in_flight.unframed();
         }
+        if status.is_success() {
+            let (service, version) = (admitted.service.clone(), chosen.version.clone());
+            let origin = StreamOrigin { service, version };
+            self.record_origin(origin, &admitted.route, &admitted.head, exchange);
+        }
         in_flight.finish_prefill();
         Attempt::Answer(Box::new(response), Box::new(in_flight))
     }
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -13,9 +13,7 @@
     time::Duration,
 };
 
-use balance::{
-    Allowance, Candidates, Choice, Failure, Fleet, Limit, Pool, Prefix, Prompt, Weights,
-};
+use balance::{Allowance, Choice, Failure, Filter, Fleet, Limit, Pool, Prefix, Prompt, Weights};
 use parking_lot::Mutex;
 use platform::{config::Service, endpoint::Entry};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -92,6 +90,8 @@
     by_service: BTreeMap<Arc<str>, Changed>,
     /// Service, name and remaining cold time of cold instances.
     cold: Vec<(Arc<str>, Arc<str>, Duration)>,
+    /// Service, name and software version of changed instances.
+    versions: Vec<(Arc<str>, Arc<str>, Arc<str>)>,
     /// Addresses no longer in use.
     unused: Vec<SocketAddr>,
 }
@@ -188,6 +188,8 @@
         if !stays {
             changed.added.push((instance.clone(), entry.zone.clone()));
         }
+        let version = entry.version.clone();
+        batch.versions.push((entry.service.clone(), instance.clone(), version));
         // The cold time of an entry applies once per heartbeat.
         let heartbeat = previous.filter(|_| stays).map(|(listing, _)| listing.heartbeat);
         if entry.cold > Duration::ZERO && heartbeat != Some(entry.heartbeat) {
@@ -256,6 +258,11 @@
             let fresh = || Pool::new(self.zone.clone(), weights(has_engines));
             state.services.entry(service).or_insert_with(fresh).apply(added, &removed, now);
         }
+        for (service, instance, version) in batch.versions {
+            if let Some(pool) = state.services.get_mut(&service) {
+                pool.set_version(&instance, version);
+            }
+        }
         state.apply_allowances(now);
         for (service, instance, cold) in batch.cold {
             if let Some(pool) = state.services.get_mut(&service) {
@@ -324,20 +331,18 @@
         self.state.lock().evacuated.len()
     }
 
-    /// Selects an endpoint of a service that is not in `tried`, in one of `zones` if there are any
-    /// bounds.
+    /// Selects an endpoint of a service that passes the filter and is not in `tried`.
     pub fn choose(
         &self,
         service: &str,
-        candidates: Candidates,
-        zones: Option<&BTreeSet<Arc<str>>>,
+        filter: Filter,
         prefix: &Prefix,
         tried: &[Arc<str>],
     ) -> Option<Chosen> {
         let now = self.now();
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
-        let choice = pool.choose_from(candidates, zones, prefix, tried, now, &mut state.random)?;
+        let choice = pool.choose_from(filter, prefix, tried, now, &mut state.random)?;
         let Listing { id, address, version, .. } = state.listed.get(&choice.name)?.clone();
         let Choice { name: instance, cached: cached_tokens, load } = choice;
         let endpoint = pool.get(&instance)?;
@@ -400,11 +405,18 @@
         }
     }
 
-    /// Whether another endpoint of the service accepts a request now.
-    pub fn has_alternative(&self, service: &str, instance: &str) -> bool {
+    /// Whether an endpoint of a service and a software version may get requests now or later.
+    pub fn serves_version(&self, service: &str, version: &str) -> bool {
+        let now = self.now();
+        let state = self.state.lock();
+        state.services.get(service).is_some_and(|pool| pool.serves_version(version, now))
+    }
+
+    /// Whether another endpoint of the service, of one software version or of any, accepts a request now.
+    pub fn has_alternative(&self, service: &str, instance: &str, version: Option<&str>) -> bool {
         let now = self.now();
         let state = self.state.lock();
-        state.services.get(service).is_some_and(|pool| pool.has_alternative(instance, now))
+        state.services.get(service).is_some_and(|pool| pool.has_alternative(instance, version, now))
     }
 }
 
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -26,4 +26,5 @@
 pub mod announcer;
 pub mod exchange;
 pub mod exits;
+pub mod origins;
 pub mod permits;
--- /dev/null
+++ b/crates/gateway/src/proxy/origins.rs
@@ -0,0 +1,169 @@
+//! Streams that callers take up again: at which software version they have to go on.
+//!
+//! What two versions of an endpoint's software write does not fit together, so a stream goes on only at the version that
+//! began it. Where that is not known, the request is refused without having run, unless the service had but one version
+//! for as long as a stream can be taken up.
+
+use std::{sync::Arc, time::Duration};
+
+use platform::{
+    config::{Kind, Route},
+    request::Head,
+};
+use wire::{StreamKey, StreamOrigin};
+
+use crate::{
+    config_table::ConfigTable,
+    fleet::streams::{self, Found},
+    metrics::TakenUp,
+    proxy::{
+        context::Context,
+        exchange::Exchange,
+        refusal::{Reason, Refusal},
+    },
+};
+
+/// `Retry-After` where boxes that may know the origin of a stream did not answer: the caller comes to another box then.
+const UNHEARD_RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    pub service: Arc<str>,
+    /// Software version that began the stream; `None` if the request takes up none.
+    pub version: Option<Arc<str>>,
+}
+
+/// What is known of the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Origin {
+    /// This box relayed it or took it up before.
+    Remembered(StreamOrigin),
+    /// Another box told.
+    Told(StreamOrigin),
+    /// The service had no other version for long enough.
+    Sole(StreamOrigin),
+    /// No box knows it.
+    Unknown,
+    /// No box told, but not all of them answered.
+    Unheard,
+}
+
+impl Origin {
+    /// Name in log lines and metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Origin::Remembered(_) => "remembered",
+            Origin::Told(_) => "told",
+            Origin::Sole(_) => "sole_version",
+            Origin::Unknown => "unknown",
+            Origin::Unheard => "unheard",
+        }
+    }
+
+    fn known(&self) -> Option<&StreamOrigin> {
+        match self {
+            Origin::Remembered(origin) | Origin::Told(origin) | Origin::Sole(origin) => {
+                Some(origin)
+            }
+            Origin::Unknown | Origin::Unheard => None,
+        }
+    }
+}
+
+/// Whether a request takes up a stream.
+fn takes_up_stream(head: &Head, route: &Route) -> bool {
+    route.kind == Kind::Streaming && (head.resumes.is_some() || head.resumed_after.is_some())
+}
+
+/// Key of the stream that an attempt of the same customer began.
+fn key(exchange: &Exchange, attempt: &str) -> StreamKey {
+    streams::key(exchange.customer.as_deref(), attempt)
+}
+
+impl Context {
+    /// Finds out where a request goes.
+    pub async fn destination(
+        &self,
+        table: &ConfigTable,
+        route: &Route,
+        head: &Head,
+        exchange: &Exchange,
+    ) -> Result<Destination, Refusal> {
+        let first_attempt = head.resumes.as_deref().or(head.id.as_deref());
+        let drawn = table.target(route, first_attempt.unwrap_or_default());
+        let drawn = drawn.ok_or_else(Refusal::no_service)?;
+        if !takes_up_stream(head, route) {
+            return Ok(Destination { service: drawn.clone(), version: None });
+        }
+        let origin = self.find_origin(head, drawn, exchange).await;
+        self.report_origin(&origin, head, exchange);
+        let is_routed = |origin: &StreamOrigin| {
+            route.targets.iter().any(|target| target.service == origin.service)
+        };
+        match origin.known() {
+            Some(known) if is_routed(known) => {
+                let StreamOrigin { service, version } = known.clone();
+                Ok(Destination { service, version: Some(version) })
+            }
+            Some(_) => {
+                let detail = "the route no longer goes to the service that began the stream";
+                Err(Reason::VersionGone.with(detail))
+            }
+            None if origin == Origin::Unheard => {
+                let detail = "boxes that may know which version began the stream did not answer";
+                Err(Reason::VersionUnknown.after(UNHEARD_RETRY_DELAY, detail))
+            }
+            None => {
+                Err(Reason::VersionUnknown.with("it is not known which version began the stream"))
+            }
+        }
+    }
+
+    /// Finds out where a stream began; at `drawn` if the service is not known otherwise.
+    async fn find_origin(&self, head: &Head, drawn: &Arc<str>, exchange: &Exchange) -> Origin {
+        let found = match &head.resumes {
+            Some(attempt) => self.streams.find(key(exchange, attempt), exchange.deadline).await,
+            None => Found::Nowhere,
+        };
+        let not_found = match found {
+            Found::Here(origin) => return Origin::Remembered(origin),
+            Found::AtHome(origin) => return Origin::Told(origin),
+            Found::Nowhere => Origin::Unknown,
+            Found::Unheard => Origin::Unheard,
+        };
+        match self.sole_versions.sole_version(drawn, exchange.deadline).await {
+            Some(version) => Origin::Sole(StreamOrigin { service: drawn.clone(), version }),
+            None => not_found,
+        }
+    }
+
+    fn report_origin(&self, origin: &Origin, head: &Head, exchange: &Exchange) {
+        let known_from = origin.as_str();
+        self.metrics.streams_taken_up.get_or_create(&TakenUp { known_from }).inc();
+        tracing::info!(
+            event = "stream_taken_up",
+            id = exchange.id.as_deref(),
+            resumes = head.resumes.as_deref(),
+            resumed_after = head.resumed_after,
+            service = origin.known().map(|origin| &*origin.service),
+            version = origin.known().map(|origin| &*origin.version),
+            known_from,
+        );
+    }
+
+    /// Remembers where the stream of a response began, or goes on, here and at other boxes.
+    pub fn record_origin(
+        &self,
+        origin: StreamOrigin,
+        route: &Route,
+        head: &Head,
+        exchange: &Exchange,
+    ) {
+        let can_be_taken_up = route.kind == Kind::Streaming && route.resumable;
+        let first_attempt = head.resumes.as_ref().or(head.id.as_ref());
+        if let Some(attempt) = first_attempt.filter(|_| can_be_taken_up) {
+            self.streams.record(key(exchange, attempt), origin);
+        }
+    }
+}
--- a/crates/gateway/src/proxy/refusal.rs
+++ b/crates/gateway/src/proxy/refusal.rs
@@ -9,6 +9,10 @@
 /// complete meanwhile.
 pub const CAPACITY_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// `Retry-After` while this box lacks tokens or a configuration; a settlement or a read of the
+/// configuration has completed by then.
+pub const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Why a request got no response of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Reason {
@@ -32,6 +36,10 @@
     Memory,
     /// No endpoint was reachable and accepted the request.
     NoEndpoint,
+    /// It is not known at which software version the stream that it takes up began.
+    VersionUnknown,
+    /// No endpoint runs the software version that began the stream.
+    VersionGone,
     /// The deadline passed before the request was sent.
     TooLate,
     /// Endpoints crashed each time they ran the request.
@@ -68,6 +76,8 @@
             Reason::TokensShort => "tokens_short",
             Reason::Memory => "memory",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::VersionUnknown => "version_unknown",
+            Reason::VersionGone => "version_gone",
             Reason::TooLate => "too_late",
             Reason::Quarantined => "quarantined",
             Reason::Unconfirmed => "unproved",
@@ -89,6 +99,8 @@
             Reason::NoConfig
             | Reason::Memory
             | Reason::NoEndpoint
+            | Reason::VersionUnknown
+            | Reason::VersionGone
             | Reason::TooLate
             | Reason::Quarantined
             | Reason::Unconfirmed => StatusCode::SERVICE_UNAVAILABLE,
@@ -114,6 +126,11 @@
 }
 
 impl Refusal {
+    /// The route names no service.
+    pub fn no_service() -> Refusal {
+        Reason::NoEndpoint.after(UNREADY_RETRY_DELAY, "the route has no service")
+    }
+
     /// Replaces the detail with the more specific one of an earlier failure.
     pub fn with_detail_of(self, cause: Refusal) -> Refusal {
         Refusal { detail: cause.detail, ..self }
--- a/crates/gateway/tests/endpoint_changes.rs
+++ b/crates/gateway/tests/endpoint_changes.rs
@@ -43,13 +43,9 @@
 fn chosen(endpoints: &Endpoints, service: &str) -> Vec<(Arc<str>, SocketAddr)> {
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut chosen = Vec::new();
-    while let Some(choice) = endpoints.choose(
-        service,
-        balance::Candidates::All,
-        None,
-        &balance::Prefix::default(),
-        &tried,
-    ) {
+    while let Some(choice) =
+        endpoints.choose(service, balance::Filter::ALL, &balance::Prefix::default(), &tried)
+    {
         tried.push(choice.instance.clone());
         chosen.push((choice.instance, choice.address));
     }
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use balance::{Candidates, Prefix};
+use balance::{Filter, Prefix};
 use gateway::{Changes, Chosen, Clock, Endpoints, settings};
 use platform::{
     answer::Head,
@@ -49,7 +49,7 @@
     }
 
     fn choose(&self) -> Option<Chosen> {
-        self.endpoints.choose(SERVICE, Candidates::All, None, &Prefix::of_parts([]), &[])
+        self.endpoints.choose(SERVICE, Filter::ALL, &Prefix::of_parts([]), &[])
     }
 
     /// Repeats the choice until it falls on the endpoint.
