--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -37,7 +37,7 @@
         permits::{self, Permits},
     },
     settings::Settings,
-    sole_versions::handle::SoleVersions,
+    sole_versions::{handle::SoleVersions, history::Seen},
     sync::{
         discovery::Discovery,
         reporter::Reporter,
@@ -409,6 +409,11 @@
         self.context.sole_versions.sole_version(&service.into(), deadline).await
     }
 
+    /// What this box has seen of the versions of a service.
+    pub fn versions_seen(&self, service: &str) -> Seen {
+        self.context.sole_versions.seen(service)
+    }
+
     /// Number of endpoints in a back-off towards this box.
     pub fn backing_off(&self) -> usize {
         self.context.endpoints.count_backing_off()
--- a/crates/gateway/src/sole_versions/handle.rs
+++ b/crates/gateway/src/sole_versions/handle.rs
@@ -95,9 +95,14 @@
         (self.present(service)? == recorded).then_some(recorded)
     }
 
+    /// What this box has seen of the versions of a service.
+    pub fn seen(&self, service: &str) -> Seen {
+        self.0.history.lock().seen(service, self.now_ms())
+    }
+
     /// The only version that this box sees or has seen lately.
     fn present(&self, service: &str) -> Option<Arc<str>> {
-        match self.0.history.lock().seen(service, self.now_ms()) {
+        match self.seen(service) {
             Seen::Sole { version, .. } => Some(version),
             Seen::Several | Seen::Nothing => None,
         }
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -18,6 +18,7 @@
 mod proxy;
 mod quarantine;
 mod rate_limit;
+mod sole_versions;
 mod store_copy;
 mod suspended;
 mod sync;
