--- a/crates/gateway/src/sole_versions/handle.rs
+++ b/crates/gateway/src/sole_versions/handle.rs
@@ -11,7 +11,7 @@
 use platform::store::Client;
 use tokio::{
     sync::Notify,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -20,8 +20,8 @@
 };
 use crate::clock::Moment;
 
-/// Longest time for a read of the store, in which a request waits.
-const READ_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time that a request waits for a read of the store. The read goes on for later requests.
+const READ_WAIT: Duration = Duration::from_millis(100);
 /// Time from the start of a read for which its result is used.
 const REUSE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -88,7 +88,7 @@
         }
         // A service with several versions needs no call.
         self.present(service)?;
-        let until = deadline.min(Instant::now() + READ_TIMEOUT);
+        let until = deadline.min(Instant::now() + READ_WAIT);
         let result = self.read(service).result;
         let recorded = timeout_at(until, result).await.ok().flatten()?;
         // A second one may have appeared in the meantime.
@@ -124,16 +124,12 @@
 
 /// The sole version of a service by its record in the store.
 async fn read_record(store: Client, service: Arc<str>) -> Option<Arc<str>> {
-    let found = match timeout(READ_TIMEOUT, store.get(VERSIONS, &service)).await {
-        Ok(Ok(found)) => found,
-        Ok(Err(error)) => {
+    let found = match store.get(VERSIONS, &service).await {
+        Ok(found) => found,
+        Err(error) => {
             tracing::warn!(event = "sole_version_not_read", service = &*service, %error);
             return None;
         }
-        Err(_) => {
-            tracing::warn!(event = "sole_version_not_read", service = &*service, error = "timeout");
-            return None;
-        }
     };
     let sole = found.as_ref().and_then(|object| Record::read(object).sole);
     tracing::info!(
