--- a/crates/gateway/src/sole_versions/record.rs
+++ b/crates/gateway/src/sole_versions/record.rs
@@ -12,7 +12,7 @@
 use super::history::{Seen, VersionHistory};
 
 /// Kind of the objects, which are named after the service.
-pub const VERSIONS: &str = "versions";
+pub const VERSIONS: &str = "soleversions";
 
 /// What the store says about a service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
