--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -8,14 +8,7 @@
 pub mod homes;
 pub mod memory;
 
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use ledger::Incarnation;
@@ -39,6 +32,11 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
 /// Origins that wait to be sent; the largest fleet begins as many streams in a second.
 const MAX_QUEUED: usize = 4_096;
+/// How long a home that did not take origins is not sent any: it is silent, about to stop, or of an older
+/// version.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Interval between two log lines about lost copies.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Origins in one message, which stays far below the largest one.
 const MAX_RECORDS: usize = 1_024;
 
@@ -97,7 +95,18 @@
     queued: Notify,
     /// Number of batches that are being sent.
     batches: watch::Sender<usize>,
-    lost: AtomicU64,
+    /// Homes that did not take origins, and until when they are sent none.
+    avoided: Mutex<HashMap<Incarnation, Instant>>,
+    losses: Mutex<Losses>,
+}
+
+/// Copies of origins that no home took.
+#[derive(Default)]
+struct Losses {
+    total: u64,
+    /// Those that are not in a log line yet, and when the last line was written.
+    unlogged: u64,
+    logged: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -152,7 +161,8 @@
             outbox: Mutex::default(),
             queued: Notify::new(),
             batches: watch::Sender::new(0),
-            lost: AtomicU64::new(0),
+            avoided: Mutex::default(),
+            losses: Mutex::default(),
         }))
     }
 
@@ -260,8 +270,7 @@
     }
 
     pub fn counts(&self) -> Counts {
-        let lost = self.0.lost.load(Ordering::Relaxed);
-        Counts { known: self.0.memory.lock().len(), lost }
+        Counts { known: self.0.memory.lock().len(), lost: self.0.losses.lock().total }
     }
 
     fn take_queued(&self) -> Option<Batch> {
@@ -277,8 +286,8 @@
         Some(Batch { streams: self.clone(), queued })
     }
 
-    /// Groups origins by the boxes to send them to. A home that recently did not answer is replaced at
-    /// once.
+    /// Groups origins by the boxes to send them to. A home that recently did not answer, or did not take
+    /// origins, is replaced at once.
     fn group(&self, batch: &[Queued]) -> Groups {
         let peers = &self.0.peers;
         let homes = peers.stream_homes();
@@ -288,20 +297,31 @@
             let recipients = homes.recipients(queued.key, peers.me());
             for copy in 0..COPIES.min(recipients.len()) {
                 let boxes = [recipients.get(copy), recipients.get(copy + COPIES)];
-                let mut reachable = boxes.into_iter().flatten().filter(|b| peers.is_reachable(b));
-                let Some(home) = reachable.next() else {
+                let mut usable = boxes.into_iter().flatten().filter(|home| self.is_usable(home));
+                let Some(home) = usable.next() else {
                     lost += 1;
                     continue;
                 };
-                let substitute = reachable.next().cloned();
-                let copy = Copy { queued: queued.clone(), substitute };
+                let copy = Copy { queued: queued.clone(), substitute: usable.next().cloned() };
                 groups.entry(home.clone()).or_default().push(copy);
             }
         }
-        self.count_lost(lost, "no_home_reachable");
+        self.count_lost(lost, "no_home_usable");
         groups
     }
 
+    fn is_usable(&self, home: &Incarnation) -> bool {
+        let avoided_until = self.0.avoided.lock().get(home).copied();
+        self.0.peers.is_reachable(home) && avoided_until.is_none_or(|end| end <= Instant::now())
+    }
+
+    fn avoid(&self, home: &Incarnation) {
+        let now = Instant::now();
+        let mut avoided = self.0.avoided.lock();
+        avoided.retain(|_, end| *end > now);
+        avoided.insert(home.clone(), now + RETRY_DELAY);
+    }
+
     /// Sends origins to one home, and those that it does not take to their substitutes.
     async fn send(&self, home: Incarnation, copies: Vec<Copy>) {
         if self.try_send(&home, &copies).await {
@@ -329,6 +349,7 @@
         for part in copies.chunks(MAX_RECORDS) {
             let records = part.iter().map(|copy| copy.queued.record()).collect();
             if !self.0.peers.record_streams(home, records).await {
+                self.avoid(home);
                 return false;
             }
         }
@@ -336,9 +357,17 @@
     }
 
     fn count_lost(&self, copies: u64, reason: &'static str) {
-        if copies > 0 {
-            self.0.lost.fetch_add(copies, Ordering::Relaxed);
-            tracing::warn!(event = "stream_origins_lost", copies, reason);
+        if copies == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let mut losses = self.0.losses.lock();
+        losses.total += copies;
+        losses.unlogged += copies;
+        if losses.logged.is_none_or(|logged| now >= logged + LOG_INTERVAL) {
+            tracing::warn!(event = "stream_origins_lost", copies = losses.unlogged, reason);
+            losses.unlogged = 0;
+            losses.logged = Some(now);
         }
     }
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -102,6 +102,9 @@
         Frame::Subscribe(_) | Frame::Update(_) | Frame::Crash { .. } | Frame::Greet { .. } => {
             Frame::Refused { reason: "routers watch the platform themselves".into() }
         }
+        Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
+            Frame::Refused { reason: "routers resume streams themselves".into() }
+        }
         // A router needs no witness: its journal records exactly what is unused.
         Frame::Promise(_) | Frame::Seal { .. } => {
             Frame::Refused { reason: "this box is no witness".into() }
