--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -274,14 +274,14 @@
     }
 
     fn take_queued(&self) -> Option<Batch> {
-        let Outbox { queued, dropped } = std::mem::take(&mut *self.0.outbox.lock());
-        if dropped > 0 {
-            // Each would have been sent to all its homes.
-            self.count_lost(dropped * COPIES as u64, "queue_full");
-        }
+        let mut outbox = self.0.outbox.lock();
+        let Outbox { queued, dropped } = std::mem::take(&mut *outbox);
+        // Each would have been sent to all its homes.
+        self.count_lost(dropped * COPIES as u64, "queue_full");
         if queued.is_empty() {
             return None;
         }
+        // Under the lock: whoever finds the queue empty then waits for this batch.
         self.0.batches.send_modify(|batches| *batches += 1);
         Some(Batch { streams: self.clone(), queued })
     }
