--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -99,9 +99,6 @@
         | Frame::Replica(_) => {
             Frame::Refused { reason: "routers write their ledgers themselves".into() }
         }
-        Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
-            Frame::Refused { reason: "routers do not choose endpoints by software version".into() }
-        }
         Frame::Subscribe(_) | Frame::Update(_) | Frame::Crash { .. } | Frame::Greet { .. } => {
             Frame::Refused { reason: "routers watch the platform themselves".into() }
         }
