Tests of answers at the edges of their frames: some fail

Raw bytes on both sides. Failing: a length beside chunks frames the response to the caller (a broken one is whole by it, a whole one is cut); trailers end a response without its count as answered, hide a stream that stops inside an event, and reset whole ones of HTTP/1.0; whole events are lost before a stream with a length that stops inside an event, and where a slow caller's response is reset; a pipelined earlier response is lost with a later one. A plain service's half answer is stored and framed as whole by the router.

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -9,6 +9,7 @@
 mod endpoint_cut;
 mod endpoints;
 mod framing;
+mod framing_edges;
 mod harness;
 mod keepers;
 mod leaving;
