--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -181,3 +181,25 @@
     assert_eq!(fault, Fault::Full { max: 2 });
     busy.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+/// Guards against a body that ends in order because the task of its connection ended, as tasks do with their runtime.
+#[tokio::test]
+async fn a_body_whose_connection_task_ended_is_broken() {
+    let mut whole = Vec::new();
+    for frame in ["", "transfer-encoding: chunked\r\n", "content-length: 99\r\n"] {
+        let body = if frame.contains("chunked") { "3\r\nabc\r\n" } else { "abc" };
+        let bytes = format!("HTTP/1.1 200 OK\r\n{frame}\r\n{body}").into_bytes();
+        let reply = Reply::Raw(bytes, TIMEOUT, standin::Ending::Close);
+        let endpoint = ScriptedEndpoint::spawn(move |_| reply.clone()).await;
+        let connections = connections();
+        let (address, owner) = (endpoint.address(), tokio::runtime::Runtime::new().expect("one"));
+        let sent = owner.spawn(async move { connections.send(address, 4, request()).await });
+        let answer = sent.await.expect("it runs").expect("an answer");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        owner.shutdown_background();
+        if let Ok(text) = tokio::time::timeout(TIMEOUT, text(answer)).await.expect("in time") {
+            whole.push(format!("{frame:?}: {text:?}"));
+        }
+    }
+    assert!(whole.is_empty(), "whole by their end:\n{}", whole.join("\n"));
+}
