--- a/crates/gateway/tests/loopback/framing_edges.rs
+++ b/crates/gateway/tests/loopback/framing_edges.rs
@@ -463,3 +463,87 @@
         assert_eq!((end, seen.contains("content-length")), (expected, false), "{id}: {seen:?}");
     }
 }
+
+/// Guards against a whole response without a frame that is broken by a planned stop, or by a further request behind it.
+#[tokio::test]
+async fn a_response_without_a_frame_ends_in_order() {
+    let fleet = start(|request| match request.head.id.starts_with("soon") {
+        true => raw_after(request, "", WHOLE, Duration::from_millis(600), Ending::Close),
+        false => answer_ok(request),
+    })
+    .await;
+    let process = Process::start(settings("box-2", fleet.harness.platform.socket())).await;
+    let address = process.gateway().callers();
+    wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
+    let one = request("HTTP/1.1", "/stream/x", "soon-1", "");
+    let both = request("HTTP/1.1", "/stream/x", "soon-2", "")
+        + &request("HTTP/1.1", "/open/x", "behind-1", "");
+    let mut callers = [connect(address, &one).await, connect(address, &both).await];
+    let mut late = connect(address, &request("HTTP/1.1", "/stream/x", "soon-3", "")).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let behind = request("HTTP/1.1", "/open/x", "behind-2", "");
+    late.write_all(behind.as_bytes()).await.expect("the box reads");
+    process.stop().await;
+    let mut ends = Vec::new();
+    for caller in callers.iter_mut().chain([&mut late]) {
+        let (end, seen) = read_all(caller, MAX_WAIT).await;
+        ends.push((end, seen.ends_with(WHOLE)));
+    }
+    assert_eq!(ends, [(End::InOrder, true); 3]);
+}
+
+/// Guards against responses that an endpoint gives before it has read the request, and whose end changes on the way.
+#[tokio::test]
+async fn an_early_response_ends_as_it_did() {
+    const BODY: usize = 50_000;
+    let fleet = start(answer_ok).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    fleet.harness.remove_entry("i-1").await;
+    let address = listener.local_addr().expect("an address");
+    fleet.harness.write_entry("i-9", "plain", address, true).await;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(respond_early(stream));
+        }
+    });
+    wait_until_served(&fleet.harness, &fleet.gateway, "/open/x").await;
+    let mut wrong = Vec::new();
+    for (id, expected) in [("early-order", End::InOrder), ("early-reset", End::Reset)] {
+        let text = request("HTTP/1.1", "/confirm/x", id, "");
+        let text =
+            text.replace("content-length: 1\r\n\r\nx", &format!("content-length: {BODY}\r\n\r\n"));
+        let mut caller = connect(fleet.gateway.callers(), &text).await;
+        caller.write_all(&vec![b'x'; BODY]).await.expect("the box reads");
+        let (end, seen) = read_all(&mut caller, MAX_WAIT).await;
+        let is_whole = seen.ends_with("all of it");
+        let is_right = match expected {
+            End::InOrder => end == End::InOrder && is_whole,
+            _ => end == End::Reset || !seen.contains(" 200 "),
+        };
+        if !is_right {
+            wrong.push(format!("{id}: {end:?} {seen:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// Answers after the head of a request; then ends its side and reads on, or closes with bytes unread.
+async fn respond_early(mut stream: TcpStream) {
+    let mut head = Vec::new();
+    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
+        if matches!(stream.read_buf(&mut head).await, Ok(0) | Err(_)) {
+            return;
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("attempt-id: ")).unwrap_or_default();
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-seal: s\r\n\r\nall of it");
+    let _ = stream.write_all(answer.as_bytes()).await;
+    if id != "early-reset" {
+        let _ = stream.shutdown().await;
+        let _ =
+            tokio::time::timeout(MAX_WAIT, tokio::io::copy(&mut stream, &mut tokio::io::sink()))
+                .await;
+    }
+}
