ORDER: trailers end a response like any other end

Found in review: a frame of trailers was passed on, after which hyper asks for no more, so the end was never seen: no such answer counted as answered (6 of 6), a caller of HTTP/1.0 saw a reset, and half an event went out as whole. Trailers never reached callers; now their frame is the end.

--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -281,7 +281,12 @@
                     self.pass_on(&mut data);
                     Some(Ok(Frame::data(data)))
                 }
-                Err(other) => Some(Ok(other)),
+                // Trailers, which are not passed on, end the body.
+                Err(_) if self.is_in_event() => Some(Err(self.break_in_event())),
+                Err(_) => {
+                    self.end();
+                    None
+                }
             },
             Some(Err(source)) => {
                 self.in_flight.broke();
