ORDER: whole events before a break reach their caller

Found in review: an error right behind the data made hyper drop what it had not sent, so a stream with a length that stops inside an event gave its caller not even a head, though its first event was whole. The error now comes one poll after the data. Test whole_events_before_a_break..., failed before. A caller that leaves inside an event is logged as such.

--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -149,6 +149,9 @@
     pub is_event_stream: bool,
 }
 
+/// What a poll of the body returns.
+type Polled = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
+
 /// Body of a response, relayed as it arrives.
 pub struct Relay {
     body: forward::Body,
@@ -158,6 +161,10 @@
     close: Option<CallerClose>,
     /// The body ended inside an event; the caller is yet to learn.
     stops_in_event: bool,
+    /// Why the body broke off; the caller is yet to learn.
+    error: Option<BodyError>,
+    /// Whether data was passed on at the last poll.
+    has_fresh_data: bool,
     timeout: Pin<Box<Sleep>>,
     in_flight: InFlight,
     exchange: Exchange,
@@ -184,6 +191,8 @@
             kind,
             close,
             stops_in_event: false,
+            error: None,
+            has_fresh_data: false,
             timeout,
             in_flight,
             exchange,
@@ -237,16 +246,27 @@
     }
 
     /// The endpoint ended the body inside an event, so it broke off.
-    fn break_in_event(&mut self) -> BodyError {
+    fn break_in_event(&mut self, context: &Context<'_>) -> Polled {
         self.in_flight.broke();
         self.break_off(BodyError::InEvent.to_string());
-        BodyError::InEvent
+        self.fail(BodyError::InEvent, context)
+    }
+
+    /// Fails the body, but not before data that was just passed on is on its way: an error drops what is not.
+    fn fail(&mut self, error: BodyError, context: &Context<'_>) -> Polled {
+        if !std::mem::take(&mut self.has_fresh_data) {
+            return Poll::Ready(Some(Err(error)));
+        }
+        self.error = Some(error);
+        context.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
 impl Drop for Relay {
     /// The caller disconnected, unless the request has already ended.
     fn drop(&mut self) {
+        self.exchange.is_in_event = self.is_in_event();
         self.exchange.end(Outcome::Disconnected, self.event_counter.events());
     }
 }
@@ -255,49 +275,48 @@
     type Data = Bytes;
     type Error = BodyError;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.stops_in_event {
-            return Poll::Ready(Some(Err(self.break_in_event())));
+    fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Polled {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        if std::mem::take(&mut self.stops_in_event) {
+            return self.break_in_event(context);
         }
         let frame = match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
+                self.has_fresh_data = false;
                 ready!(self.timeout.as_mut().poll(context));
                 self.break_off(BodyError::Timeout.to_string());
                 return Poll::Ready(Some(Err(BodyError::Timeout)));
             }
         };
-        Poll::Ready(match frame {
-            None if self.is_in_event() => Some(Err(self.break_in_event())),
-            None => {
-                self.end();
-                None
-            }
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(mut data) => {
-                    self.pass_on(&mut data);
-                    Some(Ok(Frame::data(data)))
-                }
-                // Trailers, which are not passed on, end the body.
-                Err(_) if self.is_in_event() => Some(Err(self.break_in_event())),
-                Err(_) => {
-                    self.end();
-                    None
-                }
-            },
+        let data = match frame {
             Some(Err(source)) => {
                 self.in_flight.broke();
                 self.break_off(source.to_string());
-                Some(Err(BodyError::Endpoint { source }))
+                return self.fail(BodyError::Endpoint { source }, context);
+            }
+            // Trailers, which are not passed on, end the body.
+            Some(Ok(frame)) => frame.into_data().ok(),
+            None => None,
+        };
+        match data {
+            Some(mut data) => {
+                self.pass_on(&mut data);
+                self.has_fresh_data = true;
+                Poll::Ready(Some(Ok(Frame::data(data))))
             }
-        })
+            None if self.is_in_event() => self.break_in_event(context),
+            None => {
+                self.end();
+                Poll::Ready(None)
+            }
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream() && !self.stops_in_event
+        self.body.is_end_stream() && !self.stops_in_event && self.error.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
