--- a/crates/forward/src/framing.rs
+++ b/crates/forward/src/framing.rs
@@ -15,7 +15,7 @@
 
 impl Framing {
     /// Framing of a response with these headers and a body; `is_empty` if it has no body.
-    pub(crate) fn of(headers: &HeaderMap, is_empty: bool) -> Framing {
+    pub fn of(headers: &HeaderMap, is_empty: bool) -> Framing {
         match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
             _ if is_empty => Framing::Length,
             Some(last) if ends_in_chunked(last.as_bytes()) => Framing::Chunks,
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use balance::Failure;
+use forward::Framing;
 use http::{HeaderMap, HeaderName, header::CONTENT_TYPE};
 use ledger::Ended;
 use reqwest::Response;
@@ -106,6 +107,10 @@
 async fn read_answer(mut response: Response, timeout: Duration) -> Result<Answer, Unknown> {
     let status = response.status().as_u16();
     let headers = end_to_end(response.headers());
+    // Half an answer would look like this too, and be stored as the whole one.
+    if Framing::of(response.headers(), response.content_length() == Some(0)) == Framing::Close {
+        return Err(Unknown::Incomplete);
+    }
     let mut body = Vec::new();
     let reading = async {
         while let Some(chunk) = response.chunk().await.map_err(|_| Unknown::Incomplete)? {
