--- a/crates/flintbench/src/cli.rs
+++ b/crates/flintbench/src/cli.rs
@@ -25,6 +25,10 @@
     #[argh(option)]
     pub requests: Option<u64>,
 
+    /// number of seeds, counted from the seed; the default depends on the experiment
+    #[argh(option)]
+    pub seeds: Option<u64>,
+
     /// duration of the load in seconds; the default depends on the experiment
     #[argh(option)]
     pub seconds: Option<u64>,
--- a/crates/flintbench/src/experiment.rs
+++ b/crates/flintbench/src/experiment.rs
@@ -6,7 +6,7 @@
     exit::Code,
     fleet, herd, latency, plot,
     report::{self, Report},
-    slopes,
+    slopes, versions,
 };
 
 /// One experiment.
@@ -42,6 +42,8 @@
     Steady,
     /// Boxes select endpoints from outdated load reports.
     Herd,
+    /// Streams that break are taken up while several software versions serve.
+    Versions,
     /// Cost of each mechanism as a function of size.
     Slopes,
     /// Cost of one change at a box, as a function of the size of the fleet.
@@ -51,7 +53,7 @@
 }
 
 impl Experiment {
-    const ALL: [Experiment; 18] = [
+    const ALL: [Experiment; 19] = [
         Experiment::Path,
         Experiment::Partition,
         Experiment::Crash,
@@ -67,6 +69,7 @@
         Experiment::ConfigRace,
         Experiment::Steady,
         Experiment::Herd,
+        Experiment::Versions,
         Experiment::Slopes,
         Experiment::Fleet,
         Experiment::Capacity,
@@ -90,6 +93,7 @@
             Experiment::ConfigRace => "config-race",
             Experiment::Steady => "steady",
             Experiment::Herd => "herd",
+            Experiment::Versions => "versions",
             Experiment::Slopes => "slopes",
             Experiment::Fleet => "fleet",
             Experiment::Capacity => "capacity",
@@ -113,6 +117,7 @@
             Experiment::ConfigRace => "one resource changes repeatedly, a box is cut off",
             Experiment::Steady => "platform writes and latency by interval of journal writes",
             Experiment::Herd => "boxes select endpoints from outdated load reports",
+            Experiment::Versions => "streams are taken up while several versions serve",
             Experiment::Slopes => "cost of each mechanism as a function of size",
             Experiment::Fleet => "cost of one change at a box, by the size of its fleet",
             Experiment::Capacity => "costs of a large deployment, from measured slopes",
@@ -136,6 +141,7 @@
             Experiment::ConfigRace => changes::config_race(options).await,
             Experiment::Steady => accounting::steady(options).await,
             Experiment::Herd => herd::run(options),
+            Experiment::Versions => versions::run(options),
             Experiment::Slopes => slopes::run(options).await,
             Experiment::Fleet => fleet::run(),
             Experiment::Capacity => capacity::run(),
@@ -166,6 +172,10 @@
         print!("{}", capacity::table());
         return Ok(Code::Success);
     }
+    if experiment == Experiment::Versions && !options.json {
+        print!("{}", versions::table(options));
+        return Ok(Code::Success);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/flintbench/src/main.rs
+++ b/crates/flintbench/src/main.rs
@@ -16,6 +16,7 @@
 mod report;
 mod slopes;
 mod stats;
+mod versions;
 
 use std::process::ExitCode;
 
