Streams: a box that is slow with origins is not avoided for anything else

A keeper that did not answer a message about streams within 0.2 s was avoided for 2 s by all requests, so boxes drew tokens elsewhere.

--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -285,8 +285,9 @@
                     tracing::info!(event = "streams_not_known", peer = name.as_str(), %error);
                     return None;
                 }
+                // Means nothing for other requests: a keeper is not left because it was slow with these.
                 Err(error) => {
-                    self.record_silence(&name, &error);
+                    tracing::info!(event = "streams_not_answered", peer = name.as_str(), %error);
                     return None;
                 }
             }
