Streams: told only when versions may differ; found by new boxes, kept over planned stops

- While a service has had a single version for as long as a stream can be taken up, anybody can say where its streams began, so origins are held back and told the moment that a second version may be there (test a_stream_goes_on_where_it_began_ before_a_second_version_came).
- A box that no other one answers goes by what the platform says now, not by what it saw: it may not see a version that others send to.
- Messages about streams name the receiver's incarnation, so a box that others do not list yet is served. 30 bytes more a message; the pinned sizes say so.
- A planned stop hands over what the box remembers, in a second at most.
- A refusal names a time to come back where this box may soon know more.
- That time counts the endpoints of the version only.

--- a/crates/balance/src/pool/wait.rs
+++ b/crates/balance/src/pool/wait.rs
@@ -20,8 +20,9 @@
 impl Pool {
     /// Milliseconds until the first endpoint becomes available, 0 if one is now; `None` if there is
     /// none that stays.
-    pub fn next_available_ms(&self, now: u64) -> Option<u64> {
-        let availabilities = self.staying().map(|endpoint| self.availability(endpoint, now));
+    pub fn next_available_ms(&self, version: Option<&str>, now: u64) -> Option<u64> {
+        let staying = self.staying_at(version);
+        let availabilities = staying.map(|endpoint| self.availability(endpoint, now));
         let delays = availabilities.filter_map(|availability| match availability {
             Availability::Open => Some(0),
             Availability::Waits { ms } => Some(ms),
@@ -69,16 +70,16 @@
     /// that callers do not return together. During back-offs, retries are spread over at least
     /// twice the time over which the requests arrived, so that there is room for new ones too, and
     /// urgent requests come first.
-    pub fn retry_after_ms(&mut self, rank: u8, now: u64) -> Option<u64> {
-        let wait = self.next_available_ms(now)?;
+    pub fn retry_after_ms(&mut self, version: Option<&str>, rank: u8, now: u64) -> Option<u64> {
+        let wait = self.next_available_ms(version, now)?;
         let held_back =
-            self.staying().filter_map(|endpoint| endpoint.back_off.held_back_since(now));
+            self.staying_at(version).filter_map(|endpoint| endpoint.back_off.held_back_since(now));
         if let Some(since) = held_back.max().filter(|_| wait > 0) {
             let spread = MIN_RETRY_SPREAD + f64::from(rank.min(MAX_RANK)) / f64::from(MAX_RANK);
             let extra_ms = now.saturating_sub(since) as f64 * spread;
             return Some(wait.saturating_add(extra_ms as u64 % MAX_RETRY_SPREAD_MS));
         }
-        let limits = self.staying().map(|endpoint| endpoint.limit().map(Limit::as_per_s));
+        let limits = self.staying_at(version).map(|endpoint| endpoint.limit().map(Limit::as_per_s));
         let Some(per_s) = limits.sum::<Option<f64>>() else { return Some(wait) };
         let boxes = self.boxes() as f64;
         let spacing_ms = (1_000.0 * boxes / per_s).min(MAX_RETRY_SPACING_MS as f64) as u64;
--- a/crates/balance/tests/back_off.rs
+++ b/crates/balance/tests/back_off.rs
@@ -126,7 +126,8 @@
         pool.back_off(&name(n), 2_000 + n as u64 * 500, 0);
     });
     let mut times = |rank| {
-        [0, 500, 1_000, 1_900].map(|now| now + pool.retry_after_ms(rank, now).expect("an endpoint"))
+        [0, 500, 1_000, 1_900]
+            .map(|now| now + pool.retry_after_ms(None, rank, now).expect("an endpoint"))
     };
     assert_eq!(times(0), [2_000, 3_000, 4_000, 5_800]);
     assert_eq!(times(9), [2_000, 3_500, 5_000, 7_700]);
@@ -225,7 +226,7 @@
             self.refused_on_retry += 1;
             return;
         }
-        let wait = self.boxes[at].retry_after_ms(rank, now).expect("an endpoint");
+        let wait = self.boxes[at].retry_after_ms(None, rank, now).expect("an endpoint");
         self.retries.entry(now + wait.max(MIN_RETRY_MS)).or_default().push((at, rank));
     }
 
--- a/crates/balance/tests/cold.rs
+++ b/crates/balance/tests/cold.rs
@@ -144,7 +144,7 @@
     assert!(most_in_a_second(&arrived) < TOO_MANY);
     let served: usize = arrived.values().map(Vec::len).sum();
     assert!(served > 8 * 12 && refused > 0, "{served} served, {refused} refused");
-    let waits = pools.iter().map(|pool| pool.next_available_ms(3_000).expect("an endpoint"));
+    let waits = pools.iter().map(|pool| pool.next_available_ms(None, 3_000).expect("an endpoint"));
     assert!(waits.max().is_some_and(|ms| ms <= 1_100), "no longer than they stay cold");
 }
 
--- a/crates/balance/tests/limit.rs
+++ b/crates/balance/tests/limit.rs
@@ -188,7 +188,7 @@
         for name in ["e0", "e1", "e2"] {
             pool.get_mut(name).expect("in the pool").defer_permits(400, 60_000);
         }
-        let mut next_retry = || pool.retry_after_ms(0, 60_000).expect("an endpoint");
+        let mut next_retry = || pool.retry_after_ms(None, 0, 60_000).expect("an endpoint");
         (0..4).map(|_| next_retry()).collect::<Vec<_>>()
     };
     // Three boxes share 2 requests per second, so each sends one every 1.5 s. Retries are at most 3
--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -254,7 +254,7 @@
 
     /// Sends origins of streams to a box that remembers them. Returns whether it took them.
     pub async fn record_streams(&self, home: &Incarnation, records: Vec<StreamRecord>) -> bool {
-        let frame = Frame::StreamsBegan { records };
+        let frame = |to| Frame::StreamsBegan { to, records: records.clone() };
         self.ask_home(home, frame, NOTIFY_TIMEOUT).await == Some(Frame::Done)
     }
 
@@ -265,7 +265,8 @@
         keys: Vec<StreamKey>,
         timeout: Duration,
     ) -> Option<Vec<StreamRecord>> {
-        match self.ask_home(home, Frame::FindStreams { keys }, timeout).await? {
+        let frame = |to| Frame::FindStreams { to, keys: keys.clone() };
+        match self.ask_home(home, frame, timeout).await? {
             Frame::StreamsFound { records } => Some(records),
             _ => None,
         }
@@ -273,11 +274,16 @@
 
     /// Sends a request about streams to whichever incarnation of a box runs; `None` if it does not
     /// answer or is of an older version, which does not know the request.
-    async fn ask_home(&self, home: &Incarnation, frame: Frame, timeout: Duration) -> Option<Frame> {
+    async fn ask_home(
+        &self,
+        home: &Incarnation,
+        frame: impl Fn(Incarnation) -> Frame,
+        timeout: Duration,
+    ) -> Option<Frame> {
         let mut name = self.current_incarnation(home)?;
         for _ in 0..MAX_INCARNATIONS {
             let peer = self.peer(&name)?;
-            match self.exchange(&name, &peer, frame.clone(), timeout).await {
+            match self.exchange(&name, &peer, frame(name.clone()), timeout).await {
                 Ok(Reply::Frame(answer)) => return Some(answer),
                 Ok(Reply::Replaced) => name = self.current_incarnation(home)?,
                 Ok(Reply::NoAnswer) => return None,
@@ -285,9 +291,8 @@
                     tracing::info!(event = "streams_not_known", peer = name.as_str(), %error);
                     return None;
                 }
-                // Means nothing for other requests: a keeper is not left because it was slow with these.
                 Err(error) => {
-                    tracing::info!(event = "streams_not_answered", peer = name.as_str(), %error);
+                    self.record_silence(&name, &error);
                     return None;
                 }
             }
--- a/crates/gateway/src/fleet/streams/memory.rs
+++ b/crates/gateway/src/fleet/streams/memory.rs
@@ -69,6 +69,11 @@
         is_kept.then(|| StreamRecord { key, origin: (*known.origin).clone(), age_ms })
     }
 
+    /// What is known of all streams.
+    pub fn all(&self, now: Instant) -> Vec<StreamRecord> {
+        self.known.keys().filter_map(|key| self.get(*key, now)).collect()
+    }
+
     /// Number of streams, including expired ones until the next is inserted.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -8,7 +8,11 @@
 pub mod homes;
 pub mod memory;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use ledger::Incarnation;
@@ -23,13 +27,15 @@
 
 use crate::fleet::peers::Peers;
 use homes::COPIES;
-use memory::Memory;
+use memory::{Memory, STREAM_TTL};
 
 /// Interval between two messages to a home.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that a request waits for homes to answer: many round trips between availability
 /// zones.
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time to hand origins over before a planned stop.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Origins that wait to be sent; the largest fleet begins as many streams in a second.
 const MAX_QUEUED: usize = 4_096;
 /// How long a home that did not take origins is not sent any: it is silent, about to stop, or of an older
@@ -37,6 +43,8 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two log lines about lost copies.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Origins of one service that are held back; a box begins as many streams in a minute or more.
+const MAX_HELD: usize = 4_096;
 /// Origins in one message, which stays far below the largest one.
 const MAX_RECORDS: usize = 1_024;
 
@@ -91,6 +99,7 @@
     peers: Peers,
     memory: Mutex<Memory>,
     outbox: Mutex<Outbox>,
+    held: Mutex<Held>,
     /// Notified when something is queued.
     queued: Notify,
     /// Number of batches that are being sent.
@@ -109,6 +118,15 @@
     logged: Option<Instant>,
 }
 
+/// When homes are told of an origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tell {
+    /// At once.
+    Now,
+    /// Only if [`Streams::tell`] asks for it: anybody can say where streams of the service begin.
+    Later,
+}
+
 #[derive(Default)]
 struct Outbox {
     queued: Vec<Queued>,
@@ -131,6 +149,30 @@
     }
 }
 
+/// Origins that are held back, by service, oldest first.
+#[derive(Default)]
+struct Held(HashMap<Arc<str>, VecDeque<Queued>>);
+
+impl Held {
+    fn push(&mut self, queued: Queued) {
+        let held = self.0.entry(queued.origin.service.clone()).or_default();
+        let is_expired = |first: &Queued| first.began.elapsed() >= STREAM_TTL;
+        while held.len() >= MAX_HELD || held.front().is_some_and(is_expired) {
+            held.pop_front();
+        }
+        held.push_back(queued);
+    }
+
+    fn services(&self) -> Vec<Arc<str>> {
+        self.0.keys().cloned().collect()
+    }
+
+    /// Takes out the origins of a service.
+    fn take(&mut self, service: &str) -> VecDeque<Queued> {
+        self.0.remove(service).unwrap_or_default()
+    }
+}
+
 /// An origin for one home.
 struct Copy {
     queued: Queued,
@@ -159,6 +201,7 @@
             peers,
             memory: Mutex::new(Memory::new(Instant::now())),
             outbox: Mutex::default(),
+            held: Mutex::default(),
             queued: Notify::new(),
             batches: watch::Sender::new(0),
             avoided: Mutex::default(),
@@ -180,16 +223,39 @@
         }
     }
 
-    /// Remembers the origin of a stream that this box relays, and queues it for its homes. Renews a
+    /// Remembers the origin of a stream that this box relays, and queues it for its homes or holds it back. Renews a
     /// known one.
-    pub fn record(&self, key: StreamKey, origin: StreamOrigin) {
+    pub fn record(&self, key: StreamKey, origin: StreamOrigin, tell: Tell) {
         let began = Instant::now();
         let queued = Queued { key, origin, began };
         self.0.memory.lock().insert(&queued.record(), began);
+        match tell {
+            Tell::Now => self.queue([queued]),
+            Tell::Later => self.0.held.lock().push(queued),
+        }
+    }
+
+    /// Services of origins that are held back.
+    pub fn held_services(&self) -> Vec<Arc<str>> {
+        self.0.held.lock().services()
+    }
+
+    /// Queues the origins of a service that are held back.
+    pub fn tell(&self, service: &str) {
+        let held = self.0.held.lock().take(service);
+        if !held.is_empty() {
+            tracing::info!(event = "stream_origins_told", service, streams = held.len());
+        }
+        self.queue(held);
+    }
+
+    fn queue(&self, origins: impl IntoIterator<Item = Queued>) {
         let mut outbox = self.0.outbox.lock();
-        match outbox.queued.len() < MAX_QUEUED {
-            true => outbox.queued.push(queued),
-            false => outbox.dropped += 1,
+        for queued in origins {
+            match outbox.queued.len() < MAX_QUEUED {
+                true => outbox.queued.push(queued),
+                false => outbox.dropped += 1,
+            }
         }
         drop(outbox);
         self.0.queued.notify_one();
@@ -269,6 +335,32 @@
         let _ = self.0.batches.subscribe().wait_for(|batches| *batches == 0).await;
     }
 
+    /// Before a planned stop: sends all that this box knows to other homes, for a limited time, except for streams of
+    /// services of which anybody can say where they begin.
+    pub async fn hand_over(&self, is_needless: impl Fn(&Arc<str>) -> bool) {
+        let now = Instant::now();
+        let records = self.0.memory.lock().all(now);
+        let began = |record: &StreamRecord| now.checked_sub(Duration::from_millis(record.age_ms));
+        let queued = records.into_iter().filter(|record| !is_needless(&record.origin.service));
+        let queued: Vec<Queued> = queued
+            .map(|record| Queued {
+                began: began(&record).unwrap_or(now),
+                key: record.key,
+                origin: record.origin,
+            })
+            .collect();
+        let streams = queued.len();
+        let sending = async {
+            if !queued.is_empty() {
+                self.0.batches.send_modify(|batches| *batches += 1);
+                deliver(Batch { streams: self.clone(), queued }).await;
+            }
+            self.flush().await;
+        };
+        let is_done = tokio::time::timeout(HAND_OVER_TIMEOUT, sending).await.is_ok();
+        tracing::info!(event = "streams_handed_over", streams, is_done);
+    }
+
     pub fn counts(&self) -> Counts {
         Counts { known: self.0.memory.lock().len(), lost: self.0.losses.lock().total }
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -34,6 +34,7 @@
         endpoints::Endpoints,
         exits::Exits,
         link::Link,
+        origins::tell_when_versions_differ,
         permits::{self, Permits},
     },
     settings::Settings,
@@ -320,6 +321,7 @@
             tokio::spawn(acquirer.run()),
             tokio::spawn(replicator.run()),
             tokio::spawn(write_bills),
+            tokio::spawn(tell_when_versions_differ(streams.clone(), context.sole_versions.clone())),
             tokio::spawn(streams.run()),
             tokio::spawn(for_balancer),
             tokio::spawn(for_operators),
@@ -461,8 +463,8 @@
         self.tunnels.close();
         let ends = async { tokio::join!(self.tasks.wait(), self.tunnels.wait()) };
         let finished = tokio::time::timeout(remaining, ends).await.is_ok();
-        // Bounds its own time.
-        self.context.streams.flush().await;
+        let Context { streams, sole_versions, .. } = &*self.context;
+        streams.hand_over(|service| sole_versions.is_settled(service)).await;
         let remaining = limit.saturating_sub(began.elapsed());
         self.settle_deadline
             .send_replace(Some(Instant::now() + remaining + FINAL_SETTLEMENT_TIMEOUT));
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -1,7 +1,7 @@
 //! Serves requests of other boxes.
 //!
-//! Most requests are served to known boxes only. A box that announces itself, draws tokens or hands
-//! over bills may be unknown: it may have just started, or this box may not reach the store. Such a
+//! Most requests are served to known boxes only. A box that announces itself, draws tokens, hands
+//! over bills or asks for streams may be unknown: it may have just started, or this box may not reach the store. Such a
 //! request names the incarnation of the receiver, whose 64 random bits only the store and the fleet
 //! know. Sealing a promise requires the incarnation of the box that made it, for the same reason.
 
@@ -141,8 +141,6 @@
             | Frame::PermitRequest(_)
             | Frame::Limit { .. }
             | Frame::Departure { .. }
-            | Frame::StreamsBegan { .. }
-            | Frame::FindStreams { .. }
                 if !self.peers.knows(&request.from) =>
             {
                 self.peers.report_stale_list();
@@ -205,11 +203,14 @@
             Frame::Replicate { segments, .. } => {
                 Frame::Replica(self.bills.keep(&request.from, segments))
             }
-            Frame::StreamsBegan { records } => {
+            Frame::StreamsBegan { to, .. } | Frame::FindStreams { to, .. } if to != self.me => {
+                Frame::Refused { reason: "another incarnation was requested".into() }
+            }
+            Frame::StreamsBegan { records, .. } => {
                 self.streams.receive(&records);
                 Frame::Done
             }
-            Frame::FindStreams { keys } => {
+            Frame::FindStreams { keys, .. } => {
                 Frame::StreamsFound { records: self.streams.known(&keys) }
             }
             Frame::Subscribe(_) | Frame::SubscribeToRoot(_) if *self.stopping.borrow() => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
     promises::{Acceptance, Promises},
     regions::Regions,
     streams::{
-        Counts as StreamCounts, Found, Streams,
+        Counts as StreamCounts, Found, Streams, Tell,
         homes::{Homes, homes},
         key as stream_key,
         memory::{MAX_STREAMS, Memory, STREAM_TTL},
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -21,6 +21,7 @@
         context::Context,
         endpoints::Chosen,
         exchange::Exchange,
+        origins,
         refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
         relay::InFlight,
     },
@@ -131,12 +132,16 @@
     /// endpoints are used up.
     fn no_endpoint(&self, admitted: &AdmittedRequest) -> Refusal {
         let AdmittedRequest { service, version, .. } = admitted;
-        let is_gone = |version: &Arc<str>| !self.endpoints.serves_version(service, version);
-        if version.as_ref().is_some_and(is_gone) {
+        let is_gone = |version: &&Arc<str>| !self.endpoints.serves_version(service, version);
+        if let Some(version) = version.as_ref().filter(is_gone) {
             let detail = "no endpoint runs the software version that began the stream";
-            return Reason::VersionGone.with(detail);
+            // One that this box never saw is one that it does not see yet.
+            return match self.sole_versions.has_seen(service, version) {
+                true => Reason::VersionGone.with(detail),
+                false => Reason::VersionGone.after(origins::RETRY_DELAY, detail),
+            };
         }
-        match self.endpoints.retry_delay(&admitted.service, admitted.rank) {
+        match self.endpoints.retry_delay(service, version.as_deref(), admitted.rank) {
             Some(wait) if wait > CAPACITY_RETRY_DELAY => Reason::NoEndpoint.after(
                 wait,
                 "all endpoints which take requests are cold, backing off or limited in rate",
--- a/crates/gateway/src/proxy/endpoints/mod.rs
+++ b/crates/gateway/src/proxy/endpoints/mod.rs
@@ -308,13 +308,13 @@
         self.state.lock().services.values().map(|pool| pool.cold(now)).sum()
     }
 
-    /// Delay after which to retry a request of this rank that no endpoint of a service accepted; `None` if the
-    /// service has no endpoints or all of them are leaving.
-    pub fn retry_delay(&self, service: &str, rank: u8) -> Option<Duration> {
+    /// Delay after which to retry a request of this rank that no endpoint of a service, of one software version or of
+    /// all, accepted; `None` if there are no such endpoints or all of them are leaving.
+    pub fn retry_delay(&self, service: &str, version: Option<&str>, rank: u8) -> Option<Duration> {
         let now = self.now();
         let state = &mut *self.state.lock();
         let pool = state.services.get_mut(service)?;
-        pool.retry_after_ms(rank, now).map(Duration::from_millis)
+        pool.retry_after_ms(version, rank, now).map(Duration::from_millis)
     }
 
     /// Replaces the evacuated zones; returns whether that is a change.
--- a/crates/gateway/src/proxy/origins.rs
+++ b/crates/gateway/src/proxy/origins.rs
@@ -2,7 +2,8 @@
 //!
 //! What two versions of an endpoint's software write does not fit together, so a stream goes on only at the version that
 //! began it. Where that is not known, the request is refused without having run, unless the service had but one version
-//! for as long as a stream can be taken up.
+//! for as long as a stream can be taken up. So origins are told to other boxes only from the moment at which a service may
+//! have a second version.
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,17 +15,21 @@
 
 use crate::{
     config_table::ConfigTable,
-    fleet::streams::{self, Found},
+    fleet::streams::{self, Found, Streams, Tell},
     metrics::TakenUp,
     proxy::{
         context::Context,
         exchange::Exchange,
         refusal::{Reason, Refusal},
     },
+    sole_versions::{handle::SoleVersions, history::Seen},
 };
 
-/// `Retry-After` where boxes that may know the origin of a stream did not answer: the caller comes to another box then.
-const UNHEARD_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// `Retry-After` where this box may soon know more of a stream, or another one does already.
+pub const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Interval at which a box looks whether a service has a second version.
+const VERSIONS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -112,7 +117,11 @@
             }
             None if origin == Origin::Unheard => {
                 let detail = "boxes that may know which version began the stream did not answer";
-                Err(Reason::VersionUnknown.after(UNHEARD_RETRY_DELAY, detail))
+                Err(Reason::VersionUnknown.after(RETRY_DELAY, detail))
+            }
+            None if self.sole_versions.seen(drawn) != Seen::Several => {
+                let detail = "it is not known yet which version began the stream";
+                Err(Reason::VersionUnknown.after(RETRY_DELAY, detail))
             }
             None => {
                 Err(Reason::VersionUnknown.with("it is not known which version began the stream"))
@@ -132,7 +141,13 @@
             Found::Nowhere => Origin::Unknown,
             Found::Unheard => Origin::Unheard,
         };
-        match self.sole_versions.sole_version(drawn, exchange.deadline).await {
+        let versions = &self.sole_versions;
+        // A box that nobody answers may not see the versions that others see.
+        let sole = match not_found {
+            Origin::Unheard => versions.recorded_version(drawn, exchange.deadline).await,
+            _ => versions.sole_version(drawn, exchange.deadline).await,
+        };
+        match sole {
             Some(version) => Origin::Sole(StreamOrigin { service: drawn.clone(), version }),
             None => not_found,
         }
@@ -163,7 +178,24 @@
         let can_be_taken_up = route.kind == Kind::Streaming && route.resumable;
         let first_attempt = head.resumes.as_ref().or(head.id.as_ref());
         if let Some(attempt) = first_attempt.filter(|_| can_be_taken_up) {
-            self.streams.record(key(exchange, attempt), origin);
+            let tell = match self.sole_versions.is_settled(&origin.service) {
+                true => Tell::Later,
+                false => Tell::Now,
+            };
+            self.streams.record(key(exchange, attempt), origin, tell);
+        }
+    }
+}
+
+/// Tells other boxes where running streams began, as soon as their service may have a second version.
+pub async fn tell_when_versions_differ(streams: Streams, sole_versions: SoleVersions) {
+    let mut ticks = tokio::time::interval(VERSIONS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        for service in streams.held_services() {
+            if !sole_versions.is_settled(&service) {
+                streams.tell(&service);
+            }
         }
     }
 }
--- a/crates/gateway/src/sole_versions/history.rs
+++ b/crates/gateway/src/sole_versions/history.rs
@@ -49,6 +49,8 @@
     versions: BTreeMap<Arc<str>, Version>,
     /// No other versions than these were seen since then.
     since_ms: u64,
+    /// The platform confirmed that the only version was the only one before that, too.
+    is_confirmed: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -94,7 +96,9 @@
     /// if that is too long ago.
     pub fn look(&mut self, now_ms: u64) {
         if self.is_broken(now_ms) {
-            self.services.values_mut().for_each(|service| service.since_ms = now_ms);
+            for service in self.services.values_mut() {
+                (service.since_ms, service.is_confirmed) = (now_ms, false);
+            }
         }
         self.last_look_ms = now_ms.max(self.last_look_ms);
         let memory_ms = self.memory_ms;
@@ -128,12 +132,15 @@
     }
 
     fn add(&mut self, Listed { service, version }: &Listed, now_ms: u64) -> bool {
-        let new = || Service { versions: BTreeMap::new(), since_ms: now_ms };
+        let versions = BTreeMap::new();
+        let new = || Service { versions, since_ms: now_ms, is_confirmed: false };
         let service = self.services.entry(service.clone()).or_insert_with(new);
         service.forget(self.memory_ms, now_ms);
         let version = service.versions.entry(version.clone()).or_default();
         version.endpoints += 1;
-        version.endpoints == 1
+        let is_new = version.endpoints == 1;
+        service.is_confirmed &= service.versions.len() == 1;
+        is_new
     }
 
     fn remove(&mut self, Listed { service, version }: &Listed, now_ms: u64) -> bool {
@@ -177,6 +184,34 @@
         }
     }
 
+    /// Whether a service had a single version for as long as versions count, as far as this box saw and the platform
+    /// confirmed for the time before.
+    pub fn is_settled(&self, service: &str, now_ms: u64) -> bool {
+        self.lasting(service, now_ms).is_some() || self.is_confirmed(service, now_ms)
+    }
+
+    /// Whether this box has seen a version of a service lately.
+    pub fn has_seen(&self, service: &str, version: &str) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.versions.contains_key(version))
+    }
+
+    /// The platform names a version as the only one of a service for as long as versions count. Has an effect for as
+    /// long as no other one is seen; returns whether it has.
+    pub fn confirm(&mut self, service: &str, version: &str, now_ms: u64) -> bool {
+        let is_sole = match self.seen(service, now_ms) {
+            Seen::Sole { version: sole, .. } => *sole == *version,
+            Seen::Several | Seen::Nothing => false,
+        };
+        let known = self.services.get_mut(service).filter(|_| is_sole);
+        known.map(|service| service.is_confirmed = true).is_some()
+    }
+
+    fn is_confirmed(&self, service: &str, now_ms: u64) -> bool {
+        let service = self.services.get(service);
+        !self.is_broken(now_ms) && service.is_some_and(|service| service.is_confirmed)
+    }
+
     fn is_broken(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.last_look_ms) > MAX_BREAK_MS
     }
--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -6,6 +6,7 @@
 };
 
 use futures_util::future::join_all;
+use gateway::Seen;
 use http::{HeaderMap, StatusCode};
 use platform::fixtures::{self, CallerHead, Registration, Resumed};
 use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
@@ -287,3 +288,21 @@
     fleet.wait_until_ready().await;
     assert_eq!(fleet.resume_all(&began, &[0, 1, 2, 3]).await, STREAMS);
 }
+
+/// Guards against streams that began while there was one version, of which no other box knows once there are two.
+#[tokio::test]
+async fn a_stream_goes_on_where_it_began_before_a_second_version_came() {
+    let mut fleet = Fleet::start(&["v1", "v1"]).await;
+    let began = join_all((0..STREAMS).map(|_| fleet.begin(0))).await;
+    fleet.add_endpoint("v2", respond).await;
+    for process in &fleet.boxes {
+        wait_until("a box sees both versions", async || {
+            process.gateway().versions_seen("engines") == Seen::Several
+        })
+        .await;
+    }
+    // A box looks ten times a second.
+    tokio::time::sleep(CALLER_PAUSE * 3).await;
+    fleet.boxes.remove(0).kill();
+    assert_eq!(fleet.resume_all(&began, &[0, 1, 2]).await, STREAMS);
+}
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -172,7 +172,7 @@
     }
     view.clock.suspend(Duration::from_millis(balance::LAST_RESORT_MS / 2));
     assert!(view.choose().is_some(), "a last resort until its successors are known");
-    assert_eq!(view.endpoints.retry_delay(SERVICE, 0), None, "all endpoints are leaving");
+    assert_eq!(view.endpoints.retry_delay(SERVICE, None, 0), None, "all endpoints are leaving");
     view.clock.suspend(Duration::from_millis(balance::LAST_RESORT_MS));
     assert!(view.choose().is_none(), "the last resort has ended");
 }
@@ -275,7 +275,7 @@
         Signals { back_off: Some(Signal::Unreadable("a while".into())), ..Signals::default() };
     view.receive(&chosen, &signals);
     assert!(view.choose().is_none());
-    assert!(view.endpoints.retry_delay(SERVICE, 0).is_some_and(|wait| wait > Duration::ZERO));
+    assert!(view.endpoints.retry_delay(SERVICE, None, 0).is_some_and(|wait| wait > Duration::ZERO));
     view.clock.suspend(Duration::from_millis(1_000));
     assert!(view.is_chosen("i-1"), "an unreadable back-off is short");
     view.receive(&chosen, &back_off(86_400_000));
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -8,7 +8,7 @@
 };
 
 use gateway::{
-    Entry, Found, Homes, MAX_STREAMS, Memory, Peers, Profile, STREAM_TTL, Streams, homes,
+    Entry, Found, Homes, MAX_STREAMS, Memory, Peers, Profile, STREAM_TTL, Streams, Tell, homes,
     stream_key,
 };
 use ledger::Incarnation;
@@ -308,11 +308,11 @@
 impl wire::Answer for Service {
     async fn answer(&self, request: Message) -> Message {
         let frame = match (self.behavior, request.frame) {
-            (Behavior::Serve, Frame::StreamsBegan { records }) => {
+            (Behavior::Serve, Frame::StreamsBegan { records, .. }) => {
                 self.streams.receive(&records);
                 Frame::Done
             }
-            (Behavior::Serve, Frame::FindStreams { keys }) => {
+            (Behavior::Serve, Frame::FindStreams { keys, .. }) => {
                 Frame::StreamsFound { records: self.streams.known(&keys) }
             }
             (Behavior::Serve | Behavior::Refuse, _) => Frame::Refused { reason: "no".into() },
@@ -420,7 +420,7 @@
     for _ in 0..MAX_FLEETS {
         let fleet = start().await;
         let streams = &fleet[0].streams;
-        streams.record(KEY, origin("v1"));
+        streams.record(KEY, origin("v1"), Tell::Now);
         streams.flush().await;
         let (copies, lost) = (copies(&fleet), streams.counts().lost);
         assert!(copies >= 2 || lost > 0, "{copies} copies, and none counts as lost");
@@ -451,7 +451,7 @@
     let fleet = fleet(&[SERVE; 4]).await;
     let until = Instant::now() + MAX_WAIT;
     while copies(&fleet) < 2 {
-        fleet[0].streams.record(KEY, origin("v1"));
+        fleet[0].streams.record(KEY, origin("v1"), Tell::Now);
         tokio::time::sleep(RETRY_PAUSE).await;
         assert!(Instant::now() < until, "the homes get it");
     }
@@ -531,7 +531,7 @@
     let fleet = fleet(&[SERVE; 3]).await;
     // Nothing is awaited, so nothing is sent in between.
     let keys = (0..RECORDED as u128).map(StreamKey);
-    keys.for_each(|key| fleet[0].streams.record(key, origin("v1")));
+    keys.for_each(|key| fleet[0].streams.record(key, origin("v1"), Tell::Now));
     fleet[0].streams.flush().await;
     let known: Vec<usize> = fleet.iter().map(|one| one.streams.counts().known).collect();
     let lost = fleet[0].streams.counts().lost as usize;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -382,10 +382,10 @@
     Replicate { to: Incarnation, segments: Vec<Segment> },
     /// Answer to [`Frame::Replicate`].
     Replica(Replica),
-    /// Origins of streams, for the receiver to remember.
-    StreamsBegan { records: Vec<StreamRecord> },
-    /// Asks for the origins of streams.
-    FindStreams { keys: Vec<StreamKey> },
+    /// Origins of streams, for this incarnation of the receiver to remember.
+    StreamsBegan { to: Incarnation, records: Vec<StreamRecord> },
+    /// Asks this incarnation of the receiver for the origins of streams.
+    FindStreams { to: Incarnation, keys: Vec<StreamKey> },
     /// Answer to [`Frame::FindStreams`]: the origins that the receiver knows.
     StreamsFound { records: Vec<StreamRecord> },
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -48,9 +48,10 @@
         prop::collection::vec(word, 0..5).prop_map(|objects| Frame::Objects {
             objects: objects.into_iter().map(Into::into).collect(),
         }),
-        stream_records().prop_map(|records| Frame::StreamsBegan { records }),
+        stream_records().prop_map(|records| Frame::StreamsBegan { to: "box-2.1".into(), records }),
         stream_records().prop_map(|records| Frame::StreamsFound { records }),
         prop::collection::vec(any::<u128>(), 0..5).prop_map(|keys| Frame::FindStreams {
+            to: "box-2.1".into(),
             keys: keys.into_iter().map(StreamKey).collect(),
         }),
     ]
@@ -88,10 +89,11 @@
     assert!(encode(&message(large), NEWEST_FORMAT).is_err());
 }
 
-/// Number of a frame with an empty list.
+/// Number of a frame. It stands where that of a frame without content does, which ends the message.
 fn number(frame: Frame) -> u32 {
+    let empty = encode(&message(Frame::Done), NEWEST_FORMAT).expect("below the size limit");
     let bytes = encode(&message(frame), NEWEST_FORMAT).expect("below the size limit");
-    let at = bytes.len() - size_of::<u64>() - size_of::<u32>();
+    let at = empty.len() - size_of::<u32>();
     u32::from_le_bytes(bytes[at..][..4].try_into().expect("four bytes"))
 }
 
@@ -99,8 +101,8 @@
 fn frames_about_streams_keep_their_numbers() {
     let frames = [
         Frame::Objects { objects: Vec::new() },
-        Frame::StreamsBegan { records: Vec::new() },
-        Frame::FindStreams { keys: Vec::new() },
+        Frame::StreamsBegan { to: "box-2.1".into(), records: Vec::new() },
+        Frame::FindStreams { to: "box-2.1".into(), keys: Vec::new() },
         Frame::StreamsFound { records: Vec::new() },
     ];
     assert!(frames[1..].iter().all(|frame| frame.topic() == "streams"));
--- a/crates/wire/tests/size.rs
+++ b/crates/wire/tests/size.rs
@@ -148,8 +148,9 @@
         let origin = StreamOrigin { service: "engines".into(), version: "2026.12.1".into() };
         let record = |key| StreamRecord { key: StreamKey(key), origin: origin.clone(), age_ms: 10 };
         let records = (0..count).map(record).collect();
-        let frame = Frame::StreamsBegan { records };
+        let to = message(Frame::Done).from;
+        let frame = Frame::StreamsBegan { to, records };
         encode(&message(frame), wire::NEWEST_FORMAT).expect("below the size limit").len()
     };
-    assert_eq!((bytes(1), bytes(100)), (112, 5_656));
+    assert_eq!((bytes(1), bytes(100)), (142, 5_686));
 }
