Soak: responses without a frame, and how they end for their callers

Further kills and planned stops meet such responses; every other box has a stop time shorter than the longest streams, and the check of planned stops leaves out what breaks off after that time.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -122,6 +122,17 @@
 const CUT_OFF: [Case; 1] =
     [Case { seed: 601, seconds: 12, limits: true, announcements: true, cause: "never failed" }];
 
+/// Endpoints also respond without a frame, and break responses off.
+const UNFRAMED: [Case; 1] =
+    [Case { seed: 9101, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
+
+/// What a run has beside the faults of its seed.
+#[derive(Debug, Clone, Copy, Default)]
+struct Variety {
+    cuts: bool,
+    unframed: bool,
+}
+
 #[tokio::test]
 async fn guarantees_hold_under_random_faults() {
     run_cases(&CASES, StopOrder::InLine).await;
@@ -130,7 +141,15 @@
 /// Guards against guarantees that end where one box carries another one's connections to endpoints.
 #[tokio::test]
 async fn guarantees_hold_while_boxes_are_cut_off_from_endpoints() {
-    run_cases_with_cuts(&CUT_OFF, StopOrder::Concurrent, true).await;
+    let variety = Variety { cuts: true, ..Variety::default() };
+    run_varied_cases(&CUT_OFF, StopOrder::Concurrent, variety).await;
+}
+
+/// Guards against responses that look whole, or end in order, though nobody ended them so.
+#[tokio::test]
+async fn responses_end_as_their_endpoints_ended_them() {
+    let variety = Variety { unframed: true, ..Variety::default() };
+    run_varied_cases(&UNFRAMED, StopOrder::Concurrent, variety).await;
 }
 
 #[tokio::test]
@@ -164,10 +183,10 @@
 }
 
 async fn run_cases(cases: &[Case], stops: StopOrder) {
-    run_cases_with_cuts(cases, stops, false).await;
+    run_varied_cases(cases, stops, Variety::default()).await;
 }
 
-async fn run_cases_with_cuts(cases: &[Case], stops: StopOrder, cuts: bool) {
+async fn run_varied_cases(cases: &[Case], stops: StopOrder, variety: Variety) {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_flintstalld"));
     for Case { seed, seconds, limits, announcements, cause } in cases {
         let options = soak::Options {
@@ -178,7 +197,8 @@
             limits: *limits,
             announcements: *announcements,
             stops,
-            cuts,
+            cuts: variety.cuts,
+            unframed: variety.unframed,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/soak/src/call.rs
+++ b/crates/soak/src/call.rs
@@ -22,6 +22,8 @@
     Confirm,
     /// Like `Confirm`, on a route that is added during the run.
     Late,
+    /// Like `Stream`; callers may take it up after it broke.
+    Resume,
 }
 
 impl Route {
@@ -32,6 +34,7 @@
             Route::Cancel => "cancel",
             Route::Confirm => "confirm",
             Route::Late => "late",
+            Route::Resume => "resume",
         }
     }
 
@@ -39,6 +42,11 @@
     pub fn is_repeatable(self) -> bool {
         matches!(self, Route::Cancel)
     }
+
+    /// Whether responses are streams, which cost tokens.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Route::Stream | Route::Resume)
+    }
 }
 
 /// One start of a box.
@@ -109,7 +117,7 @@
         id: id.text(),
         key: Some(key.to_owned()),
         deadline: Some(DEADLINE),
-        tokens: (route == Route::Stream).then_some(tokens),
+        tokens: route.is_stream().then_some(tokens),
         parts: Vec::new(),
         resumed: None,
     };
@@ -138,7 +146,7 @@
     }
     let body = String::from_utf8_lossy(&body).into_owned();
     let expected: String = match route {
-        Route::Stream => (0..id.events).map(|number| id.event(number)).collect(),
+        Route::Stream | Route::Resume => (0..id.events).map(|number| id.event(number)).collect(),
         Route::Cancel | Route::Confirm | Route::Late => id.answer(),
     };
     // `Behavior::TrailingResponse` sends the plain response on every route.
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -42,6 +42,10 @@
     /// boxes are cut off from all endpoints now and then
     #[argh(switch)]
     pub cuts: bool,
+
+    /// endpoints also answer without a length and without chunks, and break such responses off
+    #[argh(switch)]
+    pub unframed: bool,
 }
 
 impl Options {
@@ -60,6 +64,7 @@
             limits: !self.unlimited,
             announcements: !self.wordless,
             cuts: self.cuts,
+            unframed: self.unframed,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -16,7 +16,11 @@
 use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
 use tokio::time::Instant;
 
-use crate::{announcement::Announcement, limit::Limit};
+use crate::{
+    announcement::Announcement,
+    limit::Limit,
+    shape::{Content, End, Shape},
+};
 
 /// Tokens of one event; equals `stride` in the configuration.
 pub const TOKENS_PER_EVENT: u64 = 2;
@@ -32,24 +36,30 @@
     pub prompt: u64,
     /// Events of a streamed response.
     pub events: u64,
+    /// Shape of the response, if it is a raw caller's.
+    pub shape: Option<Shape>,
 }
 
 impl Id {
     /// Text form of the id, as in the request header.
     pub fn text(&self) -> String {
-        format!("soak-{}-{}-{}", self.number, self.prompt, self.events)
+        let shape = self.shape.map(|shape| format!("-{}", shape.text())).unwrap_or_default();
+        format!("soak-{}-{}-{}{shape}", self.number, self.prompt, self.events)
     }
 
     /// Parses the text form.
     pub fn read(text: &str) -> Option<Id> {
-        let mut numbers = text.strip_prefix("soak-")?.split('-').map(|n| n.parse().ok());
-        let (number, prompt, events) = (numbers.next()??, numbers.next()??, numbers.next()??);
-        Some(Id { number, prompt, events })
+        let mut fields = text.strip_prefix("soak-")?.split('-');
+        let mut number = || fields.next()?.parse().ok();
+        let (number, prompt, events) = (number()?, number()?, number()?);
+        Some(Id { number, prompt, events, shape: fields.next().and_then(Shape::read) })
     }
 
     /// How an endpoint handles the request.
     pub fn behavior(&self) -> Behavior {
         match self.number {
+            _ if self.shape.is_some_and(|shape| shape.end != End::Whole) => Behavior::Truncated,
+            _ if self.shape.is_some() => Behavior::Complete,
             n if n % 41 == 0 => Behavior::NoResponse,
             n if n % 43 == 0 => Behavior::Truncated,
             n if n % 47 == 0 => Behavior::TrailingResponse,
@@ -68,6 +78,19 @@
         format!("data: {} {number}\n\n", self.text())
     }
 
+    /// What the response has to hold on the raw connection of a caller that has the first events.
+    pub fn content(&self, is_stream: bool, after: u64) -> Content {
+        let text = self.text();
+        let parts = match is_stream {
+            true => {
+                let event = |number| format!("id: {number}\ndata: {text} {number}\n\n");
+                (after + 1..=after + self.events).map(event).collect()
+            }
+            false => self.answer().split_inclusive('-').map(str::to_owned).collect(),
+        };
+        Content { parts, is_stream }
+    }
+
     /// Body of the plain response.
     pub fn answer(&self) -> String {
         format!("done {}", self.text())
@@ -213,10 +236,17 @@
         }
         headers
     };
-    let headers = announce(fixtures::response_headers(&arrived.head.id, None));
+    let mut headers = announce(fixtures::response_headers(&arrived.head.id, None));
     let events = |count: u64| (0..count).map(|number| id.event(number)).collect::<Vec<_>>();
     // An endpoint that asks for a back-off runs nothing.
     let behavior = arrival.back_off.map_or(id.behavior(), |_| Behavior::NotRun);
+    if let (Some(shape), true) = (id.shape, behavior != Behavior::NotRun) {
+        let is_stream = service == "engines";
+        let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+        let content = id.content(is_stream, arrived.head.last_event.unwrap_or(0));
+        return shape.reply(&headers, &content);
+    }
     match behavior {
         Behavior::NoResponse => Reply::Close,
         Behavior::NotRun => {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -71,6 +71,8 @@
 
 /// Stream of random numbers for cuts of boxes from endpoints.
 const CUT_STREAM: u64 = 1;
+/// Stream of random numbers for further ends of boxes.
+const END_STREAM: u64 = 2;
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL: Duration = Duration::from_millis(900);
 /// Shortest and longest duration of a fault, in milliseconds.
@@ -123,6 +125,30 @@
     (0..count).map(cut).collect()
 }
 
+/// Mean time between two further ends of a box.
+const MEAN_END_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Shortest and longest time until the box starts again, in milliseconds.
+const END_MS: (u64, u64) = (200, 1_500);
+
+/// Draws kills and planned stops of boxes, from a seed of their own, so that many meet a response that
+/// is under way.
+pub fn draw_ends(seed: u64, boxes: usize, length: Duration) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(END_STREAM);
+    let count = length.as_millis() / MEAN_END_INTERVAL.as_millis();
+    let end = |_| {
+        let start = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
+        let duration = Duration::from_millis(random.random_range(END_MS.0..END_MS.1));
+        let box_index = random.random_range(0..boxes);
+        let kind = match random.random_bool(0.5) {
+            true => Kind::Kill { box_index },
+            false => Kind::Stop { box_index },
+        };
+        Fault { start, duration, kind }
+    };
+    (0..count).map(end).collect()
+}
+
 fn kind(random: &mut ChaCha8Rng, boxes: usize) -> Kind {
     let box_index = random.random_range(0..boxes);
     match random.random_range(0..14) {
--- a/crates/soak/src/loss.rs
+++ b/crates/soak/src/loss.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    call::{Call, Incarnation, Outcome, Route},
+    call::{Call, Incarnation, Outcome},
     endpoint::Id,
     life::{End, Life, Trace},
 };
@@ -63,7 +63,7 @@
     let billed: HashSet<&str> = bills.iter().map(|bill| &*bill.key).collect();
     let missing = calls.iter().filter(|call| {
         let is_answered = matches!(call.outcome, Outcome::Answered { .. });
-        is_answered && call.route == Route::Stream && !billed.contains(&*call.id.text())
+        is_answered && call.route.is_stream() && !billed.contains(&*call.id.text())
     });
     missing
         .map(|call| {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -37,6 +37,9 @@
             report.breaches.len(),
             report.excused
         );
+        if options.unframed {
+            println!("  {}", report.raw);
+        }
         for violation in report.breaches.iter().take(5) {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/crates/soak/src/run/callers.rs
+++ b/crates/soak/src/run/callers.rs
@@ -17,6 +17,7 @@
 use crate::{
     call::{self, Call, Incarnation, Route},
     endpoint::Id,
+    framing::RawCall,
 };
 
 /// Shortest and longest pause of a caller between two calls, in milliseconds.
@@ -27,6 +28,8 @@
     pub calls: Mutex<Vec<Call>>,
     /// Address and incarnation of each box that accepts callers.
     pub accepting: Mutex<Vec<Option<(SocketAddr, Incarnation)>>>,
+    /// What the raw callers among them saw.
+    pub raw_calls: Mutex<Vec<RawCall>>,
     next_number: AtomicU64,
     pub done: AtomicBool,
 }
@@ -35,11 +38,17 @@
     pub fn new(seed: u64, boxes: usize) -> Shared {
         Shared {
             calls: Mutex::default(),
+            raw_calls: Mutex::default(),
             accepting: Mutex::new(vec![None; boxes]),
             next_number: AtomicU64::new(seed.wrapping_mul(1_000_000) + 1),
             done: AtomicBool::new(false),
         }
     }
+
+    /// A number that no other request of the run has.
+    pub fn number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
 }
 
 /// Runs a caller until the load ends. It usually stays at one box while calls succeed and the box
@@ -65,9 +74,10 @@
         };
         let key = if random.random_bool(0.6) { "key-b" } else { "key-p" };
         let id = Id {
-            number: shared.next_number.fetch_add(1, Ordering::Relaxed),
+            number: shared.number(),
             prompt: random.random_range(20..400),
             events: random.random_range(1..20),
+            shape: None,
         };
         let sent = Instant::now();
         let outcome = call::send(&client, address, route, key, id).await;
--- a/crates/soak/src/run/fleet.rs
+++ b/crates/soak/src/run/fleet.rs
@@ -24,6 +24,8 @@
 const NOTICE_MS: u64 = 600;
 /// The daemon's setting `stop_ms`: longest time of a planned stop.
 const STOP_MS: u64 = 6_000;
+/// The same for boxes whose planned stops run out of time: shorter than the longest streams.
+const SHORT_STOP_MS: u64 = 900;
 /// Longest wait for a daemon to exit.
 pub const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -51,14 +53,30 @@
 pub struct Fleet {
     pub nodes: Vec<Node>,
     pub stopped: BTreeMap<Incarnation, (Instant, Instant)>,
+    pub short_stops: BTreeMap<Incarnation, Instant>,
     pub interrupted: BTreeSet<Incarnation>,
     pub trace: Trace,
     shared: Arc<Shared>,
     store: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
+    layout: Layout,
+}
+
+/// What the boxes of a run differ in from those of others.
+#[derive(Debug, Clone, Copy)]
+pub struct Layout {
     /// Whether each box has an address of its own.
-    has_addresses: bool,
+    pub has_addresses: bool,
+    /// Whether planned stops of every other box run out of time.
+    pub has_short_stops: bool,
+}
+
+impl Layout {
+    /// Whether the planned stops of a box run out of time.
+    fn is_short(self, box_index: usize) -> bool {
+        self.has_short_stops && box_index.is_multiple_of(2)
+    }
 }
 
 /// Address from which a box opens connections, in runs in which it is cut off from endpoints.
@@ -73,18 +91,19 @@
         store: SocketAddr,
         program: PathBuf,
         folder: PathBuf,
-        has_addresses: bool,
+        layout: Layout,
     ) -> Fleet {
         Fleet {
             nodes: Vec::new(),
             stopped: BTreeMap::new(),
+            short_stops: BTreeMap::new(),
             interrupted: BTreeSet::new(),
             trace: Trace::new(Instant::now()),
             shared,
             store,
             program,
             folder,
-            has_addresses,
+            layout,
         }
     }
 
@@ -100,10 +119,15 @@
                     "operators": "127.0.0.1:0", "peers": "{address}:0"
                 }},
                 "store": {{ "address": "{store}", "timeout_ms": 500 }},
-                "limits": {{ "notice_ms": {NOTICE_MS}, "stop_ms": {STOP_MS} }},
+                "limits": {{ "notice_ms": {NOTICE_MS}, "stop_ms": {stop_ms} }},
             }}"#,
             zone = box_index % 2,
-            address = if self.has_addresses { box_address(box_index) } else { Ipv4Addr::LOCALHOST },
+            stop_ms = if self.layout.is_short(box_index) { SHORT_STOP_MS } else { STOP_MS },
+            address = if self.layout.has_addresses {
+                box_address(box_index)
+            } else {
+                Ipv4Addr::LOCALHOST
+            },
             store = link.address(),
         );
         std::fs::write(&settings, text).context(FileSnafu { path: &settings })?;
@@ -211,6 +235,9 @@
         // Requests sent just before the end of the notice may arrive after it.
         let notice = Duration::from_millis(NOTICE_MS - 200);
         self.stopped.insert(incarnation, (now, now + notice));
+        if self.layout.is_short(box_index) {
+            self.short_stops.insert(incarnation, now + Duration::from_millis(SHORT_STOP_MS));
+        }
         self.signal(box_index, Signal::TERM)?;
         let (stopping, shared) = (box_index, self.shared.clone());
         tokio::spawn(async move {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -17,20 +17,22 @@
 use crate::{
     announcement, call,
     endpoint::{Arrivals, Endpoint, Plan, Runs},
-    fault, limit,
+    fault, framing, limit,
     loss::{self, Loss},
     verdict::{self, Evidence, Violation},
 };
 
 mod callers;
 mod fleet;
+mod raw_callers;
 mod schedule;
 
 pub use fleet::Error;
 pub use schedule::StopOrder;
 
 use callers::Shared;
-use fleet::{FileSnafu, Fleet};
+use fleet::{FileSnafu, Fleet, Layout};
+use raw_callers::RawCaller;
 use schedule::Schedule;
 
 /// Names of the endpoints, each with its service.
@@ -58,6 +60,8 @@
     pub stops: StopOrder,
     /// Whether boxes are cut off from endpoints.
     pub cuts: bool,
+    /// Whether endpoints also respond without a length and without chunks, and break responses off.
+    pub unframed: bool,
 }
 
 /// Results of a run.
@@ -73,6 +77,8 @@
     pub breaches: Vec<Violation>,
     /// Answered requests that are on no bill because no box could have written one.
     pub excused: usize,
+    /// Responses on raw connections.
+    pub raw: framing::Tally,
 }
 
 /// Runs the soak test with one seed.
@@ -83,14 +89,17 @@
         StopOrder::InLine => "",
         StopOrder::Concurrent => "-concurrent",
     };
-    let name = format!("seed-{seed}{order}{}", if options.cuts { "-cuts" } else { "" });
+    let cuts = if options.cuts { "-cuts" } else { "" };
+    let unframed = if options.unframed { "-unframed" } else { "" };
+    let name = format!("seed-{seed}{order}{cuts}{unframed}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
     let (runs, arrivals) = (Runs::default(), Arrivals::default());
     let shared = Arc::new(Shared::new(seed, options.boxes));
     let (program, store) = (options.daemon.clone(), platform.socket());
-    let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), options.cuts);
+    let layout = Layout { has_addresses: options.cuts, has_short_stops: options.unframed };
+    let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), layout);
     let mut schedule = Schedule::new(platform, fleet, options.stops);
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
@@ -112,11 +121,19 @@
     if options.cuts {
         faults.extend(fault::draw_cuts(seed, options.boxes, options.length));
     }
+    if options.unframed {
+        faults.extend(fault::draw_ends(seed, options.boxes, options.length));
+    }
     let count = faults.len();
     let mut callers = JoinSet::new();
     for number in 0..options.boxes * CALLERS_PER_BOX {
         callers.spawn(callers::run(shared.clone(), seed ^ (number as u64 + 1) << 32));
     }
+    if options.unframed {
+        for number in 0..options.boxes * raw_callers::PER_BOX {
+            callers.spawn(RawCaller::new(shared.clone(), seed, number).run());
+        }
+    }
     schedule.play(faults, options.length).await?;
     shared.done.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
@@ -140,19 +157,22 @@
     let pages = pages.iter().filter_map(|page| serde_json::from_str::<Page>(&page.value).ok());
     let bills: Vec<_> = pages.flat_map(|page| page.bills).collect();
     let (calls, runs) = (shared.calls.lock(), runs.lock());
-    let breaches = verdict::violations(&Evidence {
+    let mut breaches = verdict::violations(&Evidence {
         calls: &calls,
         runs: &runs,
         book: &book,
         bills: &bills,
         paid: schedule.paid,
         stopped: &schedule.fleet.stopped,
+        short_stops: &schedule.fleet.short_stops,
         interrupted: &schedule.fleet.interrupted,
         trace: &schedule.fleet.trace,
         left: &schedule.left,
         disturbances: &schedule.disturbances,
         arrivals: &arrivals.lock(),
     });
+    let raw_calls = shared.raw_calls.lock();
+    breaches.extend(framing::violations(&raw_calls, &schedule.cuts));
     let losses = loss::find(&calls, &bills, &schedule.fleet.trace);
     write_losses(&losses, schedule, &folder.join("lost-bills.log"))?;
     let count = |matches_kind: fn(&call::Outcome) -> bool| {
@@ -166,6 +186,7 @@
         faults,
         breaches,
         excused: losses.iter().filter(|loss| loss.is_excused()).count(),
+        raw: framing::tally(&raw_calls),
     })
 }
 
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -62,6 +62,8 @@
     pub paid: u64,
     pub left: BTreeMap<Arc<str>, Instant>,
     pub disturbances: Vec<Disturbance>,
+    /// When boxes were cut off from endpoints.
+    pub cuts: Vec<Instant>,
     /// Start of the load.
     pub started: Instant,
     version: u64,
@@ -81,6 +83,7 @@
             paid: INITIAL_PAID_TOKENS,
             left: BTreeMap::new(),
             disturbances: Vec::new(),
+            cuts: Vec::new(),
             started: Instant::now(),
             version: 1,
             has_late_route: false,
@@ -171,7 +174,10 @@
                 trace.losing.set(true, Instant::now());
             }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, true),
-            Kind::CutEndpoints { box_index } => self.set_cut_off(box_index, true),
+            Kind::CutEndpoints { box_index } => {
+                self.cuts.push(Instant::now());
+                self.set_cut_off(box_index, true);
+            }
             Kind::StallConnections { box_index } => {
                 self.fleet.stall(box_index);
                 return Ok(None);
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -47,6 +47,9 @@
     pub paid: u64,
     /// Planned stops: when the signal was sent, and until when the box accepts requests.
     pub stopped: &'a BTreeMap<Incarnation, (Instant, Instant)>,
+    /// Planned stops that may break requests off, and from when on: the box has less time for them
+    /// than a request may take.
+    pub short_stops: &'a BTreeMap<Incarnation, Instant>,
     /// Incarnations that were killed or suspended: their connections may break.
     pub interrupted: &'a BTreeSet<Incarnation>,
     /// What happened to each incarnation and to the store.
@@ -109,7 +112,7 @@
 
 fn served(evidence: &Evidence) -> BTreeMap<&'static str, u64> {
     let mut served = BTreeMap::new();
-    let streams = evidence.calls.iter().filter(|call| call.route == Route::Stream);
+    let streams = evidence.calls.iter().filter(|call| call.route.is_stream());
     for call in streams {
         *served.entry(customer(call.key)).or_default() += call.served();
     }
@@ -324,7 +327,9 @@
     };
     let cut = evidence.calls.iter().filter(is_sound_call).filter_map(|call| {
         let (from, until) = evidence.stopped.get(&call.incarnation)?;
-        let overlaps = call.ended >= *from && call.sent < *until;
+        let is_over =
+            evidence.short_stops.get(&call.incarnation).is_some_and(|end| *end <= call.ended);
+        let overlaps = call.ended >= *from && call.sent < *until && !is_over;
         match &call.outcome {
             Outcome::Failed { reason, .. } if overlaps && !reason.contains("deadline") => {
                 Some(format!("{} of {:?} was cut off: {reason}", call.id.text(), call.incarnation))
--- a/crates/soak/tests/lost_bills.rs
+++ b/crates/soak/tests/lost_bills.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::Instant;
 
-const ID: Id = Id { number: 1, prompt: 20, events: 3 };
+const ID: Id = Id { number: 1, prompt: 20, events: 3, shape: None };
 /// When the call ended, in milliseconds since the start.
 const ENDED_MS: u64 = 10_000;
 /// When the run ends.
@@ -133,6 +133,7 @@
         bills: &vec![bill; bills],
         paid: 1_000_000,
         stopped: &BTreeMap::new(),
+        short_stops: &BTreeMap::new(),
         interrupted: &BTreeSet::from([Incarnation { box_index: 0, number: 1 }]),
         trace: &setup.trace,
         left: &BTreeMap::new(),
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -53,6 +53,8 @@
     Truncated(HeaderMap, Vec<String>),
     /// Sends these bytes as they are, waits, and ends the connection.
     Raw(Vec<u8>, Duration, Ending),
+    /// Sends these parts as they are, waits after each, and ends the connection.
+    RawParts(Vec<Vec<u8>>, Duration, Ending),
     /// Closes the connection without a response.
     Close,
     /// Never responds, but goes on reading.
@@ -310,14 +312,8 @@
             tokio::time::sleep(after).await;
             false
         }
-        Reply::Raw(bytes, pause, ending) => {
-            let sent = stream.write_all(&bytes).await.is_ok();
-            tokio::time::sleep(pause).await;
-            if ending == Ending::Reset {
-                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-            }
-            sent && ending == Ending::Stay
-        }
+        Reply::Raw(bytes, pause, ending) => send_parts(stream, vec![bytes], pause, ending).await,
+        Reply::RawParts(parts, pause, ending) => send_parts(stream, parts, pause, ending).await,
         Reply::Close => false,
         Reply::Silent => {
             let mut rest = Vec::new();
@@ -326,3 +322,22 @@
         }
     }
 }
+
+/// Sends parts with a pause after each, then ends the connection; returns whether it stays open.
+async fn send_parts(
+    stream: &mut TcpStream,
+    parts: Vec<Vec<u8>>,
+    pause: Duration,
+    ending: Ending,
+) -> bool {
+    for part in parts {
+        if stream.write_all(&part).await.is_err() {
+            return false;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    if ending == Ending::Reset {
+        let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+    }
+    ending == Ending::Stay
+}
