--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -126,11 +126,16 @@
 const UNFRAMED: [Case; 1] =
     [Case { seed: 9101, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
 
+/// Releases replace endpoints by those of newer software versions.
+const RELEASES: [Case; 1] =
+    [Case { seed: 9201, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
+
 /// What a run has beside the faults of its seed.
 #[derive(Debug, Clone, Copy, Default)]
 struct Variety {
     cuts: bool,
     unframed: bool,
+    versions: bool,
 }
 
 #[tokio::test]
@@ -152,6 +157,13 @@
     run_varied_cases(&UNFRAMED, StopOrder::Concurrent, variety).await;
 }
 
+/// Guards against guarantees that end where software versions of endpoints change.
+#[tokio::test]
+async fn guarantees_hold_during_releases() {
+    let variety = Variety { versions: true, ..Variety::default() };
+    run_varied_cases(&RELEASES, StopOrder::Concurrent, variety).await;
+}
+
 #[tokio::test]
 async fn bills_survive_a_shutdown_without_the_store() {
     run_cases(&BILLS_HANDED_OVER, StopOrder::InLine).await;
@@ -199,6 +211,7 @@
             stops,
             cuts: variety.cuts,
             unframed: variety.unframed,
+            versions: variety.versions,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -46,6 +46,10 @@
     /// endpoints also answer without a length and without chunks, and break such responses off
     #[argh(switch)]
     pub unframed: bool,
+
+    /// endpoints have several software versions, and releases replace them
+    #[argh(switch)]
+    pub versions: bool,
 }
 
 impl Options {
@@ -65,6 +69,7 @@
             announcements: !self.wordless,
             cuts: self.cuts,
             unframed: self.unframed,
+            versions: self.versions,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -159,23 +159,32 @@
 /// All requests that endpoints ran.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// What endpoints record.
+#[derive(Clone, Default)]
+pub struct Records {
+    pub runs: Runs,
+    pub arrivals: Arrivals,
+}
+
 /// A running endpoint.
 pub struct Endpoint {
     /// Id in the store.
     pub name: Arc<str>,
     /// Service that it belongs to.
     pub service: &'static str,
+    /// Version of its software.
+    pub version: String,
     scripted: ScriptedEndpoint,
 }
 
 impl Endpoint {
-    /// Starts an endpoint that records requests in `runs` and `arrivals`.
+    /// Starts an endpoint that records requests.
     pub async fn spawn(
         name: &str,
         service: &'static str,
-        runs: Runs,
+        version: String,
         plan: Plan,
-        arrivals: Arrivals,
+        records: Records,
     ) -> Endpoint {
         let name: Arc<str> = name.into();
         let endpoint = name.clone();
@@ -198,16 +207,16 @@
                 back_off,
             };
             if plan.announces_anything() {
-                arrivals.lock().entry(endpoint.clone()).or_default().push(arrival);
+                records.arrivals.lock().entry(endpoint.clone()).or_default().push(arrival);
             }
             if back_off.is_none() && id.behavior() != Behavior::NotRun {
                 let run = Run { id, endpoint: endpoint.clone(), at: Instant::now() };
-                runs.lock().push(run);
+                records.runs.lock().push(run);
             }
             reply(&arrival, arrived, service)
         })
         .await;
-        Endpoint { name, service, scripted }
+        Endpoint { name, service, version, scripted }
     }
 
     /// Cuts a box off, by its address, or ends that.
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -32,6 +32,10 @@
     Reload { box_index: usize },
     /// An endpoint is no longer ready in its entry in the store.
     Leave { endpoint: usize },
+    /// The entry of an endpoint that left is removed from the store.
+    Remove { endpoint: usize },
+    /// An endpoint of a release starts.
+    Release { number: usize },
     /// The operator adds a route.
     Configure,
     /// The operator increases the tokens that customers have paid for.
@@ -53,6 +57,8 @@
             Kind::CutEndpoints { .. }
             | Kind::Reload { .. }
             | Kind::Leave { .. }
+            | Kind::Remove { .. }
+            | Kind::Release { .. }
             | Kind::Configure
             | Kind::TopUp => None,
         }
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -16,9 +16,10 @@
 
 use crate::{
     announcement, call,
-    endpoint::{Arrivals, Endpoint, Plan, Runs},
+    endpoint::Plan,
     fault, framing, limit,
     loss::{self, Loss},
+    release,
     verdict::{self, Evidence, Violation},
 };
 
@@ -35,9 +36,13 @@
 use raw_callers::RawCaller;
 use schedule::Schedule;
 
-/// Names of the endpoints, each with its service.
-const ENDPOINTS: [(&str, &str); 4] =
-    [("e-1", "engines"), ("e-2", "engines"), ("p-1", "plain"), ("p-2", "plain")];
+/// Names of the endpoints, each with its service and the version that it has if there are several.
+const ENDPOINTS: [(&str, &str, u64); 4] =
+    [("e-1", "engines", 1), ("e-2", "engines", 2), ("p-1", "plain", 1), ("p-2", "plain", 2)];
+/// Further engines of runs with several versions; they announce nothing.
+const MORE_ENGINES: [(&str, u64); 2] = [("e-3", 1), ("e-4", 2)];
+/// Numbers and versions of the engines of such a run, in the order in which they are drained.
+const ENGINES: [(usize, u64); 4] = [(0, 1), (4, 1), (1, 2), (5, 2)];
 /// Callers for each box; enough that calls are nearly always in flight.
 const CALLERS_PER_BOX: usize = 3;
 
@@ -62,6 +67,8 @@
     pub cuts: bool,
     /// Whether endpoints also respond without a length and without chunks, and break responses off.
     pub unframed: bool,
+    /// Whether endpoints have several software versions, and releases replace them.
+    pub versions: bool,
 }
 
 /// Results of a run.
@@ -91,11 +98,11 @@
     };
     let cuts = if options.cuts { "-cuts" } else { "" };
     let unframed = if options.unframed { "-unframed" } else { "" };
-    let name = format!("seed-{seed}{order}{cuts}{unframed}");
+    let versions = if options.versions { "-versions" } else { "" };
+    let name = format!("seed-{seed}{order}{cuts}{unframed}{versions}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
-    let (runs, arrivals) = (Runs::default(), Arrivals::default());
     let shared = Arc::new(Shared::new(seed, options.boxes));
     let (program, store) = (options.daemon.clone(), platform.socket());
     let layout = Layout { has_addresses: options.cuts, has_short_stops: options.unframed };
@@ -104,15 +111,20 @@
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
     let announcements =
-        announcement::draw(seed, &ENDPOINTS.map(|(_, service)| service), options.length);
-    for (number, (name, service)) in ENDPOINTS.into_iter().enumerate() {
+        announcement::draw(seed, &ENDPOINTS.map(|(_, service, _)| service), options.length);
+    for (number, (name, service, version)) in ENDPOINTS.into_iter().enumerate() {
         let plan = Plan {
             limit: limits.get(&number).copied().filter(|_| options.limits),
             announcement: announcements.get(&number).cloned().filter(|_| options.announcements),
         };
-        let endpoint = Endpoint::spawn(name, service, runs.clone(), plan, arrivals.clone()).await;
-        schedule.register(&endpoint, true).await;
-        schedule.endpoints.push(endpoint);
+        let version = release::version(if options.versions { version } else { 1 });
+        schedule.add_endpoint(name, service, version, plan).await;
+    }
+    if options.versions {
+        for (name, version) in MORE_ENGINES {
+            let version = release::version(version);
+            schedule.add_endpoint(name, "engines", version, Plan::default()).await;
+        }
     }
     for box_index in 0..options.boxes {
         schedule.fleet.add_box(box_index).await?;
@@ -124,6 +136,12 @@
     if options.unframed {
         faults.extend(fault::draw_ends(seed, options.boxes, options.length));
     }
+    if options.versions {
+        let next = schedule.endpoints.len();
+        let releases = release::draw(seed, &ENGINES, next, options.length);
+        faults.extend(releases.faults);
+        schedule.starts = releases.starts;
+    }
     let count = faults.len();
     let mut callers = JoinSet::new();
     for number in 0..options.boxes * CALLERS_PER_BOX {
@@ -138,14 +156,12 @@
     shared.done.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     schedule.finish(&folder).await?;
-    report(&schedule, &shared, &runs, &arrivals, count, &folder).await
+    report(&schedule, &shared, count, &folder).await
 }
 
 async fn report(
     schedule: &Schedule,
     shared: &Shared,
-    runs: &Runs,
-    arrivals: &Arrivals,
     faults: usize,
     folder: &Path,
 ) -> Result<Report, Error> {
@@ -156,7 +172,7 @@
     let pages = memory.list(BILLS, "").await.expect("memory answers");
     let pages = pages.iter().filter_map(|page| serde_json::from_str::<Page>(&page.value).ok());
     let bills: Vec<_> = pages.flat_map(|page| page.bills).collect();
-    let (calls, runs) = (shared.calls.lock(), runs.lock());
+    let (calls, runs) = (shared.calls.lock(), schedule.records.runs.lock());
     let mut breaches = verdict::violations(&Evidence {
         calls: &calls,
         runs: &runs,
@@ -169,7 +185,7 @@
         trace: &schedule.fleet.trace,
         left: &schedule.left,
         disturbances: &schedule.disturbances,
-        arrivals: &arrivals.lock(),
+        arrivals: &schedule.records.arrivals.lock(),
     });
     let raw_calls = shared.raw_calls.lock();
     breaches.extend(framing::violations(&raw_calls, &schedule.cuts));
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     call::Incarnation,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Plan, Records},
     fault::{Fault, Kind},
+    release::Start,
     run::fleet::{self, EXIT_TIMEOUT, Error, FileSnafu, Fleet},
     verdict::Disturbance,
 };
@@ -57,6 +58,9 @@
 pub struct Schedule {
     pub platform: Platform,
     pub endpoints: Vec<Endpoint>,
+    /// Endpoints of releases.
+    pub starts: Vec<Start>,
+    pub records: Records,
     pub fleet: Fleet,
     /// Tokens that each customer has paid for.
     pub paid: u64,
@@ -79,6 +83,8 @@
         Schedule {
             platform,
             endpoints: Vec::new(),
+            starts: Vec::new(),
+            records: Records::default(),
             fleet,
             paid: INITIAL_PAID_TOKENS,
             left: BTreeMap::new(),
@@ -107,10 +113,45 @@
     }
 
     pub async fn register(&self, endpoint: &Endpoint, ready: bool) {
-        let entry = fixtures::entry(endpoint.service, endpoint.address(), ready);
+        let registration = fixtures::registration(endpoint.service, endpoint.address());
+        let registration =
+            fixtures::Registration { ready, version: &endpoint.version, ..registration };
+        let entry = registration.entry().to_string();
         self.write(platform::ENDPOINTS, &endpoint.name, entry).await;
     }
 
+    /// Starts an endpoint and adds its entry.
+    pub async fn add_endpoint(
+        &mut self,
+        name: &str,
+        service: &'static str,
+        version: String,
+        plan: Plan,
+    ) {
+        let records = self.records.clone();
+        let endpoint = Endpoint::spawn(name, service, version, plan, records).await;
+        self.register(&endpoint, true).await;
+        self.endpoints.push(endpoint);
+    }
+
+    /// An endpoint is no longer ready; it still serves what it has.
+    async fn drain(&mut self, endpoint: usize) {
+        let endpoint = &self.endpoints[endpoint];
+        if !self.left.contains_key(&endpoint.name) {
+            self.register(endpoint, false).await;
+            self.left.insert(endpoint.name.clone(), Instant::now());
+        }
+    }
+
+    /// Removes the entry of an endpoint. It goes on listening, so that late requests are noticed.
+    async fn remove_entry(&self, endpoint: usize) {
+        let (memory, name) = (self.platform.memory(), &self.endpoints[endpoint].name);
+        let found = memory.get(platform::ENDPOINTS, name).await.expect("memory answers");
+        if let Some(object) = found {
+            memory.delete(platform::ENDPOINTS, name, object.version).await;
+        }
+    }
+
     /// Begins and undoes faults as scheduled, then waits for the end of the load.
     pub async fn play(&mut self, faults: Vec<Fault>, length: Duration) -> Result<(), Error> {
         self.started = Instant::now();
@@ -206,9 +247,16 @@
                 return Ok(None);
             }
             Kind::Leave { endpoint } => {
-                let endpoint = &self.endpoints[endpoint];
-                self.register(endpoint, false).await;
-                self.left.insert(endpoint.name.clone(), Instant::now());
+                self.drain(endpoint).await;
+                return Ok(None);
+            }
+            Kind::Remove { endpoint } => {
+                self.remove_entry(endpoint).await;
+                return Ok(None);
+            }
+            Kind::Release { number } => {
+                let Start { name, version } = self.starts[number].clone();
+                self.add_endpoint(&name, "engines", version, Plan::default()).await;
                 return Ok(None);
             }
             Kind::Configure => {
@@ -285,6 +333,8 @@
             Kind::StallConnections { .. }
             | Kind::Reload { .. }
             | Kind::Leave { .. }
+            | Kind::Remove { .. }
+            | Kind::Release { .. }
             | Kind::Configure
             | Kind::TopUp => {}
         }
