Soak: streams that callers take up, and the versions that they hold

No stream may hold events of endpoints of two versions; the other checks hold for each attempt. The report counts streams that were taken up, that went on and that were refused; streams.log lists them with attempts, boxes, endpoints and versions.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -37,9 +37,12 @@
             report.breaches.len(),
             report.excused
         );
-        if options.unframed {
+        if options.unframed || options.versions {
             println!("  {}", report.raw);
         }
+        if options.versions {
+            println!("  {}", report.streams);
+        }
         for violation in report.breaches.iter().take(5) {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/crates/soak/src/run/callers.rs
+++ b/crates/soak/src/run/callers.rs
@@ -18,6 +18,7 @@
     call::{self, Call, Incarnation, Route},
     endpoint::Id,
     framing::RawCall,
+    stream::Stream,
 };
 
 /// Shortest and longest pause of a caller between two calls, in milliseconds.
@@ -30,6 +31,8 @@
     pub accepting: Mutex<Vec<Option<(SocketAddr, Incarnation)>>>,
     /// What the raw callers among them saw.
     pub raw_calls: Mutex<Vec<RawCall>>,
+    /// Streams that broke after at least one event and that may be taken up.
+    pub streams: Mutex<Vec<Stream>>,
     next_number: AtomicU64,
     pub done: AtomicBool,
 }
@@ -39,6 +42,7 @@
         Shared {
             calls: Mutex::default(),
             raw_calls: Mutex::default(),
+            streams: Mutex::default(),
             accepting: Mutex::new(vec![None; boxes]),
             next_number: AtomicU64::new(seed.wrapping_mul(1_000_000) + 1),
             done: AtomicBool::new(false),
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -20,6 +20,7 @@
     fault, framing, limit,
     loss::{self, Loss},
     release,
+    stream::{self, Origins, Stream},
     verdict::{self, Evidence, Violation},
 };
 
@@ -33,7 +34,7 @@
 
 use callers::Shared;
 use fleet::{FileSnafu, Fleet, Layout};
-use raw_callers::RawCaller;
+use raw_callers::{RawCaller, Scope};
 use schedule::Schedule;
 
 /// Names of the endpoints, each with its service and the version that it has if there are several.
@@ -86,6 +87,8 @@
     pub excused: usize,
     /// Responses on raw connections.
     pub raw: framing::Tally,
+    /// Streams that were taken up again.
+    pub streams: stream::Tally,
 }
 
 /// Runs the soak test with one seed.
@@ -108,6 +111,7 @@
     let layout = Layout { has_addresses: options.cuts, has_short_stops: options.unframed };
     let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), layout);
     let mut schedule = Schedule::new(platform, fleet, options.stops);
+    schedule.has_resume_route = options.versions;
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
     let announcements =
@@ -147,19 +151,21 @@
     for number in 0..options.boxes * CALLERS_PER_BOX {
         callers.spawn(callers::run(shared.clone(), seed ^ (number as u64 + 1) << 32));
     }
-    if options.unframed {
+    let scope = Scope { unframed: options.unframed, resumable: options.versions };
+    if options.unframed || options.versions {
         for number in 0..options.boxes * raw_callers::PER_BOX {
-            callers.spawn(RawCaller::new(shared.clone(), seed, number).run());
+            callers.spawn(RawCaller::new(shared.clone(), seed, number, scope).run());
         }
     }
     schedule.play(faults, options.length).await?;
     shared.done.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     schedule.finish(&folder).await?;
-    report(&schedule, &shared, count, &folder).await
+    report(seed, &schedule, &shared, count, &folder).await
 }
 
 async fn report(
+    seed: u64,
     schedule: &Schedule,
     shared: &Shared,
     faults: usize,
@@ -189,6 +195,12 @@
     });
     let raw_calls = shared.raw_calls.lock();
     breaches.extend(framing::violations(&raw_calls, &schedule.cuts));
+    let versions = schedule.endpoints.iter();
+    let versions = versions.map(|endpoint| (endpoint.name.clone(), endpoint.version.clone()));
+    let versions = versions.collect();
+    let (streams, origins) = (shared.streams.lock(), Origins::new(&runs, &versions));
+    breaches.extend(stream::violations(seed, &streams, &origins));
+    write_streams(&streams, &origins, &folder.join("streams.log"))?;
     let losses = loss::find(&calls, &bills, &schedule.fleet.trace);
     write_losses(&losses, schedule, &folder.join("lost-bills.log"))?;
     let count = |matches_kind: fn(&call::Outcome) -> bool| {
@@ -203,6 +215,7 @@
         breaches,
         excused: losses.iter().filter(|loss| loss.is_excused()).count(),
         raw: framing::tally(&raw_calls),
+        streams: stream::tally(&streams),
     })
 }
 
@@ -220,6 +233,12 @@
     std::fs::write(path, text).context(FileSnafu { path })
 }
 
+/// Writes a line for each stream that broke, with its attempts.
+fn write_streams(streams: &[Stream], origins: &Origins, path: &Path) -> Result<(), Error> {
+    let lines = streams.iter().map(|stream| origins.describe(stream) + "\n");
+    std::fs::write(path, lines.collect::<String>()).context(FileSnafu { path })
+}
+
 /// Folder for settings and logs, beside the daemon's binary.
 pub fn folder_beside(daemon: &Path) -> PathBuf {
     daemon.parent().unwrap_or(Path::new(".")).join("soak")
--- a/crates/soak/src/run/raw_callers.rs
+++ b/crates/soak/src/run/raw_callers.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use platform::{fixtures::CallerHead, request::Tokens};
+use platform::{
+    fixtures::{CallerHead, Resumed},
+    request::Tokens,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -21,6 +24,7 @@
     raw::{self, Response, Seen, Version},
     run::callers::Shared,
     shape::{End, Frame, Shape},
+    stream::{Attempt, Stream},
 };
 
 /// Combined with the seed of the run, so that these generators differ from the others.
@@ -32,18 +36,33 @@
 /// Events of a stream.
 const EVENTS: (u64, u64) = (1, 24);
 
+/// Largest number of attempts to take up a stream.
+const MAX_TAKE_UPS: usize = 6;
+/// Shortest and longest pause before a stream is taken up, in milliseconds.
+const TAKE_UP_PAUSE_MS: (u64, u64) = (20, 400);
+
+/// What raw callers ask for.
+#[derive(Debug, Clone, Copy)]
+pub struct Scope {
+    /// Responses without a frame.
+    pub unframed: bool,
+    /// Streams that may be taken up, which they do.
+    pub resumable: bool,
+}
+
 /// A raw caller.
 pub struct RawCaller {
     shared: Arc<Shared>,
+    scope: Scope,
     random: ChaCha8Rng,
 }
 
 impl RawCaller {
     /// The raw caller with a number.
-    pub fn new(shared: Arc<Shared>, seed: u64, number: usize) -> RawCaller {
+    pub fn new(shared: Arc<Shared>, seed: u64, number: usize, scope: Scope) -> RawCaller {
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ SEED_SALT);
         random.set_stream(number as u64);
-        RawCaller { shared, random }
+        RawCaller { shared, scope, random }
     }
 
     /// Makes calls until the load ends.
@@ -51,11 +70,37 @@
         while !self.shared.done.load(Ordering::Relaxed) {
             self.pause().await;
             let Some(target) = self.target() else { continue };
-            let (route, id) = self.request();
-            self.call(target, route, id).await;
+            let key = if self.random.random_bool(0.6) { "key-b" } else { "key-p" };
+            let route = self.route();
+            let events = self.random.random_range(EVENTS.0..EVENTS.1);
+            let first = self.call(target, route, key, events, None).await;
+            let broke = matches!(first.outcome, Outcome::Failed { events: 1.., .. });
+            if route == Route::Resume && broke {
+                self.take_up(key, first).await;
+            }
         }
     }
 
+    /// Takes up a stream that broke, at any box, until it is whole or there were enough attempts.
+    async fn take_up(&mut self, key: &'static str, first: Attempt) {
+        let first_attempt = Some(first.id.text());
+        let (all, mut last) = (first.id.events, first.events());
+        let mut stream = Stream { attempts: vec![first] };
+        while last < all && stream.attempts.len() <= MAX_TAKE_UPS {
+            let pause_ms = self.random.random_range(TAKE_UP_PAUSE_MS.0..TAKE_UP_PAUSE_MS.1);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            if self.shared.done.load(Ordering::Relaxed) {
+                break;
+            }
+            let Some(target) = self.target() else { continue };
+            let resumed = Resumed { first_attempt: first_attempt.clone(), last_event: Some(last) };
+            let attempt = self.call(target, Route::Resume, key, all - last, Some(resumed)).await;
+            last += attempt.events();
+            stream.attempts.push(attempt);
+        }
+        self.shared.streams.lock().push(stream);
+    }
+
     async fn pause(&mut self) {
         let pause_ms = self.random.random_range(PAUSE_MS.0..PAUSE_MS.1);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
@@ -67,54 +112,64 @@
         accepting[self.random.random_range(0..accepting.len())]
     }
 
-    fn request(&mut self) -> (Route, Id) {
-        let random = &mut self.random;
-        let route = match random.random_range(0..10) {
+    fn route(&mut self) -> Route {
+        match self.random.random_range(0..10) {
+            0..5 if self.scope.resumable => Route::Resume,
             0..7 => Route::Stream,
             7 => Route::Cancel,
             _ => Route::Confirm,
-        };
-        let frame = match random.random_range(0..10) {
-            0..6 => Frame::Close,
-            6..9 => Frame::Chunks,
+        }
+    }
+
+    fn shape(&mut self) -> Shape {
+        let frame = match self.random.random_range(0..10) {
+            0..6 if self.scope.unframed => Frame::Close,
+            0..9 => Frame::Chunks,
             _ => Frame::Length,
         };
-        let end = match random.random_range(0..10) {
+        let end = match self.random.random_range(0..10) {
             0..7 => End::Whole,
             7 => End::BetweenEvents,
             8 => End::InEvent,
             _ => End::Reset,
         };
-        let id = Id {
-            number: self.shared.number(),
-            prompt: random.random_range(20..400),
-            events: random.random_range(EVENTS.0..EVENTS.1),
-            shape: Some(Shape { frame, end }),
-        };
-        (route, id)
+        Shape { frame, end }
     }
 
-    async fn call(&mut self, target: (SocketAddr, Incarnation), route: Route, id: Id) {
+    /// Makes one call; a stream has `events` events, after those that the caller has.
+    async fn call(
+        &mut self,
+        target: (SocketAddr, Incarnation),
+        route: Route,
+        key: &'static str,
+        events: u64,
+        resumed: Option<Resumed>,
+    ) -> Attempt {
         let (address, incarnation) = target;
-        let key = if self.random.random_bool(0.6) { "key-b" } else { "key-p" };
+        let prompt = self.random.random_range(20..400);
+        let shape = Some(self.shape());
+        let id = Id { number: self.shared.number(), prompt, events, shape };
         let version = if self.random.random_bool(0.4) { Version::Http10 } else { Version::Http11 };
-        let tokens = Tokens { prompt: id.prompt, max_output: id.events * TOKENS_PER_EVENT };
+        let after = resumed.as_ref().and_then(|resumed| resumed.last_event).unwrap_or(0);
+        let tokens = Tokens { prompt, max_output: events * TOKENS_PER_EVENT };
         let head = CallerHead {
             id: id.text(),
             key: Some(key.to_owned()),
             deadline: Some(DEADLINE),
             tokens: route.is_stream().then_some(tokens),
             parts: Vec::new(),
-            resumed: None,
+            resumed,
         };
         let path = format!("/{}/x", route.name());
         let sent = Instant::now();
         let response = raw::exchange(address, version, &path, &head, DEADLINE).await;
         let ended = Instant::now();
-        let call = RawCall { id, route, after: 0, version, incarnation, sent, ended, response };
+        let call = RawCall { id, route, after, version, incarnation, sent, ended, response };
         let outcome = outcome(&call);
+        let attempt = Attempt { id, incarnation, after, outcome: outcome.clone() };
         self.shared.calls.lock().push(Call { id, key, route, incarnation, sent, ended, outcome });
         self.shared.raw_calls.lock().push(call);
+        attempt
     }
 }
 
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    call::Incarnation,
+    call::{Incarnation, Route},
     endpoint::{Endpoint, Plan, Records},
     fault::{Fault, Kind},
     release::Start,
@@ -73,6 +73,8 @@
     version: u64,
     /// Whether the configuration has `Route::Late`.
     has_late_route: bool,
+    /// Whether the configuration has `Route::Resume`.
+    pub has_resume_route: bool,
     stops: StopOrder,
     /// Faults begun and ended, a line each.
     steps: String,
@@ -93,6 +95,7 @@
             started: Instant::now(),
             version: 1,
             has_late_route: false,
+            has_resume_route: false,
             stops,
             steps: String::new(),
         }
@@ -106,10 +109,12 @@
     }
 
     pub async fn configure(&self) {
-        let routes = ["stream", "cancel", "confirm", "late"];
-        let routes = if self.has_late_route { &routes[..] } else { &routes[..3] };
+        let mut routes = vec![Route::Stream, Route::Cancel, Route::Confirm];
+        routes.extend(self.has_late_route.then_some(Route::Late));
+        routes.extend(self.has_resume_route.then_some(Route::Resume));
+        let routes: Vec<&str> = routes.into_iter().map(Route::name).collect();
         let (kind, name) = platform::CONFIG;
-        self.write(kind, name, fixtures::config(self.version, self.paid, routes)).await;
+        self.write(kind, name, fixtures::config(self.version, self.paid, &routes)).await;
     }
 
     pub async fn register(&self, endpoint: &Endpoint, ready: bool) {
