--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -42,6 +42,14 @@
     /// boxes are cut off from all endpoints now and then
     #[argh(switch)]
     pub cuts: bool,
+
+    /// endpoints also answer without a length and without chunks, and break such responses off
+    #[argh(switch)]
+    pub unframed: bool,
+
+    /// endpoints have several software versions, and releases replace them
+    #[argh(switch)]
+    pub versions: bool,
 }
 
 impl Options {
@@ -60,6 +68,8 @@
             limits: !self.unlimited,
             announcements: !self.wordless,
             cuts: self.cuts,
+            unframed: self.unframed,
+            versions: self.versions,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -16,7 +16,11 @@
 use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
 use tokio::time::Instant;
 
-use crate::{announcement::Announcement, limit::Limit};
+use crate::{
+    announcement::Announcement,
+    limit::Limit,
+    shape::{Content, End, Shape},
+};
 
 /// Tokens of one event; equals `stride` in the configuration.
 pub const TOKENS_PER_EVENT: u64 = 2;
@@ -32,24 +36,30 @@
     pub prompt: u64,
     /// Events of a streamed response.
     pub events: u64,
+    /// Shape of the response, if it is a raw caller's.
+    pub shape: Option<Shape>,
 }
 
 impl Id {
     /// Text form of the id, as in the request header.
     pub fn text(&self) -> String {
-        format!("soak-{}-{}-{}", self.number, self.prompt, self.events)
+        let shape = self.shape.map(|shape| format!("-{}", shape.text())).unwrap_or_default();
+        format!("soak-{}-{}-{}{shape}", self.number, self.prompt, self.events)
     }
 
     /// Parses the text form.
     pub fn read(text: &str) -> Option<Id> {
-        let mut numbers = text.strip_prefix("soak-")?.split('-').map(|n| n.parse().ok());
-        let (number, prompt, events) = (numbers.next()??, numbers.next()??, numbers.next()??);
-        Some(Id { number, prompt, events })
+        let mut fields = text.strip_prefix("soak-")?.split('-');
+        let mut number = || fields.next()?.parse().ok();
+        let (number, prompt, events) = (number()?, number()?, number()?);
+        Some(Id { number, prompt, events, shape: fields.next().and_then(Shape::read) })
     }
 
     /// How an endpoint handles the request.
     pub fn behavior(&self) -> Behavior {
         match self.number {
+            _ if self.shape.is_some_and(|shape| shape.end != End::Whole) => Behavior::Truncated,
+            _ if self.shape.is_some() => Behavior::Complete,
             n if n % 41 == 0 => Behavior::NoResponse,
             n if n % 43 == 0 => Behavior::Truncated,
             n if n % 47 == 0 => Behavior::TrailingResponse,
@@ -68,6 +78,19 @@
         format!("data: {} {number}\n\n", self.text())
     }
 
+    /// What the response has to hold on the raw connection of a caller that has the first events.
+    pub fn content(&self, is_stream: bool, after: u64) -> Content {
+        let text = self.text();
+        let parts = match is_stream {
+            true => {
+                let event = |number| format!("id: {number}\ndata: {text} {number}\n\n");
+                (after + 1..=after + self.events).map(event).collect()
+            }
+            false => self.answer().split_inclusive('-').map(str::to_owned).collect(),
+        };
+        Content { parts, is_stream }
+    }
+
     /// Body of the plain response.
     pub fn answer(&self) -> String {
         format!("done {}", self.text())
@@ -136,23 +159,32 @@
 /// All requests that endpoints ran.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// What endpoints record.
+#[derive(Clone, Default)]
+pub struct Records {
+    pub runs: Runs,
+    pub arrivals: Arrivals,
+}
+
 /// A running endpoint.
 pub struct Endpoint {
     /// Id in the store.
     pub name: Arc<str>,
     /// Service that it belongs to.
     pub service: &'static str,
+    /// Version of its software.
+    pub version: String,
     scripted: ScriptedEndpoint,
 }
 
 impl Endpoint {
-    /// Starts an endpoint that records requests in `runs` and `arrivals`.
+    /// Starts an endpoint that records requests.
     pub async fn spawn(
         name: &str,
         service: &'static str,
-        runs: Runs,
+        version: String,
         plan: Plan,
-        arrivals: Arrivals,
+        records: Records,
     ) -> Endpoint {
         let name: Arc<str> = name.into();
         let endpoint = name.clone();
@@ -175,16 +207,16 @@
                 back_off,
             };
             if plan.announces_anything() {
-                arrivals.lock().entry(endpoint.clone()).or_default().push(arrival);
+                records.arrivals.lock().entry(endpoint.clone()).or_default().push(arrival);
             }
             if back_off.is_none() && id.behavior() != Behavior::NotRun {
                 let run = Run { id, endpoint: endpoint.clone(), at: Instant::now() };
-                runs.lock().push(run);
+                records.runs.lock().push(run);
             }
             reply(&arrival, arrived, service)
         })
         .await;
-        Endpoint { name, service, scripted }
+        Endpoint { name, service, version, scripted }
     }
 
     /// Cuts a box off, by its address, or ends that.
@@ -213,10 +245,17 @@
         }
         headers
     };
-    let headers = announce(fixtures::response_headers(&arrived.head.id, None));
+    let mut headers = announce(fixtures::response_headers(&arrived.head.id, None));
     let events = |count: u64| (0..count).map(|number| id.event(number)).collect::<Vec<_>>();
     // An endpoint that asks for a back-off runs nothing.
     let behavior = arrival.back_off.map_or(id.behavior(), |_| Behavior::NotRun);
+    if let (Some(shape), true) = (id.shape, behavior != Behavior::NotRun) {
+        let is_stream = service == "engines";
+        let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+        let content = id.content(is_stream, arrived.head.last_event.unwrap_or(0));
+        return shape.reply(&headers, &content);
+    }
     match behavior {
         Behavior::NoResponse => Reply::Close,
         Behavior::NotRun => {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -16,26 +16,34 @@
 
 use crate::{
     announcement, call,
-    endpoint::{Arrivals, Endpoint, Plan, Runs},
-    fault, limit,
+    endpoint::Plan,
+    fault, framing, limit,
     loss::{self, Loss},
+    release,
+    stream::{self, Origins, Stream},
     verdict::{self, Evidence, Violation},
 };
 
 mod callers;
 mod fleet;
+mod raw_callers;
 mod schedule;
 
 pub use fleet::Error;
 pub use schedule::StopOrder;
 
 use callers::Shared;
-use fleet::{FileSnafu, Fleet};
+use fleet::{FileSnafu, Fleet, Layout};
+use raw_callers::{RawCaller, Scope};
 use schedule::Schedule;
 
-/// Names of the endpoints, each with its service.
-const ENDPOINTS: [(&str, &str); 4] =
-    [("e-1", "engines"), ("e-2", "engines"), ("p-1", "plain"), ("p-2", "plain")];
+/// Names of the endpoints, each with its service and the version that it has if there are several.
+const ENDPOINTS: [(&str, &str, u64); 4] =
+    [("e-1", "engines", 1), ("e-2", "engines", 2), ("p-1", "plain", 1), ("p-2", "plain", 2)];
+/// Further engines of runs with several versions; they announce nothing.
+const MORE_ENGINES: [(&str, u64); 2] = [("e-3", 1), ("e-4", 2)];
+/// Numbers and versions of the engines of such a run, in the order in which they are drained.
+const ENGINES: [(usize, u64); 4] = [(0, 1), (4, 1), (1, 2), (5, 2)];
 /// Callers for each box; enough that calls are nearly always in flight.
 const CALLERS_PER_BOX: usize = 3;
 
@@ -58,6 +66,10 @@
     pub stops: StopOrder,
     /// Whether boxes are cut off from endpoints.
     pub cuts: bool,
+    /// Whether endpoints also respond without a length and without chunks, and break responses off.
+    pub unframed: bool,
+    /// Whether endpoints have several software versions, and releases replace them.
+    pub versions: bool,
 }
 
 /// Results of a run.
@@ -73,6 +85,10 @@
     pub breaches: Vec<Violation>,
     /// Answered requests that are on no bill because no box could have written one.
     pub excused: usize,
+    /// Responses on raw connections.
+    pub raw: framing::Tally,
+    /// Streams that were taken up again.
+    pub streams: stream::Tally,
 }
 
 /// Runs the soak test with one seed.
@@ -83,27 +99,36 @@
         StopOrder::InLine => "",
         StopOrder::Concurrent => "-concurrent",
     };
-    let name = format!("seed-{seed}{order}{}", if options.cuts { "-cuts" } else { "" });
+    let cuts = if options.cuts { "-cuts" } else { "" };
+    let unframed = if options.unframed { "-unframed" } else { "" };
+    let versions = if options.versions { "-versions" } else { "" };
+    let name = format!("seed-{seed}{order}{cuts}{unframed}{versions}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
-    let (runs, arrivals) = (Runs::default(), Arrivals::default());
     let shared = Arc::new(Shared::new(seed, options.boxes));
     let (program, store) = (options.daemon.clone(), platform.socket());
-    let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), options.cuts);
+    let layout = Layout { has_addresses: options.cuts, has_short_stops: options.unframed };
+    let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), layout);
     let mut schedule = Schedule::new(platform, fleet, options.stops);
+    schedule.has_resume_route = options.versions;
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
     let announcements =
-        announcement::draw(seed, &ENDPOINTS.map(|(_, service)| service), options.length);
-    for (number, (name, service)) in ENDPOINTS.into_iter().enumerate() {
+        announcement::draw(seed, &ENDPOINTS.map(|(_, service, _)| service), options.length);
+    for (number, (name, service, version)) in ENDPOINTS.into_iter().enumerate() {
         let plan = Plan {
             limit: limits.get(&number).copied().filter(|_| options.limits),
             announcement: announcements.get(&number).cloned().filter(|_| options.announcements),
         };
-        let endpoint = Endpoint::spawn(name, service, runs.clone(), plan, arrivals.clone()).await;
-        schedule.register(&endpoint, true).await;
-        schedule.endpoints.push(endpoint);
+        let version = release::version(if options.versions { version } else { 1 });
+        schedule.add_endpoint(name, service, version, plan).await;
+    }
+    if options.versions {
+        for (name, version) in MORE_ENGINES {
+            let version = release::version(version);
+            schedule.add_endpoint(name, "engines", version, Plan::default()).await;
+        }
     }
     for box_index in 0..options.boxes {
         schedule.fleet.add_box(box_index).await?;
@@ -112,23 +137,37 @@
     if options.cuts {
         faults.extend(fault::draw_cuts(seed, options.boxes, options.length));
     }
+    if options.unframed {
+        faults.extend(fault::draw_ends(seed, options.boxes, options.length));
+    }
+    if options.versions {
+        let next = schedule.endpoints.len();
+        let releases = release::draw(seed, &ENGINES, next, options.length);
+        faults.extend(releases.faults);
+        schedule.starts = releases.starts;
+    }
     let count = faults.len();
     let mut callers = JoinSet::new();
     for number in 0..options.boxes * CALLERS_PER_BOX {
         callers.spawn(callers::run(shared.clone(), seed ^ (number as u64 + 1) << 32));
     }
+    let scope = Scope { unframed: options.unframed, resumable: options.versions };
+    if options.unframed || options.versions {
+        for number in 0..options.boxes * raw_callers::PER_BOX {
+            callers.spawn(RawCaller::new(shared.clone(), seed, number, scope).run());
+        }
+    }
     schedule.play(faults, options.length).await?;
     shared.done.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     schedule.finish(&folder).await?;
-    report(&schedule, &shared, &runs, &arrivals, count, &folder).await
+    report(seed, &schedule, &shared, count, &folder).await
 }
 
 async fn report(
+    seed: u64,
     schedule: &Schedule,
     shared: &Shared,
-    runs: &Runs,
-    arrivals: &Arrivals,
     faults: usize,
     folder: &Path,
 ) -> Result<Report, Error> {
@@ -139,20 +178,29 @@
     let pages = memory.list(BILLS, "").await.expect("memory answers");
     let pages = pages.iter().filter_map(|page| serde_json::from_str::<Page>(&page.value).ok());
     let bills: Vec<_> = pages.flat_map(|page| page.bills).collect();
-    let (calls, runs) = (shared.calls.lock(), runs.lock());
-    let breaches = verdict::violations(&Evidence {
+    let (calls, runs) = (shared.calls.lock(), schedule.records.runs.lock());
+    let mut breaches = verdict::violations(&Evidence {
         calls: &calls,
         runs: &runs,
         book: &book,
         bills: &bills,
         paid: schedule.paid,
         stopped: &schedule.fleet.stopped,
+        short_stops: &schedule.fleet.short_stops,
         interrupted: &schedule.fleet.interrupted,
         trace: &schedule.fleet.trace,
         left: &schedule.left,
         disturbances: &schedule.disturbances,
-        arrivals: &arrivals.lock(),
+        arrivals: &schedule.records.arrivals.lock(),
     });
+    let raw_calls = shared.raw_calls.lock();
+    breaches.extend(framing::violations(&raw_calls, &schedule.cuts));
+    let versions = schedule.endpoints.iter();
+    let versions = versions.map(|endpoint| (endpoint.name.clone(), endpoint.version.clone()));
+    let versions = versions.collect();
+    let (streams, origins) = (shared.streams.lock(), Origins::new(&runs, &versions));
+    breaches.extend(stream::violations(seed, &streams, &origins));
+    write_streams(&streams, &origins, &folder.join("streams.log"))?;
     let losses = loss::find(&calls, &bills, &schedule.fleet.trace);
     write_losses(&losses, schedule, &folder.join("lost-bills.log"))?;
     let count = |matches_kind: fn(&call::Outcome) -> bool| {
@@ -166,6 +214,8 @@
         faults,
         breaches,
         excused: losses.iter().filter(|loss| loss.is_excused()).count(),
+        raw: framing::tally(&raw_calls),
+        streams: stream::tally(&streams),
     })
 }
 
@@ -183,6 +233,12 @@
     std::fs::write(path, text).context(FileSnafu { path })
 }
 
+/// Writes a line for each stream that broke, with its attempts.
+fn write_streams(streams: &[Stream], origins: &Origins, path: &Path) -> Result<(), Error> {
+    let lines = streams.iter().map(|stream| origins.describe(stream) + "\n");
+    std::fs::write(path, lines.collect::<String>()).context(FileSnafu { path })
+}
+
 /// Folder for settings and logs, beside the daemon's binary.
 pub fn folder_beside(daemon: &Path) -> PathBuf {
     daemon.parent().unwrap_or(Path::new(".")).join("soak")
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -10,9 +10,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    call::Incarnation,
-    endpoint::Endpoint,
+    call::{Incarnation, Route},
+    endpoint::{Endpoint, Plan, Records},
     fault::{Fault, Kind},
+    release::Start,
     run::fleet::{self, EXIT_TIMEOUT, Error, FileSnafu, Fleet},
     verdict::Disturbance,
 };
@@ -57,16 +58,23 @@
 pub struct Schedule {
     pub platform: Platform,
     pub endpoints: Vec<Endpoint>,
+    /// Endpoints of releases.
+    pub starts: Vec<Start>,
+    pub records: Records,
     pub fleet: Fleet,
     /// Tokens that each customer has paid for.
     pub paid: u64,
     pub left: BTreeMap<Arc<str>, Instant>,
     pub disturbances: Vec<Disturbance>,
+    /// When boxes were cut off from endpoints.
+    pub cuts: Vec<Instant>,
     /// Start of the load.
     pub started: Instant,
     version: u64,
     /// Whether the configuration has `Route::Late`.
     has_late_route: bool,
+    /// Whether the configuration has `Route::Resume`.
+    pub has_resume_route: bool,
     stops: StopOrder,
     /// Faults begun and ended, a line each.
     steps: String,
@@ -77,13 +85,17 @@
         Schedule {
             platform,
             endpoints: Vec::new(),
+            starts: Vec::new(),
+            records: Records::default(),
             fleet,
             paid: INITIAL_PAID_TOKENS,
             left: BTreeMap::new(),
             disturbances: Vec::new(),
+            cuts: Vec::new(),
             started: Instant::now(),
             version: 1,
             has_late_route: false,
+            has_resume_route: false,
             stops,
             steps: String::new(),
         }
@@ -97,17 +109,54 @@
     }
 
     pub async fn configure(&self) {
-        let routes = ["stream", "cancel", "confirm", "late"];
-        let routes = if self.has_late_route { &routes[..] } else { &routes[..3] };
+        let mut routes = vec![Route::Stream, Route::Cancel, Route::Confirm];
+        routes.extend(self.has_late_route.then_some(Route::Late));
+        routes.extend(self.has_resume_route.then_some(Route::Resume));
+        let routes: Vec<&str> = routes.into_iter().map(Route::name).collect();
         let (kind, name) = platform::CONFIG;
-        self.write(kind, name, fixtures::config(self.version, self.paid, routes)).await;
+        self.write(kind, name, fixtures::config(self.version, self.paid, &routes)).await;
     }
 
     pub async fn register(&self, endpoint: &Endpoint, ready: bool) {
-        let entry = fixtures::entry(endpoint.service, endpoint.address(), ready);
+        let registration = fixtures::registration(endpoint.service, endpoint.address());
+        let registration =
+            fixtures::Registration { ready, version: &endpoint.version, ..registration };
+        let entry = registration.entry().to_string();
         self.write(platform::ENDPOINTS, &endpoint.name, entry).await;
     }
 
+    /// Starts an endpoint and adds its entry.
+    pub async fn add_endpoint(
+        &mut self,
+        name: &str,
+        service: &'static str,
+        version: String,
+        plan: Plan,
+    ) {
+        let records = self.records.clone();
+        let endpoint = Endpoint::spawn(name, service, version, plan, records).await;
+        self.register(&endpoint, true).await;
+        self.endpoints.push(endpoint);
+    }
+
+    /// An endpoint is no longer ready; it still serves what it has.
+    async fn drain(&mut self, endpoint: usize) {
+        let endpoint = &self.endpoints[endpoint];
+        if !self.left.contains_key(&endpoint.name) {
+            self.register(endpoint, false).await;
+            self.left.insert(endpoint.name.clone(), Instant::now());
+        }
+    }
+
+    /// Removes the entry of an endpoint. It goes on listening, so that late requests are noticed.
+    async fn remove_entry(&self, endpoint: usize) {
+        let (memory, name) = (self.platform.memory(), &self.endpoints[endpoint].name);
+        let found = memory.get(platform::ENDPOINTS, name).await.expect("memory answers");
+        if let Some(object) = found {
+            memory.delete(platform::ENDPOINTS, name, object.version).await;
+        }
+    }
+
     /// Begins and undoes faults as scheduled, then waits for the end of the load.
     pub async fn play(&mut self, faults: Vec<Fault>, length: Duration) -> Result<(), Error> {
         self.started = Instant::now();
@@ -171,7 +220,10 @@
                 trace.losing.set(true, Instant::now());
             }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, true),
-            Kind::CutEndpoints { box_index } => self.set_cut_off(box_index, true),
+            Kind::CutEndpoints { box_index } => {
+                self.cuts.push(Instant::now());
+                self.set_cut_off(box_index, true);
+            }
             Kind::StallConnections { box_index } => {
                 self.fleet.stall(box_index);
                 return Ok(None);
@@ -200,9 +252,16 @@
                 return Ok(None);
             }
             Kind::Leave { endpoint } => {
-                let endpoint = &self.endpoints[endpoint];
-                self.register(endpoint, false).await;
-                self.left.insert(endpoint.name.clone(), Instant::now());
+                self.drain(endpoint).await;
+                return Ok(None);
+            }
+            Kind::Remove { endpoint } => {
+                self.remove_entry(endpoint).await;
+                return Ok(None);
+            }
+            Kind::Release { number } => {
+                let Start { name, version } = self.starts[number].clone();
+                self.add_endpoint(&name, "engines", version, Plan::default()).await;
                 return Ok(None);
             }
             Kind::Configure => {
@@ -279,6 +338,8 @@
             Kind::StallConnections { .. }
             | Kind::Reload { .. }
             | Kind::Leave { .. }
+            | Kind::Remove { .. }
+            | Kind::Release { .. }
             | Kind::Configure
             | Kind::TopUp => {}
         }
