--- a/crates/gateway/tests/loopback/dead_watch.rs
+++ b/crates/gateway/tests/loopback/dead_watch.rs
@@ -11,7 +11,11 @@
     time::Duration,
 };
 
-use platform::store::{Client, Options};
+use gateway::Gateway;
+use platform::{
+    fixtures::{self, Registration},
+    store::{Client, Options},
+};
 use standin::{Link, Platform};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -19,7 +23,7 @@
     task::JoinHandle,
 };
 
-use crate::harness::{Harness, answer_ok, call, wait_until, wait_until_within};
+use crate::harness::{Harness, answer_ok, call, settings, wait_until, wait_until_within};
 
 /// Requests in a row that miss an endpoint, to show that it receives none.
 const REQUESTS: usize = 24;
@@ -185,3 +189,31 @@
     client.reset_connections();
     client.ping("boxes", "box-1", MAX_DELAY).await.expect("an answer on a new connection");
 }
+
+/// Guards against boxes that vouch for the only version of a service while they miss what registers.
+#[tokio::test]
+async fn a_box_whose_watches_are_dead_does_not_vouch_for_a_version() {
+    const MEMORY_MS: u64 = 1_500;
+    let harness = Harness::start(1_000_000, &["resume"]).await;
+    let endpoint = harness.endpoint("engine-1", "engines", answer_ok).await;
+    let forwarder = Forwarder::bind(harness.platform.socket()).await;
+    let mut settings = settings("box-1", forwarder.address);
+    settings.streams.memory_ms = MEMORY_MS;
+    let gateway = Gateway::spawn(settings, 1).await.expect("the gateway starts");
+    let sole_version = async || {
+        let deadline = tokio::time::Instant::now() + Duration::from_secs(1);
+        gateway.sole_version("engines", deadline).await
+    };
+    wait_until("the only version", async || sole_version().await.is_some()).await;
+    wait_until("the watches wait", async || forwarder.faults.watches.load(Ordering::SeqCst) == 4)
+        .await;
+    tokio::time::sleep(Duration::from_millis(2 * MEMORY_MS)).await;
+    // Probes are still answered, each on a connection of its own.
+    forwarder.faults.watches_are_dead.store(true, Ordering::SeqCst);
+    let registration =
+        Registration { version: "v2", ..fixtures::registration("engines", endpoint.address()) };
+    harness.write_raw_entry("engine-2", registration.entry().to_string()).await;
+    // Longer than the longest break of a history.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(sole_version().await, None, "an endpoint of v2 registered 5 s ago");
+}
--- a/crates/gateway/tests/loopback/sole_versions.rs
+++ b/crates/gateway/tests/loopback/sole_versions.rs
@@ -267,3 +267,20 @@
     wait_until("the store answers again", knows).await;
     assert_eq!(calls(&gateway, Operation::Put), counted, "nothing changed");
 }
+
+/// Guards against records that no request ever sees, because each read takes longer than a request waits and is
+/// forgotten before the next one asks.
+#[tokio::test]
+async fn rare_requests_learn_the_only_version_from_a_slow_store() {
+    let mut fleet = Fleet::start(2, LONG_MEMORY_MS).await;
+    fleet.wait_until_recorded(Some("v1")).await;
+    fleet.boxes.clear();
+    fleet.start_boxes(2).await;
+    fleet.harness.platform.set(|faults| faults.delay = Duration::from_millis(200));
+    let mut known = 0;
+    for _ in 0..5 {
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        known += usize::from(sole_version(&fleet.boxes[0]).await.is_some());
+    }
+    assert!(known > 0, "none of 5 requests learned the record, which each of them had read");
+}
