--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -287,3 +287,81 @@
     fleet.wait_until_ready().await;
     assert_eq!(fleet.resume_all(&began, &[0, 1, 2, 3]).await, STREAMS);
 }
+
+/// A box that has just started, and serves.
+async fn start_new_box(fleet: &mut Fleet, name: &str, zone: &str) -> usize {
+    let mut settings = settings(name, fleet.harness.platform.socket());
+    settings.zone = zone.into();
+    let process = Process::start(settings).await;
+    wait_until_served(&fleet.harness, process.gateway(), PATH).await;
+    fleet.boxes.push(process);
+    fleet.boxes.len() - 1
+}
+
+/// Guards against streams that go on at no other box because the one that began them had only just started, and their
+/// homes did not know it yet.
+#[tokio::test]
+async fn a_stream_that_a_new_box_began_goes_on_elsewhere() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let began = join_all((0..STREAMS).map(|_| fleet.begin(late))).await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        went_on.push((fleet.resume_all(&began, &[0, 1, 2, 3]).await, peers));
+    }
+    let all = went_on.iter().all(|(went_on, _)| *went_on == STREAMS);
+    assert!(all, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against streams whose origin nobody takes, because most boxes do not know a box that has just started: it
+/// announces itself to three only, and the others refuse what it sends.
+#[tokio::test]
+async fn a_stream_that_a_new_box_began_goes_on_after_its_death() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let began = join_all((0..STREAMS).map(|_| fleet.begin(late))).await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        fleet.boxes.remove(late).kill();
+        went_on.push((fleet.resume_all(&began, &[0, 1, 2, 3]).await, peers));
+    }
+    let enough = went_on.iter().all(|(went_on, _)| went_on * 2 >= STREAMS);
+    assert!(enough, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against new boxes that take up nothing, because those that know the streams do not know them yet.
+#[tokio::test]
+async fn a_new_box_takes_up_streams() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let began = fleet.begin_many(0).await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        went_on.push((fleet.resume_all(&began, &[late]).await, peers));
+    }
+    let all = went_on.iter().all(|(went_on, _)| *went_on == STREAMS);
+    assert!(all, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against planned replacements of boxes, one after the other, that forget where streams began.
+#[tokio::test]
+async fn a_stream_goes_on_after_all_boxes_were_replaced_by_plan() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let began = fleet.begin_many(0).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    for (number, zone) in BOX_ZONES.iter().enumerate() {
+        start_new_box(&mut fleet, &format!("new-{number}"), zone).await;
+        fleet.boxes.remove(0).stop().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let went_on = fleet.resume_all(&began, &[0, 1, 2, 3]).await;
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+}
