--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -365,3 +365,36 @@
     let went_on = fleet.resume_all(&began, &[0, 1, 2, 3]).await;
     assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
 }
+
+/// Guards against callers that are told to come back in a tenth of a second, and give up after some tries, where the
+/// endpoints of their version rest for longer and only another version is free.
+#[tokio::test]
+async fn a_stream_waits_for_the_endpoints_of_its_version() {
+    let mut fleet = Fleet::start(&["v2"]).await;
+    let decline = |request: &ReceivedRequest| match request.head.last_event {
+        None => respond(request),
+        Some(_) => {
+            let (status, mut headers): (StatusCode, HeaderMap) =
+                fixtures::not_run_response(&request.head.id);
+            headers.insert("retry-after", "30".parse().expect("a value"));
+            Reply::Complete(status, headers, String::new())
+        }
+    };
+    fleet.add_endpoint("v1", decline).await;
+    let mut began = None;
+    wait_until("a stream of v1", async || {
+        let id = fleet.begin(0).await;
+        began = Some(id.clone()).filter(|id| fleet.version_of(id) == Some("v1")).or(began.take());
+        began.is_some()
+    })
+    .await;
+    let began = began.expect("a stream of v1");
+    // The endpoint asks for a rest of 30 s.
+    fleet.resume(0, &began, "key-b").await;
+    let (_, response) = fleet.resume(0, &began, "key-b").await;
+    let (status, body, _) = outcome(&response);
+    assert_eq!(status, 503, "{body}");
+    let wait = response.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let wait: f64 = wait.and_then(|seconds| seconds.parse().ok()).expect("a time to retry");
+    assert!(wait > 1.0, "the only endpoint of v1 rests for 30 s, told to retry after {wait} s");
+}
