--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -539,3 +539,46 @@
     assert!(known[1..].iter().all(|known| *known <= MAX_QUEUED), "{known:?}");
     assert!(known[1] + known[2] + lost >= 2 * RECORDED, "{known:?} and {lost} are all copies");
 }
+
+/// Guards against homes whose memory is full, in fleets with few boxes in one availability zone: streams would be
+/// forgotten before their time.
+#[test]
+fn no_home_remembers_too_many_streams_in_a_lopsided_fleet() {
+    // Streams that the largest fleets begin in a second (docs/design/0020-stream-versions-figures.md).
+    for (boxes, per_s) in [(75, 1_010), (390, 2_460), (1_000, 4_100)] {
+        let mut fleet = profiles(boxes, 2);
+        for profile in &mut fleet[1..] {
+            profile.zone = "z1".into();
+        }
+        let chosen = choice(&fleet);
+        let mut shares: BTreeMap<Incarnation, u64> = BTreeMap::new();
+        for (n, key) in keys().enumerate() {
+            for home in chosen.recipients(key, &fleet[n % boxes].incarnation).into_iter().take(2) {
+                *shares.entry(home).or_default() += 1;
+            }
+        }
+        let most = *shares.values().max().expect("a home");
+        let remembered = per_s * STREAM_TTL.as_secs() * most / KEYS;
+        assert!(
+            remembered <= MAX_STREAMS as u64,
+            "{boxes} boxes: {most} of {KEYS} streams, {remembered} in {STREAM_TTL:?}"
+        );
+    }
+}
+
+/// Guards against an attempt of another caller that has the same id: neither stream may go on at the version of the
+/// other.
+#[test]
+fn an_id_that_began_two_streams_at_two_versions_names_none() {
+    let now = Instant::now();
+    let mut memory = Memory::new(now);
+    let key = stream_key(None, "try-1");
+    let record = |version: &str, age_ms| StreamRecord {
+        key,
+        origin: StreamOrigin { service: "engines".into(), version: version.into() },
+        age_ms,
+    };
+    memory.insert(&record("v1", 20), now);
+    memory.insert(&record("v2", 10), now);
+    assert_eq!(memory.get(key, now), None, "two callers of a public route used one id");
+}
