--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -398,3 +398,20 @@
     let wait: f64 = wait.and_then(|seconds| seconds.parse().ok()).expect("a time to retry");
     assert!(wait > 1.0, "the only endpoint of v1 rests for 30 s, told to retry after {wait} s");
 }
+
+/// Guards against callers that are refused for good while the box still reads that there was only one version.
+#[tokio::test]
+async fn a_caller_comes_back_once_the_record_of_the_only_version_is_read() {
+    let mut fleet = Fleet::start(&["v1", "v1"]).await;
+    let began = fleet.begin(0).await;
+    for process in fleet.boxes.drain(..) {
+        process.kill();
+    }
+    for number in 0..BOX_ZONES.len() {
+        fleet.start_box(number).await;
+    }
+    fleet.wait_until_ready().await;
+    fleet.harness.platform.set(|faults| faults.delay = Duration::from_millis(200));
+    let (status, body, may_return) = outcome(&fleet.resume(0, &began, "key-b").await.1);
+    assert!(status == 200 || may_return, "refused without a time to retry: {status} {body}");
+}
