--- a/crates/gateway/tests/loopback/dead_watch.rs
+++ b/crates/gateway/tests/loopback/dead_watch.rs
@@ -11,12 +11,12 @@
     time::Duration,
 };
 
-use gateway::Gateway;
+use gateway::{Gateway, Seen};
 use platform::{
-    fixtures::{self, Registration},
+    fixtures::{self, CallerHead, Registration, Resumed},
     store::{Client, Options},
 };
-use standin::{Link, Platform};
+use standin::{Link, Platform, ReceivedRequest, Reply, ScriptedEndpoint};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -217,3 +217,60 @@
     tokio::time::sleep(Duration::from_secs(5)).await;
     assert_eq!(sole_version().await, None, "an endpoint of v2 registered 5 s ago");
 }
+
+/// Guards against callers that are refused for good by a box that does not know the endpoints of a new version yet.
+#[tokio::test]
+async fn a_stream_of_a_version_that_the_box_does_not_see_yet_may_come_back() {
+    let begin = |request: &ReceivedRequest| {
+        let mut headers = fixtures::response_headers(&request.head.id, None);
+        headers.insert("content-type", "text/event-stream".parse().expect("a value"));
+        Reply::Truncated(headers, vec!["id: 1\ndata: x\n\n".into()])
+    };
+    let harness = Harness::start(1_000_000, &["resume"]).await;
+    let v1 = harness.endpoint("engine-1", "engines", begin).await;
+    let v2 = ScriptedEndpoint::spawn(begin).await;
+    let forwarder = Forwarder::bind(harness.platform.socket()).await;
+    let current = harness.gateway("box-0").await;
+    let late = harness.gateway_with_store("box-1", forwarder.address).await;
+    wait_until("the boxes know each other", async || {
+        current.peer_count() == 1 && late.peer_count() == 1
+    })
+    .await;
+    for gateway in [&current, &late] {
+        wait_until("the route is served", async || {
+            let request = harness.new_request("key-b", 1, 1);
+            call(gateway.callers(), "/resume/x", &request).await.status == 200
+        })
+        .await;
+    }
+    forwarder.faults.watches_are_dead.store(true, Ordering::SeqCst);
+    let registration =
+        Registration { version: "v2", ..fixtures::registration("engines", v2.address()) };
+    harness.write_raw_entry("engine-2", registration.entry().to_string()).await;
+    let mut began = None;
+    wait_until("a stream of v2", async || {
+        let request = harness.new_request("key-b", 1, 1);
+        call(current.callers(), "/resume/x", &request).await;
+        let is_v2 = v2.arrived().iter().any(|arrived| arrived.head.id == request.id);
+        began = is_v2.then_some(request.id);
+        began.is_some()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(late.versions_seen("engines"), current_sole("v1", &late), "it sees v1 only");
+    let resumed = Some(Resumed { first_attempt: began, last_event: Some(1) });
+    let request = CallerHead { resumed, ..harness.new_request("key-b", 1, 1) };
+    let response = call(late.callers(), "/resume/x", &request).await;
+    assert!(v1.arrived().iter().all(|arrived| arrived.head.id != request.id));
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.headers.contains_key("retry-after"), "refused for good: {response:?}");
+}
+
+/// The only version with the time that the box says.
+fn current_sole(version: &str, gateway: &Gateway) -> Seen {
+    let since_ms = match gateway.versions_seen("engines") {
+        Seen::Sole { since_ms, .. } => since_ms,
+        Seen::Several | Seen::Nothing => 0,
+    };
+    Seen::Sole { version: version.into(), since_ms }
+}
