--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use http::{HeaderMap, StatusCode};
 use platform::fixtures::{self, CallerHead, Registration, Resumed};
-use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
+use standin::{Link, ReceivedRequest, Reply, ScriptedEndpoint};
 
 use crate::{
     harness::{Harness, MAX_WAIT, Response, call, settings, wait_until, wait_until_served},
@@ -415,3 +415,36 @@
     let (status, body, may_return) = outcome(&fleet.resume(0, &began, "key-b").await.1);
     assert!(status == 200 || may_return, "refused without a time to retry: {status} {body}");
 }
+
+/// Guards against streams that go on at another version at a box that was cut off a moment ago: it vouches for the
+/// only version that it saw, while a second one begins streams elsewhere.
+#[tokio::test]
+async fn a_box_cut_off_a_moment_ago_takes_no_stream_to_another_version() {
+    const MEMORY_MS: u64 = 1_500;
+    let harness = Harness::start(PAID, &["resume"]).await;
+    let mut fleet = Fleet { harness, boxes: Vec::new(), endpoints: Vec::new() };
+    fleet.add_endpoint("v1", respond).await;
+    fleet.start_box(0).await;
+    let link = Link::bind(fleet.harness.platform.socket(), Duration::ZERO).await.expect("a link");
+    let mut cut = settings("box-cut", link.address());
+    cut.listen.peers = None;
+    cut.streams.memory_ms = MEMORY_MS;
+    fleet.boxes.push(Process::start(cut).await);
+    for process in &fleet.boxes {
+        wait_until_served(&fleet.harness, process.gateway(), PATH).await;
+    }
+    let fill = join_all((0..STREAMS).map(|_| fleet.begin(1))).await;
+    assert_eq!(fill.len(), STREAMS, "the box has tokens");
+    tokio::time::sleep(Duration::from_millis(2 * MEMORY_MS)).await;
+    link.set_cut(true);
+    fleet.add_endpoint("v2", respond).await;
+    let mut began = Vec::new();
+    wait_until("streams of v2", async || {
+        let ids = join_all((0..STREAMS).map(|_| fleet.begin(0))).await;
+        began.extend(ids.into_iter().filter(|id| fleet.version_of(id) == Some("v2")));
+        began.len() >= 4
+    })
+    .await;
+    // Fails if one goes on at another version.
+    fleet.resume_all(&began, &[1]).await;
+}
