--- a/crates/gateway/src/sole_versions/handle.rs
+++ b/crates/gateway/src/sole_versions/handle.rs
@@ -25,7 +25,7 @@
 use crate::clock::Moment;
 
 /// Longest time that a request waits for a read of the store. The read goes on for later requests.
-const READ_WAIT: Duration = Duration::from_millis(100);
+const READ_WAIT: Duration = Duration::from_millis(300);
 /// Interval at which a box without a history of its own looks in the store in the background.
 const CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// Time from the end of a read for which its result is used.
--- a/crates/gateway/tests/loopback/versions.rs
+++ b/crates/gateway/tests/loopback/versions.rs
@@ -9,7 +9,7 @@
 use gateway::Seen;
 use http::{HeaderMap, StatusCode};
 use platform::fixtures::{self, CallerHead, Registration, Resumed};
-use standin::{ReceivedRequest, Reply, ScriptedEndpoint};
+use standin::{Link, ReceivedRequest, Reply, ScriptedEndpoint};
 
 use crate::{
     harness::{Harness, MAX_WAIT, Response, call, settings, wait_until, wait_until_served},
@@ -306,3 +306,164 @@
     fleet.boxes.remove(0).kill();
     assert_eq!(fleet.resume_all(&began, &[0, 1, 2]).await, STREAMS);
 }
+
+/// A box that has just started, and serves.
+async fn start_new_box(fleet: &mut Fleet, name: &str, zone: &str) -> usize {
+    let mut settings = settings(name, fleet.harness.platform.socket());
+    settings.zone = zone.into();
+    let process = Process::start(settings).await;
+    wait_until_served(&fleet.harness, process.gateway(), PATH).await;
+    fleet.boxes.push(process);
+    fleet.boxes.len() - 1
+}
+
+/// Guards against streams that go on at no other box because the one that began them had only just started, and their
+/// homes did not know it yet.
+#[tokio::test]
+async fn a_stream_that_a_new_box_began_goes_on_elsewhere() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let began = join_all((0..STREAMS).map(|_| fleet.begin(late))).await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        went_on.push((fleet.resume_all(&began, &[0, 1, 2, 3]).await, peers));
+    }
+    let all = went_on.iter().all(|(went_on, _)| *went_on == STREAMS);
+    assert!(all, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against streams whose origin nobody takes, because most boxes do not know a box that has just started: it
+/// announces itself to three only, and the others refuse what it sends.
+#[tokio::test]
+async fn a_stream_that_a_new_box_began_goes_on_after_its_death() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let began = join_all((0..STREAMS).map(|_| fleet.begin(late))).await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        fleet.boxes.remove(late).kill();
+        went_on.push((fleet.resume_all(&began, &[0, 1, 2, 3]).await, peers));
+    }
+    let enough = went_on.iter().all(|(went_on, _)| went_on * 2 >= STREAMS);
+    assert!(enough, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against new boxes that take up nothing, because those that know the streams do not know them yet.
+#[tokio::test]
+async fn a_new_box_takes_up_streams() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let mut went_on = Vec::new();
+    for round in 0..4 {
+        let began = fleet.begin_many(0).await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let late = start_new_box(&mut fleet, &format!("late-{round}"), "z1").await;
+        let peers: Vec<usize> =
+            fleet.boxes.iter().map(|process| process.gateway().peer_count()).collect();
+        went_on.push((fleet.resume_all(&began, &[late]).await, peers));
+    }
+    let all = went_on.iter().all(|(went_on, _)| *went_on == STREAMS);
+    assert!(all, "of {STREAMS} in each round, with the boxes that each box knew: {went_on:?}");
+}
+
+/// Guards against planned replacements of boxes, one after the other, that forget where streams began.
+#[tokio::test]
+async fn a_stream_goes_on_after_all_boxes_were_replaced_by_plan() {
+    let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"]).await;
+    let began = fleet.begin_many(0).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    for (number, zone) in BOX_ZONES.iter().enumerate() {
+        start_new_box(&mut fleet, &format!("new-{number}"), zone).await;
+        fleet.boxes.remove(0).stop().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let went_on = fleet.resume_all(&began, &[0, 1, 2, 3]).await;
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+}
+
+/// Guards against callers that are told to come back in a tenth of a second, and give up after some tries, where the
+/// endpoints of their version rest for longer and only another version is free.
+#[tokio::test]
+async fn a_stream_waits_for_the_endpoints_of_its_version() {
+    let mut fleet = Fleet::start(&["v2"]).await;
+    let decline = |request: &ReceivedRequest| match request.head.last_event {
+        None => respond(request),
+        Some(_) => {
+            let (status, mut headers): (StatusCode, HeaderMap) =
+                fixtures::not_run_response(&request.head.id);
+            headers.insert("retry-after", "30".parse().expect("a value"));
+            Reply::Complete(status, headers, String::new())
+        }
+    };
+    fleet.add_endpoint("v1", decline).await;
+    let mut began = None;
+    wait_until("a stream of v1", async || {
+        let id = fleet.begin(0).await;
+        began = Some(id.clone()).filter(|id| fleet.version_of(id) == Some("v1")).or(began.take());
+        began.is_some()
+    })
+    .await;
+    let began = began.expect("a stream of v1");
+    // The endpoint asks for a rest of 30 s.
+    fleet.resume(0, &began, "key-b").await;
+    let (_, response) = fleet.resume(0, &began, "key-b").await;
+    let (status, body, _) = outcome(&response);
+    assert_eq!(status, 503, "{body}");
+    let wait = response.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let wait: f64 = wait.and_then(|seconds| seconds.parse().ok()).expect("a time to retry");
+    assert!(wait > 1.0, "the only endpoint of v1 rests for 30 s, told to retry after {wait} s");
+}
+
+/// Guards against callers that are refused for good while the box still reads that there was only one version.
+#[tokio::test]
+async fn a_caller_comes_back_once_the_record_of_the_only_version_is_read() {
+    let mut fleet = Fleet::start(&["v1", "v1"]).await;
+    let began = fleet.begin(0).await;
+    for process in fleet.boxes.drain(..) {
+        process.kill();
+    }
+    for number in 0..BOX_ZONES.len() {
+        fleet.start_box(number).await;
+    }
+    fleet.wait_until_ready().await;
+    fleet.harness.platform.set(|faults| faults.delay = Duration::from_millis(200));
+    let (status, body, may_return) = outcome(&fleet.resume(0, &began, "key-b").await.1);
+    assert!(status == 200 || may_return, "refused without a time to retry: {status} {body}");
+}
+
+/// Guards against streams that go on at another version at a box that was cut off a moment ago: it vouches for the
+/// only version that it saw, while a second one begins streams elsewhere.
+#[tokio::test]
+async fn a_box_cut_off_a_moment_ago_takes_no_stream_to_another_version() {
+    const MEMORY_MS: u64 = 1_500;
+    let harness = Harness::start(PAID, &["resume"]).await;
+    let mut fleet = Fleet { harness, boxes: Vec::new(), endpoints: Vec::new() };
+    fleet.add_endpoint("v1", respond).await;
+    fleet.start_box(0).await;
+    let link = Link::bind(fleet.harness.platform.socket(), Duration::ZERO).await.expect("a link");
+    let mut cut = settings("box-cut", link.address());
+    cut.listen.peers = None;
+    cut.streams.memory_ms = MEMORY_MS;
+    fleet.boxes.push(Process::start(cut).await);
+    for process in &fleet.boxes {
+        wait_until_served(&fleet.harness, process.gateway(), PATH).await;
+    }
+    let fill = join_all((0..STREAMS).map(|_| fleet.begin(1))).await;
+    assert_eq!(fill.len(), STREAMS, "the box has tokens");
+    tokio::time::sleep(Duration::from_millis(2 * MEMORY_MS)).await;
+    link.set_cut(true);
+    fleet.add_endpoint("v2", respond).await;
+    let mut began = Vec::new();
+    wait_until("streams of v2", async || {
+        let ids = join_all((0..STREAMS).map(|_| fleet.begin(0))).await;
+        began.extend(ids.into_iter().filter(|id| fleet.version_of(id) == Some("v2")));
+        began.len() >= 4
+    })
+    .await;
+    // Fails if one goes on at another version.
+    fleet.resume_all(&began, &[1]).await;
+}
