Loopback tests: one file for raw responses and callers

framing and framing_edges started the same fleet, built the same response heads, chunks and request texts, and read the beginning of a response, each in its own copy. They are in raw.rs now. The readers of whole responses stay: framing's says whether a response is whole by its frame, framing_edges' how its connection ended.

No check, bound or case changes.

--- a/crates/gateway/tests/loopback/framing.rs
+++ b/crates/gateway/tests/loopback/framing.rs
@@ -1,36 +1,20 @@
 //! Framing of responses, as raw bytes: what a caller takes for a whole response was one.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Instant};
 
-use gateway::Gateway;
-use http::HeaderMap;
-use platform::fixtures;
 use standin::{Ending, ReceivedRequest, Reply};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::{io::AsyncReadExt, net::TcpStream};
 
 use crate::{
     endpoint_cut::Cut,
-    harness::{Harness, MAX_WAIT, answer_ok, settings, wait_until, wait_until_served},
+    harness::{MAX_WAIT, answer_ok, settings, wait_until, wait_until_served},
     process::Process,
+    raw::{
+        IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, raw, raw_after, read_until, request,
+        start,
+    },
 };
 
-/// Routes that the tests use; the first two are streams.
-const ROUTES: [&str; 4] = ["stream", "resume", "confirm", "open"];
-/// Time between the last bytes of an endpoint and the end of its connection.
-const PAUSE: Duration = Duration::from_millis(30);
-/// Time for which a response is held open that is to be cut from outside.
-const LONG_PAUSE: Duration = Duration::from_secs(10);
-
-/// Two events of a stream.
-const WHOLE: &str = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
-/// A stream that stops inside its second event.
-const IN_EVENT: &str = "id: 1\ndata: x\n\nid: 2\nda";
 /// A stream that stops after the last line of its second event.
 const BEFORE_END: &str = "id: 1\ndata: x\n\nid: 2\ndata: y\n";
 
@@ -62,73 +46,41 @@
     Broken,
 }
 
-/// The bytes of a response with this body.
-fn response(request: &ReceivedRequest, frame: Frame, body: &str) -> Vec<u8> {
-    let mut headers = fixtures::response_headers(&request.head.id, None);
-    let is_stream = ["/stream/", "/resume/"].iter().any(|route| request.line.contains(route));
-    let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
-    headers.insert("content-type", media_type.parse().expect("a value"));
-    let (framing, body) = match frame {
-        Frame::Close => (String::new(), body.to_owned()),
-        Frame::Chunks => ("transfer-encoding: chunked\r\n".into(), chunk(body) + "0\r\n\r\n"),
-        Frame::OpenChunks => ("transfer-encoding: chunked\r\n".into(), chunk(body)),
-        Frame::Length => (format!("content-length: {}\r\n", body.len()), body.to_owned()),
-        Frame::TooLong => (format!("content-length: {}\r\n", body.len() + 7), body.to_owned()),
-        Frame::Trailing => (format!("content-length: {}\r\n", body.len()), format!("{body}extra")),
-    };
-    format!("HTTP/1.1 200 OK\r\n{framing}{}\r\n{body}", lines(&headers)).into_bytes()
-}
-
-fn lines(headers: &HeaderMap) -> String {
-    let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
-        format!("{name}: {}\r\n", value.to_str().expect("text"))
-    };
-    headers.iter().map(line).collect()
-}
-
-fn chunk(body: &str) -> String {
-    format!("{:x}\r\n{body}\r\n", body.len())
+impl Frame {
+    /// The header lines and the bytes of a body in this frame.
+    fn apply(self, body: &str) -> (String, String) {
+        let chunked = || "transfer-encoding: chunked\r\n".to_owned();
+        let length = |length: usize| format!("content-length: {length}\r\n");
+        match self {
+            Frame::Close => (String::new(), body.to_owned()),
+            Frame::Chunks => (chunked(), chunk(body) + "0\r\n\r\n"),
+            Frame::OpenChunks => (chunked(), chunk(body)),
+            Frame::Length => (length(body.len()), body.to_owned()),
+            Frame::TooLong => (length(body.len() + 7), body.to_owned()),
+            Frame::Trailing => (length(body.len()), format!("{body}extra")),
+        }
+    }
 }
 
 /// A connection of a caller that has sent a request.
-struct Caller(TcpStream);
-
-impl Caller {
-    async fn send(address: SocketAddr, version: &str, path: &str, id: &str) -> Caller {
-        let mut stream = TcpStream::connect(address).await.expect("the box listens");
-        let request = format!(
-            "POST {path} {version}\r\nhost: desk.example\r\nattempt-id: {id}\r\napi-key: key-b\r\n\
-             token-counts: 1,1\r\ndeadline-ms: 20000\r\ncontent-length: 1\r\n\r\nx"
-        );
-        stream.write_all(request.as_bytes()).await.expect("the box reads");
-        Caller(stream)
-    }
+async fn send(address: SocketAddr, version: &str, path: &str, id: &str) -> TcpStream {
+    connect(address, &request(version, path, id, "")).await
+}
 
-    /// Reads until the body has this text.
-    async fn read_until(&mut self, text: &str) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        while !String::from_utf8_lossy(&bytes).contains(text) {
-            let read = tokio::time::timeout(MAX_WAIT, self.0.read_buf(&mut bytes)).await;
-            assert_ne!(read.expect("in time").expect("more bytes"), 0, "the response goes on");
+/// Reads the rest of a response of which `bytes` have come; returns how it looks, and its body.
+async fn finish(mut caller: TcpStream, mut bytes: Vec<u8>) -> (Seen, String) {
+    let until = Instant::now() + MAX_WAIT;
+    loop {
+        if let Some(body) = framed_body(&bytes) {
+            return (Seen::Framed, body);
         }
-        bytes
-    }
-
-    /// Reads the rest of a response of which `bytes` have come; returns how it looks, and its body.
-    async fn finish(mut self, mut bytes: Vec<u8>) -> (Seen, String) {
-        let until = Instant::now() + MAX_WAIT;
-        loop {
-            if let Some(body) = framed_body(&bytes) {
-                return (Seen::Framed, body);
-            }
-            let left = until.saturating_duration_since(Instant::now());
-            let read = tokio::time::timeout(left, self.0.read_buf(&mut bytes)).await;
-            match read.expect("the response ends in time") {
-                Ok(0) if is_framed(&bytes) => return (Seen::Broken, body(&bytes)),
-                Ok(0) => return (Seen::Closed, body(&bytes)),
-                Ok(_) => {}
-                Err(_) => return (Seen::Broken, body(&bytes)),
-            }
+        let left = until.saturating_duration_since(Instant::now());
+        let read = tokio::time::timeout(left, caller.read_buf(&mut bytes)).await;
+        match read.expect("the response ends in time") {
+            Ok(0) if is_framed(&bytes) => return (Seen::Broken, body(&bytes)),
+            Ok(0) => return (Seen::Closed, body(&bytes)),
+            Ok(_) => {}
+            Err(_) => return (Seen::Broken, body(&bytes)),
         }
     }
 }
@@ -175,23 +127,6 @@
     }
 }
 
-async fn start(script: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static) -> Fleet {
-    let harness = Harness::start(1_000_000, &ROUTES).await;
-    let script = crate::harness::shared(script);
-    let plain = harness.endpoint("i-1", "plain", script.clone()).await;
-    let engine = harness.endpoint("i-2", "engines", script).await;
-    let gateway = harness.gateway("box-1").await;
-    wait_until_served(&harness, &gateway, "/open/x").await;
-    wait_until_served(&harness, &gateway, "/stream/x").await;
-    Fleet { gateway, _endpoints: [plain, engine], harness }
-}
-
-struct Fleet {
-    gateway: Gateway,
-    _endpoints: [standin::ScriptedEndpoint; 2],
-    harness: Harness,
-}
-
 /// Guards against responses that an endpoint broke off and that reach their caller framed as whole ones.
 #[tokio::test]
 async fn a_response_that_broke_off_does_not_look_whole() {
@@ -229,15 +164,16 @@
         let case = request.head.id.strip_prefix("case-").and_then(|n| n.split('-').next());
         let Some(case) = case else { return answer_ok(request) };
         let (_, frame, text, ending, _) = cases[case.parse::<usize>().expect("a case")];
-        Reply::Raw(response(request, frame, text), PAUSE, ending)
+        let (extra, body) = frame.apply(text);
+        raw(request, &extra, &body, ending)
     })
     .await;
     let mut wrong = Vec::new();
     for (number, (path, frame, text, ending, expected)) in cases.iter().enumerate() {
         for version in ["HTTP/1.1", "HTTP/1.0"] {
             let id = format!("case-{number}-{}", &version[5..]);
-            let caller = Caller::send(fleet.gateway.callers(), version, path, &id).await;
-            let (seen, body) = caller.finish(Vec::new()).await;
+            let caller = send(fleet.gateway.callers(), version, path, &id).await;
+            let (seen, body) = finish(caller, Vec::new()).await;
             // Callers of HTTP/1.0 know no chunks.
             let expected = match expected {
                 Seen::Framed if *frame == Frame::Chunks && version == "HTTP/1.0" => Seen::Closed,
@@ -257,7 +193,7 @@
 /// A stream without a frame that stays open after its first events.
 fn held_open(request: &ReceivedRequest) -> Reply {
     match request.head.id.starts_with("held") {
-        true => Reply::Raw(response(request, Frame::Close, WHOLE), LONG_PAUSE, Ending::Close),
+        true => raw_after(request, "", WHOLE, LONG_PAUSE, Ending::Close),
         false => answer_ok(request),
     }
 }
@@ -271,10 +207,10 @@
         let process = Process::start(settings).await;
         let address = process.gateway().callers();
         wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
-        let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
-        let bytes = caller.read_until("data: y\n\n").await;
+        let mut caller = send(address, version, "/stream/x", "held-1").await;
+        let bytes = read_until(&mut caller, "data: y\n\n").await;
         process.kill();
-        let (seen, _) = caller.finish(bytes).await;
+        let (seen, _) = finish(caller, bytes).await;
         assert_eq!(seen, Seen::Broken, "{version}");
     }
 }
@@ -289,10 +225,10 @@
         let process = Process::start(settings).await;
         let address = process.gateway().callers();
         wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
-        let mut caller = Caller::send(address, version, "/stream/x", "held-1").await;
-        let bytes = caller.read_until("data: y\n\n").await;
+        let mut caller = send(address, version, "/stream/x", "held-1").await;
+        let bytes = read_until(&mut caller, "data: y\n\n").await;
         process.stop().await;
-        let (seen, _) = caller.finish(bytes).await;
+        let (seen, _) = finish(caller, bytes).await;
         assert_eq!(seen, Seen::Broken, "{version}");
     }
 }
@@ -303,13 +239,13 @@
     let text = WHOLE.repeat(200_000);
     let sent = text.clone();
     let fleet = start(move |request| match &*request.head.id {
-        "large" => Reply::Raw(response(request, Frame::Close, &sent), PAUSE, Ending::Close),
+        "large" => raw(request, "", &sent, Ending::Close),
         _ => answer_ok(request),
     })
     .await;
-    let caller = Caller::send(fleet.gateway.callers(), "HTTP/1.1", "/stream/x", "large").await;
+    let caller = send(fleet.gateway.callers(), "HTTP/1.1", "/stream/x", "large").await;
     tokio::time::sleep(PAUSE * 10).await;
-    let (seen, body) = caller.finish(Vec::new()).await;
+    let (seen, body) = finish(caller, Vec::new()).await;
     assert_eq!((seen, body.len()), (Seen::Closed, text.len()));
 }
 
@@ -317,8 +253,8 @@
 #[tokio::test]
 async fn a_detour_passes_on_how_a_response_ends() {
     let fleet = start(|request| match &*request.head.id {
-        "closed" => Reply::Raw(response(request, Frame::Close, WHOLE), PAUSE, Ending::Close),
-        "reset" => Reply::Raw(response(request, Frame::Close, WHOLE), PAUSE, Ending::Reset),
+        "closed" => raw(request, "", WHOLE, Ending::Close),
+        "reset" => raw(request, "", WHOLE, Ending::Reset),
         _ => held_open(request),
     })
     .await;
@@ -328,13 +264,13 @@
     cut.begin(Cut::Reset);
     wait_until_served(&fleet.harness, &cut_box, "/stream/x").await;
     for (id, expected) in [("closed", Seen::Closed), ("reset", Seen::Broken)] {
-        let caller = Caller::send(cut_box.callers(), "HTTP/1.1", "/stream/x", id).await;
-        let (seen, _) = caller.finish(Vec::new()).await;
+        let caller = send(cut_box.callers(), "HTTP/1.1", "/stream/x", id).await;
+        let (seen, _) = finish(caller, Vec::new()).await;
         assert_eq!(seen, expected, "{id}");
     }
-    let mut caller = Caller::send(cut_box.callers(), "HTTP/1.1", "/stream/x", "held-1").await;
-    let bytes = caller.read_until("data: y\n\n").await;
+    let mut caller = send(cut_box.callers(), "HTTP/1.1", "/stream/x", "held-1").await;
+    let bytes = read_until(&mut caller, "data: y\n\n").await;
     drop(fleet.gateway);
-    let (seen, _) = caller.finish(bytes).await;
+    let (seen, _) = finish(caller, bytes).await;
     assert_eq!(seen, Seen::Broken, "the box between died");
 }
--- a/crates/gateway/tests/loopback/framing_edges.rs
+++ b/crates/gateway/tests/loopback/framing_edges.rs
@@ -1,28 +1,26 @@
 //! Framing of responses at the edges, as raw bytes: trailers, two frames at once, breaks that come with the data, callers
 //! that pipeline or close their side.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use gateway::Gateway;
-use platform::fixtures;
-use standin::{Ending, ReceivedRequest, Reply, ScriptedEndpoint};
+use standin::{Ending, Reply};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
 use crate::{
-    harness::{Harness, MAX_WAIT, answer_ok, settings, wait_until_served},
+    harness::{MAX_WAIT, answer_ok, settings, wait_until_served},
     process::Process,
+    raw::{
+        IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, head, raw, raw_after, read_until,
+        request, start,
+    },
 };
 
-const ROUTES: [&str; 4] = ["stream", "resume", "confirm", "open"];
-/// Time between the last bytes of an endpoint and the end of its connection.
-const PAUSE: Duration = Duration::from_millis(30);
-const LONG_PAUSE: Duration = Duration::from_secs(10);
-const WHOLE: &str = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
+/// The first of the two events of a stream.
 const FIRST: &str = "id: 1\ndata: x\n\n";
-const IN_EVENT: &str = "id: 1\ndata: x\n\nid: 2\nda";
 
 /// Events of a response of 1.5 MB.
 const EVENTS: usize = 100_000;
@@ -36,48 +34,6 @@
     Open,
 }
 
-fn head(request: &ReceivedRequest, extra: &str) -> String {
-    let headers = fixtures::response_headers(&request.head.id, None);
-    let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
-        format!("{name}: {}\r\n", value.to_str().expect("text"))
-    };
-    let lines: String = headers.iter().map(line).collect();
-    let is_stream = ["/stream/", "/resume/"].iter().any(|route| request.line.contains(route));
-    let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
-    format!("HTTP/1.1 200 OK\r\ncontent-type: {media_type}\r\n{extra}{lines}\r\n")
-}
-
-fn raw(request: &ReceivedRequest, extra: &str, body: &str, end: Ending) -> Reply {
-    raw_after(request, extra, body, PAUSE, end)
-}
-
-fn raw_after(
-    request: &ReceivedRequest,
-    extra: &str,
-    body: &str,
-    pause: Duration,
-    end: Ending,
-) -> Reply {
-    Reply::Raw((head(request, extra) + body).into_bytes(), pause, end)
-}
-
-fn chunk(body: &str) -> String {
-    format!("{:x}\r\n{body}\r\n", body.len())
-}
-
-fn request(version: &str, path: &str, id: &str, extra: &str) -> String {
-    format!(
-        "POST {path} {version}\r\nhost: desk.example\r\nattempt-id: {id}\r\napi-key: key-b\r\n\
-         token-counts: 1,1\r\ndeadline-ms: 20000\r\n{extra}content-length: 1\r\n\r\nx"
-    )
-}
-
-async fn connect(address: SocketAddr, request: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(address).await.expect("the box listens");
-    stream.write_all(request.as_bytes()).await.expect("the box reads");
-    stream
-}
-
 /// Reads until the connection ends, or nothing more comes for some time.
 async fn read_all(stream: &mut TcpStream, idle: Duration) -> (End, String) {
     let mut bytes = Vec::new();
@@ -107,23 +63,6 @@
     whole
 }
 
-struct Fleet {
-    gateway: Gateway,
-    _endpoints: [ScriptedEndpoint; 2],
-    harness: Harness,
-}
-
-async fn start(script: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static) -> Fleet {
-    let harness = Harness::start(1_000_000, &ROUTES).await;
-    let script = crate::harness::shared(script);
-    let plain = harness.endpoint("i-1", "plain", script.clone()).await;
-    let engine = harness.endpoint("i-2", "engines", script).await;
-    let gateway = harness.gateway("box-1").await;
-    wait_until_served(&harness, &gateway, "/open/x").await;
-    wait_until_served(&harness, &gateway, "/stream/x").await;
-    Fleet { gateway, _endpoints: [plain, engine], harness }
-}
-
 /// Requests that ended with this outcome, from the metrics.
 fn outcomes(gateway: &Gateway) -> Vec<String> {
     let metrics = gateway.metrics();
@@ -347,12 +286,7 @@
             let id = format!("held-{kind}-{round}-{number}");
             let text = request("HTTP/1.1", "/stream/x", &id, "");
             let mut caller = connect(address, &text).await;
-            let mut bytes = Vec::new();
-            while !String::from_utf8_lossy(&bytes).contains("data: y\n\n") {
-                let read = tokio::time::timeout(MAX_WAIT, caller.read_buf(&mut bytes)).await;
-                let count = read.expect("in time").expect("more bytes");
-                assert_ne!(count, 0, "{number}: {:?}", String::from_utf8_lossy(&bytes));
-            }
+            read_until(&mut caller, "data: y\n\n").await;
             callers.push((kind, caller));
         }
         process.kill();
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -19,6 +19,7 @@
 mod proxy;
 mod quarantine;
 mod rate_limit;
+mod raw;
 mod sole_versions;
 mod store_copy;
 mod suspended;
