proxy: one attempt at an endpoint has a file of its own

dispatch held both the loop over endpoints and what one attempt does. attempt.rs connects, sends, and judges the head of the response; dispatch.rs keeps the loop, the limits of retries and the refusals. attempt does not need dispatch.

Code motion only. The lines dispatched and not_taken now have gateway::proxy::attempt as their tracing target.

--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -1,29 +1,17 @@
-//! Sends an admitted request to endpoints, with retries, and classifies the outcome of each attempt.
+//! Sends an admitted request to endpoints, one `attempt` after the other, and says why none of them answered.
 
 use std::{sync::Arc, time::Duration};
 
-use balance::{Candidates, Failure, Filter, Limit};
-use forward::{Answer, Fault, Framing};
-use http::StatusCode;
-use platform::{
-    answer,
-    config::{Kind, Route},
-    request::{self, Directives},
-};
-use wire::StreamOrigin;
+use balance::{Candidates, Filter};
+use forward::Answer;
 
-use crate::{
-    clock::Moment,
-    metrics::Service,
-    proxy::{
-        admit::AdmittedRequest,
-        announcer::Announcement,
-        context::Context,
-        endpoints::Chosen,
-        exchange::Exchange,
-        refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
-        relay::InFlight,
-    },
+use crate::proxy::{
+    admit::AdmittedRequest,
+    attempt::{Attempt, is_repeatable, log_not_taken},
+    context::Context,
+    exchange::Exchange,
+    refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
+    relay::InFlight,
 };
 
 /// `Retry-After` where the service has no endpoints, or all of them are leaving; a new one is discovered within this
@@ -36,20 +24,6 @@
 /// Maximum number of permits requested for one request; then endpoints that require one are skipped.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
-/// Outcome of one attempt at an endpoint.
-enum Attempt {
-    /// A response for the caller.
-    Answer(Box<Answer>, Box<InFlight>),
-    /// The endpoint declined the request without running it.
-    Declined(String),
-    /// The address now belongs to another instance: the selected one is gone.
-    Gone(String),
-    /// Nothing was sent to the endpoint.
-    Unsent(String),
-    /// The request may have run at the endpoint.
-    Unknown(Refusal),
-}
-
 impl Context {
     /// Sends a request to endpoints until one of them responds or no more attempts are allowed.
     pub async fn dispatch(
@@ -156,221 +130,4 @@
         }
         taken
     }
-
-    /// Sends the request to one endpoint.
-    async fn attempt(
-        &self,
-        admitted: &AdmittedRequest,
-        chosen: &Chosen,
-        exchange: &mut Exchange,
-    ) -> Attempt {
-        exchange.endpoint = Some(chosen.id.clone());
-        exchange.version = Some(chosen.version.clone());
-        let left = exchange.time_left();
-        let directives = Directives {
-            instance: &chosen.id,
-            customer: exchange.customer.as_deref(),
-            remaining: Some(left),
-            rank: admitted.engine_rank,
-            resume_after: admitted.head.resumed_after,
-        };
-        let headers =
-            match request::endpoint_headers(&admitted.headers, &directives, admitted.body.len()) {
-                Ok(headers) => headers,
-                Err(error) => return Attempt::Unsent(error.to_string()),
-            };
-        let request = forward::Request {
-            method: admitted.method.clone(),
-            target: admitted.target.clone(),
-            headers,
-            body: admitted.body.clone(),
-        };
-        tracing::info!(
-            event = "dispatched",
-            id = exchange.id.as_deref(),
-            endpoint = &*chosen.id,
-            version = &*chosen.version,
-            resumes = admitted.head.resumes.as_deref(),
-            resumed_after = admitted.head.resumed_after,
-            service = &*admitted.service,
-            fingerprint = %admitted.fingerprint,
-            load = chosen.load,
-            cached = chosen.cached_tokens,
-            limit = chosen.limit.map(Limit::as_per_s),
-            leaves_ms = chosen.leaves.map(|ago| ago.as_millis() as u64),
-            rest_ms = chosen.back_off.map(|back_off| back_off.as_millis() as u64),
-            prompt = admitted.prefix.size(),
-            config = exchange.config_version,
-            left_ms = left.as_millis() as u64,
-            sent_before = exchange.attempts,
-        );
-        if chosen.limit.is_some() {
-            let service = Service { service: admitted.service.to_string() };
-            self.metrics.limited_sends.get_or_create(&service).inc();
-        }
-        let endpoints = self.endpoints.clone();
-        let service = admitted.service.clone();
-        let watch = self.crashes.watch(&chosen.instance, chosen.address, &admitted.fingerprint);
-        let mut in_flight =
-            InFlight::start(endpoints, service, chosen, &admitted.prefix, &self.peers, watch);
-        let connection = match self.connect(admitted, chosen, exchange, &mut in_flight).await {
-            Ok(connection) => connection,
-            Err(unsent) => return unsent,
-        };
-        exchange.is_detour = connection.is_detour();
-        self.metrics.detours.inc_by(u64::from(exchange.is_detour));
-        // From here on the endpoint may have the request, also if this future is dropped.
-        let (may_have_run_before, attempts_before) = (exchange.may_have_run, exchange.attempts);
-        (exchange.may_have_run, exchange.attempts) = (true, exchange.attempts + 1);
-        let sent_at = self.clock.now();
-        let outcome = match tokio::time::timeout_at(exchange.deadline, connection.send(request))
-            .await
-        {
-            Err(_) => Attempt::Unknown(Reason::Silent.with("the endpoint did not respond in time")),
-            Ok(Err(fault)) => classify_fault(fault, &mut in_flight),
-            Ok(Ok(response)) => {
-                self.classify(admitted, chosen, exchange, &sent_at, response, in_flight)
-            }
-        };
-        match outcome {
-            // An endpoint that is gone does not count against the route's limit of attempts.
-            Attempt::Unsent(_) | Attempt::Gone(_) => {
-                (exchange.may_have_run, exchange.attempts) = (may_have_run_before, attempts_before)
-            }
-            Attempt::Declined(_) => exchange.may_have_run = may_have_run_before,
-            _ => {}
-        }
-        outcome
-    }
-
-    /// Obtains a connection, and rechecks the endpoint: its availability may have changed while connecting.
-    async fn connect(
-        &self,
-        admitted: &AdmittedRequest,
-        chosen: &Chosen,
-        exchange: &Exchange,
-        in_flight: &mut InFlight,
-    ) -> Result<forward::ReadyConnection, Attempt> {
-        let connecting = self.connections.connect(chosen.address, admitted.max_connections);
-        let connection = match tokio::time::timeout_at(exchange.deadline, connecting).await {
-            Err(_) => {
-                in_flight.fail(Failure::Silent);
-                return Err(Attempt::Unsent(
-                    "no connection was established before the deadline".into(),
-                ));
-            }
-            Ok(Err(fault)) => return Err(classify_fault(fault, in_flight)),
-            Ok(Ok(connection)) => connection,
-        };
-        if self.endpoints.refuses_requests(&admitted.service, chosen) {
-            connection.release();
-            in_flight.end_without_failure();
-            return Err(Attempt::Unsent("the endpoint stopped accepting requests".into()));
-        }
-        Ok(connection)
-    }
-
-    /// Classifies a response by its head.
-    fn classify(
-        &self,
-        admitted: &AdmittedRequest,
-        chosen: &Chosen,
-        exchange: &mut Exchange,
-        sent_at: &Moment,
-        response: Answer,
-        mut in_flight: InFlight,
-    ) -> Attempt {
-        let status = response.head.status;
-        let head = answer::Head::read(status, &response.head.headers);
-        let is_foreign = head.id.is_some() && head.id != admitted.head.id;
-        if is_foreign {
-            in_flight.fail(Failure::Broken);
-            return Attempt::Unknown(Reason::Lost.with("the response has another request's id"));
-        }
-        // Signals of another endpoint at the address do not apply to the selected one.
-        if status != StatusCode::MISDIRECTED_REQUEST {
-            let changes =
-                self.endpoints.receive_signals(&admitted.service, chosen, &head, sent_at.elapsed());
-            if changes.limit {
-                self.announcer
-                    .announce(Announcement::LimitChanged { instance: chosen.instance.clone() });
-            }
-            if changes.leaves {
-                let (instance, address) = (chosen.instance.clone(), chosen.address);
-                self.announcer.announce(Announcement::Draining { instance, address });
-            }
-        }
-        if head.not_run {
-            let reason = format!("the endpoint declined with {status}");
-            if status == StatusCode::MISDIRECTED_REQUEST {
-                in_flight.fail(Failure::Silent);
-                return Attempt::Gone(reason);
-            }
-            in_flight.fail(Failure::Refused);
-            return Attempt::Declined(reason);
-        }
-        let should_repeat = is_repeatable(&admitted.route)
-            && status.is_server_error()
-            && exchange.attempts < admitted.route.max_attempts
-            && self.endpoints.has_alternative(
-                &admitted.service,
-                &chosen.instance,
-                admitted.version.as_deref(),
-            )
-            && self.can_repeat(admitted);
-        if should_repeat {
-            in_flight.end_without_failure();
-            return Attempt::Unknown(
-                Reason::Lost.with(format!("the endpoint failed with {status}")),
-            );
-        }
-        exchange.time_to_head = Some(exchange.arrived_at.elapsed());
-        exchange.framing = Some(response.framing);
-        if response.framing == Framing::Close {
-            in_flight.unframed();
-        }
-        if status.is_success() {
-            let (service, version) = (admitted.service.clone(), chosen.version.clone());
-            let origin = StreamOrigin { service, version };
-            self.record_origin(origin, &admitted.route, &admitted.head, exchange);
-        }
-        in_flight.finish_prefill();
-        Attempt::Answer(Box::new(response), Box::new(in_flight))
-    }
-
-    /// Whether a repeat is permitted, without consuming it.
-    fn can_repeat(&self, admitted: &AdmittedRequest) -> bool {
-        let now_s = self.started.elapsed().as_secs();
-        self.retries.lock().has_left(&admitted.service, now_s, &self.settings().retries)
-    }
-}
-
-fn log_not_taken(outcome: &Attempt, exchange: &Exchange, chosen: &Chosen) {
-    let (Attempt::Unsent(reason) | Attempt::Declined(reason) | Attempt::Gone(reason)) = outcome
-    else {
-        return;
-    };
-    let (id, endpoint) = (exchange.id.as_deref(), &*chosen.id);
-    tracing::info!(event = "not_taken", id, endpoint, reason);
-}
-
-fn classify_fault(fault: Fault, in_flight: &mut InFlight) -> Attempt {
-    match fault {
-        Fault::Full { .. } => {
-            in_flight.end_without_failure();
-            Attempt::Unsent(fault.to_string())
-        }
-        Fault::Unsent { reason } => {
-            in_flight.unsent();
-            Attempt::Unsent(reason)
-        }
-        Fault::Unknown { reason } => {
-            in_flight.broke();
-            Attempt::Unknown(Reason::Lost.with(reason))
-        }
-    }
-}
-
-fn is_repeatable(route: &Route) -> bool {
-    route.kind == Kind::Repeatable || (route.kind == Kind::Streaming && route.resumable)
 }
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! Handling of one request, from its head to an endpoint and back to the caller.
 //!
 //! - `admit` resolves the route and the customer, reads the body and reserves tokens;
-//! - `dispatch` selects one of the `endpoints`, sends the request and retries where that is allowed;
+//! - `dispatch` selects one of the `endpoints` and retries where that is allowed, `attempt` sends the request to it;
 //! - `relay` streams the response to the caller, `exchange` settles and logs the request;
 //! - `refusal` is the response of the box itself;
 //! - `crashes` tracks requests that crash endpoints;
@@ -12,6 +12,7 @@
 //! They share the state in `context`.
 
 pub mod admit;
+pub mod attempt;
 pub mod bounds;
 pub mod caller_close;
 pub mod crashes;
