flintbench versions: say once what was written twice

The streams that went on while served are one count (right and wrong ones were only ever added up). What a box finds out is an Option in place of an enum of the same shape.

--- a/crates/flintbench/src/versions/day.rs
+++ b/crates/flintbench/src/versions/day.rs
@@ -85,31 +85,32 @@
     pub fn world(self, boxes: usize, seed: u64) -> World {
         let mut plan = Plan::new(boxes, seed);
         match self {
-            Day::CalmRelease => plan.release(0, 1, 10.0, 40.0, 0.5),
+            Day::CalmRelease => plan.half_release(),
             Day::ReleaseWithCrashes => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
+                plan.half_release();
                 plan.crashes();
             }
             Day::BoxKilled => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
+                plan.half_release();
                 plan.kill_box(index(seed, 1, boxes));
             }
             Day::BoxAndHomeKilled => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
-                plan.kill_box(index(seed, 1, boxes));
-                plan.kill_a_home(index(seed, 1, boxes));
+                plan.half_release();
+                let killed = index(seed, 1, boxes);
+                plan.kill_box(killed);
+                plan.kill_a_home(killed);
             }
             Day::ZoneCutOff => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
+                plan.half_release();
                 plan.lose_zone(Cause::CutOff, 40.0);
             }
             Day::ZoneKilled => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
+                plan.half_release();
                 plan.lose_zone(Cause::Killed, 45.0);
             }
             Day::RestartOneVersion => plan.restart_all(),
             Day::RestartTwoVersions => {
-                plan.release(0, 1, 10.0, 40.0, 0.5);
+                plan.half_release();
                 plan.restart_all();
             }
             Day::RestartAfterRelease => {
@@ -184,6 +185,11 @@
         (0..self.endpoints.len()).filter(stays).collect()
     }
 
+    /// Replaces half of the endpoints within 30 s.
+    fn half_release(&mut self) {
+        self.release(0, 1, 10.0, 40.0, 0.5);
+    }
+
     /// Replaces a share of all endpoints one by one.
     fn release(&mut self, old: usize, new: usize, from: f64, until: f64, share: f64) {
         let count = (self.endpoints.len() as f64 * share) as usize;
@@ -191,8 +197,7 @@
         for (n, i) in replaced.into_iter().enumerate() {
             let at = from + (until - from) * n as f64 / count as f64;
             self.endpoints.push(Endpoint { version: new, from: at, ..self.endpoints[i] });
-            self.endpoints[i].leaves = at + OVERLAP_S;
-            self.endpoints[i].ends = at + OVERLAP_S + DRAIN_S;
+            self.drain(i, at + OVERLAP_S);
         }
     }
 
@@ -201,11 +206,16 @@
         let leaving = self.staying(version);
         for (n, i) in leaving.iter().enumerate() {
             let at = from + (until - from) * (n + 1) as f64 / leaving.len() as f64;
-            self.endpoints[*i].leaves = at;
-            self.endpoints[*i].ends = at + DRAIN_S;
+            self.drain(*i, at);
         }
     }
 
+    /// An endpoint leaves and finishes its streams.
+    fn drain(&mut self, endpoint: usize, at: f64) {
+        self.endpoints[endpoint].leaves = at;
+        self.endpoints[endpoint].ends = at + DRAIN_S;
+    }
+
     /// One endpoint in twelve crashes each 5 s, and is back with its version after 5 s.
     fn crashes(&mut self) {
         for n in 0..8 {
@@ -216,18 +226,13 @@
             let count = serving.len().div_ceil(12);
             serving.truncate(count);
             for i in serving {
-                let back = Endpoint { from: at + 5.0, ..self.endpoints[i] };
-                self.end(i, at);
-                self.endpoints.push(back);
+                self.endpoints.push(Endpoint { from: at + 5.0, ..self.endpoints[i] });
+                self.endpoints[i].leaves = at;
+                self.endpoints[i].ends = at;
             }
         }
     }
 
-    fn end(&mut self, endpoint: usize, at: f64) {
-        self.endpoints[endpoint].leaves = at;
-        self.endpoints[endpoint].ends = at;
-    }
-
     fn kill_box(&mut self, member: usize) {
         let absence = Absence { from: FAULT_S, until: FAULT_S + 10.0, cause: Cause::Killed };
         self.boxes[member].absences.push(absence);
--- a/crates/flintbench/src/versions/mod.rs
+++ b/crates/flintbench/src/versions/mod.rs
@@ -45,41 +45,43 @@
 /// Plays all days; the figures count the days on which a design broke a rule.
 pub fn run(options: &Options) -> Report {
     let mut report = Report { is_sound: true, ..Report::default() };
-    for (boxes, blocks) in &by_size(play_all(options)) {
+    for blocks in by_size(&play_all(options)) {
         let broken = |n: usize| {
-            let sum = sum(blocks.iter().map(|block| &block.tallies[n]));
+            let sum = sum(blocks, n);
             json!({"days": sum.days, "mixed": sum.days_mixed, "refused": sum.days_refused})
         };
         let designs = Design::ALL.iter().enumerate();
         let by_design = designs.map(|(n, (name, _))| (name.to_string(), broken(n)));
-        report.add(&format!("boxes_{boxes}"), by_design.collect::<serde_json::Map<_, _>>());
+        let by_design: serde_json::Map<_, _> = by_design.collect();
+        report.add(&format!("boxes_{}", blocks[0].boxes), by_design);
     }
     report
 }
 
 /// Plays all days and returns Markdown tables.
 pub fn table(options: &Options) -> String {
-    let sizes = by_size(play_all(options));
+    let blocks = play_all(options);
+    let sizes = by_size(&blocks);
     let mut text = summary(&sizes);
-    for (boxes, blocks) in &sizes {
-        let _ = write!(text, "\n## {boxes} boxes\n\n{HEAD}");
+    for blocks in sizes {
+        let _ = write!(text, "\n## {} boxes\n\n{HEAD}", blocks[0].boxes);
         blocks.iter().for_each(|block| rows(&mut text, block));
     }
     text
 }
 
 /// Days on which a rule was broken, by design and size.
-fn summary(sizes: &[(usize, Vec<Block>)]) -> String {
+fn summary(sizes: &[&[Block]]) -> String {
     let mut text = String::from("| design |");
-    for (boxes, blocks) in sizes {
-        let days: u64 = blocks.iter().map(|block| block.tallies[0].days).sum();
+    for blocks in sizes {
+        let (boxes, days) = (blocks[0].boxes, sum(blocks, 0).days);
         let _ = write!(text, " {boxes} boxes, {days} days: mixed | refused |");
     }
     let _ = write!(text, "\n|---|{}\n", "---|---|".repeat(sizes.len()));
     for (n, (name, _)) in Design::ALL.iter().enumerate() {
         let _ = write!(text, "| {name} |");
-        for (_, blocks) in sizes {
-            let sum = sum(blocks.iter().map(|block| &block.tallies[n]));
+        for blocks in sizes {
+            let sum = sum(blocks, n);
             let _ = write!(text, " {} | {} |", sum.days_mixed, sum.days_refused);
         }
         text.push('\n');
@@ -109,21 +111,16 @@
     }
 }
 
-fn sum<'a>(tallies: impl Iterator<Item = &'a Tally>) -> Tally {
+/// Sum of one design, by its number, over all kinds of days.
+fn sum(blocks: &[Block], design: usize) -> Tally {
     let mut sum = Tally::default();
-    tallies.for_each(|tally| sum.add(tally));
+    blocks.iter().for_each(|block| sum.add(&block.tallies[design]));
     sum
 }
 
-fn by_size(blocks: Vec<Block>) -> Vec<(usize, Vec<Block>)> {
-    let mut sizes: Vec<(usize, Vec<Block>)> = Vec::new();
-    for block in blocks {
-        match sizes.last_mut() {
-            Some((boxes, of_size)) if *boxes == block.boxes => of_size.push(block),
-            _ => sizes.push((block.boxes, vec![block])),
-        }
-    }
-    sizes
+/// Blocks of each size; they come one size after the other.
+fn by_size(blocks: &[Block]) -> Vec<&[Block]> {
+    blocks.chunk_by(|a, b| a.boxes == b.boxes).collect()
 }
 
 /// Plays the sizes that the options ask for, several days at once.
@@ -141,23 +138,24 @@
     thread::scope(|scope| {
         for _ in 0..THREADS {
             scope.spawn(|| {
-                while let Some((boxes, day, seed)) = plays.get(next.fetch_add(1, Ordering::Relaxed))
-                {
+                loop {
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    let Some((boxes, day, seed)) = plays.get(n) else { break };
                     let tallies = play_designs(*boxes, *day, *seed);
-                    played.lock().push((*boxes, *day, *seed, tallies));
+                    played.lock().push((n, Block { boxes: *boxes, day: *day, tallies }));
                 }
             });
         }
     });
     let mut played = played.into_inner();
-    played.sort_by_key(|(boxes, day, seed, _)| (*boxes, *day as usize, *seed));
+    played.sort_by_key(|(n, _)| *n);
     let mut blocks: Vec<Block> = Vec::new();
-    for (boxes, day, _, tallies) in played {
+    for (_, block) in played {
         match blocks.last_mut() {
-            Some(last) if last.boxes == boxes && last.day == day => {
-                last.tallies.iter_mut().zip(&tallies).for_each(|(sum, tally)| sum.add(tally));
+            Some(last) if last.boxes == block.boxes && last.day == block.day => {
+                last.tallies.iter_mut().zip(&block.tallies).for_each(|(sum, day)| sum.add(day));
             }
-            _ => blocks.push(Block { boxes, day, tallies }),
+            _ => blocks.push(block),
         }
     }
     blocks
--- a/crates/flintbench/src/versions/play.rs
+++ b/crates/flintbench/src/versions/play.rs
@@ -63,12 +63,6 @@
     until: f64,
 }
 
-/// What a box knows of the origin of a stream.
-enum Origin {
-    Version(usize),
-    Unknown,
-}
-
 struct Player<'a> {
     world: &'a World,
     design: Design,
@@ -159,27 +153,36 @@
             let Some(member) = self.world.any_box(at, mix(draw, purpose::BOX)) else { continue };
             let (origin, known) = self.origin(stream, member, at, draw);
             at = known;
-            let Origin::Version(version) = origin else { continue };
+            let Some(version) = origin else { continue };
             let Some(endpoint) = self.endpoint(draw, version, member, at) else { continue };
-            let is_served = self.world.serving(stream.version, at) >= 2;
+            self.tally.went_on_while_served += u64::from(self.is_served(stream, at));
             if version != stream.version {
                 self.tally.wrong += 1;
-                self.tally.wrong_while_served += u64::from(is_served);
                 return None;
             }
             self.tally.right += 1;
-            self.tally.right_while_served += u64::from(is_served);
             return Some((member, endpoint, at));
         }
-        match self.world.serving(stream.version, at) {
-            0 | 1 => self.tally.refused_otherwise += 1,
-            _ => self.tally.refused_while_served += 1,
+        match self.is_served(stream, at) {
+            true => self.tally.refused_while_served += 1,
+            false => self.tally.refused_otherwise += 1,
         }
         None
     }
 
-    /// What a box finds out, and when.
-    fn origin(&mut self, stream: &Stream, member: usize, at: f64, draw: u64) -> (Origin, f64) {
+    /// Whether two endpoints of the stream's version serve.
+    fn is_served(&self, stream: &Stream, at: f64) -> bool {
+        self.world.serving(stream.version, at) >= 2
+    }
+
+    /// The version that a box finds out, and when.
+    fn origin(
+        &mut self,
+        stream: &Stream,
+        member: usize,
+        at: f64,
+        draw: u64,
+    ) -> (Option<usize>, f64) {
         let asked: Vec<usize> = match self.design {
             Design::Homes { .. } => {
                 self.world.homes(stream.key, member, at).into_iter().take(ASKED).collect()
@@ -189,7 +192,7 @@
         };
         let (found, at) = self.ask(stream, member, &asked, at, draw);
         if found {
-            return (Origin::Version(stream.version), at);
+            return (Some(stream.version), at);
         }
         let waits = matches!(
             self.design,
@@ -197,7 +200,7 @@
                 | Design::Homes { unknown: Unknown::Recomputed { .. }, .. }
         );
         let at = if waits { at + VIEW_WAIT_S } else { at };
-        (self.guess(stream.key, member, at).map_or(Origin::Unknown, Origin::Version), at)
+        (self.guess(stream.key, member, at), at)
     }
 
     /// Asks boxes at once; returns whether one knows, and the time of the answer that settles it.
--- a/crates/flintbench/src/versions/tally.rs
+++ b/crates/flintbench/src/versions/tally.rs
@@ -14,10 +14,8 @@
     pub taken_up: u64,
     pub right: u64,
     pub wrong: u64,
-    /// Those that went wrong while two endpoints of their version served.
-    pub wrong_while_served: u64,
-    /// Those that went on at the right version while two endpoints of it served.
-    pub right_while_served: u64,
+    /// Those that went on, right or wrong, while two endpoints of their version served.
+    pub went_on_while_served: u64,
     pub refused_while_served: u64,
     pub refused_otherwise: u64,
     pub days: u64,
@@ -34,9 +32,8 @@
 impl Tally {
     /// Judges a day by the users' two rules.
     pub fn judge(&mut self) {
-        let went_on = self.right_while_served + self.wrong_while_served;
-        let counted = went_on + self.refused_while_served;
-        let share = went_on as f64 / counted.max(1) as f64;
+        let counted = self.went_on_while_served + self.refused_while_served;
+        let share = self.went_on_while_served as f64 / counted.max(1) as f64;
         let half_of_new = self.begun as f64 / self.new.max(1) as f64 / 2.0;
         self.days = 1;
         self.days_mixed = u64::from(self.wrong > MIXED_ALLOWED);
@@ -52,8 +49,7 @@
         self.taken_up += other.taken_up;
         self.right += other.right;
         self.wrong += other.wrong;
-        self.wrong_while_served += other.wrong_while_served;
-        self.right_while_served += other.right_while_served;
+        self.went_on_while_served += other.went_on_while_served;
         self.refused_while_served += other.refused_while_served;
         self.refused_otherwise += other.refused_otherwise;
         self.days += other.days;
--- a/crates/flintbench/src/versions/world.rs
+++ b/crates/flintbench/src/versions/world.rs
@@ -37,7 +37,7 @@
 }
 
 /// A box.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Member {
     pub zone: usize,
     /// Age of what it sees of the directory.
@@ -59,18 +59,21 @@
 
     /// Whether it still has in memory what it learned.
     pub fn remembers(&self, learned: f64, at: f64) -> bool {
-        let forgets = |absence: &&Absence| absence.cause != Cause::CutOff;
-        let mut restarts = self.absences.iter().filter(forgets);
-        learned <= at && !restarts.any(|restart| learned < restart.from && restart.from <= at)
+        let forgets = |restart: &Absence| learned < restart.from && restart.from <= at;
+        learned <= at && !self.restarts().any(forgets)
     }
 
     /// Start of its process.
     pub fn started(&self, at: f64) -> f64 {
-        let restarts = self.absences.iter().filter(|absence| absence.cause != Cause::CutOff);
-        let ends = restarts.map(|restart| restart.until).filter(|until| *until <= at);
+        let ends = self.restarts().map(|restart| restart.until).filter(|until| *until <= at);
         ends.fold(f64::NEG_INFINITY, f64::max)
     }
 
+    fn restarts(&self) -> impl Iterator<Item = &Absence> {
+        self.absences.iter().filter(|absence| absence.cause != Cause::CutOff)
+    }
+
+    /// Whether other boxes have it in their lists.
     fn is_listed(&self, at: f64) -> bool {
         let hides =
             |absence: &Absence| absence.from + absence.unnoticed() <= at && at < absence.until;
@@ -79,6 +82,7 @@
 }
 
 impl Absence {
+    /// Time until others notice it.
     fn unnoticed(&self) -> f64 {
         if self.cause == Cause::Planned { 0.0 } else { SILENCE_S }
     }
