Loopback tests: the second box and the header of chunks stand once

Four framing tests started a second box and waited for it in the same lines; the header line of chunks stood nine times, and still does in three texts where another header follows. Code motion only.

--- a/crates/gateway/tests/loopback/framing.rs
+++ b/crates/gateway/tests/loopback/framing.rs
@@ -7,11 +7,10 @@
 
 use crate::{
     endpoint_cut::Cut,
-    harness::{MAX_WAIT, answer_ok, settings, wait_until, wait_until_served},
-    process::Process,
+    harness::{MAX_WAIT, answer_ok, wait_until, wait_until_served},
     raw::{
-        IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, raw, raw_after, read_until, request,
-        start,
+        CHUNKED, IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, raw, raw_after, read_until,
+        request, start,
     },
 };
 
@@ -49,12 +48,11 @@
 impl Frame {
     /// The header lines and the bytes of a body in this frame.
     fn apply(self, body: &str) -> (String, String) {
-        let chunked = || "transfer-encoding: chunked\r\n".to_owned();
         let length = |length: usize| format!("content-length: {length}\r\n");
         match self {
             Frame::Close => (String::new(), body.to_owned()),
-            Frame::Chunks => (chunked(), chunk(body) + "0\r\n\r\n"),
-            Frame::OpenChunks => (chunked(), chunk(body)),
+            Frame::Chunks => (CHUNKED.to_owned(), chunk(body) + "0\r\n\r\n"),
+            Frame::OpenChunks => (CHUNKED.to_owned(), chunk(body)),
             Frame::Length => (length(body.len()), body.to_owned()),
             Frame::TooLong => (length(body.len() + 7), body.to_owned()),
             Frame::Trailing => (length(body.len()), format!("{body}extra")),
@@ -203,10 +201,8 @@
 async fn a_response_without_a_frame_breaks_with_its_box() {
     let fleet = start(held_open).await;
     for version in ["HTTP/1.1", "HTTP/1.0"] {
-        let settings = settings("box-2", fleet.harness.platform.socket());
-        let process = Process::start(settings).await;
+        let process = fleet.second_box(|_| ()).await;
         let address = process.gateway().callers();
-        wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
         let mut caller = send(address, version, "/stream/x", "held-1").await;
         let bytes = read_until(&mut caller, "data: y\n\n").await;
         process.kill();
@@ -220,11 +216,8 @@
 async fn a_response_without_a_frame_breaks_when_a_planned_stop_runs_out_of_time() {
     let fleet = start(held_open).await;
     for version in ["HTTP/1.1", "HTTP/1.0"] {
-        let mut settings = settings("box-2", fleet.harness.platform.socket());
-        settings.limits.stop_ms = 300;
-        let process = Process::start(settings).await;
+        let process = fleet.second_box(|settings| settings.limits.stop_ms = 300).await;
         let address = process.gateway().callers();
-        wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
         let mut caller = send(address, version, "/stream/x", "held-1").await;
         let bytes = read_until(&mut caller, "data: y\n\n").await;
         process.stop().await;
--- a/crates/gateway/tests/loopback/framing_edges.rs
+++ b/crates/gateway/tests/loopback/framing_edges.rs
@@ -11,11 +11,10 @@
 };
 
 use crate::{
-    harness::{MAX_WAIT, answer_ok, settings, wait_until_served},
-    process::Process,
+    harness::{MAX_WAIT, answer_ok, wait_until_served},
     raw::{
-        IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, head, raw, raw_after, read_until,
-        request, start,
+        CHUNKED, IN_EVENT, LONG_PAUSE, PAUSE, WHOLE, chunk, connect, head, raw, raw_after,
+        read_until, request, start,
     },
 };
 
@@ -119,7 +118,7 @@
     let fleet = start(|request| match request.head.id.starts_with("trailers") {
         true => {
             let body = chunk(IN_EVENT) + "0\r\nx-sum: 1\r\n\r\n";
-            raw(request, "transfer-encoding: chunked\r\n", &body, Ending::Stay)
+            raw(request, CHUNKED, &body, Ending::Stay)
         }
         false => answer_ok(request),
     })
@@ -182,20 +181,9 @@
                 IN_EVENT,
                 Ending::Stay,
             ),
-            "chunks" => raw(
-                request,
-                "transfer-encoding: chunked\r\n",
-                &(chunk(IN_EVENT) + "0\r\n\r\n"),
-                Ending::Stay,
-            ),
+            "chunks" => raw(request, CHUNKED, &(chunk(IN_EVENT) + "0\r\n\r\n"), Ending::Stay),
             "close" => raw_after(request, "", IN_EVENT, now, Ending::Close),
-            "open-chunks" => raw_after(
-                request,
-                "transfer-encoding: chunked\r\n",
-                &chunk(WHOLE),
-                now,
-                Ending::Close,
-            ),
+            "open-chunks" => raw_after(request, CHUNKED, &chunk(WHOLE), now, Ending::Close),
             _ => answer_ok(request),
         }
     })
@@ -264,22 +252,16 @@
         id if id.starts_with("held-close") => {
             raw_after(request, "", WHOLE, LONG_PAUSE, Ending::Close)
         }
-        id if id.starts_with("held-chunks") => raw_after(
-            request,
-            "transfer-encoding: chunked\r\n",
-            &chunk(WHOLE),
-            LONG_PAUSE,
-            Ending::Close,
-        ),
+        id if id.starts_with("held-chunks") => {
+            raw_after(request, CHUNKED, &chunk(WHOLE), LONG_PAUSE, Ending::Close)
+        }
         _ => answer_ok(request),
     })
     .await;
     let mut wrong = Vec::new();
     for round in 0..ROUNDS {
-        let settings = settings("box-2", fleet.harness.platform.socket());
-        let process = Process::start(settings).await;
+        let process = fleet.second_box(|_| ()).await;
         let address = process.gateway().callers();
-        wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
         let mut callers = Vec::new();
         for number in 0..CALLERS {
             let kind = if number % 2 == 0 { "close" } else { "chunks" };
@@ -310,13 +292,10 @@
     let events = FIRST.repeat(EVENTS);
     let sent = events.clone() + "id: 2\nda";
     let pause = Duration::from_millis(300);
-    let fleet = start(move |request| {
-        let chunked = "transfer-encoding: chunked\r\n";
-        match request.head.id.split('-').next() {
-            Some("close") => raw_after(request, "", &sent, pause, Ending::Close),
-            Some("chunks") => raw_after(request, chunked, &chunk(&events), pause, Ending::Close),
-            _ => answer_ok(request),
-        }
+    let fleet = start(move |request| match request.head.id.split('-').next() {
+        Some("close") => raw_after(request, "", &sent, pause, Ending::Close),
+        Some("chunks") => raw_after(request, CHUNKED, &chunk(&events), pause, Ending::Close),
+        _ => answer_ok(request),
     })
     .await;
     let mut lost = Vec::new();
@@ -406,9 +385,8 @@
         false => answer_ok(request),
     })
     .await;
-    let process = Process::start(settings("box-2", fleet.harness.platform.socket())).await;
+    let process = fleet.second_box(|_| ()).await;
     let address = process.gateway().callers();
-    wait_until_served(&fleet.harness, process.gateway(), "/stream/x").await;
     let one = request("HTTP/1.1", "/stream/x", "soon-1", "");
     let both = request("HTTP/1.1", "/stream/x", "soon-2", "")
         + &request("HTTP/1.1", "/open/x", "behind-1", "");
--- a/crates/gateway/tests/loopback/raw.rs
+++ b/crates/gateway/tests/loopback/raw.rs
@@ -1,13 +1,14 @@
 //! Responses and requests as raw bytes, for tests of their framing.
 //!
-//! `start` starts a fleet of one box whose endpoints, one for streams and one for other routes, run the same script. `raw`
-//! and `raw_after` are the replies of such a script: a head, a body and how the connection ends. A caller is a plain
-//! connection to a box: `request` is the text of its request, `connect` sends it, `read_until` reads the beginning of the
-//! response. What a test reads beyond that, and how it judges the end, is its own.
+//! `start` starts a fleet of one box whose endpoints, one for streams and one for other routes, run the same script;
+//! `Fleet::second_box` adds a box that the test can end. `raw` and `raw_after` are the replies of such a script: a head, a
+//! body and how the connection ends. A caller is a plain connection to a box: `request` is the text of its request,
+//! `connect` sends it, `read_until` reads the beginning of the response. What a test reads beyond that, and how it judges
+//! the end, is its own.
 
 use std::{net::SocketAddr, time::Duration};
 
-use gateway::Gateway;
+use gateway::{Gateway, Settings};
 use platform::fixtures;
 use standin::{Ending, ReceivedRequest, Reply, ScriptedEndpoint};
 use tokio::{
@@ -15,7 +16,10 @@
     net::TcpStream,
 };
 
-use crate::harness::{Harness, MAX_WAIT, shared, wait_until_served};
+use crate::{
+    harness::{Harness, MAX_WAIT, settings, shared, wait_until_served},
+    process::Process,
+};
 
 /// Routes that the tests use; the first two are streams.
 const ROUTES: [&str; 4] = ["stream", "resume", "confirm", "open"];
@@ -24,6 +28,8 @@
 /// Time for which a response is held open that is to be cut from outside.
 pub const LONG_PAUSE: Duration = Duration::from_secs(10);
 
+/// The header line of a response in chunks.
+pub const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 /// Two events of a stream.
 pub const WHOLE: &str = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
 /// A stream that stops inside its second event.
@@ -48,6 +54,17 @@
     Fleet { gateway, _endpoints: [plain, engine], harness }
 }
 
+impl Fleet {
+    /// Starts a second box that can end as a process does, with changed settings; returns once it serves streams.
+    pub async fn second_box(&self, change: impl FnOnce(&mut Settings)) -> Process {
+        let mut settings = settings("box-2", self.harness.platform.socket());
+        change(&mut settings);
+        let process = Process::start(settings).await;
+        wait_until_served(&self.harness, process.gateway(), "/stream/x").await;
+        process
+    }
+}
+
 /// The head of a response, with these lines in addition.
 pub fn head(request: &ReceivedRequest, extra: &str) -> String {
     let headers = fixtures::response_headers(&request.head.id, None);
