--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -7,12 +7,9 @@
 
 pub mod homes;
 pub mod memory;
+mod queue;
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use ledger::Incarnation;
@@ -27,7 +24,8 @@
 
 use crate::fleet::peers::Peers;
 use homes::COPIES;
-use memory::{Memory, STREAM_TTL};
+use memory::Memory;
+use queue::{Held, Outbox, Queued};
 
 /// Interval between two messages to a home.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
@@ -36,15 +34,11 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest time to hand origins over before a planned stop.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Origins that wait to be sent; the largest fleet begins as many streams in a second.
-const MAX_QUEUED: usize = 4_096;
 /// How long a home that did not take origins is not sent any: it is silent, about to stop, or of an older
 /// version.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two log lines about lost copies.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Origins of one service that are held back; a box begins as many streams in a minute or more.
-const MAX_HELD: usize = 4_096;
 /// Origins in one message, which stays far below the largest one.
 const MAX_RECORDS: usize = 1_024;
 
@@ -127,52 +121,6 @@
     Later,
 }
 
-#[derive(Default)]
-struct Outbox {
-    queued: Vec<Queued>,
-    /// Origins that were dropped since the last batch was taken.
-    dropped: u64,
-}
-
-/// An origin to be sent.
-#[derive(Clone)]
-struct Queued {
-    key: StreamKey,
-    origin: StreamOrigin,
-    began: Instant,
-}
-
-impl Queued {
-    fn record(&self) -> StreamRecord {
-        let Queued { key, origin, began } = self.clone();
-        StreamRecord { key, origin, age_ms: began.elapsed().as_millis() as u64 }
-    }
-}
-
-/// Origins that are held back, by service, oldest first.
-#[derive(Default)]
-struct Held(HashMap<Arc<str>, VecDeque<Queued>>);
-
-impl Held {
-    fn push(&mut self, queued: Queued) {
-        let held = self.0.entry(queued.origin.service.clone()).or_default();
-        let is_expired = |first: &Queued| first.began.elapsed() >= STREAM_TTL;
-        while held.len() >= MAX_HELD || held.front().is_some_and(is_expired) {
-            held.pop_front();
-        }
-        held.push_back(queued);
-    }
-
-    fn services(&self) -> Vec<Arc<str>> {
-        self.0.keys().cloned().collect()
-    }
-
-    /// Takes out the origins of a service.
-    fn take(&mut self, service: &str) -> VecDeque<Queued> {
-        self.0.remove(service).unwrap_or_default()
-    }
-}
-
 /// An origin for one home.
 struct Copy {
     queued: Queued,
@@ -251,12 +199,7 @@
 
     fn queue(&self, origins: impl IntoIterator<Item = Queued>) {
         let mut outbox = self.0.outbox.lock();
-        for queued in origins {
-            match outbox.queued.len() < MAX_QUEUED {
-                true => outbox.queued.push(queued),
-                false => outbox.dropped += 1,
-            }
-        }
+        origins.into_iter().for_each(|queued| outbox.push(queued));
         drop(outbox);
         self.0.queued.notify_one();
     }
--- a/crates/gateway/src/inbound/handle.rs
+++ b/crates/gateway/src/inbound/handle.rs
@@ -14,9 +14,10 @@
     caller_close::CallerClose,
     context::Context,
     exchange::{Exchange, Outcome},
+    in_flight::InFlight,
     link::Link,
     refusal::Refusal,
-    relay::{InFlight, Kind, Relay},
+    relay::{Kind, Relay},
 };
 
 /// Time limit of a request that names no deadline.
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -22,8 +22,8 @@
         context::Context,
         endpoints::Chosen,
         exchange::Exchange,
+        in_flight::InFlight,
         refusal::{Reason, Refusal},
-        relay::InFlight,
     },
 };
 
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -10,9 +10,9 @@
     attempt::{Attempt, is_repeatable, log_not_taken},
     context::Context,
     exchange::Exchange,
+    in_flight::InFlight,
     origins,
     refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
-    relay::InFlight,
 };
 
 /// `Retry-After` where the service has no endpoints, or all of them are leaving; a new one is discovered within this
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod dispatch;
 pub mod endpoints;
 pub mod context;
+pub mod in_flight;
 pub mod link;
 pub mod event_counter;
 pub mod refusal;
