Sight for DRAIN: how old what a box knows is, and who says so

Cause looked for: a request reached an endpoint 2,056 ms after the store had acknowledged that it leaves, and no line could say what the box knew then: it logs when it last heard of a watcher, not when the store last showed that watcher anything.

Each state that boxes follow (configuration, endpoints, evacuations, crash reports) has the time of the last answer of the store that was complete up to then. Watchers record it, answers to subscribers carry it as an age (SubscribeAged, UpdateAged; boxes of older versions get the frames they know), and an answer of a box makes nothing younger than that box. In dispatched as endpoints_age_ms and endpoints_from, in the metric state_age_milliseconds, and as state_outdated and state_confirmed where store.max_age_ms is passed.

No decision reads it yet.

--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -12,7 +12,8 @@
 use timeline::Timestamp;
 use tokio::time::Instant;
 use wire::{
-    Draw, Drawn, Frame, Message, Peer, Replica, Segment, StreamKey, StreamRecord, Subscribe, Update,
+    Ages, Draw, Drawn, Frame, Message, Peer, Replica, Segment, StreamKey, StreamRecord,
+    SubscribeAged, UpdateAged,
 };
 
 use super::{Peers, SILENT_RETRY_DELAY, STOPPING_RETRY_DELAY};
@@ -106,42 +107,69 @@
 impl Peers {
     /// Polls a watcher once, with a further request for each part of an answer that is too large for
     /// one message; `None` if it does not answer all of them in time. The first answer may take
-    /// `timeout`, each other one `part_timeout`. Asks for what the watcher itself reads from the
-    /// store if `is_relay`.
+    /// `timeout`, each other one `part_timeout`.
     pub async fn subscribe(
         &self,
-        mut request: Subscribe,
-        is_relay: bool,
+        mut request: SubscribeAged,
         timeout: Duration,
         part_timeout: Duration,
-    ) -> Option<Update> {
-        let watcher = request.watcher.clone();
+    ) -> Option<UpdateAged> {
+        let watcher = request.subscribe.watcher.clone();
         let mut timeout = timeout;
-        let mut received: Option<Update> = None;
+        let mut received: Option<UpdateAged> = None;
         loop {
             let peer = self.peer(&watcher)?;
-            let frame = match is_relay {
-                true => Frame::SubscribeToRoot(request.clone()),
-                false => Frame::Subscribe(request.clone()),
-            };
-            let (update, is_last) = match self.ask(&watcher, &peer, frame, timeout).await {
-                Reply::Frame(Frame::Update(update)) => (update, true),
-                Reply::Frame(Frame::UpdatePart(update)) => (update, false),
-                Reply::Frame(_) | Reply::Replaced | Reply::NoAnswer => return None,
+            let frame = Frame::SubscribeAged(request.clone());
+            let part = match self.exchange(&watcher, &peer, frame, timeout).await {
+                Ok(Reply::Frame(Frame::UpdateAged(part))) => part,
+                Ok(Reply::Frame(_) | Reply::Replaced | Reply::NoAnswer) => return None,
+                Err(wire::Error::Malformed { .. }) => {
+                    self.subscribe_to_older_version(&watcher, &peer, &request, timeout).await?
+                }
+                Err(error) => {
+                    self.record_silence(&watcher, &error);
+                    return None;
+                }
             };
-            request.since = Some(update.last);
-            request.wait_ms = 0;
+            request.subscribe.since = Some(part.update.last);
+            request.subscribe.wait_ms = 0;
             timeout = part_timeout;
+            let is_complete = part.is_complete;
             match &mut received {
-                Some(received) => received.append(update),
-                None => received = Some(update),
+                // The ages of the first part hold for all of them.
+                Some(received) => received.update.append(part.update),
+                None => received = Some(part),
             }
-            if is_last {
+            if is_complete {
                 return received;
             }
         }
     }
 
+    /// Polls a watcher of an older version, which does not say how old its updates are. They count as
+    /// confirmed while the store answers it.
+    async fn subscribe_to_older_version(
+        &self,
+        watcher: &Incarnation,
+        peer: &Peer,
+        request: &SubscribeAged,
+        timeout: Duration,
+    ) -> Option<UpdateAged> {
+        let subscribe = request.subscribe.clone();
+        let frame = match request.is_relay {
+            true => Frame::SubscribeToRoot(subscribe),
+            false => Frame::Subscribe(subscribe),
+        };
+        let (update, is_complete) = match self.ask(watcher, peer, frame, timeout).await {
+            Reply::Frame(Frame::Update(update)) => (update, true),
+            Reply::Frame(Frame::UpdatePart(update)) => (update, false),
+            Reply::Frame(_) | Reply::Replaced | Reply::NoAnswer => return None,
+        };
+        let age = update.store_unreachable_ms.is_none().then_some(0);
+        let ages = Ages { config: age, endpoints: age, evacuations: age, crashes: age };
+        Some(UpdateAged { update, is_complete, ages, held_ms: 0, confirmation: 0 })
+    }
+
     /// Sends usage and demand to a keeper; `None` if that incarnation of it did not answer.
     pub async fn draw(&self, keeper: &Incarnation, draw: Draw, timeout: Duration) -> Option<Drawn> {
         let peer = self.peer(keeper)?;
--- /dev/null
+++ b/crates/gateway/src/freshness.rs
@@ -0,0 +1,174 @@
+//! How old the state is that this box follows in the store.
+//!
+//! A watch that waits, or a box that answers, says nothing of changes that did not arrive. So each
+//! state has the time at which the store last confirmed it: that of a call whose answer is complete
+//! up to then. Boxes pass these times on as ages; an answer of a box that was not confirmed itself
+//! makes nothing younger.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use wire::Ages;
+
+use crate::clock::{Clock, Moment};
+
+/// Interval at which ages are checked for the log.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A state that boxes follow in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    Config,
+    Endpoints,
+    Evacuations,
+    Crashes,
+}
+
+impl Subject {
+    pub const ALL: [Subject; 4] =
+        [Subject::Config, Subject::Endpoints, Subject::Evacuations, Subject::Crashes];
+
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Subject::Config => "configuration",
+            Subject::Endpoints => "endpoints",
+            Subject::Evacuations => "evacuations",
+            Subject::Crashes => "crashes",
+        }
+    }
+}
+
+/// Who confirmed a state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// The store answered this box.
+    Store,
+    /// Another box passed on when the store answered.
+    Peer(Arc<str>),
+}
+
+impl Source {
+    /// Name in log lines.
+    pub fn as_str(&self) -> &str {
+        match self {
+            Source::Store => "store",
+            Source::Peer(name) => name,
+        }
+    }
+}
+
+/// The last confirmation of a state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Confirmation {
+    /// Milliseconds since the start of the box, including suspensions.
+    at_ms: u64,
+    by: Source,
+}
+
+/// When each state was last confirmed at the store.
+#[derive(Debug, Clone)]
+pub struct Freshness(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    started: Moment,
+    confirmations: Mutex<[Option<Confirmation>; Subject::ALL.len()]>,
+}
+
+impl Freshness {
+    /// Creates the record of a box that knows nothing yet.
+    pub fn open(clock: &Clock) -> Freshness {
+        Freshness(Arc::new(Shared { started: clock.now(), confirmations: Mutex::default() }))
+    }
+
+    /// Milliseconds since the start of the box, including suspensions.
+    pub fn now_ms(&self) -> u64 {
+        self.0.started.elapsed().as_millis() as u64
+    }
+
+    /// Records that a state was complete at the store at `at_ms`; returns whether that is newer
+    /// than what was known.
+    pub fn confirm(&self, subject: Subject, at_ms: u64, by: Source) -> bool {
+        let known = &mut self.0.confirmations.lock()[subject as usize];
+        let is_newer = known.as_ref().is_none_or(|known| known.at_ms < at_ms);
+        if is_newer {
+            *known = Some(Confirmation { at_ms, by });
+        }
+        is_newer
+    }
+
+    /// Records the ages that another box named, which answered `held_ms` after a request that was
+    /// sent at `sent_ms`: the answer may have been under way ever since. Returns whether any state
+    /// is younger than known.
+    pub fn receive(&self, ages: &Ages, sent_ms: u64, held_ms: u64, by: &Arc<str>) -> bool {
+        let mut is_newer = false;
+        for subject in Subject::ALL {
+            let Some(age_ms) = of(ages, subject) else { continue };
+            let at_ms = (sent_ms + held_ms).saturating_sub(age_ms);
+            is_newer |= self.confirm(subject, at_ms, Source::Peer(by.clone()));
+        }
+        is_newer
+    }
+
+    /// When a state was last confirmed, on the clock of [`Freshness::now_ms`].
+    pub fn confirmed_ms(&self, subject: Subject) -> Option<u64> {
+        self.0.confirmations.lock()[subject as usize].as_ref().map(|known| known.at_ms)
+    }
+
+    /// Age of a state; `None` before its first confirmation.
+    pub fn age(&self, subject: Subject) -> Option<Duration> {
+        let now_ms = self.now_ms();
+        let at_ms = self.confirmed_ms(subject)?;
+        Some(Duration::from_millis(now_ms.saturating_sub(at_ms)))
+    }
+
+    /// Who confirmed a state last.
+    pub fn source(&self, subject: Subject) -> Option<Source> {
+        self.0.confirmations.lock()[subject as usize].as_ref().map(|known| known.by.clone())
+    }
+
+    /// Logs when a state becomes older than `max_age`, and when it is confirmed again, for as long as
+    /// the box runs.
+    pub async fn log_outdated(self, max_age: Duration) {
+        let mut outdated = [false; Subject::ALL.len()];
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            for subject in Subject::ALL {
+                let Some(age) = self.age(subject) else { continue };
+                let is_outdated = age > max_age;
+                if std::mem::replace(&mut outdated[subject as usize], is_outdated) == is_outdated {
+                    continue;
+                }
+                let (state, age_ms) = (subject.as_str(), age.as_millis() as u64);
+                let source = self.source(subject);
+                let from = source.as_ref().map(Source::as_str);
+                match is_outdated {
+                    true => tracing::warn!(event = "state_outdated", state, age_ms, from),
+                    false => tracing::info!(event = "state_confirmed", state, age_ms, from),
+                }
+            }
+        }
+    }
+
+    /// Ages of all states, for other boxes.
+    pub fn ages(&self) -> Ages {
+        let age_ms = |subject| self.age(subject).map(|age| age.as_millis() as u64);
+        Ages {
+            config: age_ms(Subject::Config),
+            endpoints: age_ms(Subject::Endpoints),
+            evacuations: age_ms(Subject::Evacuations),
+            crashes: age_ms(Subject::Crashes),
+        }
+    }
+}
+
+/// The age of one state, in milliseconds.
+fn of(ages: &Ages, subject: Subject) -> Option<u64> {
+    match subject {
+        Subject::Config => ages.config,
+        Subject::Endpoints => ages.endpoints,
+        Subject::Evacuations => ages.evacuations,
+        Subject::Crashes => ages.crashes,
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock::{Clock, Watchdog},
     fleet::{entry::Entry, keepers::Profile, peers::Peers, streams::Streams},
+    freshness::Freshness,
     inbound::{admin, peer_service::PeerService, serve},
     metrics::Metrics,
     outage::Recovery,
@@ -143,7 +144,9 @@
             Acquirer::new(funds.clone(), peers.clone(), borrower.clone(), settings_updates.clone());
         let sole_versions =
             SoleVersions::open(store.clone(), clock.now(), settings.streams.memory_ms);
+        let freshness = Freshness::open(&clock);
         let view = View::open(Consumers {
+            freshness: freshness.clone(),
             in_force,
             funds: funds.clone(),
             endpoints: endpoints.clone(),
@@ -194,6 +197,7 @@
         let context = Arc::new(Context {
             table: table.clone(),
             endpoints: endpoints.clone(),
+            freshness: freshness.clone(),
             sole_versions: sole_versions.clone(),
             crashes,
             permits,
@@ -317,6 +321,7 @@
                 announcements,
             )),
             tokio::spawn(watchdog.run()),
+            tokio::spawn(freshness.log_outdated(Duration::from_millis(settings.store.max_age_ms))),
             tokio::spawn(promiser.run()),
             tokio::spawn(acquirer.run()),
             tokio::spawn(replicator.run()),
--- a/crates/gateway/src/inbound/admin.rs
+++ b/crates/gateway/src/inbound/admin.rs
@@ -9,7 +9,8 @@
 use objects::Calls;
 
 use crate::{
-    metrics::{Budget, Endpoint, Flow, Header, StoreCall},
+    freshness::Subject,
+    metrics::{Budget, Endpoint, Flow, Header, State, StoreCall},
     proxy::context::Context,
     sync::view::View,
 };
@@ -83,6 +84,11 @@
         metrics.quarantined.set(quarantined as i64);
         metrics.watches.set(i64::from(status.watches));
         metrics.store_age.set(status.age.map_or(-1, |age| age.as_millis() as i64));
+        for subject in Subject::ALL {
+            let Some(age) = context.freshness.age(subject) else { continue };
+            let state = State { state: subject.as_str() };
+            metrics.ages.get_or_create(&state).set(age.as_millis() as i64);
+        }
         metrics.connections.set(context.connections.count_opened() as i64);
         std::future::ready(page(StatusCode::OK, metrics.text()))
     }
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -9,7 +9,7 @@
 
 use ledger::{Demand, Incarnation};
 use tokio::{sync::watch, time::Instant};
-use wire::{Draw, Drawn, Frame, Message, tunnel};
+use wire::{Draw, Drawn, Frame, Message, SubscribeAged, tunnel};
 
 use crate::{
     fleet::{peers::Peers, promises::Acceptance, streams::Streams},
@@ -213,10 +213,14 @@
             Frame::FindStreams { keys, .. } => {
                 Frame::StreamsFound { records: self.streams.known(&keys) }
             }
-            Frame::Subscribe(_) | Frame::SubscribeToRoot(_) if *self.stopping.borrow() => {
+            Frame::Subscribe(_) | Frame::SubscribeToRoot(_) | Frame::SubscribeAged(_)
+                if *self.stopping.borrow() =>
+            {
                 Frame::Refused { reason: "this receiver is itself stopping".into() }
             }
-            Frame::Subscribe(subscribe) | Frame::SubscribeToRoot(subscribe)
+            Frame::Subscribe(subscribe)
+            | Frame::SubscribeToRoot(subscribe)
+            | Frame::SubscribeAged(SubscribeAged { subscribe, .. })
                 if subscribe.watcher != self.me =>
             {
                 Frame::Refused { reason: "another incarnation was requested".into() }
@@ -227,6 +231,10 @@
             Frame::SubscribeToRoot(subscribe) => {
                 update(self.view.updates(&subscribe, Origin::Store).await)
             }
+            Frame::SubscribeAged(subscribe) => match self.view.aged_updates(&subscribe).await {
+                Some(update) => Frame::UpdateAged(update),
+                None => update(None),
+            },
             Frame::Draw(draw) => self.draw(&request.from, draw).await,
             Frame::Seal { holder, term } => self.seal(&request.from, &holder, term),
             _ => Frame::Refused { reason: "no request that boxes send each other".into() },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `sole_versions`: whether a service has run only one software version.
 
 mod clock;
+mod freshness;
 mod inbound;
 mod fleet;
 mod gateway;
@@ -43,6 +44,7 @@
     },
     watchers::{Watchers, watchers},
 };
+pub use freshness::{Freshness, Source, Subject};
 pub use gateway::{Error, Gateway};
 pub use outage::{Outage, Probe, Recovery};
 pub use proxy::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,12 @@
     pub known_from: &'static str,
 }
 
+/// Labels of the age of a state that is followed in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct State {
+    pub state: &'static str,
+}
+
 /// Labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCall {
@@ -148,6 +154,8 @@
     /// Milliseconds since the last contact with the store, directly or through a watcher; -1 before
     /// the first.
     pub store_age: Gauge,
+    /// Milliseconds since the store confirmed each state.
+    pub ages: Family<State, Gauge>,
 }
 
 /// Upper bounds of the buckets of `first_byte`, in seconds: around the latency targets of the deployments.
@@ -191,6 +199,7 @@
             quarantined: Gauge::default(),
             watches: Gauge::default(),
             store_age: Gauge::default(),
+            ages: Family::default(),
         };
         metrics.register();
         metrics
@@ -330,6 +339,11 @@
             "Time since the store, or a box that reaches it, was heard; -1 before that",
             self.store_age.clone(),
         );
+        registry.register(
+            "state_age_milliseconds",
+            "Time since the store confirmed what this box knows of the configuration, of endpoints and others",
+            self.ages.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped because the reader was too slow",
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     clock::Moment,
+    freshness::{Source, Subject},
     metrics::Service,
     proxy::{
         admit::AdmittedRequest,
@@ -70,6 +71,7 @@
             headers,
             body: admitted.body.clone(),
         };
+        let listed_by = self.freshness.source(Subject::Endpoints);
         tracing::info!(
             event = "dispatched",
             id = exchange.id.as_deref(),
@@ -86,6 +88,8 @@
             rest_ms = chosen.back_off.map(|back_off| back_off.as_millis() as u64),
             prompt = admitted.prefix.size(),
             config = exchange.config_version,
+            endpoints_age_ms = self.freshness.age(Subject::Endpoints).map(|age| age.as_millis() as u64),
+            endpoints_from = listed_by.as_ref().map(Source::as_str),
             left_ms = left.as_millis() as u64,
             sent_before = exchange.attempts,
         );
--- a/crates/gateway/src/proxy/context.rs
+++ b/crates/gateway/src/proxy/context.rs
@@ -11,6 +11,7 @@
     clock::{Clock, Moment, Watchdog},
     config_table::ConfigTable,
     fleet::{peers::Peers, streams::Streams},
+    freshness::Freshness,
     metrics::Metrics,
     proxy::{
         announcer::Announcer, bounds::Bounds, crashes::Crashes, endpoints::Endpoints, link::Link,
@@ -27,6 +28,8 @@
     pub settings: watch::Sender<Arc<Settings>>,
     pub table: watch::Receiver<Option<Arc<ConfigTable>>>,
     pub endpoints: Arc<Endpoints>,
+    /// How old the configuration, the list of endpoints and other state of the store are.
+    pub freshness: Freshness,
     /// Services that have had only one software version.
     pub sole_versions: SoleVersions,
     /// Requests that crashed endpoints.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -115,6 +115,10 @@
     /// probes detect a dead connection sooner.
     #[serde(default = "store_watch")]
     pub watch_ms: u64,
+    /// How old what this box knows of endpoints and of the configuration may become, in milliseconds:
+    /// the time after which a leaving endpoint must get no more work, and a configuration be in force.
+    #[serde(default = "store_max_age")]
+    pub max_age_ms: u64,
 }
 
 fn store_timeout() -> u64 {
@@ -125,6 +129,10 @@
     20_000
 }
 
+fn store_max_age() -> u64 {
+    2_000
+}
+
 /// Shortest time between two settlements that requests wait for, in milliseconds; requests that
 /// arrive in between share the next one. A tenth of the shortest deadlines.
 pub const SETTLEMENT_BATCH_MS: u64 = 40;
@@ -298,6 +306,7 @@
         let ranges = [
             ("store.timeout_ms", store.timeout_ms, 10, 60_000),
             ("store.watch_ms", store.watch_ms, 100, 30_000),
+            ("store.max_age_ms", store.max_age_ms, 500, 600_000),
             ("money.share", money.share, 0, 1_000),
             ("money.horizon_s", money.horizon_s, 0, 86_400),
             ("money.settle_ms", money.settle_ms, 100, 3_600_000),
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -15,7 +15,7 @@
     sync::watch,
     time::{Instant, sleep, timeout},
 };
-use wire::{Subscribe, Update};
+use wire::{Subscribe, SubscribeAged, UpdateAged};
 
 use crate::{
     clock::Dataset,
@@ -84,10 +84,19 @@
     watcher: Incarnation,
     /// Number of the last change that was received.
     last: u64,
+    /// Last confirmation that the watcher named.
+    confirmation: u64,
     /// Whether the watcher reported that the store does not answer it.
     is_store_unreachable: bool,
 }
 
+/// An answer of a watcher.
+struct Received {
+    updates: UpdateAged,
+    /// When it was asked, on the clock of [`Freshness`](crate::freshness::Freshness).
+    sent_ms: u64,
+}
+
 /// Whom a box may subscribe to, in its order.
 struct Candidates {
     first: Vec<Incarnation>,
@@ -251,22 +260,17 @@
     /// reach it too, and continues the subscription if it does.
     async fn resume_after_outage(&self, subscription: &Subscription) -> Option<Subscription> {
         sleep(RECOVERY_DELAY).await;
-        let watcher = &subscription.watcher;
-        let updates =
-            self.request_updates(watcher, Some(subscription.last), true, Duration::ZERO).await?;
-        let renewed = Subscription {
-            last: updates.last,
-            is_store_unreachable: updates.store_unreachable_ms.is_some(),
-            ..subscription.clone()
-        };
-        self.apply(updates);
+        let known = Subscription { is_store_unreachable: true, ..subscription.clone() };
+        let renewed = self.poll(&known, Duration::ZERO).await?;
         (!renewed.is_store_unreachable).then_some(renewed)
     }
 
-    /// Puts updates of another box in force.
-    fn apply(&self, updates: Update) {
-        self.setup.store.note_version(updates.endpoints_at.max(updates.boxes_at));
-        self.setup.view.apply(updates);
+    /// Puts the updates of another box in force.
+    fn apply(&self, watcher: &Incarnation, answer: Received) {
+        let Received { updates: UpdateAged { update, ages, held_ms, .. }, sent_ms } = answer;
+        self.setup.store.note_version(update.endpoints_at.max(update.boxes_at));
+        self.setup.view.apply(update);
+        self.setup.view.receive_ages(&ages, sent_ms, held_ms, &watcher.as_str().into());
     }
 
     /// A duration, up to half longer at random.
@@ -289,39 +293,55 @@
     /// Waits for the next updates of a watcher; `None` if it is silent.
     async fn next_updates(&self, subscription: Subscription) -> Option<Subscription> {
         let suspensions = self.setup.watchdog.suspensions();
-        let request = self.request_updates(
-            &subscription.watcher,
-            Some(subscription.last),
-            subscription.is_store_unreachable,
-            HEARTBEAT_INTERVAL,
-        );
-        let updates = tokio::select! {
-            updates = request => updates?,
+        let renewed = tokio::select! {
+            renewed = self.poll(&subscription, HEARTBEAT_INTERVAL) => renewed?,
             // Another box asks this one to watch the store.
             () = self.setup.view.watch_requested() => return Some(subscription),
             // After a suspension the watcher may be gone and the connection dead.
             () = self.setup.watchdog.next_suspension(suspensions) => return None,
         };
-        let renewed = Subscription {
-            last: updates.last,
-            is_store_unreachable: updates.store_unreachable_ms.is_some(),
-            ..subscription.clone()
-        };
         let lost_store = renewed.is_store_unreachable && !subscription.is_store_unreachable;
-        self.apply(updates);
         match lost_store {
             true => self.find_other_watcher(&subscription.watcher).await.or(Some(renewed)),
             false => Some(renewed),
         }
     }
 
+    /// Asks a watcher for what is new, and puts it in force.
+    async fn poll(&self, known: &Subscription, wait: Duration) -> Option<Subscription> {
+        let answer = self
+            .request_updates(
+                &known.watcher,
+                Some(known.last),
+                known.is_store_unreachable,
+                known.confirmation,
+                wait,
+            )
+            .await?;
+        let update = &answer.updates.update;
+        let renewed = Subscription {
+            last: update.last,
+            confirmation: answer.updates.confirmation,
+            is_store_unreachable: update.store_unreachable_ms.is_some(),
+            ..known.clone()
+        };
+        self.apply(&known.watcher, answer);
+        Some(renewed)
+    }
+
+    /// Asks a watcher whether it reaches the store, and how old what it knows is.
+    async fn ask(&self, watcher: &Incarnation) -> Option<UpdateAged> {
+        let answer = self.request_updates(watcher, None, true, 0, Duration::ZERO).await?;
+        Some(answer.updates)
+    }
+
     /// Subscribes to another watcher, one that reaches the store.
     async fn find_other_watcher(&self, excluded: &Incarnation) -> Option<Subscription> {
         let candidates = Candidates::of(&self.peers.watchers(), self.is_relay());
         let others = candidates.first.iter().filter(|watcher| *watcher != excluded);
         for watcher in others.filter(|watcher| self.peers.is_reachable(watcher)).take(MAX_ASKED) {
-            match self.request_updates(watcher, None, true, Duration::ZERO).await {
-                Some(updates) if updates.store_unreachable_ms.is_none() => {
+            match self.ask(watcher).await {
+                Some(answer) if answer.update.store_unreachable_ms.is_none() => {
                     return self.receive_snapshot(watcher).await;
                 }
                 _ => {}
@@ -336,8 +356,8 @@
         let is_reachable = |watcher: &&Incarnation| self.peers.is_reachable(watcher);
         let mut cut_off = None;
         for watcher in candidates.first.iter().filter(is_reachable).take(MAX_ASKED) {
-            match self.request_updates(watcher, None, true, Duration::ZERO).await {
-                Some(updates) if updates.store_unreachable_ms.is_none() => {
+            match self.ask(watcher).await {
+                Some(answer) if answer.update.store_unreachable_ms.is_none() => {
                     return self.receive_snapshot(watcher).await;
                 }
                 Some(_) => cut_off = cut_off.or(Some(watcher)),
@@ -362,8 +382,8 @@
     /// Receives a full snapshot from a watcher.
     async fn receive_snapshot(&self, watcher: &Incarnation) -> Option<Subscription> {
         let suspensions = self.setup.watchdog.suspensions();
-        let updates = self.request_updates(watcher, Some(0), false, Duration::ZERO).await?;
-        let subscription = self.apply_snapshot(watcher, updates);
+        let answer = self.request_updates(watcher, Some(0), false, 0, Duration::ZERO).await?;
+        let subscription = self.apply_snapshot(watcher, answer);
         if !subscription.is_store_unreachable {
             self.setup.watchdog.mark_read(Dataset::Config, suspensions);
             self.setup.watchdog.mark_read(Dataset::Endpoints, suspensions);
@@ -371,20 +391,23 @@
         Some(subscription)
     }
 
-    fn apply_snapshot(&self, watcher: &Incarnation, updates: Update) -> Subscription {
+    fn apply_snapshot(&self, watcher: &Incarnation, answer: Received) -> Subscription {
+        let UpdateAged { update, ages, confirmation, .. } = &answer.updates;
         tracing::info!(
             event = "news_from_home",
             home = watcher.as_str(),
-            changes = updates.changes.len(),
-            whole = updates.is_snapshot,
-            away_ms = updates.store_unreachable_ms,
+            changes = update.changes.len(),
+            whole = update.is_snapshot,
+            away_ms = update.store_unreachable_ms,
+            endpoints_age_ms = ages.endpoints,
         );
         let subscription = Subscription {
             watcher: watcher.clone(),
-            last: updates.last,
-            is_store_unreachable: updates.store_unreachable_ms.is_some(),
+            last: update.last,
+            confirmation: *confirmation,
+            is_store_unreachable: update.store_unreachable_ms.is_some(),
         };
-        self.apply(updates);
+        self.apply(watcher, answer);
         subscription
     }
 
@@ -393,14 +416,18 @@
         watcher: &Incarnation,
         since: Option<u64>,
         is_store_unreachable: bool,
+        confirmation: u64,
         wait: Duration,
-    ) -> Option<Update> {
+    ) -> Option<Received> {
         let wait_ms = wait.as_millis() as u64;
         let config = self.setup.view.config_at();
-        let request =
+        let subscribe =
             Subscribe { watcher: watcher.clone(), since, config, is_store_unreachable, wait_ms };
+        let request = SubscribeAged { subscribe, is_relay: self.is_relay(), confirmation };
         let timeout_margin = if since == Some(0) { SNAPSHOT_TIMEOUT } else { ANSWER_TIMEOUT };
         let timeout = wait + timeout_margin;
-        self.peers.subscribe(request, self.is_relay(), timeout, SNAPSHOT_TIMEOUT).await
+        let sent_ms = self.setup.view.freshness().now_ms();
+        let updates = self.peers.subscribe(request, timeout, SNAPSHOT_TIMEOUT).await?;
+        Some(Received { updates, sent_ms })
     }
 }
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -26,7 +26,7 @@
     sync::{Notify, watch},
     time::Instant,
 };
-use wire::Update;
+use wire::{Ages, Update};
 
 use crate::{
     clock::{Dataset, Moment, Watchdog},
@@ -35,6 +35,7 @@
         entry::{BOXES, Entry},
         peers::Peers,
     },
+    freshness::{Freshness, Source, Subject},
     outage::Recovery,
     proxy::{crashes::Crashes, endpoints::Endpoints},
     sole_versions::handle::SoleVersions,
@@ -55,6 +56,8 @@
     pub crashes: Crashes,
     /// Which software versions the services have.
     pub sole_versions: SoleVersions,
+    /// When the store confirmed each state last.
+    pub freshness: Freshness,
     /// Announces to all tasks of the box that the store answers again.
     pub recovery: Recovery,
     /// Reports suspensions of this box.
@@ -196,6 +199,25 @@
         }
     }
 
+    /// When the store confirmed each state last.
+    pub fn freshness(&self) -> &Freshness {
+        &self.0.consumers.freshness
+    }
+
+    /// Records that the store showed a state complete up to `at_ms`, and tells subscribers.
+    pub fn confirm(&self, subject: Subject, at_ms: u64) {
+        if self.0.consumers.freshness.confirm(subject, at_ms, Source::Store) {
+            self.notify();
+        }
+    }
+
+    /// Records what another box said of the ages of its state, and tells subscribers.
+    pub fn receive_ages(&self, ages: &Ages, sent_ms: u64, held_ms: u64, by: &Arc<str>) {
+        if self.0.consumers.freshness.receive(ages, sent_ms, held_ms, by) {
+            self.notify();
+        }
+    }
+
     /// Whether a configuration is known.
     pub fn knows_config(&self) -> bool {
         self.0.consumers.in_force.borrow().is_some()
--- a/crates/gateway/src/sync/view/subscribers.rs
+++ b/crates/gateway/src/sync/view/subscribers.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
-use wire::{Subscribe, Update};
+use wire::{Ages, Subscribe, SubscribeAged, Update, UpdateAged};
 
 use super::View;
-use crate::sync::change_log::Part;
+use crate::{freshness::Subject, sync::change_log::Part};
 
 /// Longest time that a subscriber may wait, in milliseconds: dead connections are noticed only by
 /// silence.
@@ -51,6 +51,16 @@
     }
 }
 
+/// An answer with its age.
+struct Found {
+    answer: Answer,
+    ages: Ages,
+    /// The last confirmation of the endpoints, for subscribers; 0 if there is none.
+    confirmation: u64,
+    /// When the ages were read, on the clock of [`Freshness`](crate::freshness::Freshness).
+    at_ms: u64,
+}
+
 impl View {
     /// When another box asked for updates last.
     pub fn last_subscribed(&self) -> Option<Instant> {
@@ -67,29 +77,67 @@
         self.0.watch_requested.notified().await;
     }
 
+    /// Updates for a subscriber, with their ages; a later confirmation is an update too. `None`
+    /// while this box neither watches the store nor relays.
+    pub async fn aged_updates(&self, request: &SubscribeAged) -> Option<UpdateAged> {
+        let received_ms = self.freshness().now_ms();
+        let origin = match request.is_relay {
+            true => Origin::Store,
+            false => Origin::StoreOrRoot,
+        };
+        let found = self.updates_after(&request.subscribe, origin, request.confirmation).await?;
+        let (update, is_complete) = match found.answer {
+            Answer::All(update) => (update, true),
+            Answer::Part(update) => (update, false),
+        };
+        let (ages, confirmation) = (found.ages, found.confirmation);
+        let held_ms = found.at_ms - received_ms;
+        Some(UpdateAged { update, is_complete, ages, held_ms, confirmation })
+    }
+
     /// Updates for a subscriber: at once if there are any that it does not know, else when there
     /// are, or after its waiting time. `None` while this box neither watches the store nor relays.
     pub async fn updates(&self, request: &Subscribe, origin: Origin) -> Option<Answer> {
+        let found = self.updates_after(request, origin, u64::MAX).await?;
+        Some(found.answer)
+    }
+
+    /// The same for a subscriber that knows all confirmations up to this one.
+    async fn updates_after(
+        &self,
+        request: &Subscribe,
+        origin: Origin,
+        confirmation: u64,
+    ) -> Option<Found> {
         let until = Instant::now() + Duration::from_millis(request.wait_ms.min(MAX_WAIT_MS));
         let mut updated = self.0.updates.subscribe();
         self.0.state.lock().last_subscribed = Some(Instant::now());
         loop {
             updated.borrow_and_update();
-            let found = self.updates_now(request, origin);
-            match found {
-                None => {
-                    self.0.watch_requested.notify_one();
-                    return None;
-                }
-                Some(answer) if is_new(answer.update(), request) => return Some(answer),
-                Some(_) => {}
+            let Some(found) = self.find_updates(request, origin) else {
+                self.0.watch_requested.notify_one();
+                return None;
+            };
+            if is_new(found.answer.update(), request) || found.confirmation > confirmation {
+                return Some(found);
             }
             if timeout_at(until, updated.changed()).await.is_err() {
-                return self.updates_now(request, origin);
+                return self.find_updates(request, origin);
             }
         }
     }
 
+    /// The updates now. Their ages are read first: what is confirmed meanwhile may be missing.
+    fn find_updates(&self, request: &Subscribe, origin: Origin) -> Option<Found> {
+        let freshness = self.freshness();
+        let (at_ms, ages) = (freshness.now_ms(), freshness.ages());
+        // One more, so that 0 stands for none.
+        let confirmation =
+            freshness.confirmed_ms(Subject::Endpoints).map_or(0, |confirmed_ms| confirmed_ms + 1);
+        let answer = self.updates_now(request, origin)?;
+        Some(Found { answer, ages, confirmation, at_ms })
+    }
+
     fn updates_now(&self, request: &Subscribe, origin: Origin) -> Option<Answer> {
         let state = self.0.state.lock();
         let relays = state.relayed_at.is_some_and(|at| at.elapsed() < MAX_RELAY_SILENCE);
--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock::Watchdog,
     fleet::entry::{BOXES, Entry},
+    freshness::Subject,
     outage::{Outage, Probe, Recovery},
     sync::view::{self, View},
 };
@@ -152,7 +153,7 @@
                 .for_each(|object| view.update_config(&object));
         }
     };
-    follow(&setup, reopened, "configuration", platform::CONFIG.0, apply).await;
+    follow(&setup, reopened, Subject::Config, platform::CONFIG.0, apply).await;
 }
 
 /// Follows which availability zones are evacuated.
@@ -162,7 +163,7 @@
         Received::All(list, _) => view.load_evacuations(&list.objects, list.version),
         Received::Changes(changes) => view.update_evacuations(&changes),
     };
-    follow(&setup, reopened, "evacuations", platform::EVACUATIONS, apply).await;
+    follow(&setup, reopened, Subject::Evacuations, platform::EVACUATIONS, apply).await;
 }
 
 /// Follows the reports of requests that crash endpoints.
@@ -172,7 +173,7 @@
         Received::All(list, _) => view.load_crashes(&list.objects),
         Received::Changes(changes) => view.update_crashes(&changes),
     };
-    follow(&setup, reopened, "crashes", quarantine::CRASHES, apply).await;
+    follow(&setup, reopened, Subject::Crashes, quarantine::CRASHES, apply).await;
 }
 
 /// What a list or a watch returned.
@@ -187,14 +188,15 @@
 async fn follow(
     setup: &Setup,
     mut reopened: watch::Receiver<()>,
-    what: &'static str,
+    subject: Subject,
     kind: &str,
     apply: impl Fn(Received),
 ) {
-    let Setup { store, recovery, watchdog, .. } = setup;
-    let mut outage = outage(setup, what, Probe::Lazy);
+    let Setup { store, recovery, watchdog, view, .. } = setup;
+    let mut outage = outage(setup, subject.as_str(), Probe::Lazy);
     loop {
         let suspensions = watchdog.suspensions();
+        let sent_ms = view.freshness().now_ms();
         let list = match store.list_all(kind).await {
             Ok(list) => list,
             Err(error) => {
@@ -208,7 +210,9 @@
         reopened.mark_unchanged();
         let mut from = list.version;
         apply(Received::All(list, suspensions));
+        view.confirm(subject, sent_ms);
         loop {
+            let sent_ms = view.freshness().now_ms();
             let watched = tokio::select! {
                 // After an outage, a list comes before another watch.
                 biased;
@@ -219,13 +223,14 @@
             };
             match watched {
                 Ok(watch) if watch.gap => {
-                    tracing::info!(event = "watch_gap", what, from);
+                    tracing::info!(event = "watch_gap", what = subject.as_str(), from);
                     break;
                 }
                 Ok(watch) => {
                     outage.record_success();
                     from = watch.next;
                     apply(Received::Changes(watch.changes));
+                    view.confirm(subject, sent_ms);
                 }
                 Err(error) => {
                     outage.record_failure(&error);
@@ -246,6 +251,7 @@
     let mut outage = outage(&setup, "endpoints", Probe::Lazy);
     loop {
         let suspensions = setup.watchdog.suspensions();
+        let sent_ms = setup.view.freshness().now_ms();
         match setup.store.list_all(platform::ENDPOINTS).await {
             Ok(list) => {
                 store_answered(&setup, &mut outage);
@@ -255,6 +261,7 @@
                     setup.view.store_returned(Instant::now(), setup.grace);
                 }
                 setup.view.load_endpoints(&list.objects, list.version, suspensions);
+                setup.view.confirm(Subject::Endpoints, sent_ms);
                 tokio::select! {
                     () = watch_endpoints(&setup, &mut outage, &mut reopened, list.version) => {}
                     () = setup.watchdog.next_suspension(suspensions) => {}
@@ -324,6 +331,7 @@
     reopened: &mut watch::Receiver<()>,
     from: u64,
 ) -> Result<Watched, Error> {
+    let sent_ms = setup.view.freshness().now_ms();
     let watch = tokio::select! {
         // After an outage, a list comes before another watch.
         biased;
@@ -341,6 +349,7 @@
     }
     store_answered(setup, outage);
     setup.view.update_endpoints(watch.changes, watch.next);
+    setup.view.confirm(Subject::Endpoints, sent_ms);
     Ok(Watched::UpTo(watch.next))
 }
 
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -86,9 +86,7 @@
         Frame::PermitRequest(_)
         | Frame::PermitReply(_)
         | Frame::Limit { .. }
-        | Frame::Departure { .. }
-        | Frame::UpdatePart(_)
-        | Frame::SubscribeToRoot(_) => {
+        | Frame::Departure { .. } => {
             Frame::Refused { reason: "endpoints report to each router directly".into() }
         }
         Frame::Draw(_)
@@ -99,7 +97,14 @@
         | Frame::Replica(_) => {
             Frame::Refused { reason: "routers write their ledgers themselves".into() }
         }
-        Frame::Subscribe(_) | Frame::Update(_) | Frame::Crash { .. } | Frame::Greet { .. } => {
+        Frame::Subscribe(_)
+        | Frame::SubscribeToRoot(_)
+        | Frame::SubscribeAged(_)
+        | Frame::Update(_)
+        | Frame::UpdatePart(_)
+        | Frame::UpdateAged(_)
+        | Frame::Crash { .. }
+        | Frame::Greet { .. } => {
             Frame::Refused { reason: "routers watch the platform themselves".into() }
         }
         Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -193,6 +193,40 @@
     pub wait_ms: u64,
 }
 
+/// A subscriber's request for updates that say how old they are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubscribeAged {
+    pub subscribe: Subscribe,
+    /// Whether only a box that reads the store itself may answer: the sender relays to others.
+    pub is_relay: bool,
+    /// The last confirmation that the subscriber knows, as the watcher named it; 0 for none. A later
+    /// one is an update.
+    pub confirmation: u64,
+}
+
+/// How long ago the store confirmed what a box knows, in milliseconds; `None` if it never did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages {
+    pub config: Option<u64>,
+    pub endpoints: Option<u64>,
+    pub evacuations: Option<u64>,
+    pub crashes: Option<u64>,
+}
+
+/// A watcher's answer to [`SubscribeAged`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpdateAged {
+    pub update: Update,
+    /// Whether the update is complete; else the rest follows on requests for the changes since then.
+    pub is_complete: bool,
+    /// Ages of the watcher's state when it answered.
+    pub ages: Ages,
+    /// How long the watcher held the request before it answered, in milliseconds.
+    pub held_ms: u64,
+    /// The watcher's last confirmation, which grows; only the watcher knows its meaning.
+    pub confirmation: u64,
+}
+
 /// A watcher's answer to a subscriber.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
@@ -388,6 +422,10 @@
     FindStreams { to: Incarnation, keys: Vec<StreamKey> },
     /// Answer to [`Frame::FindStreams`]: the origins that the receiver knows.
     StreamsFound { records: Vec<StreamRecord> },
+    /// Requests updates like [`Frame::Subscribe`], with their ages.
+    SubscribeAged(SubscribeAged),
+    /// Answer to [`Frame::SubscribeAged`].
+    UpdateAged(UpdateAged),
 }
 
 impl Frame {
@@ -396,6 +434,8 @@
         match self {
             Frame::Subscribe(_)
             | Frame::SubscribeToRoot(_)
+            | Frame::SubscribeAged(_)
+            | Frame::UpdateAged(_)
             | Frame::Update(_)
             | Frame::UpdatePart(_) => "news",
             Frame::Draw(_) | Frame::Drawn(_) => "draws",
