Tests: all watches of the store are deaf, and boxes send on to an endpoint that leaves (fail)

What callers' endpoints see: requests 3 s after the store acknowledged that they leave, for as long as a watch waits (20 s); the same for a configuration.

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -21,6 +21,7 @@
 mod rate_limit;
 mod raw;
 mod sole_versions;
+mod stale;
 mod store_copy;
 mod suspended;
 mod sync;
--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -25,6 +25,8 @@
     pub dropped_write_delay: Duration,
     /// Sources whose calls are rejected with 503, also while `down` is set.
     pub rejected_sources: HashSet<IpAddr>,
+    /// Watches look for changes only when they begin and when their wait ends.
+    pub deaf_watches: bool,
     /// Limit of writes a second; 0 means no limit.
     pub writes_per_s: u32,
     /// Limit of reads a second, watches included; 0 means no limit.
@@ -180,7 +182,11 @@
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Answer {
-        let watch = self.0.memory.wait(&[kind], from, wait).await;
+        let is_deaf = self.0.faults.lock().deaf_watches;
+        let watch = match is_deaf {
+            true => self.0.memory.wait_deaf(&[kind], from, wait).await,
+            false => self.0.memory.wait(&[kind], from, wait).await,
+        };
         if self.0.faults.lock().down {
             std::future::pending::<()>().await;
         }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -194,6 +194,16 @@
         }
     }
 
+    /// Like [`Memory::wait`], but is not told of changes while it waits.
+    pub(crate) async fn wait_deaf(&self, kinds: &[&str], from: u64, wait: Duration) -> Watch {
+        let watch = self.wait(kinds, from, Duration::ZERO).await;
+        if !watch.changes.is_empty() || watch.gap {
+            return watch;
+        }
+        tokio::time::sleep(wait).await;
+        self.changes(kinds, from)
+    }
+
     pub(crate) fn host_list(&self) -> Vec<Host> {
         let mut state = self.state.lock();
         state.usage.reads += 1;
