--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -4,6 +4,10 @@
 //! state has the time at which the store last confirmed it: that of a call whose answer is complete
 //! up to then. Boxes pass these times on as ages; an answer of a box that was not confirmed itself
 //! makes nothing younger.
+//!
+//! [`Bounds`] divides the largest age that is allowed: a watch may be silent for a part of it, then
+//! another source is asked, then the store. So the time until a change is known does not add up over
+//! the boxes that are silent one after the other.
 
 use std::{sync::Arc, time::Duration};
 
@@ -39,6 +43,34 @@
     }
 }
 
+/// How old states may become, by what a box does then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Age that what a box knows of endpoints and the configuration must not pass.
+    pub max_age: Duration,
+}
+
+impl Bounds {
+    /// Time after which a box that watches the store has it confirm a state that did not change.
+    pub fn confirm_after(self, subject: Subject) -> Duration {
+        self.max_age.mul_f64(match subject {
+            Subject::Endpoints => 0.35,
+            Subject::Config => 0.4,
+            Subject::Evacuations | Subject::Crashes => 1.0,
+        })
+    }
+
+    /// Age from which on a subscriber asks other sources.
+    pub fn search_after(self, subject: Subject) -> Duration {
+        self.confirm_after(subject) + self.max_age / 4
+    }
+
+    /// Age from which on a subscriber asks the store itself.
+    pub fn fall_back_after(self, subject: Subject) -> Duration {
+        self.confirm_after(subject) + self.max_age.mul_f64(0.4)
+    }
+}
+
 /// Who confirmed a state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -73,13 +105,42 @@
 #[derive(Debug)]
 struct Shared {
     started: Moment,
+    bounds: Bounds,
     confirmations: Mutex<[Option<Confirmation>; Subject::ALL.len()]>,
 }
 
 impl Freshness {
     /// Creates the record of a box that knows nothing yet.
-    pub fn open(clock: &Clock) -> Freshness {
-        Freshness(Arc::new(Shared { started: clock.now(), confirmations: Mutex::default() }))
+    pub fn open(clock: &Clock, bounds: Bounds) -> Freshness {
+        let (started, confirmations) = (clock.now(), Mutex::default());
+        Freshness(Arc::new(Shared { started, bounds, confirmations }))
+    }
+
+    /// How old states may become.
+    pub fn bounds(&self) -> Bounds {
+        self.0.bounds
+    }
+
+    /// Time until the store has to confirm a state again; zero if it never did.
+    pub fn due_in(&self, subject: Subject) -> Duration {
+        let confirm_after = self.0.bounds.confirm_after(subject);
+        self.age(subject).map_or(Duration::ZERO, |age| confirm_after.saturating_sub(age))
+    }
+
+    /// Whether some state is older than other sources may know it.
+    pub fn is_search_due(&self) -> bool {
+        self.any_older_than(Bounds::search_after)
+    }
+
+    /// Whether some state is so old that this box asks the store itself.
+    pub fn is_fallback_due(&self) -> bool {
+        self.any_older_than(Bounds::fall_back_after)
+    }
+
+    fn any_older_than(&self, bound: impl Fn(Bounds, Subject) -> Duration) -> bool {
+        Subject::ALL
+            .into_iter()
+            .any(|subject| self.age(subject).is_some_and(|age| age > bound(self.0.bounds, subject)))
     }
 
     /// Milliseconds since the start of the box, including suspensions.
@@ -128,9 +189,10 @@
         self.0.confirmations.lock()[subject as usize].as_ref().map(|known| known.by.clone())
     }
 
-    /// Logs when a state becomes older than `max_age`, and when it is confirmed again, for as long as
+    /// Logs when a state becomes older than allowed, and when it is confirmed again, for as long as
     /// the box runs.
-    pub async fn log_outdated(self, max_age: Duration) {
+    pub async fn log_outdated(self) {
+        let max_age = self.0.bounds.max_age;
         let mut outdated = [false; Subject::ALL.len()];
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -144,7 +144,7 @@
             Acquirer::new(funds.clone(), peers.clone(), borrower.clone(), settings_updates.clone());
         let sole_versions =
             SoleVersions::open(store.clone(), clock.now(), settings.streams.memory_ms);
-        let freshness = Freshness::open(&clock);
+        let freshness = Freshness::open(&clock, settings.freshness());
         let view = View::open(Consumers {
             freshness: freshness.clone(),
             in_force,
@@ -321,7 +321,7 @@
                 announcements,
             )),
             tokio::spawn(watchdog.run()),
-            tokio::spawn(freshness.log_outdated(Duration::from_millis(settings.store.max_age_ms))),
+            tokio::spawn(freshness.log_outdated()),
             tokio::spawn(promiser.run()),
             tokio::spawn(acquirer.run()),
             tokio::spawn(replicator.run()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
     },
     watchers::{Watchers, watchers},
 };
-pub use freshness::{Freshness, Source, Subject};
+pub use freshness::{Bounds, Freshness, Source, Subject};
 pub use gateway::{Error, Gateway};
 pub use outage::{Outage, Probe, Recovery};
 pub use proxy::{
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use jsonc::{Error, Violation};
 use serde::Deserialize;
 
-use crate::fleet::regions::Regions;
+use crate::{fleet::regions::Regions, freshness::Bounds};
 
 /// All settings. Addresses and names are required; everything else has defaults.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -398,6 +398,11 @@
         }
     }
 
+    /// How old what the box knows may become.
+    pub fn freshness(&self) -> Bounds {
+        Bounds { max_age: Duration::from_millis(self.store.max_age_ms) }
+    }
+
     /// Sizing of grants.
     pub fn policy(&self) -> ledger::Policy {
         ledger::Policy {
--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use objects::{Change, Error, Object};
+use objects::{Change, Error, Object, Watch};
 use platform::{
     store::{Client, List},
     version,
@@ -22,6 +22,10 @@
 /// the number of calls low when many endpoints start together. An eighth of the 2 s within which a
 /// leaving endpoint must get no more work in the strictest deployments.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Longest time for the answer of a watch whose wait is over, beyond which its connection may be dead.
+const WATCH_GRACE: Duration = Duration::from_millis(600);
+/// Shortest time between two checks whether a state is due, while none is confirmed.
+const MIN_DUE: Duration = Duration::from_millis(100);
 /// Interval between two reads of the other boxes: as long as replica reads may be out of date.
 const BOXES_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval between two probes of the store. A waiting watch does not show whether the store is
@@ -212,25 +216,25 @@
         apply(Received::All(list, suspensions));
         view.confirm(subject, sent_ms);
         loop {
-            let sent_ms = view.freshness().now_ms();
             let watched = tokio::select! {
                 // After an outage, a list comes before another watch.
                 biased;
                 _ = recovery.recovered() => break,
                 () = watchdog.next_suspension(suspensions) => break,
                 Ok(()) = reopened.changed() => continue,
-                watched = store.watch_kind(kind, from) => watched,
+                watched = watch_until_due(setup, subject, kind, from) => watched,
             };
             match watched {
-                Ok(watch) if watch.gap => {
+                Ok(None) => {}
+                Ok(Some(Watched { watch, .. })) if watch.gap => {
                     tracing::info!(event = "watch_gap", what = subject.as_str(), from);
                     break;
                 }
-                Ok(watch) => {
+                Ok(Some(Watched { watch, complete_ms })) => {
                     outage.record_success();
                     from = watch.next;
                     apply(Received::Changes(watch.changes));
-                    view.confirm(subject, sent_ms);
+                    view.confirm(subject, complete_ms);
                 }
                 Err(error) => {
                     outage.record_failure(&error);
@@ -241,6 +245,61 @@
     }
 }
 
+/// A watch that was answered.
+struct Watched {
+    watch: Watch,
+    /// Up to when it is complete, on the clock of [`Freshness`](crate::freshness::Freshness).
+    complete_ms: u64,
+}
+
+/// Watches a kind for `wait` at most. A watch that waits proves nothing, so its wait is short where
+/// the store has to confirm the state.
+async fn watch_for(setup: &Setup, kind: &str, from: u64, wait: Duration) -> Result<Watched, Error> {
+    let freshness = setup.view.freshness();
+    let sent_ms = freshness.now_ms();
+    let watch = setup.store.watch_kind_within(kind, from, wait, WATCH_GRACE).await?;
+    // The store looked once more when the wait was over.
+    let waited_ms = sent_ms.saturating_add(wait.as_millis().try_into().unwrap_or(u64::MAX));
+    let complete_ms = match watch.changes.is_empty() && freshness.now_ms() >= waited_ms {
+        true => waited_ms,
+        false => sent_ms,
+    };
+    Ok(Watched { watch, complete_ms })
+}
+
+/// Watches a kind from version `from` until it changes or has to be confirmed; `None` if it has to
+/// and the watch is to be opened again. While nothing changes in the store at all, the watch waits as
+/// long as it may.
+async fn watch_until_due(
+    setup: &Setup,
+    subject: Subject,
+    kind: &str,
+    from: u64,
+) -> Result<Option<Watched>, Error> {
+    if setup.view.endpoints_at() > from {
+        let wait = setup.view.freshness().due_in(subject);
+        return watch_for(setup, kind, from, wait).await.map(Some);
+    }
+    tokio::select! {
+        watched = watch_for(setup, kind, from, Duration::MAX) => watched.map(Some),
+        () = store_advanced(&setup.view, subject, from) => Ok(None),
+    }
+}
+
+/// Returns once a state is due and the store has changed since version `from`. Until then it is as
+/// old as that of the endpoints, which tells up to which version the store has come.
+async fn store_advanced(view: &View, subject: Subject, from: u64) {
+    let freshness = view.freshness();
+    loop {
+        tokio::time::sleep(freshness.due_in(subject).max(MIN_DUE)).await;
+        let confirmed_ms = freshness.confirmed_ms(Subject::Endpoints);
+        match confirmed_ms.filter(|_| view.endpoints_at() <= from) {
+            Some(confirmed_ms) => view.confirm(subject, confirmed_ms),
+            None => return,
+        }
+    }
+}
+
 fn written_object(change: Change) -> Option<Object> {
     let value = change.value?;
     Some(Object { kind: change.kind, name: change.name, version: change.version, value })
@@ -300,12 +359,13 @@
         match watched {
             // Entries that are still missing now are gone.
             Err(_) => setup.view.sweep(),
-            Ok(Ok(Watched::UpTo(next))) => {
+            Ok(Ok(Step::Changed(next))) => {
                 from = next;
                 tokio::time::sleep(BATCH_DELAY).await;
             }
-            Ok(Ok(Watched::Reopened)) => {}
-            Ok(Ok(Watched::Lost)) => return,
+            Ok(Ok(Step::Unchanged(next))) => from = next,
+            Ok(Ok(Step::Reopened)) => {}
+            Ok(Ok(Step::Lost)) => return,
             Ok(Err(error)) => {
                 outage.record_failure(&error);
                 return;
@@ -314,10 +374,12 @@
     }
 }
 
-/// How a watch ended.
-enum Watched {
+/// How a watch of the endpoints ended.
+enum Step {
     /// Its changes are applied; the next one starts at this version.
-    UpTo(u64),
+    Changed(u64),
+    /// Nothing changed; the next one starts at this version.
+    Unchanged(u64),
     /// Its connection may be dead; the next one starts at the same version.
     Reopened,
     /// The entries have to be listed anew.
@@ -330,27 +392,31 @@
     outage: &mut Outage,
     reopened: &mut watch::Receiver<()>,
     from: u64,
-) -> Result<Watched, Error> {
-    let sent_ms = setup.view.freshness().now_ms();
-    let watch = tokio::select! {
+) -> Result<Step, Error> {
+    let wait = setup.view.freshness().due_in(Subject::Endpoints);
+    let Watched { watch, complete_ms } = tokio::select! {
         // After an outage, a list comes before another watch.
         biased;
         lost_since = setup.recovery.recovered() => {
             // Another task noticed an outage and its end: this watch may be dead.
             setup.view.store_returned(lost_since, setup.grace);
-            return Ok(Watched::Lost);
+            return Ok(Step::Lost);
         }
-        Ok(()) = reopened.changed() => return Ok(Watched::Reopened),
-        watch = setup.store.watch_kind(platform::ENDPOINTS, from) => watch?,
+        Ok(()) = reopened.changed() => return Ok(Step::Reopened),
+        watched = watch_for(setup, platform::ENDPOINTS, from, wait) => watched?,
     };
     if watch.gap {
         tracing::info!(event = "watch_gap", what = "endpoints", from);
-        return Ok(Watched::Lost);
+        return Ok(Step::Lost);
     }
     store_answered(setup, outage);
+    let step = match watch.changes.is_empty() {
+        true => Step::Unchanged(watch.next),
+        false => Step::Changed(watch.next),
+    };
     setup.view.update_endpoints(watch.changes, watch.next);
-    setup.view.confirm(Subject::Endpoints, sent_ms);
-    Ok(Watched::UpTo(watch.next))
+    setup.view.confirm(Subject::Endpoints, complete_ms);
+    Ok(step)
 }
 
 /// Reads the entries of the other boxes at intervals.
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -2,16 +2,20 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gateway::{Clock, Freshness, Source, Subject};
+use gateway::{Bounds, Clock, Freshness, Source, Subject};
 use wire::Ages;
 
+fn bounds() -> Bounds {
+    Bounds { max_age: Duration::from_millis(2_000) }
+}
+
 fn peer() -> Arc<str> {
     "box-2.1".into()
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_state_ages_from_its_last_confirmation() {
-    let freshness = Freshness::open(&Clock::manual());
+    let freshness = Freshness::open(&Clock::manual(), bounds());
     assert_eq!(freshness.age(Subject::Endpoints), None);
     assert!(freshness.confirm(Subject::Endpoints, 0, Source::Store));
     tokio::time::advance(Duration::from_millis(700)).await;
@@ -23,7 +27,7 @@
 /// Guards against a box that takes the answer of a box for an answer of the store.
 #[tokio::test(start_paused = true)]
 async fn an_answer_makes_a_state_no_younger_than_the_box_that_gave_it() {
-    let freshness = Freshness::open(&Clock::manual());
+    let freshness = Freshness::open(&Clock::manual(), bounds());
     tokio::time::advance(Duration::from_millis(10_000)).await;
     // Sent 1 s ago, held for 300 ms and under way since then at worst.
     let ages = Ages { endpoints: Some(2_000), ..Ages::default() };
@@ -41,7 +45,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_suspension_counts() {
     let clock = Clock::manual();
-    let freshness = Freshness::open(&clock);
+    let freshness = Freshness::open(&clock, bounds());
     freshness.confirm(Subject::Config, 0, Source::Store);
     clock.suspend(Duration::from_secs(5));
     assert_eq!(freshness.age(Subject::Config), Some(Duration::from_secs(5)));
