--- a/crates/gateway/tests/loopback/dead_watch.rs
+++ b/crates/gateway/tests/loopback/dead_watch.rs
@@ -57,14 +57,14 @@
 }
 
 /// A forwarder to the store that lets chosen requests wait for ever on connections that look open.
-struct Forwarder {
+pub struct Forwarder {
     address: SocketAddr,
     faults: Arc<Faults>,
     task: JoinHandle<()>,
 }
 
 impl Forwarder {
-    async fn bind(store: SocketAddr) -> Forwarder {
+    pub async fn bind(store: SocketAddr) -> Forwarder {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let faults = Arc::new(Faults::default());
@@ -77,6 +77,16 @@
         Forwarder { address, faults, task }
     }
 
+    /// Address under which boxes reach the store through it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Lets the watches that wait now wait for ever; probes are answered.
+    pub fn kill_watches_only(&self) {
+        self.faults.watches_are_dead.store(true, Ordering::SeqCst);
+    }
+
     /// Lets the watches that wait now and the next probe wait for ever.
     fn kill_watches(&self) {
         self.faults.watches_are_dead.store(true, Ordering::SeqCst);
--- a/crates/gateway/tests/loopback/stale.rs
+++ b/crates/gateway/tests/loopback/stale.rs
@@ -4,10 +4,15 @@
 
 use std::time::Duration;
 
-use gateway::Gateway;
+use gateway::{Gateway, Profile, Regions, watchers};
+use ledger::Incarnation;
 use standin::ScriptedEndpoint;
 
-use crate::harness::{Harness, answer_ok, call, settings, wait_until, wait_until_served};
+use crate::{
+    dead_watch::Forwarder,
+    harness::{Harness, answer_ok, call, settings, wait_until, wait_until_served},
+    sync::store_reads,
+};
 
 /// Time after which a leaving endpoint must get no more requests.
 const MAX_AGE: Duration = Duration::from_millis(3_000);
@@ -30,7 +35,11 @@
 }
 
 /// Requests that reach an endpoint after each box sent a few.
-async fn arrivals(harness: &Harness, boxes: &[Gateway], endpoint: &ScriptedEndpoint) -> usize {
+async fn arrivals<'a>(
+    harness: &Harness,
+    boxes: impl IntoIterator<Item = &'a Gateway>,
+    endpoint: &ScriptedEndpoint,
+) -> usize {
     let before = endpoint.arrived().len();
     for gateway in boxes {
         for _ in 0..REQUESTS {
@@ -75,3 +84,80 @@
         assert_eq!(status, 200, "{MAX_AGE:?} after the configuration with this route");
     }
 }
+
+/// Boxes that have nothing confirmed while a test runs: they take what they know for current.
+const NEVER_MS: u64 = 600_000;
+/// Two of them watch, so that the third has no other source.
+const FLEET: [&str; 3] = ["box-0", "box-1", "box-2"];
+
+/// The watchers of the fleet, in the order in which a box asks them.
+fn roots_of(name: &str) -> Vec<String> {
+    let profile = |name: &str| Profile {
+        incarnation: Incarnation::new(name, 1),
+        zone: "z1".into(),
+        capacity: gateway::settings::Machine::default().capacity(),
+    };
+    let others: Vec<Profile> =
+        FLEET.iter().filter(|other| **other != name).map(|other| profile(other)).collect();
+    let watchers = watchers(&profile(name), &others, &Regions::default());
+    watchers.roots.iter().map(|root| root.box_name().to_owned()).collect()
+}
+
+/// A box that only subscribes, with the watchers in its order.
+fn subscriber() -> (&'static str, Vec<String>) {
+    let mut names = FLEET.into_iter().map(|name| (name, roots_of(name)));
+    names.find(|(name, roots)| !roots.contains(&(*name).to_owned())).expect("two boxes watch")
+}
+
+/// Starts a fleet in which the watches of some watchers die while these answer their subscribers as ever; then an
+/// endpoint leaves. Returns the requests that it gets [`MAX_AGE`] later from a subscriber.
+async fn requests_behind_deaf_watchers(deaf: &[String]) -> usize {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let leaving = harness.endpoint("i-1", "plain", answer_ok).await;
+    let _stays = harness.endpoint("i-2", "plain", answer_ok).await;
+    let forwarder = Forwarder::bind(harness.platform.socket()).await;
+    let (subscriber, roots) = subscriber();
+    let others = FLEET.into_iter().filter(|name| !roots.contains(&(*name).to_owned()));
+    let mut boxes = Vec::new();
+    // Watchers first, so that no other box is the only one in the fleet when it starts.
+    for name in roots.iter().map(String::as_str).chain(others) {
+        let is_deaf = deaf.iter().any(|other| other == name);
+        let store = if is_deaf { forwarder.address() } else { harness.platform.socket() };
+        let mut settings = settings(name, store);
+        settings.store.max_age_ms = if is_deaf { NEVER_MS } else { MAX_AGE.as_millis() as u64 };
+        boxes.push((name, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+    }
+    for (_, gateway) in &boxes {
+        wait_until_served(&harness, gateway, "/open/x").await;
+        wait_until("the boxes know each other", async || gateway.peer_count() == FLEET.len() - 1)
+            .await;
+    }
+    let (_, subscriber) = boxes.iter().find(|(name, _)| *name == subscriber).expect("it started");
+    wait_until("the box reads nothing from the store itself", async || {
+        let before = store_reads(subscriber);
+        tokio::time::sleep(MAX_AGE / 2).await;
+        store_reads(subscriber) == before
+    })
+    .await;
+    forwarder.kill_watches_only();
+    harness.write_entry("i-1", "plain", leaving.address(), false).await;
+    tokio::time::sleep(MAX_AGE).await;
+    arrivals(&harness, [subscriber], &leaving).await
+}
+
+/// Guards against boxes that are as deaf as their watcher, although another one knows.
+#[tokio::test]
+async fn a_subscriber_leaves_a_watcher_that_answers_and_knows_nothing_new() {
+    // It listens to one of them.
+    for root in subscriber().1 {
+        let late = requests_behind_deaf_watchers(std::slice::from_ref(&root)).await;
+        assert_eq!(late, 0, "requests after {MAX_AGE:?}, {root} is deaf");
+    }
+}
+
+/// Guards against the same where no watcher knows: the store does.
+#[tokio::test]
+async fn a_subscriber_asks_the_store_when_all_watchers_know_nothing_new() {
+    let (_, roots) = subscriber();
+    assert_eq!(requests_behind_deaf_watchers(&roots).await, 0, "requests after {MAX_AGE:?}");
+}
--- a/crates/gateway/tests/loopback/sync.rs
+++ b/crates/gateway/tests/loopback/sync.rs
@@ -57,7 +57,7 @@
 }
 
 /// Calls with which a box listed or watched the store itself.
-fn store_reads(gateway: &Gateway) -> u64 {
+pub fn store_reads(gateway: &Gateway) -> u64 {
     let calls = gateway.calls().snapshot();
     let store_calls = calls.iter().filter(|((operation, kind), _)| {
         let reads = matches!(operation, Operation::List | Operation::Watch);
