DRAIN: subscribers go by how old an answer is, and ask all sources at once

Cause: an answer of a watcher counted as news of the store.

A box whose state is older than its watcher has to keep it (confirmation due + a quarter of store.max_age_ms; a tenth later behind a relay) asks all watchers together and takes one that the store confirmed; if none was, and the store answers its probe, the ones on standby, and from + 0.4 the store itself, spread by 5 ms for each box. In an outage, which shows first as age, the probe fails and it stays. For a second after an outage ages are left to the watcher.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -60,15 +60,33 @@
         })
     }
 
-    /// Age from which on a subscriber asks other sources.
-    pub fn search_after(self, subject: Subject) -> Duration {
-        self.confirm_after(subject) + self.max_age / 4
+    /// Age from which on a subscriber asks other sources. Later for one whose watcher relays, which
+    /// is then searching itself.
+    pub fn search_after(self, subject: Subject, is_behind_relay: bool) -> Duration {
+        let part = if is_behind_relay { 0.35 } else { 0.25 };
+        self.confirm_after(subject) + self.max_age.mul_f64(part)
     }
 
     /// Age from which on a subscriber asks the store itself.
     pub fn fall_back_after(self, subject: Subject) -> Duration {
         self.confirm_after(subject) + self.max_age.mul_f64(0.4)
     }
+
+    /// Age beyond which a state is outdated.
+    pub fn limit(self, subject: Subject) -> Duration {
+        match subject {
+            Subject::Endpoints | Subject::Config => self.max_age,
+            Subject::Evacuations | Subject::Crashes => 2 * self.max_age,
+        }
+    }
+
+    /// Whether no state is so old that other sources are asked.
+    pub fn allow(self, ages: &Ages, is_behind_relay: bool) -> bool {
+        Subject::ALL.into_iter().all(|subject| {
+            let age = of(ages, subject).map(Duration::from_millis);
+            age.is_some_and(|age| age <= self.search_after(subject, is_behind_relay))
+        })
+    }
 }
 
 /// Who confirmed a state.
@@ -127,20 +145,20 @@
         self.age(subject).map_or(Duration::ZERO, |age| confirm_after.saturating_sub(age))
     }
 
-    /// Whether some state is older than other sources may know it.
-    pub fn is_search_due(&self) -> bool {
-        self.any_older_than(Bounds::search_after)
+    /// Time until some state is so old that other sources are asked; zero if it is.
+    pub fn search_due_in(&self, is_behind_relay: bool) -> Duration {
+        self.shortest(|bounds, subject| bounds.search_after(subject, is_behind_relay))
     }
 
-    /// Whether some state is so old that this box asks the store itself.
-    pub fn is_fallback_due(&self) -> bool {
-        self.any_older_than(Bounds::fall_back_after)
+    /// Whether some state has been so old for `delay` that this box asks the store itself.
+    pub fn is_fallback_due(&self, delay: Duration) -> bool {
+        self.shortest(|bounds, subject| bounds.fall_back_after(subject) + delay).is_zero()
     }
 
-    fn any_older_than(&self, bound: impl Fn(Bounds, Subject) -> Duration) -> bool {
-        Subject::ALL
-            .into_iter()
-            .any(|subject| self.age(subject).is_some_and(|age| age > bound(self.0.bounds, subject)))
+    /// Shortest time until a state reaches an age. Those that were never confirmed have none.
+    fn shortest(&self, bound: impl Fn(Bounds, Subject) -> Duration) -> Duration {
+        let left = |subject| Some(bound(self.0.bounds, subject).saturating_sub(self.age(subject)?));
+        Subject::ALL.into_iter().filter_map(left).min().unwrap_or(Duration::MAX)
     }
 
     /// Milliseconds since the start of the box, including suspensions.
@@ -192,13 +210,12 @@
     /// Logs when a state becomes older than allowed, and when it is confirmed again, for as long as
     /// the box runs.
     pub async fn log_outdated(self) {
-        let max_age = self.0.bounds.max_age;
         let mut outdated = [false; Subject::ALL.len()];
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             for subject in Subject::ALL {
                 let Some(age) = self.age(subject) else { continue };
-                let is_outdated = age > max_age;
+                let is_outdated = age > self.0.bounds.limit(subject);
                 if std::mem::replace(&mut outdated[subject as usize], is_outdated) == is_outdated {
                     continue;
                 }
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -87,6 +87,8 @@
 pub struct Outage {
     dependency: &'static str,
     recovery: Recovery,
+    /// Ends of outages that other tasks detect, also during a call of this one.
+    recoveries: watch::Receiver<Option<Instant>>,
     since: Option<Instant>,
     failures: u64,
     pause: Duration,
@@ -96,7 +98,10 @@
 impl Outage {
     /// Creates the state of a dependency that is assumed to answer.
     pub fn new(dependency: &'static str, probe: Probe, recovery: Recovery) -> Outage {
-        Outage { dependency, recovery, since: None, failures: 0, pause: INITIAL_PAUSE, probe }
+        let mut recoveries = recovery.0.lost_since.subscribe();
+        recoveries.mark_unchanged();
+        let (since, failures, pause) = (None, 0, INITIAL_PAUSE);
+        Outage { dependency, recovery, recoveries, since, failures, pause, probe }
     }
 
     /// Records an outage that another task or box detected.
@@ -118,9 +123,10 @@
         }
     }
 
-    /// Waits before the next attempt; ends early if another task reaches the store.
+    /// Waits before the next attempt; ends early if another task reaches the store, or did so during the
+    /// call that failed.
     pub async fn pause(&mut self) {
-        let _ = tokio::time::timeout(self.pause, self.recovery.recovered()).await;
+        let _ = tokio::time::timeout(self.pause, self.recoveries.changed()).await;
         self.pause = (self.pause * 2).min(self.probe.max_pause());
     }
 
@@ -131,6 +137,7 @@
         let outage_ms = since.elapsed().as_millis() as u64;
         let failures = std::mem::take(&mut self.failures);
         self.recovery.announce(since);
+        self.recoveries.mark_unchanged();
         tracing::info!(
             event = "dependency_back",
             what = self.dependency,
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -3,9 +3,11 @@
 //!
 //! Endpoints and callers rely on updates within a bounded time, 2 s in the strictest deployments. A
 //! watcher that is suspended or gone is noticed after [`HEARTBEAT_INTERVAL`] plus
-//! [`ANSWER_TIMEOUT`]; one that cannot reach the store reports that itself (see `watcher`). The next
-//! watcher answers within [`ANSWER_TIMEOUT`] or is skipped. If none does, the box watches the store
-//! itself.
+//! [`ANSWER_TIMEOUT`]; one that cannot reach the store reports that itself (see `watcher`); one that
+//! answers, but was not confirmed by the store for too long, shows in the ages that it names. The
+//! others are then asked together, and the one that was confirmed last is used. If none knows better,
+//! the box watches the store itself, at the age that [`Bounds`](crate::freshness::Bounds) sets, however many
+//! sources were silent one after the other.
 
 use std::time::Duration;
 
@@ -58,8 +60,8 @@
 const OWN_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Timeout of that probe: twice the latency of a slow store.
 const OWN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for a watcher to reach the store again after an outage, two of its probes. A box that finds
-/// the store first waits this long before it reads the store itself.
+/// Time for a watcher to reach the store again after an outage, two of its probes, or to read what
+/// changed meanwhile. A box that finds the store first waits this long before it reads the store itself.
 const RECOVERY_DELAY: Duration = Duration::from_millis(1_000);
 /// Interval at which a box checks whether it is a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -88,6 +90,19 @@
     confirmation: u64,
     /// Whether the watcher reported that the store does not answer it.
     is_store_unreachable: bool,
+    /// When it last reported the end of an outage.
+    recovered_at: Option<Instant>,
+}
+
+/// What a watcher says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Condition {
+    /// The store confirms what it knows.
+    Current,
+    /// It answers, and was not confirmed for too long.
+    Outdated,
+    /// The store does not answer it.
+    CutOff,
 }
 
 /// An answer of a watcher.
@@ -220,6 +235,25 @@
             if subscription.is_some() {
                 self.setup.view.set_relaying(candidates.is_relay);
             }
+            if let Some(outdated) = subscription.take_if(|known| self.is_outdated(known)) {
+                subscription = self.find_current(&candidates).await;
+                if subscription.is_none() && next_probe <= Instant::now() {
+                    match self.reaches_store().await {
+                        // An outage that the watcher has yet to notice.
+                        false => {
+                            own_probe_failed = true;
+                            next_probe = Instant::now() + self.jitter(OWN_PROBE_INTERVAL);
+                        }
+                        true if self.is_fallback_due() => {
+                            let home = outdated.watcher.as_str();
+                            tracing::info!(event = "watchers_outdated", home);
+                            return false;
+                        }
+                        true => subscription = self.find_standby(&candidates).await,
+                    }
+                }
+                subscription = subscription.or(Some(outdated));
+            }
             match &subscription {
                 Some(known) if known.is_store_unreachable && next_probe <= Instant::now() => {
                     match self.reaches_store().await {
@@ -250,6 +284,26 @@
         }
     }
 
+    /// Whether a watcher that reaches the store was not confirmed by it for too long.
+    fn is_outdated(&self, subscription: &Subscription) -> bool {
+        let recovers = subscription.recovered_at.is_some_and(|at| at.elapsed() < RECOVERY_DELAY);
+        let due_in = self.setup.view.freshness().search_due_in(self.is_behind_relay());
+        !subscription.is_store_unreachable && !recovers && due_in.is_zero()
+    }
+
+    /// Whether what this box knows is so old that it asks the store itself, whoever answers. Boxes of a
+    /// large fleet do so one after the other, since the ones on standby may have begun to watch meanwhile.
+    fn is_fallback_due(&self) -> bool {
+        let spread = (GIVE_UP_SPREAD * self.peers.boxes() as u32).mul_f64(self.gives_up_at);
+        self.setup.view.freshness().is_fallback_due(spread)
+    }
+
+    /// Whether the watchers that this box asks may relay.
+    fn is_behind_relay(&self) -> bool {
+        let watchers = self.peers.watchers();
+        !self.is_relay() && watchers.active.len() > watchers.roots.len()
+    }
+
     /// Whether the store answers this box, although no watcher reaches it.
     async fn reaches_store(&self) -> bool {
         let Setup { store, name, .. } = &self.setup;
@@ -293,8 +347,15 @@
     /// Waits for the next updates of a watcher; `None` if it is silent.
     async fn next_updates(&self, subscription: Subscription) -> Option<Subscription> {
         let suspensions = self.setup.watchdog.suspensions();
+        let due_in = match subscription.is_store_unreachable {
+            true => Duration::MAX,
+            false => self.setup.view.freshness().search_due_in(self.is_behind_relay()),
+        };
+        let wait = HEARTBEAT_INTERVAL.min(due_in.max(RETRY_DELAY));
         let renewed = tokio::select! {
-            renewed = self.poll(&subscription, HEARTBEAT_INTERVAL) => renewed?,
+            renewed = self.poll(&subscription, wait) => renewed?,
+            // The watcher may be as silent as its own source.
+            () = sleep(due_in), if !due_in.is_zero() => return Some(subscription),
             // Another box asks this one to watch the store.
             () = self.setup.view.watch_requested() => return Some(subscription),
             // After a suspension the watcher may be gone and the connection dead.
@@ -319,56 +380,78 @@
             )
             .await?;
         let update = &answer.updates.update;
+        let is_store_unreachable = update.store_unreachable_ms.is_some();
+        let recovered = known.is_store_unreachable && !is_store_unreachable;
         let renewed = Subscription {
             last: update.last,
             confirmation: answer.updates.confirmation,
-            is_store_unreachable: update.store_unreachable_ms.is_some(),
+            is_store_unreachable,
+            recovered_at: if recovered { Some(Instant::now()) } else { known.recovered_at },
             ..known.clone()
         };
         self.apply(&known.watcher, answer);
         Some(renewed)
     }
 
-    /// Asks a watcher whether it reaches the store, and how old what it knows is.
-    async fn ask(&self, watcher: &Incarnation) -> Option<UpdateAged> {
+    /// Asks a watcher whether it reaches the store, and how old what it knows is; `None` if it is
+    /// silent.
+    async fn ask(&self, watcher: &Incarnation) -> Option<Condition> {
         let answer = self.request_updates(watcher, None, true, 0, Duration::ZERO).await?;
-        Some(answer.updates)
+        let UpdateAged { update, ages, .. } = &answer.updates;
+        let bounds = self.setup.view.freshness().bounds();
+        Some(match update.store_unreachable_ms {
+            Some(_) => Condition::CutOff,
+            None if bounds.allow(ages, self.is_behind_relay()) => Condition::Current,
+            None => Condition::Outdated,
+        })
     }
 
-    /// Subscribes to another watcher, one that reaches the store.
+    /// Asks watchers together, so that silent ones cost the time of one.
+    async fn ask_all<'a>(
+        &self,
+        watchers: impl Iterator<Item = &'a Incarnation>,
+    ) -> Vec<(&'a Incarnation, Condition)> {
+        let reachable = watchers.filter(|watcher| self.peers.is_reachable(watcher));
+        let asking = reachable
+            .take(MAX_ASKED)
+            .map(async |watcher| Some((watcher, self.ask(watcher).await?)));
+        futures_util::future::join_all(asking).await.into_iter().flatten().collect()
+    }
+
+    /// Subscribes to another watcher, one that the store confirms.
     async fn find_other_watcher(&self, excluded: &Incarnation) -> Option<Subscription> {
-        let candidates = Candidates::of(&self.peers.watchers(), self.is_relay());
-        let others = candidates.first.iter().filter(|watcher| *watcher != excluded);
-        for watcher in others.filter(|watcher| self.peers.is_reachable(watcher)).take(MAX_ASKED) {
-            match self.ask(watcher).await {
-                Some(answer) if answer.update.store_unreachable_ms.is_none() => {
-                    return self.receive_snapshot(watcher).await;
-                }
-                _ => {}
-            }
-        }
-        None
+        let mut candidates = Candidates::of(&self.peers.watchers(), self.is_relay());
+        candidates.first.retain(|watcher| watcher != excluded);
+        self.find_current(&candidates).await
+    }
+
+    /// Subscribes to the first watcher that the store confirms.
+    async fn find_current(&self, candidates: &Candidates) -> Option<Subscription> {
+        let answers = self.ask_all(candidates.first.iter()).await;
+        let current = answers.iter().find(|(_, condition)| *condition == Condition::Current);
+        self.receive_snapshot(current?.0).await
     }
 
-    /// Subscribes to the first watcher that answers and reaches the store; if none does, to one
-    /// that answers; as a last resort to a standby watcher.
+    /// Subscribes to the first watcher that the store confirms; if there is none, to one that is cut
+    /// off from it; as a last resort to a standby watcher.
     async fn find_watcher(&self, candidates: &Candidates) -> Option<Subscription> {
-        let is_reachable = |watcher: &&Incarnation| self.peers.is_reachable(watcher);
-        let mut cut_off = None;
-        for watcher in candidates.first.iter().filter(is_reachable).take(MAX_ASKED) {
-            match self.ask(watcher).await {
-                Some(answer) if answer.update.store_unreachable_ms.is_none() => {
-                    return self.receive_snapshot(watcher).await;
-                }
-                Some(_) => cut_off = cut_off.or(Some(watcher)),
-                None => {}
-            }
-        }
-        if let Some(watcher) = cut_off {
+        let answers = self.ask_all(candidates.first.iter()).await;
+        let first = |wanted| answers.iter().find(|(_, condition)| *condition == wanted);
+        let knows_nothing = !self.setup.view.knows_config();
+        let chosen = first(Condition::Current)
+            .or_else(|| first(Condition::CutOff))
+            .or_else(|| first(Condition::Outdated).filter(|_| knows_nothing));
+        if let Some((watcher, _)) = chosen {
             return self.receive_snapshot(watcher).await;
         }
+        self.find_standby(candidates).await
+    }
+
+    /// Subscribes to a watcher on standby, which begins to watch when it is asked.
+    async fn find_standby(&self, candidates: &Candidates) -> Option<Subscription> {
         let is_starting =
             !self.setup.view.knows_config() && self.started.elapsed() < START_PATIENCE;
+        let is_reachable = |watcher: &&Incarnation| self.peers.is_reachable(watcher);
         let last = candidates.last.iter().filter(|_| !is_starting);
         for watcher in last.filter(is_reachable).take(MAX_ASKED) {
             match self.receive_snapshot(watcher).await {
@@ -406,6 +489,7 @@
             last: update.last,
             confirmation: *confirmation,
             is_store_unreachable: update.store_unreachable_ms.is_some(),
+            recovered_at: None,
         };
         self.apply(watcher, answer);
         subscription
