--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod bills;
 mod box_crash;
 mod brittle;
+mod crashing_part;
 mod cut_off;
 mod dead_watch;
 mod endpoint_cut;
--- a/crates/gateway/tests/loopback/quarantine.rs
+++ b/crates/gateway/tests/loopback/quarantine.rs
@@ -14,13 +14,13 @@
 
 const PAID: u64 = 1_000_000;
 /// Number of boxes: two watchers and two subscribers.
-const BOXES: usize = 4;
+pub const BOXES: usize = 4;
 /// Number of endpoints: far more than one request may crash.
 const ENDPOINTS: usize = 9;
 /// Body of the request that crashes endpoints.
 const GUILTY: &str = "guilty";
 /// Most endpoints that one request may crash: three, and three more while the crash reports spread.
-const MAX_CRASHED: usize = 6;
+pub const MAX_CRASHED: usize = 6;
 
 /// Duration of a long response of 20 events: far longer than a crash takes.
 const LONG_RESPONSE: Duration = Duration::from_millis(400);
@@ -41,14 +41,14 @@
     }
 }
 
-struct Fleet {
-    harness: Harness,
-    boxes: Vec<gateway::Gateway>,
-    endpoints: Vec<ScriptedEndpoint>,
+pub struct Fleet {
+    pub harness: Harness,
+    pub boxes: Vec<gateway::Gateway>,
+    pub endpoints: Vec<ScriptedEndpoint>,
 }
 
 impl Fleet {
-    async fn start(service: &str, routes: &[&str]) -> Fleet {
+    pub async fn start(service: &str, routes: &[&str]) -> Fleet {
         let harness = Harness::start(PAID, routes).await;
         let mut endpoints = Vec::new();
         for n in 0..ENDPOINTS {
@@ -73,7 +73,7 @@
         send(request(address, path, &req).body(body.to_owned())).await
     }
 
-    fn crashed(&self) -> usize {
+    pub fn crashed(&self) -> usize {
         self.endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count()
     }
 
