BUDGET: a part of prompts that crashes endpoints is refused, whatever else a request holds

Cause: the quarantine compares whole requests; a fault that travels with a part of the content is never seen twice. Class: an identity that is too narrow for the fault that it follows.

Crash reports name the shared parts of the prompts that broke, all but the last of each (crash_reported, and dispatched, show them). A part is suspect of a crash until a prompt with it is answered completely after that; boxes tell each other (not the store) as soon as one is suspect of two. From three crashes on prompts with it are refused as not run, for a minute, ten, or as long as crashes count; not where a suspect that the prompt lacks was beside it each time: such a prompt runs, and decides. Keys are customer and part, so nobody's ids hold another's prompts. Facts only add up, in any order; at most 1,024 reports, 64 prompts of one, 16 parts of one and 8,192 parts are kept, and up to 8 reports for each part that is held go last.

--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -271,12 +271,23 @@
 
     /// Publishes a crash report to the watchers; those that miss it read it from the store.
     pub fn publish_crash(&self, name: &Arc<str>, report: &Report) {
+        let text: Arc<str> =
+            serde_json::to_string(report).expect("reports always serialize").into();
         let watchers = self.watchers();
         for watcher in watchers.sources().filter(|watcher| **watcher != self.me) {
             let Some(peer) = self.peer(watcher) else { continue };
-            let frame = Frame::Crash { name: name.clone(), report: report.clone() };
+            let frame = Frame::CrashText { name: name.clone(), report: text.clone() };
             let (peers, watcher) = (self.clone(), watcher.clone());
-            tokio::spawn(async move { peers.ask(&watcher, &peer, frame, NOTIFY_TIMEOUT).await });
+            tokio::spawn(async move {
+                match peers.exchange(&watcher, &peer, frame, NOTIFY_TIMEOUT).await {
+                    Ok(_) => {}
+                    // A box of an older version learns of it from the store.
+                    Err(error @ wire::Error::Malformed { .. }) => {
+                        tracing::info!(event = "crash_not_taken", peer = watcher.as_str(), %error);
+                    }
+                    Err(error) => peers.record_silence(&watcher, &error),
+                }
+            });
         }
     }
 
--- a/crates/gateway/src/inbound/admin.rs
+++ b/crates/gateway/src/inbound/admin.rs
@@ -79,7 +79,8 @@
         let streams = context.streams.counts();
         metrics.streams_known.set(streams.known as i64);
         metrics.stream_copies_lost.set(streams.lost as i64);
-        let (reports, quarantined) = context.crashes.counts();
+        let (reports, quarantined, suspect_parts) = context.crashes.counts();
+        metrics.suspect_parts.set(suspect_parts as i64);
         metrics.crashes.set(reports as i64);
         metrics.quarantined.set(quarantined as i64);
         metrics.watches.set(i64::from(status.watches));
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -8,8 +8,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use ledger::{Demand, Incarnation};
+use quarantine::Report;
 use tokio::{sync::watch, time::Instant};
-use wire::{Draw, Drawn, Frame, Message, SubscribeAged, tunnel};
+use wire::{Draw, Drawn, Frame, Message, RequestReport, SubscribeAged, tunnel};
 
 use crate::{
     fleet::{peers::Peers, promises::Acceptance, streams::Streams},
@@ -138,6 +139,7 @@
             | Frame::Prompt(_)
             | Frame::Bills { .. }
             | Frame::Crash { .. }
+            | Frame::CrashText { .. }
             | Frame::PermitRequest(_)
             | Frame::Limit { .. }
             | Frame::Departure { .. }
@@ -161,10 +163,18 @@
                 self.endpoints.receive_prompt(&request.from.as_str().into(), &prompt);
                 Frame::Done
             }
-            Frame::Crash { name, report } => {
-                self.view.receive_crash(&name, report);
+            Frame::Crash { name, report: RequestReport { finding, requests, at_s } } => {
+                let prompts = Vec::new();
+                self.view.receive_crash(&name, Report { finding, requests, prompts, at_s });
                 Frame::Done
             }
+            Frame::CrashText { name, report } => match serde_json::from_str(&report) {
+                Ok(report) => {
+                    self.view.receive_crash(&name, report);
+                    Frame::Done
+                }
+                Err(error) => Frame::Refused { reason: error.to_string().into() },
+            },
             Frame::PermitRequest(permit) => {
                 Frame::PermitReply(self.permits.answer(permit, request.from.as_str()).await)
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,7 +48,7 @@
 pub use gateway::{Error, Gateway};
 pub use outage::{Outage, Probe, Recovery};
 pub use proxy::{
-    crashes::{Crashes, Liveness, Prober},
+    crashes::{Content, Crashes, Liveness, Prober},
     endpoints::{Changes, Chosen, Endpoints},
     event_counter::EventCounter,
     link::Link,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -149,6 +149,8 @@
     pub crashes: Gauge,
     /// Quarantined requests.
     pub quarantined: Gauge,
+    /// Parts of prompts that are suspect of enough crashes for a quarantine.
+    pub suspect_parts: Gauge,
     /// 1 while this box is a watcher of the store, 0 while it is a subscriber.
     pub watches: Gauge,
     /// Milliseconds since the last contact with the store, directly or through a watcher; -1 before
@@ -197,6 +199,7 @@
             stream_copies_lost: Gauge::default(),
             crashes: Gauge::default(),
             quarantined: Gauge::default(),
+            suspect_parts: Gauge::default(),
             watches: Gauge::default(),
             store_age: Gauge::default(),
             ages: Family::default(),
@@ -329,6 +332,11 @@
             "Requests that are not run any more, since endpoints ended each time they ran them",
             self.quarantined.clone(),
         );
+        registry.register(
+            "suspect_parts",
+            "Parts of prompts that endpoints ended with, often enough for a quarantine",
+            self.suspect_parts.clone(),
+        );
         registry.register(
             "news_from_store",
             "1 while this box looks at the store itself, 0 while it listens to another box",
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -11,12 +11,13 @@
     config::Route,
     request::{self, Head},
 };
-use quarantine::{Fingerprint, Verdict};
+use quarantine::{Fingerprint, Prompt, Verdict};
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
     proxy::{
         context::Context,
+        crashes::Content,
         exchange::Exchange,
         origins::Destination,
         refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal, UNREADY_RETRY_DELAY},
@@ -41,8 +42,8 @@
     _body_permit: OwnedSemaphorePermit,
     pub head: Head,
     pub prefix: Prefix,
-    /// Identifies requests with the same content.
-    pub fingerprint: Fingerprint,
+    /// What in it may crash an endpoint.
+    pub content: Content,
     pub route: Route,
     pub service: Arc<str>,
     /// Software version that began the stream that it takes up, if any.
@@ -118,7 +119,10 @@
         let (method, target, headers) = (parts.method, parts.uri, parts.headers);
         let fingerprint = fingerprint(exchange.customer.as_ref(), &route, &method, &target, &body);
         exchange.fingerprint = Some(fingerprint.clone());
-        self.check_quarantine(&fingerprint, exchange.deadline).await?;
+        let ids: Vec<u64> = head.parts.iter().map(|part| part.id).collect();
+        let prompt = Prompt::of(exchange.customer.as_ref(), &ids);
+        let content = Content { fingerprint, prompt };
+        self.check_quarantine(&content, exchange.deadline).await?;
         Ok(AdmittedRequest {
             method,
             target,
@@ -127,7 +131,7 @@
             _body_permit: body_permit,
             head,
             prefix,
-            fingerprint,
+            content,
             route,
             service,
             version,
@@ -142,10 +146,17 @@
     /// to retry after that.
     pub async fn check_quarantine(
         &self,
-        fingerprint: &Fingerprint,
+        content: &Content,
         deadline: Instant,
     ) -> Result<(), Refusal> {
-        match self.crashes.verdict(fingerprint, deadline).await {
+        if let Some((part, for_s)) =
+            content.prompt.as_ref().and_then(|it| self.crashes.held_part(it))
+        {
+            let detail =
+                format!("endpoints crashed each time they answered a prompt with part {part}");
+            return Err(Reason::Quarantined.after(Duration::from_secs(for_s), detail));
+        }
+        match self.crashes.verdict(&content.fingerprint, deadline).await {
             Verdict::Allowed | Verdict::Suspect { .. } => Ok(()),
             Verdict::Unconfirmed { .. } => {
                 let delay = Duration::from_millis(self.settings().limits.connect_ms);
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -80,7 +80,8 @@
             resumes = admitted.head.resumes.as_deref(),
             resumed_after = admitted.head.resumed_after,
             service = &*admitted.service,
-            fingerprint = %admitted.fingerprint,
+            fingerprint = %admitted.content.fingerprint,
+            parts = admitted.content.prompt.as_ref().map(tracing::field::display),
             load = chosen.load,
             cached = chosen.cached_tokens,
             limit = chosen.limit.map(Limit::as_per_s),
@@ -99,7 +100,7 @@
         }
         let endpoints = self.endpoints.clone();
         let service = admitted.service.clone();
-        let watch = self.crashes.watch(&chosen.instance, chosen.address, &admitted.fingerprint);
+        let watch = self.crashes.watch(&chosen.instance, chosen.address, &admitted.content);
         let mut in_flight =
             InFlight::start(endpoints, service, chosen, &admitted.prefix, &self.peers, watch);
         let connection = match self.connect(admitted, chosen, exchange, &mut in_flight).await {
--- a/crates/gateway/src/proxy/crashes.rs
+++ b/crates/gateway/src/proxy/crashes.rs
@@ -22,7 +22,7 @@
 use futures_util::future::BoxFuture;
 use ledger::Incarnation;
 use parking_lot::Mutex;
-use quarantine::{Finding, Fingerprint, Limits, Registry, Report, Verdict};
+use quarantine::{Finding, Fingerprint, Limits, Part, Prompt, Registry, Report, Verdict};
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep, timeout_at},
@@ -84,6 +84,15 @@
     })
 }
 
+/// What may crash an endpoint in a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Content {
+    /// The whole of it.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that others may hold as well.
+    pub prompt: Option<Prompt>,
+}
+
 /// A report of this box and its name in the store.
 pub type NamedReport = (Arc<str>, Report);
 
@@ -111,16 +120,16 @@
 struct State {
     registry: Registry,
     /// Requests whose connections broke, by endpoint instance, until the probe completes.
-    unconfirmed: HashMap<Arc<str>, Vec<Fingerprint>>,
+    unconfirmed: HashMap<Arc<str>, Vec<Content>>,
     /// Abandoned requests with the time in milliseconds and the endpoint instance, oldest first.
-    abandoned: VecDeque<(u64, Arc<str>, Fingerprint)>,
+    abandoned: VecDeque<(u64, Arc<str>, Content)>,
     /// Sequence number of the last report.
     last_number: u64,
 }
 
 impl State {
     /// Removes and returns the requests abandoned recently at a crashed endpoint instance.
-    fn take_abandoned(&mut self, instance: &str, now_ms: u64) -> Vec<Fingerprint> {
+    fn take_abandoned(&mut self, instance: &str, now_ms: u64) -> Vec<Content> {
         let since = now_ms.saturating_sub(ABANDONED_TTL_MS);
         self.abandoned.retain(|(at, ..)| *at >= since);
         let (matching, others): (VecDeque<_>, VecDeque<_>) =
@@ -134,7 +143,7 @@
         &self,
         instance: &str,
         now_ms: impl Fn() -> u64,
-    ) -> impl Iterator<Item = &Fingerprint> {
+    ) -> impl Iterator<Item = &Content> {
         let there =
             self.abandoned.iter().filter(move |(_, at_instance, _)| **at_instance == *instance);
         let recent = there.filter(move |(at, ..)| *at + ABANDONED_TTL_MS >= now_ms());
@@ -168,7 +177,7 @@
         let mut state = self.0.state.lock();
         let abandoned = match &report.finding {
             Finding::Ended { endpoint } => state.take_abandoned(endpoint, now_ms),
-            Finding::Answered => Vec::new(),
+            Finding::Answered | Finding::Harmless { .. } => Vec::new(),
         };
         let finding = report.finding.clone();
         let cleared = state.registry.add_report(name, version, report, now_s, now_ms);
@@ -177,10 +186,15 @@
             self.report(finding, abandoned);
         }
         if !cleared.is_empty() {
-            self.report(Finding::Answered, cleared);
+            self.report_answered(cleared);
         }
     }
 
+    /// The part for which a request with this prompt is refused, and for how many more seconds.
+    pub fn held_part(&self, prompt: &Prompt) -> Option<(Part, u64)> {
+        self.0.state.lock().registry.held_part(prompt, unix_s())
+    }
+
     /// Removes a report.
     pub fn forget(&self, name: &str) {
         self.0.state.lock().registry.forget(name);
@@ -211,23 +225,22 @@
         let state = self.0.state.lock();
         // Its connection broke there, or its caller left and others' connections broke.
         let suspected = state.unconfirmed.iter().filter(|(instance, requests)| {
-            requests.contains(request)
-                || state
-                    .abandoned_at(instance, || self.now_ms())
-                    .any(|abandoned| abandoned == request)
+            let is_it = |content: &Content| content.fingerprint == *request;
+            requests.iter().any(is_it) || state.abandoned_at(instance, || self.now_ms()).any(is_it)
         });
         let instances: Vec<Arc<str>> = suspected.map(|(instance, _)| instance.clone()).collect();
         state.registry.verdict(request, &instances, unix_s())
     }
 
-    /// Number of reports that count, and of quarantined requests.
-    pub fn counts(&self) -> (usize, usize) {
+    /// Number of reports that count, of quarantined requests and of parts of prompts that are suspect.
+    pub fn counts(&self) -> (usize, usize, usize) {
         let state = self.0.state.lock();
-        (state.registry.len(), state.registry.quarantined())
+        let registry = &state.registry;
+        (registry.len(), registry.quarantined(), registry.suspect_parts())
     }
 
     /// Watches a request that is sent to an endpoint.
-    pub fn watch(&self, instance: &Arc<str>, address: SocketAddr, request: &Fingerprint) -> Watch {
+    pub fn watch(&self, instance: &Arc<str>, address: SocketAddr, request: &Content) -> Watch {
         Watch {
             crashes: self.clone(),
             instance: instance.clone(),
@@ -243,9 +256,24 @@
         self.0.started.elapsed().as_millis() as u64
     }
 
-    /// Creates a report of this box, which takes effect here at once.
-    fn report(&self, finding: Finding, requests: Vec<Fingerprint>) {
-        let report = Report { finding, requests, at_s: unix_s() };
+    /// Reports requests that this box found with a finding.
+    fn report(&self, finding: Finding, contents: Vec<Content>) {
+        let mut prompts: Vec<Prompt> =
+            contents.iter().filter_map(|content| content.prompt.clone()).collect();
+        prompts.sort_unstable();
+        prompts.dedup();
+        let requests = contents.into_iter().map(|content| content.fingerprint).collect();
+        self.publish(Report { finding, requests, prompts, at_s: unix_s() });
+    }
+
+    /// Reports requests that endpoints answered completely.
+    fn report_answered(&self, requests: Vec<Fingerprint>) {
+        let (finding, prompts) = (Finding::Answered, Vec::new());
+        self.publish(Report { finding, requests, prompts, at_s: unix_s() });
+    }
+
+    /// Publishes a report of this box, which takes effect here at once.
+    fn publish(&self, report: Report) {
         let name: Arc<str> = {
             let mut state = self.0.state.lock();
             state.last_number += 1;
@@ -257,9 +285,20 @@
         }
     }
 
+    /// Reports the parts of a prompt harmless that was answered, where one of them is suspect.
+    fn prompt_answered(&self, prompt: &Prompt) {
+        let endpoints = self.0.state.lock().registry.prompt_answered(prompt);
+        if endpoints.is_empty() {
+            return;
+        }
+        let finding = Finding::Harmless { endpoints };
+        let (requests, prompts) = (Vec::new(), vec![prompt.clone()]);
+        self.publish(Report { finding, requests, prompts, at_s: unix_s() });
+    }
+
     /// Probes an endpoint unless a probe of it is in progress; a request whose connection broke there waits for the
     /// result.
-    fn suspect(&self, instance: &Arc<str>, address: SocketAddr, request: Option<&Fingerprint>) {
+    fn suspect(&self, instance: &Arc<str>, address: SocketAddr, request: Option<&Content>) {
         let mut state = self.0.state.lock();
         let is_first = !state.unconfirmed.contains_key(instance);
         let requests = state.unconfirmed.entry(instance.clone()).or_default();
@@ -305,7 +344,7 @@
     crashes: Crashes,
     instance: Arc<str>,
     address: SocketAddr,
-    request: Fingerprint,
+    request: Content,
     /// Number of crash reports before the request was sent: earlier crashes are none of its doing.
     reports_before: u64,
     /// The outcome at the endpoint is known.
@@ -344,16 +383,21 @@
         self.is_framed = false;
     }
 
-    /// The endpoint ran the request and its response is complete.
-    pub fn answered(&mut self) {
+    /// The endpoint ran the request and its response, a success or a failure, is complete.
+    pub fn answered(&mut self, is_success: bool) {
         if !self.is_framed {
             return;
         }
         self.is_resolved = true;
+        let Content { fingerprint, prompt } = &self.request;
         let now_ms = self.crashes.now_ms();
-        let is_cleared = self.crashes.0.state.lock().registry.answered(&self.request, now_ms);
+        let is_cleared = self.crashes.0.state.lock().registry.answered(fingerprint, now_ms);
         if is_cleared {
-            self.crashes.report(Finding::Answered, vec![self.request.clone()]);
+            self.crashes.report_answered(vec![fingerprint.clone()]);
+        }
+        // A failure may come before anything was made of the prompt.
+        if let Some(prompt) = prompt.as_ref().filter(|_| is_success) {
+            self.crashes.prompt_answered(prompt);
         }
     }
 }
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -42,8 +42,7 @@
                 return Err(Reason::TooLate.with("the deadline passed before the request was sent"));
             }
             // Endpoints may have crashed on the same request since it was admitted.
-            if let Err(refusal) =
-                self.check_quarantine(&admitted.fingerprint, exchange.deadline).await
+            if let Err(refusal) = self.check_quarantine(&admitted.content, exchange.deadline).await
             {
                 last_refusal = Some(refusal);
                 break;
--- a/crates/gateway/src/proxy/in_flight.rs
+++ b/crates/gateway/src/proxy/in_flight.rs
@@ -78,9 +78,9 @@
         Some(pause)
     }
 
-    /// The response is complete.
-    pub fn answered(&mut self) {
-        self.watch.answered();
+    /// The response, a success or a failure, is complete.
+    pub fn answered(&mut self, is_success: bool) {
+        self.watch.answered(is_success);
     }
 
     /// The connection broke before the response was complete.
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -99,7 +99,7 @@
 
     /// The response is whole, as far as its frame and its events tell.
     fn end(&mut self) {
-        self.in_flight.answered();
+        self.in_flight.answered((200..300).contains(&self.kind.status));
         if let Some(close) = &self.close {
             close.finish();
         }
--- a/crates/gateway/src/sync/reporter.rs
+++ b/crates/gateway/src/sync/reporter.rs
@@ -39,6 +39,9 @@
         let publishing = async {
             while let Some((name, report)) = reports.recv().await {
                 self.publish(&name, &report);
+                if !report.is_stored() {
+                    continue;
+                }
                 if let Err(error) = to_write.try_send((name, report)) {
                     tracing::error!(event = "crash_report_not_written", %error);
                 }
@@ -49,7 +52,14 @@
 
     fn publish(&self, name: &Arc<str>, report: &Report) {
         let requests = report.requests.len();
-        tracing::info!(event = "crash_reported", name = &**name, finding = ?report.finding, requests);
+        let prompts: Vec<String> = report.prompts.iter().map(ToString::to_string).collect();
+        tracing::info!(
+            event = "crash_reported",
+            name = &**name,
+            finding = ?report.finding,
+            requests,
+            prompts = ?prompts,
+        );
         self.view.receive_crash(name, report.clone());
         self.peers.publish_crash(name, report);
     }
@@ -78,6 +88,7 @@
 async fn sweep(store: &Client, view: &View) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        view.drop_unstored_crashes();
         for (name, version) in view.expired_crashes() {
             let removed = objects::Store::delete(store, CRASHES, &name, version).await;
             tracing::info!(event = "crash_report_removed", name = &*name, outcome = ?removed);
--- a/crates/gateway/src/sync/view/crashes.rs
+++ b/crates/gateway/src/sync/view/crashes.rs
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Removes expired reports that are not in the store from what subscribers get.
+    pub fn drop_unstored_crashes(&self) {
+        let mut state = self.0.state.lock();
+        for (name, version) in state.change_log.names(CRASHES) {
+            if version == NOT_STORED && !self.0.consumers.crashes.contains(&name) {
+                state.change_log.put(CRASHES, &name, NOT_STORED, None);
+            }
+        }
+    }
+
     /// Expired reports in the store, with their versions; empty unless this box watches the store.
     pub fn expired_crashes(&self) -> Vec<(Arc<str>, u64)> {
         let state = self.0.state.lock();
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::FutureExt;
-use gateway::{Clock, Crashes, Liveness};
+use gateway::{Clock, Content, Crashes, Liveness};
 use ledger::Incarnation;
 use parking_lot::Mutex;
 use quarantine::{Finding, Fingerprint, Limits, Report, Verdict};
@@ -28,6 +28,11 @@
     Fingerprint::of(None, [b"innocent".as_slice()])
 }
 
+/// A request without a prompt.
+fn content(fingerprint: Fingerprint) -> Content {
+    Content { fingerprint, prompt: None }
+}
+
 /// Crash records in which the connections of one request broke at `count` endpoints, and the open probes of these.
 async fn with_broken_connections(count: u16) -> (Crashes, Probes) {
     let probes = Probes::default();
@@ -43,7 +48,7 @@
     Box::leak(Box::new(reports));
     for n in 0..count {
         let address = SocketAddr::from(([127, 0, 0, 1], n + 1));
-        crashes.watch(&format!("i-{n}").into(), address, &request()).broke();
+        crashes.watch(&format!("i-{n}").into(), address, &content(request())).broke();
     }
     while probes.lock().len() < usize::from(count) {
         tokio::task::yield_now().await;
@@ -109,16 +114,16 @@
 async fn request_abandoned_after_the_report_of_a_crash_is_suspected() {
     let (crashes, _probes) = with_broken_connections(0).await;
     let (guilty, address) = (Fingerprint::of(None, [b"guilty".as_slice()]), ([127, 0, 0, 1], 1));
-    let watch = crashes.watch(&"i-0".into(), address.into(), &guilty);
+    let watch = crashes.watch(&"i-0".into(), address.into(), &content(guilty.clone()));
     let finding = Finding::Ended { endpoint: "i-0".into() };
     let at_s = SystemTime::now().duration_since(UNIX_EPOCH).expect("it is after 1970").as_secs();
-    let report = Report { finding, requests: vec![request()], at_s };
+    let report = Report { finding, requests: vec![request()], prompts: Vec::new(), at_s };
     crashes.receive_report(&"box-2.000001".into(), Some(1), report);
     drop(watch);
     let verdict = crashes.verdict(&guilty, Instant::now()).await;
     assert_eq!(verdict, Verdict::Suspect { crashes: 1 });
     let later = Fingerprint::of(None, [b"later".as_slice()]);
-    drop(crashes.watch(&"i-0".into(), address.into(), &later));
+    drop(crashes.watch(&"i-0".into(), address.into(), &content(later.clone())));
     let verdict = crashes.verdict(&later, Instant::now()).await;
     assert_eq!(verdict, Verdict::Allowed, "it was sent after the crash");
 }
@@ -130,7 +135,7 @@
     let guilty = Fingerprint::of(None, [b"guilty".as_slice()]);
     for n in 0..3 {
         let address = ([127, 0, 0, 1], n + 1).into();
-        drop(crashes.watch(&format!("i-{n}").into(), address, &guilty));
+        drop(crashes.watch(&format!("i-{n}").into(), address, &content(guilty.clone())));
     }
     let verdict = crashes.verdict(&guilty, Instant::now() + MAX_VERDICT_WAIT).await;
     assert_eq!(verdict, Verdict::Unconfirmed { crashes: 0 });
--- a/crates/gateway/tests/loopback/crashing_part.rs
+++ b/crates/gateway/tests/loopback/crashing_part.rs
@@ -32,7 +32,7 @@
         let parts = ids.iter().chain([&own]).map(|id| Part { id: *id, tokens: 10 }).collect();
         let head = CallerHead { parts, ..self.harness.new_request(key, 1, 1) };
         let address = self.boxes[at % self.boxes.len()].callers();
-        send(request(address, "/open/x", &head).body(format!("{kind}-{own}"))).await
+        send(request(address, "/desk/x", &head).body(format!("{kind}-{own}"))).await
     }
 
     /// Sends prompts with the crashing part to the boxes in turn until each of them refuses one, with sound prompts
@@ -70,7 +70,7 @@
 /// The incident: requests of one kind crash endpoint after endpoint, and sound ones run beside them.
 #[tokio::test]
 async fn a_part_that_crashes_endpoints_is_refused_in_whatever_prompt() {
-    let fleet = Fleet::start("plain", &["open"]).await;
+    let fleet = Fleet::start("plain", &["desk"]).await;
     fleet.crash(&[SHARED, CRASHING], Some(&[SHARED, BESIDE])).await;
     let crashed = fleet.crashed();
     assert!(crashed <= MAX_CRASHED, "{crashed} endpoints crashed");
@@ -85,7 +85,7 @@
 /// Guards against a quarantine of all parts that the crashes have in common: nothing sound ran between them.
 #[tokio::test]
 async fn prompts_that_share_only_the_company_of_a_crashing_part_are_served() {
-    let fleet = Fleet::start("plain", &["open"]).await;
+    let fleet = Fleet::start("plain", &["desk"]).await;
     fleet.crash(&[SHARED, BESIDE, CRASHING], None).await;
     let crashed = fleet.crashed();
     for ids in [&[SHARED, BESIDE][..], &[SHARED], &[BESIDE]] {
@@ -99,7 +99,7 @@
 /// Guards against customers who get prompts of others refused by naming the parts of these in their own.
 #[tokio::test]
 async fn a_part_that_crashes_endpoints_is_refused_for_its_customer_only() {
-    let fleet = Fleet::start("plain", &["open"]).await;
+    let fleet = Fleet::start("plain", &["desk"]).await;
     fleet.crash(&[SHARED, CRASHING], None).await;
     assert_eq!(fleet.served("key-p", &[SHARED, CRASHING], "sound").await, PROMPTS);
 }
@@ -107,11 +107,11 @@
 /// Guards against boxes that learn of the part only by endpoints that crash on them.
 #[tokio::test]
 async fn a_box_that_starts_later_refuses_a_part_that_crashed_endpoints() {
-    let mut fleet = Fleet::start("plain", &["open"]).await;
+    let mut fleet = Fleet::start("plain", &["desk"]).await;
     fleet.crash(&[SHARED, CRASHING], None).await;
     let crashed = fleet.crashed();
     let late = fleet.harness.gateway("box-late").await;
-    wait_until_served(&fleet.harness, &late, "/open/x").await;
+    wait_until_served(&fleet.harness, &late, "/desk/x").await;
     fleet.boxes = vec![late];
     fleet.served("key-b", &[SHARED, CRASHING], "guilty").await;
     assert_eq!(fleet.crashed(), crashed, "the new box crashed more endpoints");
@@ -121,7 +121,7 @@
 /// Guards against a quarantine that needs the store.
 #[tokio::test]
 async fn a_part_that_crashes_endpoints_is_refused_while_the_store_is_down() {
-    let fleet = Fleet::start("plain", &["open"]).await;
+    let fleet = Fleet::start("plain", &["desk"]).await;
     fleet.harness.platform.set(|faults| faults.down = true);
     fleet.crash(&[SHARED, CRASHING], Some(&[SHARED])).await;
     let crashed = fleet.crashed();
--- a/crates/quarantine/src/registry.rs
+++ b/crates/quarantine/src/registry.rs
@@ -5,13 +5,21 @@
     sync::Arc,
 };
 
-use crate::{Finding, Fingerprint, Report, answered::RecentAnswers};
+use crate::{
+    Finding, Fingerprint, Part, Prompt, Report,
+    answered::RecentAnswers,
+    suspicion::{MAX_REPORT_PROMPTS, Suspicion},
+};
 
-/// Maximum number of reports kept, under 1 MB where each names ten requests. Those that keep a request in quarantine are dropped last, so
+/// Maximum number of reports kept, under 1 MB where each names ten requests. Those that keep a request in quarantine or hold a part are dropped last, so
 /// that many unrelated crashes do not free it.
 const MAX_REPORTS: usize = 1_024;
+/// Reports that are kept for each part that is held, before all others.
+const MAX_NEEDED: usize = 8;
 /// Maximum number of requests that are read from one report; more than an endpoint runs at once.
 const MAX_REPORT_REQUESTS: usize = 256;
+/// Maximum number of parts of prompts that are remembered, some 200 bytes each.
+const MAX_PARTS: usize = 8_192;
 /// How long a complete answer clears a request, in milliseconds: longer than callers wait and
 /// retry.
 const ANSWER_TTL_MS: u64 = 60_000;
@@ -56,13 +64,15 @@
     /// Names of the reports that name a request.
     by_request: HashMap<Fingerprint, BTreeSet<Arc<str>>>,
     answered: RecentAnswers,
+    /// What the reports say of parts of prompts.
+    suspicion: Suspicion,
     arrivals: u64,
 }
 
 impl Registry {
     pub fn new(limits: Limits) -> Registry {
-        let (reports, by_request, answered) = Default::default();
-        Registry { limits, reports, by_request, answered, arrivals: 0 }
+        let (reports, by_request, answered, suspicion) = Default::default();
+        Registry { limits, reports, by_request, answered, suspicion, arrivals: 0 }
     }
 
     /// Adds a report, with its version if it comes from the store. Returns the requests in it that
@@ -87,6 +97,8 @@
             None => self.arrivals += 1,
         }
         report.requests.truncate(MAX_REPORT_REQUESTS);
+        report.prompts.truncate(MAX_REPORT_PROMPTS);
+        self.suspicion.add(&report);
         for request in &report.requests {
             self.by_request.entry(request.clone()).or_default().insert(name.clone());
         }
@@ -122,7 +134,7 @@
         let later = entries.iter().filter(|entry| entry.order > cleared_at);
         let crashes = later.filter_map(|entry| match &entry.report.finding {
             Finding::Ended { endpoint } => Some((endpoint, entry.report.at_s)),
-            Finding::Answered => None,
+            Finding::Answered | Finding::Harmless { .. } => None,
         });
         crashes.collect()
     }
@@ -154,6 +166,28 @@
         }
     }
 
+    /// The part for which a prompt must not be run, and for how many more seconds.
+    pub fn held_part(&self, prompt: &Prompt, now_s: u64) -> Option<(Part, u64)> {
+        let Limits { crashes, keep_s } = self.limits;
+        self.suspicion.held(prompt, crashes, keep_s, now_s)
+    }
+
+    /// Records that an endpoint answered a prompt completely. Returns the crashed endpoints of which the caller has to
+    /// report its parts harmless: one of them is held or about to be.
+    pub fn prompt_answered(&self, prompt: &Prompt) -> Vec<Arc<str>> {
+        self.suspicion.cleared_by(prompt, self.limits.crashes.saturating_sub(1).max(1))
+    }
+
+    /// Number of parts that are remembered.
+    pub fn parts(&self) -> usize {
+        self.suspicion.parts()
+    }
+
+    /// Number of parts that are suspect of enough crashes to be held.
+    pub fn suspect_parts(&self) -> usize {
+        self.suspicion.suspects(self.limits.crashes)
+    }
+
     /// Number of reports that have arrived.
     pub fn arrivals(&self) -> u64 {
         self.arrivals
@@ -193,11 +227,25 @@
         let expired =
             self.reports.iter().filter(|(_, entry)| is_expired(&entry.report, keep_s, now_s));
         let expired: Vec<Arc<str>> = expired.map(|(name, _)| name.clone()).collect();
-        expired.iter().for_each(|name| self.forget(name));
+        self.forget_all(expired);
     }
 
     /// Removes a report.
     pub fn forget(&mut self, name: &str) {
+        self.forget_all([name.into()]);
+    }
+
+    fn forget_all(&mut self, names: impl IntoIterator<Item = Arc<str>>) {
+        let before = self.reports.len();
+        names.into_iter().for_each(|name| self.remove(&name));
+        if self.reports.len() == before {
+            return;
+        }
+        self.suspicion = Suspicion::default();
+        self.reports.values().for_each(|entry| self.suspicion.add(&entry.report));
+    }
+
+    fn remove(&mut self, name: &str) {
         let Some(entry) = self.reports.remove(name) else { return };
         for request in &entry.report.requests {
             if let Some(names) = self.by_request.get_mut(request) {
@@ -211,16 +259,53 @@
 
     /// Drops a quarter of the reports once there are too many, so that this happens rarely.
     fn trim(&mut self) {
-        if self.reports.len() <= MAX_REPORTS {
+        if self.reports.len() <= MAX_REPORTS && self.suspicion.parts() <= MAX_PARTS {
             return;
         }
-        let keeps_quarantine =
-            |entry: &Entry| entry.report.requests.iter().any(|it| self.is_quarantined(it));
-        let rank = |entry: &Entry| (keeps_quarantine(entry), entry.order);
-        let ranked = self.reports.iter().map(|(name, entry)| (rank(entry), name.clone()));
-        let mut ranked: Vec<((bool, _), Arc<str>)> = ranked.collect();
-        ranked.sort();
-        ranked.iter().take(MAX_REPORTS / 4).for_each(|(_, name)| self.forget(name));
+        let mut oldest: Vec<(&Arc<str>, &Entry)> = self.reports.iter().collect();
+        oldest.sort_by_key(|(_, entry)| entry.order);
+        let mut needed = Needed::default();
+        for (_, entry) in &oldest {
+            needed.count(self.held_in(&entry.report));
+        }
+        let keeps = |entry: &Entry| entry.report.requests.iter().any(|it| self.is_quarantined(it));
+        let (mut droppable, mut last) = (Vec::new(), Vec::new());
+        for (name, entry) in oldest {
+            let is_needed = keeps(entry) || needed.keep(self.held_in(&entry.report));
+            let group = if is_needed { &mut last } else { &mut droppable };
+            group.push(name.clone());
+        }
+        droppable.extend(last);
+        let dropped = droppable.len().div_ceil(4);
+        self.forget_all(droppable.into_iter().take(dropped));
+    }
+
+    /// The parts that a report accuses and that are suspect of enough crashes to be held.
+    fn held_in(&self, report: &Report) -> BTreeSet<Part> {
+        let accuses = matches!(report.finding, Finding::Ended { .. });
+        let parts = report.prompts.iter().filter(|_| accuses).flat_map(Prompt::parts);
+        let parts: BTreeSet<Part> = parts.collect();
+        let is_held = |part: &Part| self.suspicion.count(part) >= self.limits.crashes;
+        parts.into_iter().filter(is_held).collect()
+    }
+}
+
+/// How many reports there are for each part that is held. As many as hold it longest are needed.
+#[derive(Default)]
+struct Needed(HashMap<Part, usize>);
+
+impl Needed {
+    fn count(&mut self, parts: BTreeSet<Part>) {
+        parts.into_iter().for_each(|part| *self.0.entry(part).or_default() += 1);
+    }
+
+    /// Whether a report with these parts has to be kept; if not, it no longer counts.
+    fn keep(&mut self, parts: BTreeSet<Part>) -> bool {
+        if parts.iter().any(|part| self.0.get(part).is_some_and(|count| *count <= MAX_NEEDED)) {
+            return true;
+        }
+        parts.iter().for_each(|part| *self.0.entry(part.clone()).or_default() -= 1);
+        false
     }
 }
 
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Fingerprint;
+use crate::{Fingerprint, Prompt};
 
 /// Kind of the store objects that hold reports. Each report has a unique name.
 pub const CRASHES: &str = "crashes";
@@ -15,10 +15,20 @@
     pub finding: Finding,
     /// The requests that it is about.
     pub requests: Vec<Fingerprint>,
+    /// Their prompts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prompts: Vec<Prompt>,
     /// Unix time in seconds of the box that found it.
     pub at_s: u64,
 }
 
+impl Report {
+    /// Whether it is kept in the store. What a complete answer says of parts is said again by the next one.
+    pub fn is_stored(&self) -> bool {
+        !matches!(self.finding, Finding::Harmless { .. })
+    }
+}
+
 /// What a box found about requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -27,4 +37,6 @@
     Ended { endpoint: Arc<str> },
     /// An endpoint answered them completely.
     Answered,
+    /// An endpoint answered a prompt completely after these ones crashed: its parts are not to blame.
+    Harmless { endpoints: Vec<Arc<str>> },
 }
--- a/crates/quarantine/tests/registry.rs
+++ b/crates/quarantine/tests/registry.rs
@@ -14,7 +14,12 @@
 
 fn crashed(endpoint: &str, requests: &[u32]) -> Report {
     let finding = Finding::Ended { endpoint: endpoint.into() };
-    Report { finding, requests: requests.iter().copied().map(request).collect(), at_s: NOW }
+    Report {
+        finding,
+        requests: requests.iter().copied().map(request).collect(),
+        prompts: Vec::new(),
+        at_s: NOW,
+    }
 }
 
 fn answered(requests: &[u32]) -> Report {
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -104,6 +104,7 @@
         | Frame::UpdatePart(_)
         | Frame::UpdateAged(_)
         | Frame::Crash { .. }
+        | Frame::CrashText { .. }
         | Frame::Greet { .. } => {
             Frame::Refused { reason: "routers watch the platform themselves".into() }
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,7 +4,7 @@
 
 use balance::{Limit, Prompt, Snapshot};
 use ledger::{Bill, Entry, Incarnation, Promise, RangeSet, Supply, Transfer};
-use quarantine::Report;
+use quarantine::{Finding, Fingerprint};
 use serde::{Deserialize, Serialize};
 use timeline::Timestamp;
 
@@ -259,6 +259,14 @@
     }
 }
 
+/// A crash report of an older version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestReport {
+    pub finding: Finding,
+    pub requests: Vec<Fingerprint>,
+    pub at_s: u64,
+}
+
 /// The rate limit that an endpoint named for all boxes together, and how long ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitNotice {
@@ -389,8 +397,8 @@
     /// Answer to [`Frame::Subscribe`].
     #[serde(rename = "News")]
     Update(Update),
-    /// A crash report for the receiver to distribute.
-    Crash { name: Arc<str>, report: Report },
+    /// A crash report for the receiver to distribute. Sent by older versions only.
+    Crash { name: Arc<str>, report: RequestReport },
     /// Requests a permit for an endpoint.
     #[serde(rename = "Turn")]
     PermitRequest(PermitRequest),
@@ -426,6 +434,8 @@
     SubscribeAged(SubscribeAged),
     /// Answer to [`Frame::SubscribeAged`].
     UpdateAged(UpdateAged),
+    /// A crash report for the receiver to distribute, as JSON text.
+    CrashText { name: Arc<str>, report: Arc<str> },
 }
 
 impl Frame {
@@ -447,7 +457,7 @@
             | Frame::HandOver { .. }
             | Frame::Replicate { .. }
             | Frame::Replica(_) => "bills",
-            Frame::Crash { .. } => "crashes",
+            Frame::Crash { .. } | Frame::CrashText { .. } => "crashes",
             Frame::PermitRequest(_) | Frame::PermitReply(_) => "turns",
             Frame::Limit { .. } => "limits",
             Frame::Departure { .. } => "departures",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,8 +17,9 @@
 pub use format::{MAX_MESSAGE_BYTES, NEWEST_FORMAT, OLDEST_FORMAT, decode, encode};
 pub use frame::{
     Ages, BillPage, Change, Draw, Drawn, Frame, Greeting, LimitNotice, Location, Message,
-    PermitReply, PermitRequest, Place, PlatformCall, Replica, Segment, Status, StreamKey,
-    StreamOrigin, StreamRecord, Subscribe, SubscribeAged, Update, UpdateAged, Value, Write,
+    PermitReply, PermitRequest, Place, PlatformCall, Replica, RequestReport, Segment, Status,
+    StreamKey, StreamOrigin, StreamRecord, Subscribe, SubscribeAged, Update, UpdateAged, Value,
+    Write,
 };
 pub use peer::{Peer, Size};
 pub use server::{Answer, Server};
