--- a/crates/quarantine/src/registry.rs
+++ b/crates/quarantine/src/registry.rs
@@ -172,10 +172,10 @@
         self.suspicion.held(prompt, crashes, keep_s, now_s)
     }
 
-    /// Records that an endpoint answered a prompt completely. Returns the crashed endpoints of which the caller has to
-    /// report its parts harmless: one of them is held or about to be.
+    /// The crashed endpoints of which the caller has to report the parts of a prompt harmless, which an endpoint has
+    /// answered completely.
     pub fn prompt_answered(&self, prompt: &Prompt) -> Vec<Arc<str>> {
-        self.suspicion.cleared_by(prompt, self.limits.crashes.saturating_sub(1).max(1))
+        self.suspicion.cleared_by(prompt)
     }
 
     /// Number of parts that are remembered.
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -90,25 +90,15 @@
         self.suspected_of(part).len()
     }
 
-    /// Instances of whose crash a complete answer to a prompt clears its parts; empty unless one of them is suspect of
-    /// `least` crashes.
-    pub fn cleared_by(&self, prompt: &Prompt, least: usize) -> Vec<Arc<str>> {
+    /// Instances of whose crash a complete answer to a prompt clears its parts. A part that waits to be cleared until more
+    /// crashes are counted may find no answer between them.
+    pub fn cleared_by(&self, prompt: &Prompt) -> Vec<Arc<str>> {
         if self.accused.is_empty() {
             return Vec::new();
         }
-        let suspicions: Vec<_> =
-            prompt.parts().map(|part| self.suspected_instances(&part)).collect();
-        match suspicions.iter().any(|instances| instances.len() >= least) {
-            true => {
-                let all: BTreeSet<Arc<str>> = suspicions.into_iter().flatten().collect();
-                all.into_iter().collect()
-            }
-            false => Vec::new(),
-        }
-    }
-
-    fn suspected_instances(&self, part: &Part) -> Vec<Arc<str>> {
-        self.suspected_of(part).into_keys().cloned().collect()
+        let suspected = |part| self.suspected_of(&part).into_keys().cloned().collect::<Vec<_>>();
+        let instances: BTreeSet<Arc<str>> = prompt.parts().flat_map(suspected).collect();
+        instances.into_iter().collect()
     }
 
     /// The part for which a prompt must not be run, and for how many more seconds. A part is held from `limit` crashes
