--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -122,6 +122,10 @@
 const CUT_OFF: [Case; 1] =
     [Case { seed: 601, seconds: 12, limits: true, announcements: true, cause: "never failed" }];
 
+/// Watches of the store hear nothing now and then.
+const DEAF: [Case; 1] =
+    [Case { seed: 18_002, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
+
 /// Endpoints also respond without a frame, and break responses off.
 const UNFRAMED: [Case; 1] =
     [Case { seed: 9101, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
@@ -134,6 +138,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Variety {
     cuts: bool,
+    deaf: bool,
     unframed: bool,
     versions: bool,
 }
@@ -150,6 +155,13 @@
     run_varied_cases(&CUT_OFF, StopOrder::Concurrent, variety).await;
 }
 
+/// Guards against boxes that take a watch that hears nothing for one that says that nothing changes.
+#[tokio::test]
+async fn guarantees_hold_while_watches_of_the_store_are_deaf() {
+    let variety = Variety { deaf: true, ..Variety::default() };
+    run_varied_cases(&DEAF, StopOrder::Concurrent, variety).await;
+}
+
 /// Guards against responses that look whole, or end in order, though nobody ended them so.
 #[tokio::test]
 async fn responses_end_as_their_endpoints_ended_them() {
@@ -210,6 +222,7 @@
             announcements: *announcements,
             stops,
             cuts: variety.cuts,
+            deaf: variety.deaf,
             unframed: variety.unframed,
             versions: variety.versions,
         };
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -54,14 +54,16 @@
 /// Time for each box of the fleet over which boxes that start together give up to find a watcher:
 /// each of them then reads everything from the store.
 const GIVE_UP_SPREAD: Duration = Duration::from_millis(5);
+/// The same for boxes whose watchers answer and know nothing new: 40 boxes a second read the store.
+const FALLBACK_SPREAD: Duration = Duration::from_millis(25);
 /// Interval at which a box probes the store itself while no watcher reaches it, up to half longer
 /// at random: the store may be reachable from here only. Long enough that a whole fleet may do so
 /// during an outage; each probe is a cheap read.
 const OWN_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Timeout of that probe: twice the latency of a slow store.
 const OWN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for a watcher to reach the store again after an outage, two of its probes, or to read what
-/// changed meanwhile. A box that finds the store first waits this long before it reads the store itself.
+/// Time for a watcher to reach the store again after an outage, two of its probes. A box that finds
+/// the store first waits this long before it reads the store itself.
 const RECOVERY_DELAY: Duration = Duration::from_millis(1_000);
 /// Interval at which a box checks whether it is a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -286,15 +288,17 @@
 
     /// Whether a watcher that reaches the store was not confirmed by it for too long.
     fn is_outdated(&self, subscription: &Subscription) -> bool {
-        let recovers = subscription.recovered_at.is_some_and(|at| at.elapsed() < RECOVERY_DELAY);
-        let due_in = self.setup.view.freshness().search_due_in(self.is_behind_relay());
+        let freshness = self.setup.view.freshness();
+        let max_age = freshness.bounds().max_age;
+        let recovers = subscription.recovered_at.is_some_and(|at| at.elapsed() < max_age);
+        let due_in = freshness.search_due_in(self.is_behind_relay());
         !subscription.is_store_unreachable && !recovers && due_in.is_zero()
     }
 
     /// Whether what this box knows is so old that it asks the store itself, whoever answers. Boxes of a
     /// large fleet do so one after the other, since the ones on standby may have begun to watch meanwhile.
     fn is_fallback_due(&self) -> bool {
-        let spread = (GIVE_UP_SPREAD * self.peers.boxes() as u32).mul_f64(self.gives_up_at);
+        let spread = (FALLBACK_SPREAD * self.peers.boxes() as u32).mul_f64(self.gives_up_at);
         self.setup.view.freshness().is_fallback_due(spread)
     }
 
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -43,6 +43,10 @@
     #[argh(switch)]
     pub cuts: bool,
 
+    /// watches of the store hear nothing now and then
+    #[argh(switch)]
+    pub deaf: bool,
+
     /// endpoints also answer without a length and without chunks, and break such responses off
     #[argh(switch)]
     pub unframed: bool,
@@ -68,6 +72,7 @@
             limits: !self.unlimited,
             announcements: !self.wordless,
             cuts: self.cuts,
+            deaf: self.deaf,
             unframed: self.unframed,
             versions: self.versions,
             stops: match self.concurrent_stops {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -14,6 +14,8 @@
     StoreSlow,
     /// The store drops the responses of some writes and applies these writes after a delay.
     StoreDropsResponses,
+    /// Watches of the store hear of no changes while they wait.
+    DeafWatches,
     /// The link between a box and the store carries no bytes.
     CutLink { box_index: usize },
     /// A box loses all endpoints: its connections to them are closed, and new ones hang.
@@ -54,7 +56,9 @@
             | Kind::Kill { box_index }
             | Kind::Suspend { box_index }
             | Kind::Stop { box_index } => Some(Some(box_index)),
-            Kind::CutEndpoints { .. }
+            // Boxes must not rely on watches alone.
+            Kind::DeafWatches
+            | Kind::CutEndpoints { .. }
             | Kind::Reload { .. }
             | Kind::Leave { .. }
             | Kind::Remove { .. }
@@ -79,6 +83,8 @@
 const CUT_STREAM: u64 = 1;
 /// Stream of random numbers for further ends of boxes.
 const END_STREAM: u64 = 2;
+/// Stream of random numbers for watches that are deaf.
+const DEAF_STREAM: u64 = 3;
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL: Duration = Duration::from_millis(900);
 /// Shortest and longest duration of a fault, in milliseconds.
@@ -131,6 +137,24 @@
     (0..count).map(cut).collect()
 }
 
+/// Mean time between two times in which watches are deaf.
+const MEAN_DEAF_INTERVAL: Duration = Duration::from_millis(6_000);
+/// Shortest and longest of these times, in milliseconds.
+const DEAF_MS: (u64, u64) = (1_000, 8_000);
+
+/// Draws times in which watches are deaf, from a seed of their own.
+pub fn draw_deaf(seed: u64, length: Duration) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(DEAF_STREAM);
+    let count = length.as_millis().div_ceil(MEAN_DEAF_INTERVAL.as_millis());
+    let deaf = |_| {
+        let start = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
+        let duration = Duration::from_millis(random.random_range(DEAF_MS.0..DEAF_MS.1));
+        Fault { start, duration, kind: Kind::DeafWatches }
+    };
+    (0..count).map(deaf).collect()
+}
+
 /// Mean time between two further ends of a box.
 const MEAN_END_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Shortest and longest time until the box starts again, in milliseconds.
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -66,6 +66,8 @@
     pub stops: StopOrder,
     /// Whether boxes are cut off from endpoints.
     pub cuts: bool,
+    /// Whether watches of the store hear nothing now and then.
+    pub deaf: bool,
     /// Whether endpoints also respond without a length and without chunks, and break responses off.
     pub unframed: bool,
     /// Whether endpoints have several software versions, and releases replace them.
@@ -100,9 +102,10 @@
         StopOrder::Concurrent => "-concurrent",
     };
     let cuts = if options.cuts { "-cuts" } else { "" };
+    let deaf = if options.deaf { "-deaf" } else { "" };
     let unframed = if options.unframed { "-unframed" } else { "" };
     let versions = if options.versions { "-versions" } else { "" };
-    let name = format!("seed-{seed}{order}{cuts}{unframed}{versions}");
+    let name = format!("seed-{seed}{order}{cuts}{deaf}{unframed}{versions}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
@@ -137,6 +140,9 @@
     if options.cuts {
         faults.extend(fault::draw_cuts(seed, options.boxes, options.length));
     }
+    if options.deaf {
+        faults.extend(fault::draw_deaf(seed, options.length));
+    }
     if options.unframed {
         faults.extend(fault::draw_ends(seed, options.boxes, options.length));
     }
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -219,6 +219,7 @@
                 });
                 trace.losing.set(true, Instant::now());
             }
+            Kind::DeafWatches => platform.set(|faults| faults.deaf_watches = true),
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, true),
             Kind::CutEndpoints { box_index } => {
                 self.cuts.push(Instant::now());
@@ -294,6 +295,7 @@
         let (platform, trace) = (&self.platform, &mut self.fleet.trace);
         match end.kind {
             Kind::Stop { .. } if was_killed => {}
+            Kind::DeafWatches => platform.set(|faults| faults.deaf_watches = false),
             Kind::StoreDown => {
                 platform.set(|faults| faults.down = false);
                 trace.down.set(false, Instant::now());
