--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -16,6 +16,16 @@
 
 use crate::clock::{Clock, Moment};
 
+/// Parts of the largest age after which the store has to confirm a state. Evacuations and crash reports may be older
+/// than endpoints and the configuration.
+const ENDPOINTS_DUE: f64 = 0.35;
+const CONFIG_DUE: f64 = 0.4;
+const OTHERS_DUE: f64 = 1.0;
+/// Parts of the largest age by which a state is overdue when other sources are asked, by a box whose watcher reads the
+/// store and by one whose watcher relays, and when the store itself is asked.
+const SEARCH_OVERDUE: f64 = 0.25;
+const SEARCH_BEHIND_RELAY_OVERDUE: f64 = 0.35;
+const FALLBACK_OVERDUE: f64 = 0.4;
 /// Interval at which ages are checked for the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -54,22 +64,25 @@
     /// Time after which a box that watches the store has it confirm a state that did not change.
     pub fn confirm_after(self, subject: Subject) -> Duration {
         self.max_age.mul_f64(match subject {
-            Subject::Endpoints => 0.35,
-            Subject::Config => 0.4,
-            Subject::Evacuations | Subject::Crashes => 1.0,
+            Subject::Endpoints => ENDPOINTS_DUE,
+            Subject::Config => CONFIG_DUE,
+            Subject::Evacuations | Subject::Crashes => OTHERS_DUE,
         })
     }
 
     /// Age from which on a subscriber asks other sources. Later for one whose watcher relays, which
     /// is then searching itself.
     pub fn search_after(self, subject: Subject, is_behind_relay: bool) -> Duration {
-        let part = if is_behind_relay { 0.35 } else { 0.25 };
-        self.confirm_after(subject) + self.max_age.mul_f64(part)
+        let overdue = match is_behind_relay {
+            true => SEARCH_BEHIND_RELAY_OVERDUE,
+            false => SEARCH_OVERDUE,
+        };
+        self.confirm_after(subject) + self.max_age.mul_f64(overdue)
     }
 
     /// Age from which on a subscriber asks the store itself.
     pub fn fall_back_after(self, subject: Subject) -> Duration {
-        self.confirm_after(subject) + self.max_age.mul_f64(0.4)
+        self.confirm_after(subject) + self.max_age.mul_f64(FALLBACK_OVERDUE)
     }
 
     /// Age beyond which a state is outdated.
