--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -105,6 +105,7 @@
         ("{{platform.address|json}}", "\"10.200.1.7:8223\""),
         ("{{bounds.cold_overage|json}}", "1.5"),
         ("{{bounds.cold_slack|json}}", "5"),
+        ("{{bounds.drain_ms|json}}", "3000"),
     ];
     let rendered = fields.iter().fold(template.to_owned(), |text, (placeholder, value)| {
         assert!(text.contains(placeholder), "{placeholder} is not in the template");
@@ -114,11 +115,13 @@
         let zones: &[(&str, &str)] = if given { &[("z1", "north"), ("z2", "south")] } else { &[] };
         let rendered = regions(&rendered, zones);
         let rendered = section(&rendered, "bounds.cold_overage", given);
+        let rendered = section(&rendered, "bounds.drain_ms", given);
         assert!(!rendered.contains("{{"), "a placeholder is left: {rendered}");
         let settings = Settings::read(&rendered).expect("valid");
         assert_eq!(settings.listen.peers.map(|address| address.port()), Some(7340));
         assert_eq!(settings.machine.capacity(), 20, "the link is the scarcest resource");
         assert_eq!(settings.cold, cold);
+        assert_eq!(settings.store.max_age_ms, if given { 3_000 } else { 2_000 });
         let of_zones = zones.iter().map(|(zone, region)| ((*zone).into(), (*region).into()));
         assert_eq!(settings.regions, gateway::Regions::new(of_zones.collect()));
     }
