Sight for DENIED: what a denial rests on

`request_ended` of a denied request names what was sought (host and path, or the hash of the key), whether the configuration is current, outdated or was never confirmed, how old it is, who confirmed it, and how long the box has run; `flintstall_denials` counts by reason and that class. Before, a line named the version only, so that a false denial could not be told from a true one, nor a probe of a route that never existed from a request on one that was added. No change of logic.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -121,6 +121,28 @@
     }
 }
 
+/// Whether a state is still known to be what the store holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Validity {
+    /// The store confirmed it within the allowed age.
+    Current,
+    /// It is older than allowed.
+    Outdated,
+    /// The store never confirmed it.
+    Unconfirmed,
+}
+
+impl Validity {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Validity::Current => "current",
+            Validity::Outdated => "outdated",
+            Validity::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
 /// The last confirmation of a state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Confirmation {
@@ -215,6 +237,15 @@
         Some(Duration::from_millis(now_ms.saturating_sub(at_ms)))
     }
 
+    /// Whether a state is still known to be what the store holds.
+    pub fn validity(&self, subject: Subject) -> Validity {
+        match self.age(subject) {
+            None => Validity::Unconfirmed,
+            Some(age) if age > self.0.bounds.limit(subject) => Validity::Outdated,
+            Some(_) => Validity::Current,
+        }
+    }
+
     /// Who confirmed a state last.
     pub fn source(&self, subject: Subject) -> Option<Source> {
         self.0.confirmations.lock()[subject as usize].as_ref().map(|known| known.by.clone())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of denied requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Denied {
+    /// `no_route` or `no_customer`.
+    pub reason: &'static str,
+    /// Whether the configuration is `current`, `outdated` or `unconfirmed`.
+    pub config: &'static str,
+}
+
 /// Labels of streams that callers took up.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TakenUp {
@@ -89,6 +98,8 @@
     registry: Arc<Mutex<Registry>>,
     /// Finished requests by outcome.
     pub requests: Family<Finished, Counter>,
+    /// Requests for which the configuration has no route or customer, by its age.
+    pub denials: Family<Denied, Counter>,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Tokens charged.
@@ -169,6 +180,7 @@
         let metrics = Metrics {
             registry: Arc::new(Mutex::new(Registry::with_prefix("flintstall"))),
             requests: Family::default(),
+            denials: Family::default(),
             in_flight: Gauge::default(),
             tokens: Counter::default(),
             first_byte: Histogram::new(FIRST_BYTE),
@@ -211,6 +223,11 @@
     fn register(&self) {
         let mut registry = self.registry.lock();
         registry.register("requests", "Requests by how they ended", self.requests.clone());
+        registry.register(
+            "denials",
+            "Requests for which the configuration has no route or customer, by its age",
+            self.denials.clone(),
+        );
         registry.register("requests_under_way", "Requests under way", self.in_flight.clone());
         registry.register("tokens_charged", "Tokens charged", self.tokens.clone());
         registry.register(
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -72,10 +72,10 @@
         })?;
         exchange.config_version = table.version();
         let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
-        let route = table
-            .route(host.unwrap_or_default(), request.uri().path())
-            .ok_or_else(|| Reason::NoRoute.with("no route for this host and path"))?
-            .clone();
+        let (host, path) = (host.unwrap_or_default(), request.uri().path());
+        let Some(route) = table.route(host, path).cloned() else {
+            return Err(self.deny_route(host, path, exchange));
+        };
         exchange.route = Some(route.name.clone());
         if let Some(timeout) = route.timeout {
             exchange.deadline = exchange.deadline.min(exchange.arrived_at + timeout);
@@ -83,9 +83,11 @@
         let customer = match table.needs_keys() && !route.public {
             false => None,
             true => {
-                let customer = head.key.as_deref().and_then(|key| table.customer(key));
-                let unknown_key = || Reason::NoCustomer.with("the key belongs to no customer");
-                Some(customer.ok_or_else(unknown_key)?)
+                let key = head.key.as_deref();
+                let Some(customer) = key.and_then(|key| table.customer(key)) else {
+                    return Err(self.deny_customer(key, exchange));
+                };
+                Some(customer)
             }
         };
         exchange.customer = customer.map(|customer| customer.name.clone());
--- /dev/null
+++ b/crates/gateway/src/proxy/denial.rs
@@ -0,0 +1,68 @@
+//! Denials: the configuration has no route for a request, or no customer for its key.
+//!
+//! A denial is final for the caller, and rests on the configuration that the box knows. Its log line
+//! tells how old that is, who confirmed it, and what was looked up in it.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    freshness::{Source, Subject, Validity},
+    metrics::Denied,
+    proxy::{
+        context::Context,
+        exchange::Exchange,
+        refusal::{Reason, Refusal},
+    },
+};
+
+/// What a denial rests on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Denial {
+    /// What the configuration does not have: a host and path, or the hash of a key.
+    pub missing: String,
+    pub validity: Validity,
+    /// Time since the store confirmed the configuration; `None` if it never did.
+    pub age: Option<Duration>,
+    /// Who confirmed it.
+    pub source: Option<Source>,
+    /// Time since the start of the box.
+    pub up: Duration,
+}
+
+impl Context {
+    /// Denies a request for a host and path without a route.
+    pub fn deny_route(&self, host: &str, path: &str, exchange: &mut Exchange) -> Refusal {
+        self.deny(Reason::NoRoute.with("no route for this host and path"), exchange, || {
+            format!("{host}{path}")
+        })
+    }
+
+    /// Denies a request whose key belongs to no customer. The key is a secret, so only its hash is
+    /// logged.
+    pub fn deny_customer(&self, key: Option<&str>, exchange: &mut Exchange) -> Refusal {
+        self.deny(Reason::NoCustomer.with("the key belongs to no customer"), exchange, || {
+            key.map_or_else(String::new, |key| format!("{:016x}", xxh3_64(key.as_bytes())))
+        })
+    }
+
+    fn deny(
+        &self,
+        refusal: Refusal,
+        exchange: &mut Exchange,
+        missing: impl FnOnce() -> String,
+    ) -> Refusal {
+        let validity = self.freshness.validity(Subject::Config);
+        let labels = Denied { reason: refusal.reason.as_str(), config: validity.as_str() };
+        self.metrics.denials.get_or_create(&labels).inc();
+        exchange.denial = Some(Denial {
+            missing: missing(),
+            validity,
+            age: self.freshness.age(Subject::Config),
+            source: self.freshness.source(Subject::Config),
+            up: self.started.elapsed(),
+        });
+        refusal
+    }
+}
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::Moment,
     metrics::{Finished, Metrics},
-    proxy::refusal::Refusal,
+    proxy::{denial::Denial, refusal::Refusal},
     tokens::{bills::Bills, funds::Hold},
 };
 
@@ -41,6 +41,8 @@
     pub service: Option<Arc<str>>,
     /// Version of the configuration that the request was routed with.
     pub config_version: u64,
+    /// What it rests on that the request was denied, if it was.
+    pub denial: Option<Denial>,
     pub arrived_at: Instant,
     /// The same moment on the box's clock, which also counts time in suspension.
     arrival: Moment,
@@ -89,6 +91,7 @@
             route: None,
             service: None,
             config_version: 0,
+            denial: None,
             arrived_at: arrival.at(),
             arrival,
             deadline,
@@ -169,6 +172,7 @@
             Outcome::Broken { reason } => (0, &**reason),
             Outcome::Disconnected => (0, ""),
         };
+        let denial = self.denial.as_ref();
         tracing::info!(
             event = "request_ended",
             id = self.id.as_deref(),
@@ -179,6 +183,11 @@
             version = self.version.as_deref(),
             fingerprint = self.fingerprint.as_ref().map(tracing::field::display),
             config = self.config_version,
+            missing = denial.map(|denial| &*denial.missing),
+            config_is = denial.map(|denial| denial.validity.as_str()),
+            config_age_ms = denial.and_then(|denial| Some(denial.age?.as_millis() as u64)),
+            config_from = denial.and_then(|denial| Some(denial.source.as_ref()?.as_str())),
+            up_ms = denial.map(|denial| denial.up.as_millis() as u64),
             outcome = outcome_name,
             reason,
             status,
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -3,7 +3,7 @@
 //! - `admit` resolves the route and the customer, reads the body and reserves tokens;
 //! - `dispatch` selects one of the `endpoints` and retries where that is allowed, `attempt` sends the request to it;
 //! - `relay` streams the response to the caller, `exchange` settles and logs the request;
-//! - `refusal` is the response of the box itself;
+//! - `refusal` is the response of the box itself, `denial` what a denial rests on;
 //! - `crashes` tracks requests that crash endpoints;
 //! - `permits` obtains and issues permits for endpoints that name a rate limit;
 //! - `announcer` queues what other boxes have to learn about endpoints;
@@ -16,6 +16,7 @@
 pub mod bounds;
 pub mod caller_close;
 pub mod crashes;
+pub mod denial;
 pub mod dispatch;
 pub mod endpoints;
 pub mod context;
