--- a/crates/standin/src/api.rs
+++ b/crates/standin/src/api.rs
@@ -12,6 +12,9 @@
 
 use crate::{Memory, Server};
 
+/// Bytes of an answer that a limited link carries before it turns to the next call.
+const PIECE_BYTES: usize = 4 << 10;
+
 /// Faults of the platform.
 #[derive(Debug, Clone, Default)]
 pub struct PlatformFaults {
@@ -27,6 +30,11 @@
     pub rejected_sources: HashSet<IpAddr>,
     /// Watches look for changes only when they begin and when their wait ends.
     pub deaf_watches: bool,
+    /// Bytes of answers a second that the platform's link carries, shared by the calls under way; 0
+    /// means no limit.
+    pub link_bytes_per_s: u64,
+    /// No history is kept, so that each watch has a gap.
+    pub forgets_history: bool,
     /// Limit of writes a second; 0 means no limit.
     pub writes_per_s: u32,
     /// Limit of reads a second, watches included; 0 means no limit.
@@ -61,6 +69,8 @@
     random: Mutex<ChaCha8Rng>,
     writes: Mutex<Bucket>,
     reads: Mutex<Bucket>,
+    /// Taken for each piece of an answer on a limited link.
+    link: tokio::sync::Mutex<()>,
 }
 
 /// A platform on loopback.
@@ -80,6 +90,7 @@
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             writes: bucket(),
             reads: bucket(),
+            link: tokio::sync::Mutex::default(),
         });
         let handler = Api(shared.clone());
         let server = Server::spawn(Router::with_path("{**rest}").goal(handler)).await;
@@ -124,6 +135,7 @@
         _: &mut FlowCtrl,
     ) {
         let (status, body) = self.serve(request).await;
+        self.transmit(body.len()).await;
         response.status_code(status);
         let _ = response.add_header(header::CONTENT_TYPE, "application/json", true);
         let era = self.0.memory.era().to_string();
@@ -174,6 +186,20 @@
         }
     }
 
+    /// Waits for as long as an answer takes on the link.
+    async fn transmit(&self, bytes: usize) {
+        for at in (0..bytes).step_by(PIECE_BYTES) {
+            let rate = self.0.faults.lock().link_bytes_per_s;
+            if rate == 0 {
+                return;
+            }
+            // In turn with the other calls: the lock is fair.
+            let _turn = self.0.link.lock().await;
+            let piece = PIECE_BYTES.min(bytes - at);
+            pause(Duration::from_secs_f64(piece as f64 / rate as f64)).await;
+        }
+    }
+
     fn admit(&self, write: bool, faults: &PlatformFaults) -> bool {
         match write {
             true => self.0.writes.lock().take(faults.writes_per_s),
@@ -182,7 +208,10 @@
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Answer {
-        let is_deaf = self.0.faults.lock().deaf_watches;
+        let PlatformFaults { deaf_watches: is_deaf, forgets_history, .. } = *self.0.faults.lock();
+        if forgets_history {
+            return store_server::watch_response(&[], from, true);
+        }
         let watch = match is_deaf {
             true => self.0.memory.wait_deaf(&[kind], from, wait).await,
             false => self.0.memory.wait(&[kind], from, wait).await,
