A busy store is left to the boxes that watch it

Cause: overload that keeps itself up. What the fleet knows grows old while the store answers late; each box behind outdated watchers then probed the store in each turn of its loop (no interval), took whole lists of boxes that knew nothing newer, and read the store itself within 25 ms for each box of the fleet: 40 boxes a second, 4 MB each, are 160 MB/s, more than the store's link of 125 MB/s. What it gave up it began again. Now, in `sync::fallback`: watchers and those on standby read the store at once; other boxes only after the standbys, by fleet size and bytes, much later where watchers reach the store, only where it answers a probe within 0.1 s, and twice as late after each read that they gave up (after 1.5 s). Probes have an interval that grows with the fleet, and lists are taken from a watcher that the store confirms. Ruled out: money (41 answers 402, true by the book), keys.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,6 +64,7 @@
     change_log::{ChangeLog, Part},
     directory::Directory,
     evacuations::{Evacuations, Zones},
+    fallback::Fallback,
 };
 pub use tokens::{
     bills::{
--- a/crates/gateway/src/sync/change_log.rs
+++ b/crates/gateway/src/sync/change_log.rs
@@ -34,6 +34,8 @@
     deleted: BTreeMap<u64, Id>,
     /// Some deletions up to this change number have been dropped.
     dropped_until: u64,
+    /// Size of all values.
+    bytes: usize,
 }
 
 #[derive(Debug)]
@@ -50,6 +52,11 @@
         self.last
     }
 
+    /// Size of the values of all objects.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Records that an object was written, or deleted if `value` is `None`; returns whether that is
     /// new.
     pub fn put(&mut self, kind: &str, name: &str, version: u64, value: Option<&str>) -> bool {
@@ -66,7 +73,9 @@
         if let Some(entry) = known {
             self.order.remove(&entry.number);
             self.deleted.remove(&entry.number);
+            self.bytes -= entry.value.as_ref().map_or(0, |value| value.len());
         }
+        self.bytes += value.map_or(0, str::len);
         self.last += 1;
         self.order.insert(self.last, id.clone());
         if value.is_none() {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -13,12 +13,15 @@
 //! and a view never goes back to an older one. So a box may switch to another source at any time,
 //! use two at once, or receive outdated updates from a box that was suspended.
 //!
+//! Where the watchers know nothing new, `fallback` says when a box reads the store itself.
+//!
 //! What boxes find out themselves is passed on the same way: crash reports by `reporter`, signals
 //! of endpoints by `signals`. `version_writer` keeps in the store which services have had only one
 //! software version.
 
 pub mod directory;
 pub mod evacuations;
+pub mod fallback;
 pub mod subscriber;
 pub mod watcher;
 pub mod reporter;
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -23,7 +23,10 @@
     clock::Dataset,
     fleet::{entry::BOXES, peers::Peers, watchers::Watchers},
     outage::Probe,
-    sync::watcher::{Setup, Watcher},
+    sync::{
+        fallback::Fallback,
+        watcher::{Setup, Watcher},
+    },
 };
 
 /// Time after which a watcher without updates answers anyway, as a heartbeat.
@@ -54,8 +57,9 @@
 /// Time for each box of the fleet over which boxes that start together give up to find a watcher:
 /// each of them then reads everything from the store.
 const GIVE_UP_SPREAD: Duration = Duration::from_millis(5);
-/// The same for boxes whose watchers answer and know nothing new: 40 boxes a second read the store.
-const FALLBACK_SPREAD: Duration = Duration::from_millis(25);
+/// Time in which a box that reads the store beside the watchers has to read all of it. While it tries it
+/// hears nothing of the watchers.
+const FALLBACK_LOAD_TIME: Duration = Duration::from_millis(1_500);
 /// Interval at which a box probes the store itself while no watcher reaches it, up to half longer
 /// at random: the store may be reachable from here only. Long enough that a whole fleet may do so
 /// during an outage; each probe is a cheap read.
@@ -80,6 +84,8 @@
     started: Instant,
     /// When this box gives up after its start, as a part of the time that the fleet takes; random.
     gives_up_at: f64,
+    /// Reads of the store that it gave up, one after the other.
+    vain_reads: u32,
 }
 
 /// State of the subscription to one watcher.
@@ -107,6 +113,18 @@
     CutOff,
 }
 
+/// What a box found that looked for another source than the active watchers.
+enum Found {
+    /// A watcher on standby that the store confirms.
+    Watcher(Subscription),
+    /// The store, and it is this box's turn to read it.
+    Store,
+    /// The store, which answers late, or which others read first.
+    BusyStore,
+    /// The store does not answer.
+    Nothing,
+}
+
 /// An answer of a watcher.
 struct Received {
     updates: UpdateAged,
@@ -143,7 +161,7 @@
     ) -> Subscriber {
         let (mut random, started) = (SmallRng::seed_from_u64(seed), Instant::now());
         let gives_up_at = random.random();
-        Subscriber { peers, setup, listed, random, started, gives_up_at }
+        Subscriber { peers, setup, listed, random, started, gives_up_at, vain_reads: 0 }
     }
 
     /// Receives updates for as long as the box runs.
@@ -193,7 +211,7 @@
     }
 
     /// Watches the store for as long as this box is a root or was asked recently, or for `time`.
-    async fn watch_store(&self, why: &str, time: Option<Duration>) {
+    async fn watch_store(&mut self, why: &str, time: Option<Duration>) {
         tracing::info!(event = "news_from_store", why);
         let probe = if why == "home" { Probe::Eager } else { Probe::Lazy };
         let watcher_tasks = Watcher::spawn(&self.setup, probe);
@@ -203,10 +221,15 @@
             let is_root = self.is_root();
             let continues = match time {
                 _ if is_root && probe == Probe::Lazy => false,
+                Some(_) if self.reads_in_vain(began) => false,
                 Some(time) => began.elapsed() < time || self.is_asked_standby(),
                 None => is_root || self.is_asked_standby(),
             };
             if !continues {
+                self.vain_reads = match self.reads_in_vain(began) {
+                    true => self.vain_reads + 1,
+                    false => 0,
+                };
                 drop(watcher_tasks);
                 self.setup.view.reset_loaded();
                 return;
@@ -214,6 +237,12 @@
         }
     }
 
+    /// Whether this box has not read all from the store in time. One that knows nothing goes on.
+    fn reads_in_vain(&self, began: Instant) -> bool {
+        let view = &self.setup.view;
+        view.knows_config() && !view.status().watches && began.elapsed() > FALLBACK_LOAD_TIME
+    }
+
     /// Subscribes to watchers until this box should watch the store itself; returns false if no
     /// watcher answers. Relays to others meanwhile if this box is to.
     async fn subscribe(&mut self) -> bool {
@@ -222,6 +251,8 @@
         let mut next_probe = Instant::now();
         // Whether this box probed the store itself during the outage and got no answer either.
         let mut own_probe_failed = false;
+        // Since when the store has answered this box while it does not answer the watcher.
+        let mut reached_at = None;
         loop {
             let watchers = self.peers.watchers();
             if self.is_root() || self.is_asked_standby() {
@@ -240,39 +271,54 @@
             if let Some(outdated) = subscription.take_if(|known| self.is_outdated(known)) {
                 subscription = self.find_current(&candidates).await;
                 if subscription.is_none() && next_probe <= Instant::now() {
-                    match self.reaches_store().await {
+                    let is_due = self.is_fallback_due();
+                    next_probe = Instant::now() + self.jitter(self.fallback().probe_interval());
+                    match self.search(&candidates, is_due).await {
                         // An outage that the watcher has yet to notice.
-                        false => {
+                        Found::Nothing => {
                             own_probe_failed = true;
                             next_probe = Instant::now() + self.jitter(OWN_PROBE_INTERVAL);
                         }
-                        true if self.is_fallback_due() => {
+                        Found::Store => {
                             let home = outdated.watcher.as_str();
                             tracing::info!(event = "watchers_outdated", home);
                             return false;
                         }
-                        true => subscription = self.find_standby(&candidates).await,
+                        Found::Watcher(current) => subscription = Some(current),
+                        Found::BusyStore => {}
                     }
                 }
                 subscription = subscription.or(Some(outdated));
             }
             match &subscription {
                 Some(known) if known.is_store_unreachable && next_probe <= Instant::now() => {
-                    match self.reaches_store().await {
-                        true if own_probe_failed => {
-                            subscription = self.resume_after_outage(&known.clone()).await
+                    let known = known.clone();
+                    let waited = reached_at.map(|at: Instant| at.elapsed());
+                    let is_due = waited.is_some_and(|waited| waited >= self.fallback().delay());
+                    match self.search(&candidates, is_due).await {
+                        Found::Nothing => {
+                            (own_probe_failed, reached_at) = (true, None);
+                            next_probe = Instant::now() + self.jitter(OWN_PROBE_INTERVAL);
+                        }
+                        _ if own_probe_failed => {
+                            subscription = self.resume_after_outage(&known).await.or(Some(known));
+                            (own_probe_failed, reached_at) = (false, Some(Instant::now()));
+                        }
+                        Found::Store => return false,
+                        Found::Watcher(current) => subscription = Some(current),
+                        Found::BusyStore => {
+                            let since = *reached_at.get_or_insert_with(Instant::now);
+                            let fallback = self.fallback();
+                            let due_in = fallback.delay().saturating_sub(since.elapsed());
+                            let interval = self.jitter(fallback.probe_interval());
+                            next_probe = Instant::now() + interval.min(due_in);
                         }
-                        true => return false,
-                        false => own_probe_failed = true,
-                    }
-                    if subscription.is_none() {
-                        return false;
                     }
-                    next_probe = Instant::now() + self.jitter(OWN_PROBE_INTERVAL);
                     last_contact = Instant::now();
                 }
                 Some(known) => {
                     own_probe_failed &= known.is_store_unreachable;
+                    reached_at = reached_at.filter(|_| known.is_store_unreachable);
                     last_contact = Instant::now();
                 }
                 None if last_contact.elapsed()
@@ -298,8 +344,35 @@
     /// Whether what this box knows is so old that it asks the store itself, whoever answers. Boxes of a
     /// large fleet do so one after the other, since the ones on standby may have begun to watch meanwhile.
     fn is_fallback_due(&self) -> bool {
-        let spread = (FALLBACK_SPREAD * self.peers.boxes() as u32).mul_f64(self.gives_up_at);
-        self.setup.view.freshness().is_fallback_due(spread)
+        let freshness = self.setup.view.freshness();
+        let delay = self.fallback().delay_if_outdated(freshness.bounds().max_age);
+        freshness.is_fallback_due(delay)
+    }
+
+    /// When this box reads the store itself.
+    fn fallback(&self) -> Fallback {
+        let watchers = self.peers.watchers();
+        Fallback {
+            boxes: self.peers.boxes(),
+            bytes: self.setup.view.known_bytes(),
+            is_designated: watchers.all().any(|watcher| watcher == self.peers.me()),
+            turn: self.gives_up_at,
+            vain_reads: self.vain_reads,
+        }
+    }
+
+    /// Looks for another source where no active watcher knows anything new: a watcher on standby, or the
+    /// store itself if this is due. Others may ask watchers on standby meanwhile, which begin to watch.
+    async fn search(&self, candidates: &Candidates, is_due: bool) -> Found {
+        let Some(latency) = self.store_latency().await else { return Found::Nothing };
+        let answers = self.ask_all(candidates.last.iter()).await;
+        if let Some(current) = self.subscribe_to_current(answers).await {
+            return Found::Watcher(current);
+        }
+        match is_due && self.fallback().allows(latency) {
+            true => Found::Store,
+            false => Found::BusyStore,
+        }
     }
 
     /// Whether the watchers that this box asks may relay.
@@ -308,10 +381,11 @@
         !self.is_relay() && watchers.active.len() > watchers.roots.len()
     }
 
-    /// Whether the store answers this box, although no watcher reaches it.
-    async fn reaches_store(&self) -> bool {
+    /// How soon the store answers this box, although no watcher reaches it; `None` if it does not.
+    async fn store_latency(&self) -> Option<Duration> {
         let Setup { store, name, .. } = &self.setup;
-        store.ping(BOXES, name, OWN_PROBE_TIMEOUT).await.is_ok()
+        let began = Instant::now();
+        store.ping(BOXES, name, OWN_PROBE_TIMEOUT).await.ok().map(|()| began.elapsed())
     }
 
     /// This box reached the store again before its watcher reported that. Gives the watcher time to
@@ -432,6 +506,13 @@
     /// Subscribes to the first watcher that the store confirms.
     async fn find_current(&self, candidates: &Candidates) -> Option<Subscription> {
         let answers = self.ask_all(candidates.first.iter()).await;
+        self.subscribe_to_current(answers).await
+    }
+
+    async fn subscribe_to_current(
+        &self,
+        answers: Vec<(&Incarnation, Condition)>,
+    ) -> Option<Subscription> {
         let current = answers.iter().find(|(_, condition)| *condition == Condition::Current);
         self.receive_snapshot(current?.0).await
     }
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -240,6 +240,11 @@
         Status { watches: state.loaded.is_complete(), age }
     }
 
+    /// Size of all that this box knows of the store.
+    pub fn known_bytes(&self) -> usize {
+        self.0.state.lock().change_log.bytes()
+    }
+
     /// Called when this box begins or ends to watch the store.
     pub fn reset_loaded(&self) {
         self.0.state.lock().loaded = Loaded::default();
