A box denies only by a configuration that was confirmed lately

Cause: a denial rested on whatever a box knew, however old. Now one by a configuration that the store did not confirm within store.max_age_ms, whoever passed that on, is a 503 with Retry-After: not run, come back, here or to another box. No call, no wait, at any size.

--- a/crates/gateway/src/proxy/denial.rs
+++ b/crates/gateway/src/proxy/denial.rs
@@ -1,7 +1,9 @@
 //! Denials: the configuration has no route for a request, or no customer for its key.
 //!
-//! A denial is final for the caller, and rests on the configuration that the box knows. Its log line
-//! tells how old that is, who confirmed it, and what was looked up in it.
+//! A denial is final for the caller, and rests on the configuration that the box knows. So a box denies
+//! only by a configuration that the store confirmed lately, or that a box which reads the store did.
+//! Otherwise the caller may come back, to this box or another one. The log line tells how old the
+//! configuration is, who confirmed it, and what was looked up in it.
 
 use std::time::Duration;
 
@@ -13,7 +15,7 @@
     proxy::{
         context::Context,
         exchange::Exchange,
-        refusal::{Reason, Refusal},
+        refusal::{Reason, Refusal, UNREADY_RETRY_DELAY},
     },
 };
 
@@ -32,14 +34,14 @@
 }
 
 impl Context {
-    /// Denies a request for a host and path without a route.
+    /// Refuses a request for a host and path without a route.
     pub fn deny_route(&self, host: &str, path: &str, exchange: &mut Exchange) -> Refusal {
         self.deny(Reason::NoRoute.with("no route for this host and path"), exchange, || {
             format!("{host}{path}")
         })
     }
 
-    /// Denies a request whose key belongs to no customer. The key is a secret, so only its hash is
+    /// Refuses a request whose key belongs to no customer. The key is a secret, so only its hash is
     /// logged.
     pub fn deny_customer(&self, key: Option<&str>, exchange: &mut Exchange) -> Refusal {
         self.deny(Reason::NoCustomer.with("the key belongs to no customer"), exchange, || {
@@ -63,6 +65,12 @@
             source: self.freshness.source(Subject::Config),
             up: self.started.elapsed(),
         });
-        refusal
+        match validity {
+            Validity::Current => refusal,
+            Validity::Outdated | Validity::Unconfirmed => {
+                let detail = format!("{}, by a configuration that may be replaced", refusal.detail);
+                Reason::ConfigOutdated.after(UNREADY_RETRY_DELAY, detail)
+            }
+        }
     }
 }
--- a/crates/gateway/src/proxy/refusal.rs
+++ b/crates/gateway/src/proxy/refusal.rs
@@ -24,6 +24,8 @@
     TooLarge,
     /// No configuration has been loaded yet.
     NoConfig,
+    /// The configuration has no such route or key, and may have been replaced since.
+    ConfigOutdated,
     /// No route matches the host and path.
     NoRoute,
     /// The key is missing or belongs to no customer.
@@ -70,6 +72,7 @@
             Reason::BodyLate => "body_late",
             Reason::TooLarge => "too_large",
             Reason::NoConfig => "no_config",
+            Reason::ConfigOutdated => "config_outdated",
             Reason::NoRoute => "no_route",
             Reason::NoCustomer => "no_customer",
             Reason::BudgetExhausted => "budget_exhausted",
@@ -97,6 +100,7 @@
             Reason::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Reason::TokensShort => StatusCode::TOO_MANY_REQUESTS,
             Reason::NoConfig
+            | Reason::ConfigOutdated
             | Reason::Memory
             | Reason::NoEndpoint
             | Reason::VersionUnknown
