--- a/crates/gateway/tests/loopback/cut_off.rs
+++ b/crates/gateway/tests/loopback/cut_off.rs
@@ -33,6 +33,11 @@
 /// Tokens charged for each request: its prompt, as the endpoints send no events.
 const TOKENS: u64 = 1;
 
+/// Connections to endpoints that are kept when a cut begins.
+const KEPT: usize = 24;
+/// Requests while a box has to notice that its kept connections are silent.
+const TRIES_TO_NOTICE: usize = KEPT / 2;
+
 /// Pause between the events of a long answer.
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// Events of a long answer.
@@ -173,6 +178,30 @@
     callers_are_served(Cut::Silent).await;
 }
 
+/// Guards against a box that notices a silent cut by new connections only: each kept one cost the request that was sent on
+/// it, and callers left before the last one was used up.
+#[tokio::test]
+async fn kept_connections_that_fall_silent_are_noticed() {
+    let fleet = Fleet::start().await;
+    let long = (0..KEPT).map(|n| {
+        let head = fleet.harness.new_request("key-b", TOKENS, EVENTS as u64);
+        send(request(fleet.cut_box.callers(), "/stream/x", &head).body(format!("long {n}")))
+    });
+    let kept = join_all(long).await;
+    assert!(kept.iter().all(|response| response.status == StatusCode::OK), "{kept:?}");
+    fleet.cut.begin(Cut::Silent);
+    let mut tries = Vec::new();
+    for _ in 0..KEPT {
+        tokio::time::sleep(PAUSE).await;
+        let request = fleet.harness.new_request("key-b", TOKENS, 1);
+        let callers = fleet.cut_box.callers();
+        tries.push(tokio::spawn(async move { call(callers, "/stream/x", &request).await.status }));
+    }
+    let later = join_all(tries.split_off(TRIES_TO_NOTICE)).await;
+    let served = later.iter().filter(|status| matches!(status, Ok(StatusCode::OK))).count();
+    assert_eq!(served, KEPT - TRIES_TO_NOTICE, "first tries served once the silence is noticed");
+}
+
 /// Guards against a box that takes the loss of its own links for crashes of endpoints: it reported the requests in flight
 /// as if they had crashed all endpoints, and three such reports refuse a request everywhere.
 #[tokio::test]
