A silent cut from an endpoint is noticed on kept connections

Cause: only a new connection showed a cut.

Ruled out: the detour (lost none of the first service; 91% served of the second, as at boxes that are not cut off), boxes that refuse tunnels (17 refusals, each of a box that was cut off too), the bound on unacknowledged data (3 s, callers leave at 2.4 s).

Change: a request on a kept direct connection without a response for 0.4 s, while nothing else comes from its endpoint, has one connection opened as if there were none: both ways raced and kept. Twice a second at most for an endpoint, and within the limit of connections to it.

Why it holds: the check needs no evidence of a cut and ends nothing: the request goes on waiting, and what the check finds is judged as for any new connection. Requests of the first half second are still lost.

--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -53,6 +53,7 @@
                 Poll::Ready(None)
             }
             Some(Ok(frame)) => {
+                self.lease.iter().for_each(Lease::hear);
                 self.release_if_complete();
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -1,13 +1,16 @@
 //! Reuse and limits of connections to endpoints.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri, Version, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 use crate::{
     Body, Dialer, Fault, Framing,
@@ -20,6 +23,9 @@
 
 /// How long the detour to an endpoint is not tried again after it failed.
 const DETOUR_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time without anything from an endpoint, after a request on a kept connection, after which the direct way to it is checked:
+/// most responses of a busy endpoint begin earlier, and each check costs a connection.
+const MAX_SILENCE: Duration = Duration::from_millis(400);
 /// Maximum number of endpoints that are checked at a time because another one was cut off.
 const MAX_SWEPT: usize = 32;
 
@@ -87,7 +93,7 @@
             let opened = self.open(address, expected).await?;
             slot.connection = Some(opened);
         }
-        Ok(ReadyConnection { slot, reused, options: self.opener.options.clone() })
+        Ok(ReadyConnection { slot, reused, max_open, connections: self.clone() })
     }
 
     /// Opens a connection. If neither way worked just now, only the direct one is tried: an endpoint that is down or
@@ -162,7 +168,7 @@
     /// The direct way to an address works.
     fn end_cut(&self, address: SocketAddr) {
         let mut hosts = self.hosts.lock();
-        let ended = hosts.get_mut(&address).and_then(|host| host.cut_off.take());
+        let ended = hosts.get_mut(&address).and_then(Host::end_cut);
         if ended.is_some() {
             tracing::info!(event = "endpoint_reached_again", %address);
         }
@@ -187,18 +193,36 @@
             at_risk.map(|(address, _)| *address).take(MAX_SWEPT).collect()
         };
         for address in addresses {
-            let connections = self.clone();
-            tokio::spawn(async move { connections.check(address).await });
+            self.hosts.lock().entry(address).or_default().open += 1;
+            self.check(Slot { address, connection: None, hosts: self.hosts.clone() });
         }
     }
 
-    /// Opens a connection to an address to see which way works, and keeps it.
-    async fn check(&self, address: SocketAddr) {
-        let Ok(connection) = self.open(address, Way::Direct).await else { return };
-        self.hosts.lock().entry(address).or_default().open += 1;
-        let connection = Some(connection);
-        Slot { address, connection, hosts: self.hosts.clone() }
-            .keep_idle(Instant::now() + self.opener.options.reuse_time());
+    /// Opens a connection to see which way works, and keeps it.
+    fn check(&self, mut slot: Slot) {
+        let connections = self.clone();
+        tokio::spawn(async move {
+            let opened = connections.open(slot.address, Way::Direct).await;
+            let Ok(connection) = opened else { return };
+            slot.connection = Some(connection);
+            slot.keep_idle(Instant::now() + connections.opener.options.reuse_time());
+        });
+    }
+
+    /// Checks the direct way to an address from which nothing came since a request was sent on a kept connection: new
+    /// connections show a cut by themselves, and there may be no need of one while kept ones are left.
+    fn check_silence(&self, address: SocketAddr, max_open: usize, sent_at: Instant) {
+        let mut hosts = self.hosts.lock();
+        let Some(host) = hosts.get_mut(&address).filter(|host| host.open < max_open) else {
+            return;
+        };
+        if !host.take_silence_check(sent_at, Instant::now()) {
+            return;
+        }
+        host.open += 1;
+        drop(hosts);
+        tracing::debug!(event = "silence_checked", %address);
+        self.check(Slot { address, connection: None, hosts: self.hosts.clone() });
     }
 
     /// Whether this box was cut off just now from an endpoint that others reach.
@@ -273,21 +297,39 @@
 pub struct ReadyConnection {
     slot: Slot,
     reused: bool,
-    options: Arc<Options>,
+    max_open: usize,
+    connections: Connections,
 }
 
 impl ReadyConnection {
     /// Sends a request. Dropping the future closes the connection.
     pub async fn send(mut self, request: Request) -> Result<Answer, Fault> {
-        let connection = self.slot.connection.as_mut().expect("a ready connection is present");
-        let response = connection.send(outgoing(request)).await?;
-        let idle_time = idle_time(&response, &self.options);
-        let lease = Lease { slot: self.slot, idle_time, options: self.options };
+        let response = self.exchange(request).await?;
+        self.slot.hear();
+        let options = self.connections.opener.options;
+        let idle_time = idle_time(&response, &options);
+        let lease = Lease { slot: self.slot, idle_time, options };
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, http_body::Body::is_end_stream(&body));
         Ok(Answer { head, body: Body::new(body, lease), framing, reused: self.reused })
     }
 
+    /// Sends a request and waits for the head of its response. A direct connection that was kept and stays silent has the
+    /// direct way checked meanwhile.
+    async fn exchange(&mut self, request: Request) -> Result<Response<Incoming>, Fault> {
+        let (is_direct, address) = (!self.is_detour(), self.slot.address);
+        let connection = self.slot.connection.as_mut().expect("a ready connection is present");
+        let sent_at = Instant::now();
+        let mut sending = pin!(connection.send(outgoing(request)));
+        if let Ok(response) = timeout(MAX_SILENCE, &mut sending).await {
+            return response;
+        }
+        if is_direct && self.reused {
+            self.connections.check_silence(address, self.max_open, sent_at);
+        }
+        sending.await
+    }
+
     /// Whether another box carries the connection.
     pub fn is_detour(&self) -> bool {
         self.slot.connection.as_ref().is_some_and(|connection| connection.way == Way::Detour)
@@ -297,7 +339,7 @@
     pub fn release(self) {
         let previous = self.slot.connection.as_ref().map(|connection| connection.reusable_until);
         let until = previous.filter(|_| self.reused);
-        let fresh = Instant::now() + self.options.reuse_time();
+        let fresh = Instant::now() + self.connections.opener.options.reuse_time();
         self.slot.keep_idle(until.unwrap_or(fresh));
     }
 }
@@ -322,6 +364,15 @@
 }
 
 impl Slot {
+    /// Something came on the connection.
+    fn hear(&self) {
+        if self.connection.as_ref().is_some_and(|connection| connection.way == Way::Direct)
+            && let Some(host) = self.hosts.lock().get_mut(&self.address)
+        {
+            host.hear(Instant::now());
+        }
+    }
+
     /// Keeps the connection idle for the next request.
     fn keep_idle(mut self, until: Instant) {
         let Some(mut connection) = self.connection.take() else { return };
@@ -355,6 +406,11 @@
 }
 
 impl Lease {
+    /// A part of the response came.
+    pub fn hear(&self) {
+        self.slot.hear();
+    }
+
     /// Releases the connection after the end of the response.
     pub fn release(self) {
         debug_assert!(self.options.idle_margin <= self.options.idle_timeout);
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -23,6 +23,10 @@
     pub cut_off: Option<CutOff>,
     /// When the detour did not reach the address either.
     pub detour_failed_at: Option<Instant>,
+    /// When the direct way was last seen to work.
+    heard_at: Option<Instant>,
+    /// When the direct way was last checked because of silence.
+    silence_checked_at: Option<Instant>,
 }
 
 /// This box is cut off from an endpoint that other boxes reach.
@@ -83,6 +87,30 @@
         if self.cut_off.is_some() { Way::Detour } else { Way::Direct }
     }
 
+    /// The direct way works; returns the cut that this ends.
+    pub fn end_cut(&mut self) -> Option<CutOff> {
+        self.hear(Instant::now());
+        self.cut_off.take()
+    }
+
+    /// Something came on the direct way.
+    pub fn hear(&mut self, now: Instant) {
+        self.heard_at = Some(now);
+    }
+
+    /// Whether the direct way is to be checked, as nothing came on it since a request was sent; then not before the next
+    /// interval.
+    pub fn take_silence_check(&mut self, sent_at: Instant, now: Instant) -> bool {
+        let is_heard = self.heard_at.is_some_and(|at| at >= sent_at);
+        let is_recent = |at: Instant| now < at + CHECK_INTERVAL;
+        let is_due =
+            !is_heard && self.cut_off.is_none() && !self.silence_checked_at.is_some_and(is_recent);
+        if is_due {
+            self.silence_checked_at = Some(now);
+        }
+        is_due
+    }
+
     /// Whether the direct way is to be tried again now; then not before the next interval.
     pub fn take_check(&mut self, now: Instant) -> bool {
         let due = self.cut_off.as_mut().filter(|cut_off| cut_off.next_check <= now);
