Soak: calls that the run itself breaks are not a planned stop's doing

The run cuts boxes off from endpoints (CutEndpoints) and closes their connections.

Why the check was wrong: the endpoint closed the connection on which the call ran, as the run told it to, and a request that may run once cannot be repeated. Endpoints now record which requests they broke so, and when, whichever box carried them.

The check that replaces it lets a broken call pass only if an endpoint recorded that for it, it ran nowhere afterwards, and it ended within 0.1 s of that. All others count as before; the report says how many passed.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -224,6 +224,12 @@
         self.scripted.set_cut_off(source, is_cut_off);
     }
 
+    /// Requests that it ran and whose connections the run closed, and when.
+    pub fn cut_runs(&self) -> Vec<(Id, Instant)> {
+        let broken = self.scripted.broken_by_cuts();
+        broken.into_iter().filter_map(|broken| Some((Id::read(&broken.id)?, broken.at))).collect()
+    }
+
     /// Address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.scripted.address()
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -31,11 +31,13 @@
         let (calls, answered, refused) = report.calls;
         println!(
             "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {} runs, {} faults, \
-             {} violations, {} lost bills excused",
+             {} violations, {} lost bills excused, {} broken \
+             by the run in planned stops",
             report.runs,
             report.faults,
             report.breaches.len(),
-            report.excused
+            report.excused,
+            report.broken_by_run
         );
         if options.unframed || options.versions {
             println!("  {}", report.raw);
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     announcement, call,
-    endpoint::Plan,
+    endpoint::{Endpoint, Plan},
     fault, framing, limit,
     loss::{self, Loss},
     release,
@@ -87,6 +87,8 @@
     pub breaches: Vec<Violation>,
     /// Answered requests that are on no bill because no box could have written one.
     pub excused: usize,
+    /// Number of calls that broke during a planned stop as the run closed their connections.
+    pub broken_by_run: usize,
     /// Responses on raw connections.
     pub raw: framing::Tally,
     /// Streams that were taken up again.
@@ -185,7 +187,8 @@
     let pages = pages.iter().filter_map(|page| serde_json::from_str::<Page>(&page.value).ok());
     let bills: Vec<_> = pages.flat_map(|page| page.bills).collect();
     let (calls, runs) = (shared.calls.lock(), schedule.records.runs.lock());
-    let mut breaches = verdict::violations(&Evidence {
+    let cut_runs = schedule.endpoints.iter().flat_map(Endpoint::cut_runs).collect();
+    let evidence = Evidence {
         calls: &calls,
         runs: &runs,
         book: &book,
@@ -194,11 +197,13 @@
         stopped: &schedule.fleet.stopped,
         short_stops: &schedule.fleet.short_stops,
         interrupted: &schedule.fleet.interrupted,
+        cut_runs: &cut_runs,
         trace: &schedule.fleet.trace,
         left: &schedule.left,
         disturbances: &schedule.disturbances,
         arrivals: &schedule.records.arrivals.lock(),
-    });
+    };
+    let mut breaches = verdict::violations(&evidence);
     let raw_calls = shared.raw_calls.lock();
     breaches.extend(framing::violations(&raw_calls, &schedule.cuts));
     let versions = schedule.endpoints.iter();
@@ -219,6 +224,7 @@
         runs: runs.len(),
         faults,
         breaches,
+        broken_by_run: verdict::count_broken_by_run(&evidence),
         excused: losses.iter().filter(|loss| loss.is_excused()).count(),
         raw: framing::tally(&raw_calls),
         streams: stream::tally(&streams),
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -31,6 +31,8 @@
 /// Largest number of requests of a box that may reach an endpoint during a back-off that the
 /// endpoint asked of that box.
 const MAX_SENT_IN_BACK_OFF: usize = 2;
+/// Time in which a call ends after the run closed the connection on which it ran.
+const BREAK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Window in which arrivals are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Arrivals allowed in a window: the limit times this factor, plus a constant number of requests.
@@ -52,6 +54,8 @@
     pub short_stops: &'a BTreeMap<Incarnation, Instant>,
     /// Incarnations that were killed or suspended: their connections may break.
     pub interrupted: &'a BTreeSet<Incarnation>,
+    /// Runs of requests whose connections, from the box that carried them, the run itself closed, and when.
+    pub cut_runs: &'a HashMap<Id, Instant>,
     /// What happened to each incarnation and to the store.
     pub trace: &'a Trace,
     /// Endpoints that left, and when the store recorded it.
@@ -319,23 +323,44 @@
     })
 }
 
-/// Calls that a planned stop cut off, and incarnations that lost a route that they had served.
-fn cut_off(evidence: &Evidence) -> Vec<String> {
+/// Whether a call ended as the run itself closed the connection of its last run at an endpoint.
+fn was_broken(evidence: &Evidence, call: &Call) -> bool {
+    let Some(cut_at) = evidence.cut_runs.get(&call.id) else { return false };
+    let ended_by_that = (*cut_at..*cut_at + BREAK_TIMEOUT).contains(&call.ended);
+    let ran_later = evidence.runs.iter().any(|run| run.id == call.id && run.at > *cut_at);
+    ended_by_that && !ran_later
+}
+
+/// Calls that broke during a planned stop, and why.
+fn broken_in_stops<'a>(evidence: &'a Evidence) -> impl Iterator<Item = (&'a Call, &'a str)> {
     let is_sound_call = |call: &&Call| {
         matches!(call.id.behavior(), Behavior::Complete | Behavior::NotRun)
             && !evidence.interrupted.contains(&call.incarnation)
     };
-    let cut = evidence.calls.iter().filter(is_sound_call).filter_map(|call| {
+    evidence.calls.iter().filter(is_sound_call).filter_map(|call| {
         let (from, until) = evidence.stopped.get(&call.incarnation)?;
         let is_over =
             evidence.short_stops.get(&call.incarnation).is_some_and(|end| *end <= call.ended);
         let overlaps = call.ended >= *from && call.sent < *until && !is_over;
         match &call.outcome {
             Outcome::Failed { reason, .. } if overlaps && !reason.contains("deadline") => {
-                Some(format!("{} of {:?} was cut off: {reason}", call.id.text(), call.incarnation))
+                Some((call, reason.as_str()))
             }
             _ => None,
         }
+    })
+}
+
+/// Number of calls that broke during a planned stop as the run itself closed their connections.
+pub fn count_broken_by_run(evidence: &Evidence) -> usize {
+    broken_in_stops(evidence).filter(|(call, _)| was_broken(evidence, call)).count()
+}
+
+/// Calls that a planned stop cut off, and incarnations that lost a route that they had served.
+fn cut_off(evidence: &Evidence) -> Vec<String> {
+    let cut = broken_in_stops(evidence).filter(|(call, _)| !was_broken(evidence, call));
+    let cut = cut.map(|(call, reason)| {
+        format!("{} of {:?} was cut off: {reason}", call.id.text(), call.incarnation)
     });
     let mut first_success: BTreeMap<Incarnation, Instant> = BTreeMap::new();
     let late_calls = evidence.calls.iter().filter(|call| call.route == Route::Late);
--- a/crates/soak/tests/lost_bills.rs
+++ b/crates/soak/tests/lost_bills.rs
@@ -135,6 +135,7 @@
         stopped: &BTreeMap::new(),
         short_stops: &BTreeMap::new(),
         interrupted: &BTreeSet::from([Incarnation { box_index: 0, number: 1 }]),
+        cut_runs: &HashMap::new(),
         trace: &setup.trace,
         left: &BTreeMap::new(),
         disturbances: &[],
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,7 +20,7 @@
 pub use batch::Speed;
 pub use engine::{Engine, EngineFaults, Run, Settings, Truth};
 pub use link::Link;
-pub use scripted::{Ending, ReceivedRequest, Reply, ScriptedEndpoint};
+pub use scripted::{Broken, Ending, ReceivedRequest, Reply, ScriptedEndpoint};
 pub use serve::Server;
 pub use service::{Execution, Service};
 pub use store::{Copy, Memory, Usage};
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -16,6 +16,7 @@
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     task::{JoinHandle, JoinSet},
+    time::Instant,
 };
 
 use crate::source_filter;
@@ -83,8 +84,21 @@
     arrived: Vec<ReceivedRequest>,
     connections: usize,
     closed: usize,
+    broken_by_cuts: Vec<Broken>,
 }
 
+/// A request whose connection was closed before the end of the reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    /// Its id.
+    pub id: String,
+    /// When the connection was closed.
+    pub at: Instant,
+}
+
+/// Id of the request that a connection replies to.
+type Current = Arc<Mutex<Option<String>>>;
+
 /// A running endpoint on loopback; it stops when dropped.
 pub struct ScriptedEndpoint {
     address: SocketAddr,
@@ -112,8 +126,11 @@
                 tokio::select! {
                     accepted = listener.accept() => {
                         let Ok((stream, source)) = accepted else { return };
-                        let serving = serve(stream, script.clone(), shared.clone(), crash.clone());
-                        open.spawn(until_cut(serving, source.ip(), cuts.clone()));
+                        let (script, crash) = (script.clone(), crash.clone());
+                        let (shared, current) = (shared.clone(), Current::default());
+                        let serving = serve(stream, script, shared.clone(), crash, current.clone());
+                        let cut = wait_cut(source.ip(), cuts.clone());
+                        open.spawn(until_cut(serving, cut, shared, current));
                     }
                     Ok(()) = cuts.changed() => {
                         let sources = cuts.borrow_and_update().clone();
@@ -141,6 +158,11 @@
         });
     }
 
+    /// Requests whose connections cuts closed so far, in order.
+    pub fn broken_by_cuts(&self) -> Vec<Broken> {
+        self.state.lock().broken_by_cuts.clone()
+    }
+
     /// All requests received so far, in order.
     pub fn arrived(&self) -> Vec<ReceivedRequest> {
         self.state.lock().arrived.clone()
@@ -168,16 +190,28 @@
     }
 }
 
-/// Serves a connection until its source is cut off.
+/// Serves a connection until its source is cut off, and records the request that this breaks.
 async fn until_cut(
     serving: impl Future<Output = ()>,
-    source: IpAddr,
-    mut cuts: watch::Receiver<BTreeSet<Ipv4Addr>>,
+    cut: impl Future<Output = ()>,
+    state: Arc<Mutex<State>>,
+    current: Current,
 ) {
-    let is_cut = |sources: &BTreeSet<Ipv4Addr>| matches!(source, IpAddr::V4(source) if sources.contains(&source));
     tokio::select! {
         () = serving => {}
-        _ = cuts.wait_for(is_cut) => {}
+        () = cut => {
+            let broken = current.lock().take().map(|id| Broken { id, at: Instant::now() });
+            state.lock().broken_by_cuts.extend(broken);
+        }
+    }
+}
+
+/// Waits until a source is cut off.
+async fn wait_cut(source: IpAddr, mut cuts: watch::Receiver<BTreeSet<Ipv4Addr>>) {
+    let is_cut = |sources: &BTreeSet<Ipv4Addr>| matches!(source, IpAddr::V4(source) if sources.contains(&source));
+    if cuts.wait_for(is_cut).await.is_err() {
+        // The endpoint is being dropped, and this task with it.
+        std::future::pending().await
     }
 }
 
@@ -186,6 +220,7 @@
     script: Arc<Script>,
     state: Arc<Mutex<State>>,
     crash: Arc<Notify>,
+    current: Current,
 ) {
     let _ = stream.set_nodelay(true);
     let connection = {
@@ -196,9 +231,11 @@
     let mut buffer = Vec::new();
     while let Some(arrived) = read(&mut stream, &mut buffer, connection).await {
         let reply = script(&arrived);
+        *current.lock() = Some(arrived.head.id.clone());
         state.lock().arrived.push(arrived);
         let crashes = matches!(reply, Reply::Crash(..) | Reply::CrashUnframed(..));
         let stays_open = send_reply(&mut stream, reply).await;
+        current.lock().take();
         if crashes {
             crash.notify_one();
         }
