Test: two roots call the store twice for what one could confirm

The test counts the watches of two roots for 8 s at a bound of 3 s: while nobody but they write, and while the version of the store grows 20 times a second.

--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -102,6 +102,11 @@
         self.write("boxes", name, entry).await;
     }
 
+    /// Writes an object that no box follows.
+    pub async fn write_other(&self, name: &str) {
+        self.write("others", name, "{}".into()).await;
+    }
+
     /// Writes the entry of an endpoint.
     pub async fn write_entry(&self, id: &str, service: &str, address: SocketAddr, ready: bool) {
         self.write(platform::ENDPOINTS, id, fixtures::entry(service, address, ready)).await;
--- a/crates/gateway/tests/loopback/stale.rs
+++ b/crates/gateway/tests/loopback/stale.rs
@@ -6,6 +6,7 @@
 
 use gateway::{Gateway, Profile, Regions, watchers};
 use ledger::Incarnation;
+use objects::Operation;
 use standin::ScriptedEndpoint;
 
 use crate::{
@@ -161,3 +162,45 @@
     let (_, roots) = subscriber();
     assert_eq!(requests_behind_deaf_watchers(&roots).await, 0, "requests after {MAX_AGE:?}");
 }
+
+/// Time over which the calls of roots are counted.
+const COUNTED: Duration = Duration::from_secs(8);
+/// Parts of [`MAX_AGE`] after which the store has to confirm the four states that a root follows.
+const DUE: [f64; 4] = [0.35, 0.4, 1.0, 1.0];
+/// Most calls of two roots in a busy time, in those that one needs: the second opens few watches besides.
+const MAX_SHARE: f64 = 1.4;
+
+/// Watches of the store by two roots within [`COUNTED`] that confirm what they know.
+async fn confirmations(is_busy: bool) -> u64 {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    let boxes = boxes(&harness, 2).await;
+    tokio::time::sleep(MAX_AGE).await;
+    let watches = || boxes.iter().map(|root| root.calls().total(Operation::Watch)).sum::<u64>();
+    let before = watches();
+    let ended = tokio::time::Instant::now() + COUNTED;
+    while tokio::time::Instant::now() < ended {
+        if is_busy {
+            // What no root follows: only the version of the store grows.
+            harness.write_other("counter").await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    watches() - before
+}
+
+/// Guards against calls that double because each root has the store confirm what both know.
+#[tokio::test]
+async fn one_root_has_the_store_confirm_what_both_know() {
+    let (calm, busy) = tokio::join!(confirmations(false), confirmations(true));
+    println!("calls of two roots: calm {calm}, busy {busy}");
+    let of_one_root: f64 =
+        DUE.iter().map(|part| COUNTED.as_secs_f64() / (part * MAX_AGE.as_secs_f64())).sum();
+    // Boxes themselves write now and then; while nobody does, the watch of the endpoints confirms all states.
+    assert!(
+        calm <= of_one_root as u64,
+        "{calm} calls in a calm time, one root's are {of_one_root}"
+    );
+    let most = (of_one_root * MAX_SHARE) as u64;
+    assert!(busy <= most, "{busy} calls in a busy time, {most} allowed");
+}
