One root has the store confirm its state, the other is confirmed by it

It takes over a state at due + 0.1 of the bound, and everything at once when the first is silent, stops, does not reach the store or names such an age. subscriber.rs and platform/src/store.rs are untouched.

Ruled out: ages without the updates, since the other root's watch may be deaf and its state then looks young and is not. An age of a box whose version says none: it counts as confirmed for subscribers, here it does not. Whether the store answers, boxes and signals are not taken from the first root: the other knows them itself, and what has no version could go round in a circle while boxes know different fleets.

Tests: the_other_root_takes_over_when_the_first_is_cut_off_or_gone is new. a_stream_of_a_version_that_the_box_does_not_see_yet rested on a box that keeps missing what its watches miss; that was the second root, which now learns it from the first, so the assertion that it sees v1 only failed. The two boxes change their names, so that the deaf one is the first root and follows nobody; all assertions are as they were. Evacuations and crash reports needed no call in a calm store before already.

--- a/crates/gateway/src/fleet/watchers.rs
+++ b/crates/gateway/src/fleet/watchers.rs
@@ -6,7 +6,8 @@
 //! the choice of keepers, which have enough to do. Watchers are spread over availability zones,
 //! since subscribers prefer one in their own zone and traffic between zones costs money.
 //!
-//! Only the first of the watchers, the roots, watch the store: a list of all endpoints takes many
+//! Only the first of the watchers, the roots, watch the store, and the first of all has it confirm
+//! what they know (see `sync::confirmer`): a list of all endpoints takes many
 //! calls, and between regions the same change would cross a narrow link once for each box. The
 //! other ones relay: they subscribe to a root, and to nobody else, so that no two boxes can take
 //! outdated updates from each other for new ones.
@@ -36,6 +37,8 @@
 pub struct Watchers {
     /// Boxes that watch the store.
     pub roots: Vec<Incarnation>,
+    /// The root that has the store confirm what all know, the same for boxes that know the same fleet.
+    pub confirming: Option<Incarnation>,
     /// Boxes that others subscribe to: the roots, and those that relay what a root knows.
     pub active: Vec<Incarnation>,
     /// Boxes that start to watch the store when they are asked.
@@ -86,6 +89,7 @@
     };
     Watchers {
         roots: preferred(first[..roots].to_vec()),
+        confirming: first.first().map(|profile| profile.incarnation.clone()),
         active: preferred(active),
         standby: preferred(standby),
     }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -21,6 +21,9 @@
 const ENDPOINTS_DUE: f64 = 0.35;
 const CONFIG_DUE: f64 = 0.4;
 const OTHERS_DUE: f64 = 1.0;
+/// Part of the largest age by which a state is overdue when a root asks the store for what another root was to have
+/// confirmed.
+const TAKE_OVER_OVERDUE: f64 = 0.1;
 /// Parts of the largest age by which a state is overdue when other sources are asked, by a box whose watcher reads the
 /// store and by one whose watcher relays, and when the store itself is asked.
 const SEARCH_OVERDUE: f64 = 0.25;
@@ -70,6 +73,11 @@
         })
     }
 
+    /// Age from which on a box that reads the store has it confirm a state that the confirming root did not.
+    pub fn take_over_after(self, subject: Subject) -> Duration {
+        self.confirm_after(subject) + self.max_age.mul_f64(TAKE_OVER_OVERDUE)
+    }
+
     /// Age from which on a subscriber asks other sources. Later for one whose watcher relays, which
     /// is then searching itself.
     pub fn search_after(self, subject: Subject, is_behind_relay: bool) -> Duration {
@@ -95,10 +103,12 @@
 
     /// Whether no state is so old that other sources are asked.
     pub fn allow(self, ages: &Ages, is_behind_relay: bool) -> bool {
-        Subject::ALL.into_iter().all(|subject| {
-            let age = of(ages, subject).map(Duration::from_millis);
-            age.is_some_and(|age| age <= self.search_after(subject, is_behind_relay))
-        })
+        within(ages, |subject| self.search_after(subject, is_behind_relay))
+    }
+
+    /// Whether no state is so old that another box that reads the store has it confirmed.
+    pub fn suffice(self, ages: &Ages) -> bool {
+        within(ages, |subject| self.take_over_after(subject))
     }
 }
 
@@ -158,6 +168,12 @@
         self.age(subject).map_or(Duration::ZERO, |age| confirm_after.saturating_sub(age))
     }
 
+    /// Time until a box that reads the store has it confirm a state that the confirming root did not.
+    pub fn take_over_in(&self, subject: Subject) -> Duration {
+        let take_over_after = self.0.bounds.take_over_after(subject);
+        self.age(subject).map_or(Duration::ZERO, |age| take_over_after.saturating_sub(age))
+    }
+
     /// Time until some state is so old that other sources are asked; zero if it is.
     pub fn search_due_in(&self, is_behind_relay: bool) -> Duration {
         self.shortest(|bounds, subject| bounds.search_after(subject, is_behind_relay))
@@ -255,6 +271,13 @@
     }
 }
 
+/// Whether no state is older than its bound.
+fn within(ages: &Ages, bound: impl Fn(Subject) -> Duration) -> bool {
+    Subject::ALL.into_iter().all(|subject| {
+        of(ages, subject).is_some_and(|age_ms| Duration::from_millis(age_ms) <= bound(subject))
+    })
+}
+
 /// The age of one state, in milliseconds.
 fn of(ages: &Ages, subject: Subject) -> Option<u64> {
     match subject {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -274,6 +274,7 @@
         };
         let watcher_setup = watcher::Setup {
             store: store.clone(),
+            peers: context.peers.clone(),
             view: view.clone(),
             recovery,
             watchdog: watchdog.clone(),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -2,7 +2,8 @@
 //! other boxes.
 //!
 //! A few boxes, the watchers, know the store; all other boxes subscribe to one of them. Two of them,
-//! the roots, watch the store itself, and the rest relay what a root knows. If every box watched the
+//! the roots, watch the store itself, one of which has it confirm what they know (`confirmer`), and the
+//! rest relay what a root knows. If every box watched the
 //! store, that would cause most of all calls to it. A root also has to notice quickly when the store
 //! is unreachable. A subscriber sends one long-poll request at a time
 //! to a watcher, answered when there are updates, or after a moment as a heartbeat. Both apply what
@@ -17,6 +18,7 @@
 //! of endpoints by `signals`. `version_writer` keeps in the store which services have had only one
 //! software version.
 
+pub mod confirmer;
 pub mod directory;
 pub mod evacuations;
 pub mod subscriber;
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -246,53 +246,32 @@
     }
 
     /// Takes over updates from a watcher.
-    pub fn apply(&self, updates: Update) {
+    pub fn apply(&self, mut updates: Update) {
         let is_new = !updates.changes.is_empty();
+        let (boxes, signals): (Vec<_>, Vec<_>) = updates
+            .changes
+            .extract_if(.., |change| matches!(&*change.kind, BOXES | LIMITS | DEPARTURES))
+            .partition(|change| &*change.kind == BOXES);
+        let Update { is_snapshot, boxes_at, store_unreachable_ms, .. } = updates;
+        self.apply_followed(updates);
         let mut state = self.0.state.lock();
-        let mut endpoints = Vec::new();
-        let mut boxes = Vec::new();
-        let mut signals = Vec::new();
-        let mut config = None;
-        for change in updates.changes {
-            match &*change.kind {
-                platform::ENDPOINTS => endpoints.push(change),
-                BOXES => boxes.push(change),
-                platform::EVACUATIONS => self.apply_evacuations(&mut state, change),
-                CRASHES => {
-                    let wire::Change { name, version, value, .. } = change;
-                    self.apply_crash(&mut state, &name, version, value.as_deref());
-                }
-                LIMITS | DEPARTURES => signals.push(change),
-                kind if kind == platform::CONFIG.0 => config = Some(change),
-                kind => tracing::warn!(event = "news_not_understood", kind),
-            }
-        }
-        // A relay passes on up to which version it knows all entries.
-        state.directory.advance_to(updates.endpoints_at);
-        if updates.is_snapshot || !endpoints.is_empty() {
-            state.apply_endpoints(endpoints, updates.is_snapshot, updates.endpoints_at);
-            self.publish_endpoints(&mut state, "home", updates.endpoints_at);
-        }
         // Applied after the endpoints, because signals of unknown endpoints are ignored.
         for wire::Change { kind, name, value, .. } in signals {
             match value.as_deref() {
                 value if &*kind == LIMITS => self.apply_limit(&mut state, &name, value),
-                Some(text) => self.apply_departure(&mut state, &name, text, !updates.is_snapshot),
+                Some(text) => self.apply_departure(&mut state, &name, text, !is_snapshot),
                 // The watcher dropped it; this box does so by its own rules.
                 None => {}
             }
         }
-        if updates.is_snapshot || !boxes.is_empty() {
-            state.apply_boxes(boxes, updates.is_snapshot, updates.boxes_at);
-            self.publish_boxes(&mut state, updates.boxes_at);
+        if is_snapshot || !boxes.is_empty() {
+            state.apply_boxes(boxes, is_snapshot, boxes_at);
+            self.publish_boxes(&mut state, boxes_at);
         }
         drop(state);
-        if let Some(wire::Change { kind, name, version, value: Some(value) }) = config {
-            self.update_config(&Object { kind, name, version, value });
-        }
         let now = Instant::now();
         let ago = |ms| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
-        let unreachable_since = updates.store_unreachable_ms.map(ago);
+        let unreachable_since = store_unreachable_ms.map(ago);
         let before = self.unreachable_since();
         self.set_unreachable(unreachable_since);
         if let (Some(lost_since), None) = (before, unreachable_since) {
@@ -303,6 +282,41 @@
             self.notify();
         }
     }
+
+    /// Takes over what a watcher knows of the states that boxes follow in the store, and nothing
+    /// else: not whether the store answers, nor other boxes or signals.
+    pub fn apply_followed(&self, updates: Update) {
+        let Update { changes, is_snapshot, endpoints_at, .. } = updates;
+        let is_new = !changes.is_empty();
+        let mut state = self.0.state.lock();
+        let (mut endpoints, mut config) = (Vec::new(), None);
+        for change in changes {
+            match &*change.kind {
+                platform::ENDPOINTS => endpoints.push(change),
+                platform::EVACUATIONS => self.apply_evacuations(&mut state, change),
+                CRASHES => {
+                    let wire::Change { name, version, value, .. } = change;
+                    self.apply_crash(&mut state, &name, version, value.as_deref());
+                }
+                BOXES | LIMITS | DEPARTURES => {}
+                kind if kind == platform::CONFIG.0 => config = Some(change),
+                kind => tracing::warn!(event = "news_not_understood", kind),
+            }
+        }
+        // A relay passes on up to which version it knows all entries.
+        state.directory.advance_to(endpoints_at);
+        if is_snapshot || !endpoints.is_empty() {
+            state.apply_endpoints(endpoints, is_snapshot, endpoints_at);
+            self.publish_endpoints(&mut state, "home", endpoints_at);
+        }
+        drop(state);
+        if let Some(wire::Change { kind, name, version, value: Some(value) }) = config {
+            self.update_config(&Object { kind, name, version, value });
+        }
+        if is_new {
+            self.notify();
+        }
+    }
 }
 
 /// Longest part of a name or reason that is logged: anybody may write any text to the store.
--- a/crates/gateway/src/sync/view/subscribers.rs
+++ b/crates/gateway/src/sync/view/subscribers.rs
@@ -55,7 +55,7 @@
 struct Found {
     answer: Answer,
     ages: Ages,
-    /// The last confirmation of the endpoints, for subscribers; 0 if there is none.
+    /// Grows with each confirmation that subscribers wait for; 0 if there was none.
     confirmation: u64,
     /// When the ages were read, on the clock of [`Freshness`](crate::freshness::Freshness).
     at_ms: u64,
@@ -131,9 +131,18 @@
     fn find_updates(&self, request: &Subscribe, origin: Origin) -> Option<Found> {
         let freshness = self.freshness();
         let (at_ms, ages) = (freshness.now_ms(), freshness.ages());
+        let waited_for = match origin {
+            // Others hear of the other states with the next answer; for boxes on whose ages more
+            // boxes rely, that adds up.
+            Origin::StoreOrRoot => &[Subject::Endpoints][..],
+            Origin::Store => &Subject::ALL,
+        };
         // One more, so that 0 stands for none.
-        let confirmation =
-            freshness.confirmed_ms(Subject::Endpoints).map_or(0, |confirmed_ms| confirmed_ms + 1);
+        let confirmation = waited_for
+            .iter()
+            .filter_map(|subject| freshness.confirmed_ms(*subject))
+            .map(|confirmed_ms| confirmed_ms + 1)
+            .sum();
         let answer = self.updates_now(request, origin)?;
         Some(Found { answer, ages, confirmation, at_ms })
     }
--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -12,10 +12,16 @@
 
 use crate::{
     clock::Watchdog,
-    fleet::entry::{BOXES, Entry},
+    fleet::{
+        entry::{BOXES, Entry},
+        peers::Peers,
+    },
     freshness::Subject,
     outage::{Outage, Probe, Recovery},
-    sync::view::{self, View},
+    sync::{
+        confirmer::Confirmer,
+        view::{self, View},
+    },
 };
 
 /// Pause after changes of endpoints, so that the next watch returns further changes together. Keeps
@@ -46,6 +52,7 @@
 #[derive(Clone)]
 pub struct Setup {
     pub store: Client,
+    pub peers: Peers,
     pub view: View,
     pub recovery: Recovery,
     /// Reports suspensions of this box, after which watches may be dead.
@@ -66,15 +73,27 @@
         let (reopen, reopened) = watch::channel(());
         let mut tasks = JoinSet::new();
         tasks.spawn(probe_store(setup.clone(), probe, reopen));
-        tasks.spawn(follow_config(setup.clone(), reopened.clone()));
-        tasks.spawn(follow_evacuations(setup.clone(), reopened.clone()));
-        tasks.spawn(follow_crashes(setup.clone(), reopened.clone()));
-        tasks.spawn(follow_endpoints(setup.clone(), reopened));
+        let confirmer = Confirmer::new();
+        let watching = Watching { setup: setup.clone(), reopened, confirmer: confirmer.clone() };
+        tasks.spawn(follow_config(watching.clone()));
+        tasks.spawn(follow_evacuations(watching.clone()));
+        tasks.spawn(follow_crashes(watching.clone()));
+        tasks.spawn(follow_endpoints(watching));
+        tasks.spawn(confirmer.follow(setup.clone()));
         tasks.spawn(read_boxes(setup.clone()));
         Watcher(tasks)
     }
 }
 
+/// What a task that watches needs.
+#[derive(Clone)]
+struct Watching {
+    setup: Setup,
+    /// Changes when the connections of the watches may be dead.
+    reopened: watch::Receiver<()>,
+    confirmer: Confirmer,
+}
+
 /// Tracks outages of the store for one task, from an outage on that this box already knows of.
 fn outage(setup: &Setup, what: &'static str, probe: Probe) -> Outage {
     let mut outage = Outage::new(what, probe, setup.recovery.clone());
@@ -146,8 +165,8 @@
 }
 
 /// Follows the operator's configuration.
-async fn follow_config(setup: Setup, reopened: watch::Receiver<()>) {
-    let view = setup.view.clone();
+async fn follow_config(watching: Watching) {
+    let view = watching.setup.view.clone();
     let apply = |received| match received {
         Received::All(list, suspensions) => view.load_config(&list.objects, suspensions),
         Received::Changes(changes) => {
@@ -157,27 +176,27 @@
                 .for_each(|object| view.update_config(&object));
         }
     };
-    follow(&setup, reopened, Subject::Config, platform::CONFIG.0, apply).await;
+    follow(watching, Subject::Config, platform::CONFIG.0, apply).await;
 }
 
 /// Follows which availability zones are evacuated.
-async fn follow_evacuations(setup: Setup, reopened: watch::Receiver<()>) {
-    let view = setup.view.clone();
+async fn follow_evacuations(watching: Watching) {
+    let view = watching.setup.view.clone();
     let apply = |received| match received {
         Received::All(list, _) => view.load_evacuations(&list.objects, list.version),
         Received::Changes(changes) => view.update_evacuations(&changes),
     };
-    follow(&setup, reopened, Subject::Evacuations, platform::EVACUATIONS, apply).await;
+    follow(watching, Subject::Evacuations, platform::EVACUATIONS, apply).await;
 }
 
 /// Follows the reports of requests that crash endpoints.
-async fn follow_crashes(setup: Setup, reopened: watch::Receiver<()>) {
-    let view = setup.view.clone();
+async fn follow_crashes(watching: Watching) {
+    let view = watching.setup.view.clone();
     let apply = |received| match received {
         Received::All(list, _) => view.load_crashes(&list.objects),
         Received::Changes(changes) => view.update_crashes(&changes),
     };
-    follow(&setup, reopened, Subject::Crashes, quarantine::CRASHES, apply).await;
+    follow(watching, Subject::Crashes, quarantine::CRASHES, apply).await;
 }
 
 /// What a list or a watch returned.
@@ -189,15 +208,10 @@
 }
 
 /// Follows all objects of a kind, by a list and then watches.
-async fn follow(
-    setup: &Setup,
-    mut reopened: watch::Receiver<()>,
-    subject: Subject,
-    kind: &str,
-    apply: impl Fn(Received),
-) {
-    let Setup { store, recovery, watchdog, view, .. } = setup;
-    let mut outage = outage(setup, subject.as_str(), Probe::Lazy);
+async fn follow(watching: Watching, subject: Subject, kind: &str, apply: impl Fn(Received)) {
+    let Watching { setup, mut reopened, confirmer } = watching;
+    let Setup { store, recovery, watchdog, view, .. } = &setup;
+    let mut outage = outage(&setup, subject.as_str(), Probe::Lazy);
     loop {
         let suspensions = watchdog.suspensions();
         let sent_ms = view.freshness().now_ms();
@@ -222,7 +236,7 @@
                 _ = recovery.recovered() => break,
                 () = watchdog.next_suspension(suspensions) => break,
                 Ok(()) = reopened.changed() => continue,
-                watched = watch_until_due(setup, subject, kind, from) => watched,
+                watched = watch_until_due(&setup, &confirmer, subject, kind, from) => watched,
             };
             match watched {
                 Ok(None) => {}
@@ -268,16 +282,24 @@
 }
 
 /// Watches a kind from version `from` until it changes or has to be confirmed; `None` if it has to
-/// and the watch is to be opened again. While nothing changes in the store at all, the watch waits as
-/// long as it may.
+/// and the watch is to be opened again. While nothing changes in the store at all, or another root
+/// has the state confirmed, the watch waits as long as it may.
 async fn watch_until_due(
     setup: &Setup,
+    confirmer: &Confirmer,
     subject: Subject,
     kind: &str,
     from: u64,
 ) -> Result<Option<Watched>, Error> {
+    let freshness = setup.view.freshness();
+    if confirmer.is_other(freshness, subject) {
+        return tokio::select! {
+            watched = watch_for(setup, kind, from, Duration::MAX) => watched.map(Some),
+            () = confirmer.lost(freshness, subject) => Ok(None),
+        };
+    }
     if setup.view.endpoints_at() > from {
-        let wait = setup.view.freshness().due_in(subject);
+        let wait = freshness.due_in(subject);
         return watch_for(setup, kind, from, wait).await.map(Some);
     }
     tokio::select! {
@@ -306,7 +328,8 @@
 }
 
 /// Follows the entries of endpoints.
-async fn follow_endpoints(setup: Setup, mut reopened: watch::Receiver<()>) {
+async fn follow_endpoints(watching: Watching) {
+    let Watching { setup, mut reopened, confirmer } = watching;
     let mut outage = outage(&setup, "endpoints", Probe::Lazy);
     loop {
         let suspensions = setup.watchdog.suspensions();
@@ -322,7 +345,13 @@
                 setup.view.load_endpoints(&list.objects, list.version, suspensions);
                 setup.view.confirm(Subject::Endpoints, sent_ms);
                 tokio::select! {
-                    () = watch_endpoints(&setup, &mut outage, &mut reopened, list.version) => {}
+                    () = watch_endpoints(
+                        &setup,
+                        &confirmer,
+                        &mut outage,
+                        &mut reopened,
+                        list.version,
+                    ) => {}
                     () = setup.watchdog.next_suspension(suspensions) => {}
                 }
             }
@@ -345,13 +374,14 @@
 
 async fn watch_endpoints(
     setup: &Setup,
+    confirmer: &Confirmer,
     outage: &mut Outage,
     reopened: &mut watch::Receiver<()>,
     mut from: u64,
 ) {
     loop {
         let grace_left = setup.view.grace_left();
-        let watching = watch_once(setup, outage, reopened, from);
+        let watching = watch_once(setup, confirmer, outage, reopened, from);
         let watched = match grace_left {
             Some(left) => tokio::time::timeout(left, watching).await,
             None => Ok(watching.await),
@@ -380,7 +410,8 @@
     Changed(u64),
     /// Nothing changed; the next one starts at this version.
     Unchanged(u64),
-    /// Its connection may be dead; the next one starts at the same version.
+    /// Its connection may be dead, or this box has to have the store confirm the state itself; the
+    /// next one starts at the same version.
     Reopened,
     /// The entries have to be listed anew.
     Lost,
@@ -389,11 +420,14 @@
 /// Waits for the next changes and applies them.
 async fn watch_once(
     setup: &Setup,
+    confirmer: &Confirmer,
     outage: &mut Outage,
     reopened: &mut watch::Receiver<()>,
     from: u64,
 ) -> Result<Step, Error> {
-    let wait = setup.view.freshness().due_in(Subject::Endpoints);
+    let freshness = setup.view.freshness();
+    let is_other = confirmer.is_other(freshness, Subject::Endpoints);
+    let wait = if is_other { Duration::MAX } else { freshness.due_in(Subject::Endpoints) };
     let Watched { watch, complete_ms } = tokio::select! {
         // After an outage, a list comes before another watch.
         biased;
@@ -403,6 +437,9 @@
             return Ok(Step::Lost);
         }
         Ok(()) = reopened.changed() => return Ok(Step::Reopened),
+        () = confirmer.lost(freshness, Subject::Endpoints), if is_other => {
+            return Ok(Step::Reopened);
+        }
         watched = watch_for(setup, platform::ENDPOINTS, from, wait) => watched?,
     };
     if watch.gap {
--- a/crates/gateway/tests/loopback/dead_watch.rs
+++ b/crates/gateway/tests/loopback/dead_watch.rs
@@ -240,9 +240,10 @@
     let v1 = harness.endpoint("engine-1", "engines", begin).await;
     let v2 = ScriptedEndpoint::spawn(begin).await;
     let forwarder = Forwarder::bind(harness.platform.socket()).await;
-    let current = harness.gateway("box-0").await;
-    // Has nothing confirmed while the test runs, so that it keeps missing what its watches miss.
-    let mut unconfirmed = settings("box-1", forwarder.address);
+    let current = harness.gateway("box-1").await;
+    // Has nothing confirmed while the test runs, by the store or by a root before it in the order of the fleet, so that it
+    // keeps missing what its watches miss.
+    let mut unconfirmed = settings("box-0", forwarder.address);
     unconfirmed.store.max_age_ms = 600_000;
     let late = Gateway::spawn(unconfirmed, 1).await.expect("the gateway starts");
     wait_until("the boxes know each other", async || {
--- a/crates/gateway/tests/loopback/stale.rs
+++ b/crates/gateway/tests/loopback/stale.rs
@@ -7,7 +7,7 @@
 use gateway::{Gateway, Profile, Regions, watchers};
 use ledger::Incarnation;
 use objects::Operation;
-use standin::ScriptedEndpoint;
+use standin::{Link, ScriptedEndpoint};
 
 use crate::{
     dead_watch::Forwarder,
@@ -91,13 +91,16 @@
 /// Two of them watch, so that the third has no other source.
 const FLEET: [&str; 3] = ["box-0", "box-1", "box-2"];
 
-/// The watchers of the fleet, in the order in which a box asks them.
-fn roots_of(name: &str) -> Vec<String> {
-    let profile = |name: &str| Profile {
+fn profile(name: &str) -> Profile {
+    Profile {
         incarnation: Incarnation::new(name, 1),
         zone: "z1".into(),
         capacity: gateway::settings::Machine::default().capacity(),
-    };
+    }
+}
+
+/// The watchers of the fleet, in the order in which a box asks them.
+fn roots_of(name: &str) -> Vec<String> {
     let others: Vec<Profile> =
         FLEET.iter().filter(|other| **other != name).map(|other| profile(other)).collect();
     let watchers = watchers(&profile(name), &others, &Regions::default());
@@ -204,3 +207,51 @@
     let most = (of_one_root * MAX_SHARE) as u64;
     assert!(busy <= most, "{busy} calls in a busy time, {most} allowed");
 }
+
+/// Ages of the endpoints beyond which other boxes leave a root: 0.6 of [`MAX_AGE`].
+const MAX_ROOT_AGE_MS: u64 = 1_800;
+
+/// Age of what a box knows of the endpoints, in milliseconds.
+async fn endpoints_age_ms(gateway: &Gateway) -> u64 {
+    let page = reqwest::get(format!("http://{}/metrics", gateway.operators())).await;
+    let text = page.expect("a page").text().await.expect("a page");
+    let line = text.lines().find_map(|line| line.split_once("{state=\"endpoints\"} "));
+    line.expect("an age").1.parse().expect("a number")
+}
+
+/// Guards against a root that grows old because the one that has the store confirm its state does not any more.
+#[tokio::test]
+async fn the_other_root_takes_over_when_the_first_is_cut_off_or_gone() {
+    for is_cut_off in [true, false] {
+        let harness = Harness::start(1_000_000, &["open"]).await;
+        let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+        let link = Link::bind(harness.platform.socket(), Duration::ZERO).await.expect("a link");
+        let roots = watchers(&profile("box-0"), &[profile("box-1")], &Regions::default());
+        let first = roots.confirming.expect("two boxes watch");
+        let mut boxes = Vec::new();
+        for name in ["box-0", "box-1"] {
+            let is_first = name == first.box_name();
+            let store = if is_first { link.address() } else { harness.platform.socket() };
+            let mut settings = settings(name, store);
+            settings.store.max_age_ms = MAX_AGE.as_millis() as u64;
+            boxes.push((!is_first, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+        }
+        for (_, gateway) in &boxes {
+            wait_until_served(&harness, gateway, "/open/x").await;
+            wait_until("the boxes know each other", async || gateway.peer_count() == 1).await;
+        }
+        tokio::time::sleep(MAX_AGE).await;
+        boxes.sort_by_key(|(is_other, _)| *is_other);
+        let (_, other) = boxes.pop().expect("two boxes");
+        match is_cut_off {
+            true => link.set_cut(true),
+            false => boxes.clear(),
+        }
+        let ended = tokio::time::Instant::now() + 2 * MAX_AGE;
+        while tokio::time::Instant::now() < ended {
+            let age_ms = endpoints_age_ms(&other).await;
+            assert!(age_ms < MAX_ROOT_AGE_MS, "{age_ms} ms, the first is cut off: {is_cut_off}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
