--- a/crates/gateway/tests/loopback/stale.rs
+++ b/crates/gateway/tests/loopback/stale.rs
@@ -6,7 +6,8 @@
 
 use gateway::{Gateway, Profile, Regions, watchers};
 use ledger::Incarnation;
-use standin::ScriptedEndpoint;
+use objects::Operation;
+use standin::{Link, ScriptedEndpoint};
 
 use crate::{
     dead_watch::Forwarder,
@@ -90,13 +91,16 @@
 /// Two of them watch, so that the third has no other source.
 const FLEET: [&str; 3] = ["box-0", "box-1", "box-2"];
 
-/// The watchers of the fleet, in the order in which a box asks them.
-fn roots_of(name: &str) -> Vec<String> {
-    let profile = |name: &str| Profile {
+fn profile(name: &str) -> Profile {
+    Profile {
         incarnation: Incarnation::new(name, 1),
         zone: "z1".into(),
         capacity: gateway::settings::Machine::default().capacity(),
-    };
+    }
+}
+
+/// The watchers of the fleet, in the order in which a box asks them.
+fn roots_of(name: &str) -> Vec<String> {
     let others: Vec<Profile> =
         FLEET.iter().filter(|other| **other != name).map(|other| profile(other)).collect();
     let watchers = watchers(&profile(name), &others, &Regions::default());
@@ -161,3 +165,104 @@
     let (_, roots) = subscriber();
     assert_eq!(requests_behind_deaf_watchers(&roots).await, 0, "requests after {MAX_AGE:?}");
 }
+
+/// Time over which the calls of roots are counted.
+const COUNTED: Duration = Duration::from_secs(8);
+/// Parts of [`MAX_AGE`] after which the store has to confirm the four states that a root follows.
+const DUE: [f64; 4] = [0.35, 0.4, 1.0, 1.0];
+/// Most calls of two roots in a busy time, in those that one needs: the second opens few watches besides.
+const MAX_SHARE: f64 = 1.4;
+
+/// Watches of the store by two roots within [`COUNTED`] that confirm what they know.
+async fn confirmations(is_busy: bool) -> u64 {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    let boxes = boxes(&harness, 2).await;
+    tokio::time::sleep(MAX_AGE).await;
+    let watches = || boxes.iter().map(|root| root.calls().total(Operation::Watch)).sum::<u64>();
+    let before = watches();
+    let ended = tokio::time::Instant::now() + COUNTED;
+    while tokio::time::Instant::now() < ended {
+        if is_busy {
+            // What no root follows: only the version of the store grows.
+            harness.write_other("counter").await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    watches() - before
+}
+
+/// Guards against calls that double because each root has the store confirm what both know.
+#[tokio::test]
+async fn one_root_has_the_store_confirm_what_both_know() {
+    let (calm, busy) = tokio::join!(confirmations(false), confirmations(true));
+    println!("calls of two roots: calm {calm}, busy {busy}");
+    let of_one_root: f64 =
+        DUE.iter().map(|part| COUNTED.as_secs_f64() / (part * MAX_AGE.as_secs_f64())).sum();
+    // Boxes themselves write now and then; while nobody does, the watch of the endpoints confirms all states.
+    assert!(
+        calm <= of_one_root as u64,
+        "{calm} calls in a calm time, one root's are {of_one_root}"
+    );
+    let most = (of_one_root * MAX_SHARE) as u64;
+    assert!(busy <= most, "{busy} calls in a busy time, {most} allowed");
+}
+
+/// Ages of the endpoints beyond which other boxes leave a root: 0.6 of [`MAX_AGE`].
+const MAX_ROOT_AGE_MS: u64 = 1_800;
+
+/// Age of what a box knows of the endpoints, in milliseconds.
+async fn endpoints_age_ms(gateway: &Gateway) -> u64 {
+    let page = reqwest::get(format!("http://{}/metrics", gateway.operators())).await;
+    let text = page.expect("a page").text().await.expect("a page");
+    let line = text.lines().find_map(|line| line.split_once("{state=\"endpoints\"} "));
+    line.expect("an age").1.parse().expect("a number")
+}
+
+/// What happens to one of two roots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// The first does not reach the store any more.
+    FirstCutOff,
+    FirstGone,
+    OtherCutOff,
+}
+
+/// Guards against a root that grows old because the one that has the store confirm its state does not any more, or because
+/// it does not reach the store itself while that one does.
+#[tokio::test]
+async fn the_other_root_stays_current_whichever_fails() {
+    for fault in [Fault::FirstCutOff, Fault::FirstGone, Fault::OtherCutOff] {
+        let harness = Harness::start(1_000_000, &["open"]).await;
+        let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+        let link = Link::bind(harness.platform.socket(), Duration::ZERO).await.expect("a link");
+        let roots = watchers(&profile("box-0"), &[profile("box-1")], &Regions::default());
+        let first = roots.confirming.expect("two boxes watch");
+        let mut boxes = Vec::new();
+        for name in ["box-0", "box-1"] {
+            let is_first = name == first.box_name();
+            let has_link = is_first == (fault != Fault::OtherCutOff);
+            let store = if has_link { link.address() } else { harness.platform.socket() };
+            let mut settings = settings(name, store);
+            settings.store.max_age_ms = MAX_AGE.as_millis() as u64;
+            boxes.push((!is_first, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+        }
+        for (_, gateway) in &boxes {
+            wait_until_served(&harness, gateway, "/open/x").await;
+            wait_until("the boxes know each other", async || gateway.peer_count() == 1).await;
+        }
+        tokio::time::sleep(MAX_AGE).await;
+        boxes.sort_by_key(|(is_other, _)| *is_other);
+        let (_, other) = boxes.pop().expect("two boxes");
+        match fault {
+            Fault::FirstCutOff | Fault::OtherCutOff => link.set_cut(true),
+            Fault::FirstGone => boxes.clear(),
+        }
+        let ended = tokio::time::Instant::now() + 2 * MAX_AGE;
+        while tokio::time::Instant::now() < ended {
+            let age_ms = endpoints_age_ms(&other).await;
+            assert!(age_ms < MAX_ROOT_AGE_MS, "{age_ms} ms, {fault:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
