Two sources of a configuration put it in force one after the other

A root that is confirmed by another one gets configurations from two tasks: from its own watch and from that root. Each compared the version in force with its own and then replaced it, so that the older of two that came at the same moment could stay in force (found by reading, in the merge; not played). Now the comparison and the replacement are one step.

--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -73,6 +73,8 @@
 struct Shared {
     consumers: Consumers,
     state: Mutex<State>,
+    /// Held while a configuration is put in force: a root gets them from the store and from another root.
+    config_update: Mutex<()>,
     /// Incremented with each update.
     updates: watch::Sender<u64>,
     /// Notified when another box subscribes while this one does not watch the store.
@@ -127,8 +129,9 @@
 
 impl View {
     pub fn open(consumers: Consumers) -> View {
-        let (state, updates) = (Mutex::default(), watch::channel(0).0);
-        View(Arc::new(Shared { consumers, state, updates, watch_requested: Notify::new() }))
+        let (state, config_update) = (Mutex::default(), Mutex::default());
+        let (updates, watch_requested) = (watch::channel(0).0, Notify::new());
+        View(Arc::new(Shared { consumers, state, config_update, updates, watch_requested }))
     }
 
     fn now(&self) -> u64 {
@@ -165,6 +168,7 @@
                 return;
             }
         };
+        let _turn = self.0.config_update.lock();
         let newest = self.0.consumers.in_force.borrow().as_ref().map(|table| table.version());
         if newest.is_some_and(|newest| newest >= config.version) {
             return;
