--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -226,10 +226,7 @@
             return Ok(());
         }
         Err(match self.funds.shortage(&customer, max_tokens) {
-            Shortage::Exhausted => {
-                let detail = format!("the remaining budget does not cover {max_tokens} tokens");
-                Reason::BudgetExhausted.with(detail)
-            }
+            Shortage::Exhausted => self.deny_budget(max_tokens),
             shortage @ (Shortage::Local { .. } | Shortage::Rationed { .. }) => {
                 let detail = format!("this box lacks tokens for {max_tokens}: {shortage}");
                 Reason::TokensShort.after(UNREADY_RETRY_DELAY, detail)
--- a/crates/gateway/src/proxy/denial.rs
+++ b/crates/gateway/src/proxy/denial.rs
@@ -49,6 +49,13 @@
         })
     }
 
+    /// Refuses a request that the rest of a budget does not cover, by what the configuration says was
+    /// paid.
+    pub fn deny_budget(&self, tokens: u64) -> Refusal {
+        let detail = format!("the remaining budget does not cover {tokens} tokens");
+        self.deny_if_current(Reason::BudgetExhausted.with(detail))
+    }
+
     fn deny(
         &self,
         refusal: Refusal,
@@ -65,10 +72,15 @@
             source: self.freshness.source(Subject::Config),
             up: self.started.elapsed(),
         });
-        match validity {
-            Validity::Current => refusal,
+        self.deny_if_current(refusal)
+    }
+
+    /// Makes a denial one that the caller may come back after, if the configuration may be replaced.
+    fn deny_if_current(&self, denial: Refusal) -> Refusal {
+        match self.freshness.validity(Subject::Config) {
+            Validity::Current => denial,
             Validity::Outdated | Validity::Unconfirmed => {
-                let detail = format!("{}, by a configuration that may be replaced", refusal.detail);
+                let detail = format!("{}, by a configuration that may be replaced", denial.detail);
                 Reason::ConfigOutdated.after(UNREADY_RETRY_DELAY, detail)
             }
         }
--- a/crates/gateway/src/proxy/refusal.rs
+++ b/crates/gateway/src/proxy/refusal.rs
@@ -24,7 +24,7 @@
     TooLarge,
     /// No configuration has been loaded yet.
     NoConfig,
-    /// The configuration has no such route or key, and may have been replaced since.
+    /// The configuration has no such route or key, or too little paid, and may have been replaced since.
     ConfigOutdated,
     /// No route matches the host and path.
     NoRoute,
--- a/crates/gateway/src/sync/fallback.rs
+++ b/crates/gateway/src/sync/fallback.rs
@@ -14,11 +14,13 @@
 const BYTES_PER_S: f64 = 40_000_000.0;
 /// A busy store answers nobody sooner if more boxes read it. Many times the latency of an idle one.
 const MAX_LATENCY: Duration = Duration::from_millis(100);
-/// Time in which boxes on standby begin to watch and read all, once they are asked.
-const STANDBY_LOAD_TIME: Duration = Duration::from_millis(600);
-/// How much longer a box waits if its watchers reach the store, as a part of the largest age of what
-/// boxes know: the watchers read it again themselves.
-const OUTDATED_PATIENCE: f64 = 4.0;
+/// Longest time in which boxes on standby begin to watch and read all, once they are asked.
+const MAX_STANDBY_LOAD_TIME: Duration = Duration::from_millis(600);
+/// Longest time that a box waits besides if its watchers reach the store, as a part of the largest age of
+/// what boxes know: the watchers read it again themselves.
+const MAX_PATIENCE: f64 = 4.0;
+/// How much narrower the store's link may be: a fleet that reads little waits little.
+const LINK_MARGIN: f64 = 50.0;
 /// Each read that was given up doubles the delay of the next one, this many times at most.
 const MAX_DOUBLINGS: u32 = 6;
 /// Time between two probes of the store, and its part that grows with the fleet: 400 probes a second
@@ -47,16 +49,24 @@
         if self.is_designated {
             return Duration::ZERO;
         }
-        let reading = Duration::from_secs_f64(self.bytes as f64 / BYTES_PER_S);
-        let spread = SPREAD.max(reading).mul_f64(self.boxes as f64);
-        (STANDBY_LOAD_TIME + spread.mul_f64(self.turn)) * self.factor()
+        let spread = SPREAD.mul_f64(self.boxes as f64).max(self.read_time());
+        let load_time = MAX_STANDBY_LOAD_TIME.min(self.read_time().mul_f64(LINK_MARGIN));
+        (load_time + spread.mul_f64(self.turn)) * self.factor()
+    }
+
+    /// Time in which all boxes together read the store.
+    fn read_time(&self) -> Duration {
+        Duration::from_secs_f64(self.boxes as f64 * self.bytes as f64 / BYTES_PER_S)
     }
 
     /// The same if the store answers its watchers, and what they know is too old all the same.
     pub fn delay_if_outdated(&self, max_age: Duration) -> Duration {
         match self.is_designated {
             true => Duration::ZERO,
-            false => max_age.mul_f64(OUTDATED_PATIENCE) * self.factor() + self.delay(),
+            false => {
+                let patience = self.read_time().mul_f64(LINK_MARGIN);
+                max_age.mul_f64(MAX_PATIENCE).min(patience) * self.factor() + self.delay()
+            }
         }
     }
 
--- a/crates/gateway/src/sync/subscriber.rs
+++ b/crates/gateway/src/sync/subscriber.rs
@@ -268,9 +268,12 @@
             if subscription.is_some() {
                 self.setup.view.set_relaying(candidates.is_relay);
             }
-            if let Some(outdated) = subscription.take_if(|known| self.is_outdated(known)) {
+            let may_search = next_probe <= Instant::now();
+            if let Some(outdated) =
+                subscription.take_if(|known| may_search && self.is_outdated(known))
+            {
                 subscription = self.find_current(&candidates).await;
-                if subscription.is_none() && next_probe <= Instant::now() {
+                if subscription.is_none() {
                     let is_due = self.is_fallback_due();
                     next_probe = Instant::now() + self.jitter(self.fallback().probe_interval());
                     match self.search(&candidates, is_due).await {
@@ -325,7 +328,11 @@
                     > HEARTBEAT_INTERVAL + ANSWER_TIMEOUT + self.search_time() =>
                 {
                     sleep(MAX_FALLBACK_DELAY.mul_f64(self.random.random())).await;
-                    return false;
+                    if !self.setup.view.knows_config() || self.is_store_idle().await {
+                        return false;
+                    }
+                    let interval = self.jitter(self.fallback().probe_interval());
+                    sleep(interval).await;
                 }
                 None => sleep(RETRY_DELAY).await,
             }
@@ -381,6 +388,11 @@
         !self.is_relay() && watchers.active.len() > watchers.roots.len()
     }
 
+    /// Whether the store answers this box as soon as one does that nobody else reads.
+    async fn is_store_idle(&self) -> bool {
+        self.store_latency().await.is_some_and(|latency| self.fallback().allows(latency))
+    }
+
     /// How soon the store answers this box, although no watcher reaches it; `None` if it does not.
     async fn store_latency(&self) -> Option<Duration> {
         let Setup { store, name, .. } = &self.setup;
@@ -414,7 +426,7 @@
     /// serves no requests yet, and boxes that start together have no watchers at first.
     fn search_time(&self) -> Duration {
         match self.setup.view.knows_config() {
-            true => RETRY_DELAY,
+            true => RETRY_DELAY.max(self.fallback().delay()),
             false => {
                 let spread = GIVE_UP_SPREAD * self.peers.boxes() as u32;
                 DISCOVERY_TIMEOUT + spread.mul_f64(self.gives_up_at)
@@ -429,7 +441,10 @@
             true => Duration::MAX,
             false => self.setup.view.freshness().search_due_in(self.is_behind_relay()),
         };
-        let wait = HEARTBEAT_INTERVAL.min(due_in.max(RETRY_DELAY));
+        let wait = match due_in.is_zero() {
+            true => HEARTBEAT_INTERVAL.min(self.fallback().probe_interval()),
+            false => HEARTBEAT_INTERVAL.min(due_in.max(RETRY_DELAY)),
+        };
         let renewed = tokio::select! {
             renewed = self.poll(&subscription, wait) => renewed?,
             // The watcher may be as silent as its own source.
