--- a/crates/gateway/tests/loopback/dead_watch.rs
+++ b/crates/gateway/tests/loopback/dead_watch.rs
@@ -44,6 +44,8 @@
     watches_are_dead: AtomicBool,
     /// Probes that get no answer.
     probes_to_lose: AtomicUsize,
+    /// Whether nothing but probes gets answers.
+    answers_probes_only: AtomicBool,
     /// Watches that wait.
     watches: AtomicUsize,
 }
@@ -87,6 +89,11 @@
         self.faults.watches_are_dead.store(true, Ordering::SeqCst);
     }
 
+    /// Answers probes and nothing else: lists and watches wait for ever, also those that wait now.
+    pub fn answer_probes_only(&self) {
+        self.faults.answers_probes_only.store(true, Ordering::SeqCst);
+    }
+
     /// Lets the watches that wait now and the next probe wait for ever.
     fn kill_watches(&self) {
         self.faults.watches_are_dead.store(true, Ordering::SeqCst);
@@ -115,7 +122,8 @@
                 if waits {
                     faults.watches.fetch_add(1, Ordering::SeqCst);
                 }
-                if is_probe && faults.loses_probe() {
+                let is_withheld = !is_probe && faults.answers_probes_only.load(Ordering::SeqCst);
+                if is_withheld || is_probe && faults.loses_probe() {
                     // Open until the client gives up.
                     let _ = client.read(&mut sent).await;
                     break;
@@ -126,7 +134,8 @@
             }
             read = server.read(&mut answered) => {
                 let Ok(read @ 1..) = read else { break };
-                if waits && faults.watches_are_dead.load(Ordering::SeqCst) {
+                let is_withheld = faults.answers_probes_only.load(Ordering::SeqCst);
+                if waits && (is_withheld || faults.watches_are_dead.load(Ordering::SeqCst)) {
                     let _ = client.read(&mut sent).await;
                     break;
                 }
