--- a/crates/gateway/tests/loopback/denial.rs
+++ b/crates/gateway/tests/loopback/denial.rs
@@ -7,7 +7,7 @@
 use gateway::Gateway;
 use platform::fixtures::CallerHead;
 
-use crate::harness::{Harness, Response, answer_ok, call, settings, wait_until_served};
+use crate::harness::{Harness, Response, answer_ok, call, settings, wait_until, wait_until_served};
 
 const MAX_AGE: Duration = Duration::from_millis(1_000);
 /// Longer than the configuration may be old, with the checks in between.
@@ -52,3 +52,24 @@
     tokio::time::sleep(LONG).await;
     assert_eq!(statuses(&unknown(&harness, &gateway).await), [404, 401], "it is current again");
 }
+
+/// A tenant's budget is part of the configuration too: it may have been raised since.
+#[tokio::test]
+async fn a_box_with_an_outdated_configuration_says_of_no_budget_that_it_is_used_up() {
+    let harness = Harness::start(1_000, &["open", "stream"]).await;
+    let _endpoint = harness.endpoint("i-1", "engines", answer_ok).await;
+    let _other = harness.endpoint("i-2", "plain", answer_ok).await;
+    let (gateway, link) = gateway(&harness).await;
+    let send = async || {
+        let request = harness.new_request("key-b", 5_000, 1);
+        call(gateway.callers(), "/stream/x", &request).await.status.as_u16()
+    };
+    wait_until("the budget is known not to suffice", async || send().await == 402).await;
+    link.set_cut(true);
+    harness.configure(2, 1_000_000, &["open", "stream"]).await;
+    tokio::time::sleep(LONG).await;
+    let status = send().await;
+    assert!([429, 503].contains(&status), "{status}");
+    link.set_cut(false);
+    wait_until("the budget that was raised suffices", async || send().await == 200).await;
+}
--- a/crates/gateway/tests/loopback/late_sources.rs
+++ b/crates/gateway/tests/loopback/late_sources.rs
@@ -152,3 +152,45 @@
     let took = time_at(Part::Root, FIVE, way).await;
     assert!(took <= MAX_AGE_TURNED_AWAY, "{took:?}");
 }
+
+/// Bytes of the requests of a box to others, and of the answers.
+fn peer_bytes(gateway: &Gateway) -> f64 {
+    let metrics = gateway.metrics();
+    let flows = metrics.lines().filter(|line| line.starts_with("flintstall_peer_bytes{"));
+    flows.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Most that a box may ask of others while nobody knows anything new, as a multiple of what it asks otherwise: they may be
+/// late because they are busy.
+const MAX_MORE_ASKED: f64 = 5.0;
+const MEASURED: Duration = Duration::from_secs(4);
+
+/// All boxes are as deaf as their watchers, so that nothing that one asks another one helps.
+#[tokio::test]
+async fn a_box_asks_others_little_more_when_nobody_knows_anything_new() {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    let forwarder = Forwarder::bind(harness.platform.socket()).await;
+    let mut boxes = Vec::new();
+    for (name, part) in parts(SEVEN) {
+        let mut settings = settings(&name, forwarder.address());
+        settings.store.max_age_ms = MAX_AGE.as_millis() as u64;
+        boxes.push((part, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+    }
+    for (_, gateway) in &boxes {
+        wait_until_served(&harness, gateway, "/open/x").await;
+        wait_until("the boxes know each other", async || gateway.peer_count() == SEVEN - 1).await;
+    }
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let (_, other) = boxes.iter().find(|(part, _)| *part == Part::Other).expect("one is neither");
+    let at = peer_bytes(other);
+    tokio::time::sleep(MEASURED).await;
+    let calm = peer_bytes(other) - at;
+    forwarder.answer_probes_only();
+    tokio::time::sleep(MAX_AGE).await;
+    let at = peer_bytes(other);
+    tokio::time::sleep(MEASURED).await;
+    let outdated = peer_bytes(other) - at;
+    println!("bytes in {MEASURED:?}: {calm} while all is current, {outdated} while nothing is");
+    assert!(calm > 0.0 && outdated <= calm * MAX_MORE_ASKED, "{calm} and then {outdated}");
+}
