--- a/crates/gateway/tests/loopback/late_sources.rs
+++ b/crates/gateway/tests/loopback/late_sources.rs
@@ -13,6 +13,7 @@
 use crate::{
     dead_watch::Forwarder,
     harness::{Harness, answer_ok, call, settings, wait_until, wait_until_served},
+    sync::store_reads,
 };
 
 /// Two of them watch, two are on standby, and one or three are neither.
@@ -154,8 +155,9 @@
 }
 
 /// Bytes of the requests of a box to others, and of the answers.
-fn peer_bytes(gateway: &Gateway) -> f64 {
-    let metrics = gateway.metrics();
+async fn peer_bytes(gateway: &Gateway) -> f64 {
+    let response = reqwest::get(format!("http://{}/metrics", gateway.operators())).await;
+    let metrics = response.expect("an answer").text().await.expect("a text");
     let flows = metrics.lines().filter(|line| line.starts_with("flintstall_peer_bytes{"));
     flows.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
 }
@@ -183,14 +185,114 @@
     }
     tokio::time::sleep(Duration::from_secs(12)).await;
     let (_, other) = boxes.iter().find(|(part, _)| *part == Part::Other).expect("one is neither");
-    let at = peer_bytes(other);
+    let at = peer_bytes(other).await;
     tokio::time::sleep(MEASURED).await;
-    let calm = peer_bytes(other) - at;
+    let calm = peer_bytes(other).await - at;
     forwarder.answer_probes_only();
     tokio::time::sleep(MAX_AGE).await;
-    let at = peer_bytes(other);
+    let at = peer_bytes(other).await;
     tokio::time::sleep(MEASURED).await;
-    let outdated = peer_bytes(other) - at;
+    let outdated = peer_bytes(other).await - at;
     println!("bytes in {MEASURED:?}: {calm} while all is current, {outdated} while nothing is");
     assert!(calm > 0.0 && outdated <= calm * MAX_MORE_ASKED, "{calm} and then {outdated}");
 }
+
+/// Some 1 MB of entries, which compress well.
+const MANY_ENDPOINTS: usize = 6_000;
+
+/// A watcher that is silent for a moment is busy, and what a box asks again keeps it so.
+#[tokio::test]
+async fn a_box_asks_for_no_whole_list_again_because_its_watchers_were_silent_for_a_moment() {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    for n in 0..MANY_ENDPOINTS {
+        let nowhere = "127.0.0.1:1".parse().expect("an address");
+        harness.write_entry(&format!("j-{n:05}"), "unused", nowhere, true).await;
+    }
+    let mut parts = parts(FIVE);
+    parts.sort_by_key(|(_, part)| *part as usize);
+    let (mut boxes, mut links) = (Vec::new(), Vec::new());
+    for (name, part) in &parts {
+        let mut settings = settings(name, harness.platform.socket());
+        settings.store.max_age_ms = MAX_AGE.as_millis() as u64;
+        boxes.push((*part, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+    }
+    for (_, gateway) in &boxes {
+        wait_until_served(&harness, gateway, "/open/x").await;
+        wait_until("the boxes know each other", async || gateway.peer_count() == FIVE - 1).await;
+    }
+    // From now on others reach the watchers by a link.
+    for (name, part) in &parts {
+        if *part == Part::Root {
+            let text = harness.box_entry(name).await.expect("an entry");
+            let mut entry: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+            let address = entry["peer"].as_str().expect("text").parse().expect("an address");
+            let link = Link::bind(address, Duration::ZERO).await.expect("a link");
+            entry["peer"] = link.address().to_string().into();
+            harness.write_box(name, entry.to_string()).await;
+            links.push(link);
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let (_, other) = boxes.iter().find(|(part, _)| *part == Part::Other).expect("one is neither");
+    let at = peer_bytes(other).await;
+    tokio::time::sleep(MEASURED).await;
+    let calm = peer_bytes(other).await - at;
+    let at = peer_bytes(other).await;
+    links.iter().for_each(|link| link.set_cut(true));
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    links.iter().for_each(|link| link.set_cut(false));
+    tokio::time::sleep(MEASURED).await;
+    let after = peer_bytes(other).await - at;
+    println!("bytes in {MEASURED:?}: {calm} before, {after} after a silence");
+    assert!(after <= calm * MAX_MORE_ASKED, "{calm} and then {after}");
+}
+
+/// A busy store and busy watchers: a box whose watchers were silent once, and answer again and know nothing new, waits for
+/// its turn to read the store like one whose watchers were never silent.
+#[tokio::test]
+async fn a_box_leaves_a_busy_store_alone_although_its_watchers_were_silent_once() {
+    let harness = Harness::start(1_000_000, &["open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
+    let forwarder = Forwarder::bind(harness.platform.socket()).await;
+    let mut parts = parts(FIVE);
+    parts.sort_by_key(|(_, part)| *part as usize);
+    let (mut boxes, mut links) = (Vec::new(), Vec::new());
+    for (name, part) in &parts {
+        let mut settings = settings(name, forwarder.address());
+        settings.store.max_age_ms = MAX_AGE.as_millis() as u64;
+        boxes.push((*part, Gateway::spawn(settings, 1).await.expect("the gateway starts")));
+    }
+    for (_, gateway) in &boxes {
+        wait_until_served(&harness, gateway, "/open/x").await;
+        wait_until("the boxes know each other", async || gateway.peer_count() == FIVE - 1).await;
+    }
+    for (name, part) in &parts {
+        if *part == Part::Root {
+            let text = harness.box_entry(name).await.expect("an entry");
+            let mut entry: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+            let address = entry["peer"].as_str().expect("text").parse().expect("an address");
+            let link = Link::bind(address, Duration::ZERO).await.expect("a link");
+            entry["peer"] = link.address().to_string().into();
+            harness.write_box(name, entry.to_string()).await;
+            links.push(link);
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let (_, other) = boxes.iter().find(|(part, _)| *part == Part::Other).expect("one is neither");
+    let mut counts = Vec::new();
+    for is_silent in [false, true] {
+        if is_silent {
+            links.iter().for_each(|link| link.set_cut(true));
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            links.iter().for_each(|link| link.set_cut(false));
+        } else {
+            forwarder.answer_probes_only();
+        }
+        let before = store_reads(other);
+        tokio::time::sleep(Duration::from_millis(1_700)).await;
+        counts.push(store_reads(other) - before);
+    }
+    println!("reads of the store without a silence, and after one: {counts:?}");
+    assert_eq!(counts, [0, 0], "the turn of the box comes 6 s after the store stopped");
+}
