--- a/crates/gateway/tests/loopback/late_sources.rs
+++ b/crates/gateway/tests/loopback/late_sources.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Way {
     Direct,
+    /// Which answers late, but in time for all calls.
+    Slow,
     /// Which answers probes only, once the fleet is up.
     Deaf,
     /// Which is cut, once the fleet is up.
@@ -77,6 +79,8 @@
     let _endpoint = harness.endpoint("i-1", "plain", answer_ok).await;
     let forwarder = Forwarder::bind(harness.platform.socket()).await;
     let link = Link::bind(harness.platform.socket(), Duration::ZERO).await.expect("a link");
+    let delay = Duration::from_millis(70);
+    let slow = Link::bind(harness.platform.socket(), delay).await.expect("a link");
     let mut parts = parts(count);
     parts.sort_by_key(|(_, part)| *part as usize);
     let mut boxes: Vec<(Part, Gateway)> = Vec::new();
@@ -84,6 +88,7 @@
         let nth = boxes.iter().filter(|(other, _)| other == part).count();
         let store = match way(*part, nth) {
             Way::Direct => harness.platform.socket(),
+            Way::Slow => slow.address(),
             Way::Deaf => forwarder.address(),
             Way::Cut => link.address(),
         };
@@ -138,6 +143,14 @@
     assert!(took <= MAX_AGE + MARGIN, "{took:?}");
 }
 
+/// The store turns away both watchers and answers the third box within 0.2 s.
+#[tokio::test]
+async fn a_standby_reads_a_slow_store_in_time_when_both_watchers_are_cut_off() {
+    let way = |part, _| if part == Part::Root { Way::Cut } else { Way::Slow };
+    let took = time_at(Part::Standby, 3, way).await;
+    assert!(took <= MAX_AGE_TURNED_AWAY, "{took:?}");
+}
+
 /// The store turns away the box and the watchers; two boxes that it reaches know the configuration.
 #[tokio::test]
 async fn a_box_that_the_store_turns_away_hears_from_standbys_when_the_watchers_are_cut_off() {
