--- a/crates/gateway/tests/loopback/harness.rs
+++ b/crates/gateway/tests/loopback/harness.rs
@@ -24,6 +24,9 @@
 /// Upper bound on any single wait; a test that reaches it fails.
 pub const MAX_WAIT: Duration = Duration::from_secs(20);
 
+/// Part of what is unspent that boxes with few tokens hold, in thousandths.
+const FEW_TOKENS_PERMILLE: u64 = 10;
+
 /// The stand-in store, with methods that write to it as operators and endpoints do.
 pub struct Harness {
     pub platform: Platform,
@@ -198,6 +201,15 @@
         self.spawn_gateway(settings).await
     }
 
+    /// Starts a gateway that holds few tokens ahead and whose requests wait for them for at most `wait_ms`; it connects
+    /// to the store through a link that can be cut.
+    pub async fn gateway_with_few_tokens(&self, name: &str, wait_ms: u64) -> (Gateway, Link) {
+        let link = Link::bind(self.platform.socket(), Duration::ZERO).await.expect("a link");
+        let mut settings = settings(name, link.address());
+        (settings.money.wait_ms, settings.money.share) = (wait_ms, FEW_TOKENS_PERMILLE);
+        (self.spawn_gateway(settings).await, link)
+    }
+
     /// Starts a gateway whose requests, and whose calls to keepers, wait for tokens for at most `wait_ms`.
     pub async fn gateway_with_long_waits(&self, name: &str, wait_ms: u64) -> Gateway {
         let mut settings = settings(name, self.platform.socket());
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -23,6 +23,7 @@
 mod raw;
 mod sole_versions;
 mod stale;
+mod stand_ins;
 mod store_copy;
 mod suspended;
 mod sync;
