A promise to a witness that was started again can be lowered without the store

Seen: a keeper without the store refuses requests with tokens_short while it holds promised tokens, for as long as the outage lasts (loopback, 20 s and no end).

Cause: promises go to the witness by its incarnation. Once the keeper knows only a later incarnation of that box, it asked nobody and took the promise for refused (Delivery::Not), so that the earlier one held. Another witness is named by a settlement, which needs the store.

Change: the promise goes to whichever incarnation of the box is known, as a seal does. A later one's answer is Reply::Replaced, which already counted as proof that the witness ended: a box has one incarnation at a time.

Ruled out, by reading: that a keeper releases no promise at all without the store. A request that lacks promised tokens asks for a lower promise, and a witness needs no store to accept it. What holds on is a witness that neither answers nor was started again (design 0006).

Why it holds: no promise is dropped on less proof than before.

--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -204,10 +204,12 @@
         }
     }
 
-    /// Sends a promise to this box's witness.
+    /// Sends a promise to this box's witness. If only a later incarnation of the witness is known, its
+    /// answer shows that the earlier promises are forgotten.
     pub async fn promise(&self, witness: &Incarnation, promise: Promise) -> Delivery {
         let number = promise.number;
-        let Some(peer) = self.peer(witness) else { return Delivery::Not };
+        let peer = self.peer(witness).or_else(|| self.current_peer(witness));
+        let Some(peer) = peer else { return Delivery::Not };
         match self.ask(witness, &peer, Frame::Promise(promise), PROMISE_TIMEOUT).await {
             Reply::Frame(Frame::Promised { number: accepted }) if accepted == number => {
                 Delivery::Taken
