--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -27,6 +27,7 @@
 mod slow_store;
 mod sole_versions;
 mod stale;
+mod stand_ins;
 mod store_copy;
 mod suspended;
 mod sync;
