--- a/crates/gateway/src/fleet/bill_writers.rs
+++ b/crates/gateway/src/fleet/bill_writers.rs
@@ -9,7 +9,7 @@
 
 use ledger::Incarnation;
 
-use crate::fleet::keepers::Profile;
+use crate::fleet::profile::Profile;
 
 /// Boxes for each writer.
 pub const BOXES_PER_WRITER: usize = 64;
--- a/crates/gateway/src/fleet/entry.rs
+++ b/crates/gateway/src/fleet/entry.rs
@@ -7,7 +7,7 @@
 use platform::store::Client;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::keepers::Profile;
+use crate::fleet::profile::Profile;
 
 /// Kind of the objects, which are named after the box.
 pub const BOXES: &str = "boxes";
--- a/crates/gateway/src/fleet/keepers.rs
+++ b/crates/gateway/src/fleet/keepers.rs
@@ -17,7 +17,7 @@
 
 use ledger::Incarnation;
 
-use crate::fleet::watchers::interleave_zones;
+use crate::fleet::profile::{Profile, interleave_zones};
 
 /// Boxes of the own zone that are tried. A box with a congested link finds all others silent; the
 /// bound keeps it from making each of them draw from the book in turn.
@@ -35,16 +35,6 @@
 /// Key of the rendezvous hash that chooses zones.
 const HASH_KEY: &str = "keepers";
 
-/// A box as the choice of keepers and watchers sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Profile {
-    pub incarnation: Incarnation,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// Its capacity; boxes with more are preferred.
-    pub capacity: u64,
-}
-
 /// Boxes to ask for tokens, most preferred first; includes `me` where this box itself is one of
 /// them.
 pub fn keepers(me: &Profile, others: &[Profile]) -> Vec<Incarnation> {
--- a/crates/gateway/src/fleet/peers/mod.rs
+++ b/crates/gateway/src/fleet/peers/mod.rs
@@ -32,7 +32,8 @@
 use crate::fleet::{
     bill_writers::bill_writers,
     entry::Entry,
-    keepers::{Profile, keepers, stand_ins, with_stand_ins},
+    keepers::{keepers, stand_ins, with_stand_ins},
+    profile::Profile,
     promises::Promises,
     regions::Regions,
     streams::homes::{Homes, homes},
--- a/crates/gateway/src/fleet/streams/homes.rs
+++ b/crates/gateway/src/fleet/streams/homes.rs
@@ -14,7 +14,7 @@
 use ledger::Incarnation;
 use wire::StreamKey;
 
-use crate::fleet::{keepers::Profile, watchers::interleave_zones};
+use crate::fleet::profile::{Profile, interleave_zones};
 
 /// Boxes for each candidate.
 const BOXES_PER_HOME: usize = 10;
--- a/crates/gateway/src/fleet/watchers.rs
+++ b/crates/gateway/src/fleet/watchers.rs
@@ -22,7 +22,10 @@
 
 use ledger::Incarnation;
 
-use crate::fleet::{keepers::Profile, regions::Regions};
+use crate::fleet::{
+    profile::{Profile, interleave_zones},
+    regions::Regions,
+};
 
 /// Boxes per watcher, and relays per root. Each subscriber asks twice a second; 100 small answers
 /// per second take one percent of a 10 Mbit/s link.
@@ -127,19 +130,6 @@
     by_region.into_iter().flat_map(missing).collect()
 }
 
-/// Orders the first box of each zone, then the second of each, and so on.
-pub fn interleave_zones(profiles: Vec<&Profile>) -> Vec<&Profile> {
-    let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
-    let mut ranked: Vec<(usize, &Profile)> = Vec::with_capacity(profiles.len());
-    for profile in profiles {
-        let round = counts.entry(&profile.zone).or_default();
-        ranked.push((*round, profile));
-        *round += 1;
-    }
-    ranked.sort_by_key(|(round, _)| *round);
-    ranked.into_iter().map(|(_, profile)| profile).collect()
-}
-
 /// Preference for a watcher: those in the same availability zone first, then those of the same
 /// region, and otherwise an order that differs between boxes, so that watchers share the
 /// subscribers.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::{Clock, Watchdog},
-    fleet::{entry::Entry, keepers::Profile, peers::Peers, streams::Streams},
+    fleet::{entry::Entry, peers::Peers, profile::Profile, streams::Streams},
     freshness::Freshness,
     inbound::{admin, peer_service::PeerService, serve},
     metrics::Metrics,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,8 +32,9 @@
 pub use fleet::{
     bill_writers::{BOXES_PER_WRITER, bill_writers},
     entry::Entry,
-    keepers::{Profile, STAND_INS, keepers, stand_ins, with_stand_ins},
+    keepers::{STAND_INS, keepers, stand_ins, with_stand_ins},
     peers::Peers,
+    profile::Profile,
     promises::{Acceptance, Promises},
     regions::Regions,
     streams::{
