--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -195,8 +195,9 @@
     for file in fs::read_dir(folder.path()).into_iter().flatten().flatten() {
         let name = file.file_name().to_string_lossy().into_owned();
         if name.starts_with("i-") && name.ends_with(".txt") {
-            let runs = fs::read_to_string(file.path()).unwrap_or_default().lines().count();
-            record.add(format!("engine {name}: ran {runs} requests"));
+            let runs = fs::read_to_string(file.path()).unwrap_or_default();
+            record.add(format!("engine {name}: ran {} requests:", runs.lines().count()));
+            runs.lines().for_each(|run| record.add(format!("  at {}", run.trim())));
         }
     }
     match (before >= 0.25, after < 0.25) {
@@ -231,10 +232,11 @@
     outcomes.lock().unwrap().push((sent_at, seen.status, is_served));
     let text = if seen.status == 200 { "".into() } else { String::from_utf8_lossy(&seen.body) };
     record.add(format!(
-        "client: {id} at {to}: {} whole {} {} {}",
+        "client: {id} at {to}: {} whole {} {} retry after {} {}",
         seen.status,
         seen.is_whole,
         seen.error,
+        seen.retry_after.as_deref().unwrap_or("-"),
         text.trim_end()
     ));
     is_served
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -25,6 +25,7 @@
     /// 0 if no head of a response arrived.
     pub status: u16,
     pub sealed: bool,
+    pub retry_after: Option<String>,
     pub body: Vec<u8>,
     /// Whether the whole response arrived.
     pub is_whole: bool,
@@ -66,6 +67,7 @@
     };
     seen.status = head.status();
     seen.sealed = head.get("response-seal").is_some();
+    seen.retry_after = head.get("retry-after").map(str::to_owned);
     if head.get("transfer-encoding").is_some() {
         while let Some(chunk) = http::read_chunk(&mut reader)? {
             seen.body.extend(chunk);
