Responses that may be another request's are logged and counted; dispatched says what the attempt before came to

The first hypothesis (a "not run" that proves nothing about this try) could not be told from the others: no line said whose id a response had, nor whether its connection had carried the same id before. Connections now remember which ids they carried while their callers may come back with them, response_unattributed names what is doubtful in a response (other_id, no_id, second_try) with what it says, and flintstall_unattributed_responses counts it. For the second and third, dispatched has the outcome of the attempt before. No decision changes.

--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -14,6 +14,7 @@
     Dialer, Fault,
     detour::{Stream, Tunnel, Way},
     meter::{Meter, Metered},
+    tag::{Carried, Tag},
 };
 
 /// Largest buffer for what arrives: of a head, or of a body whose caller reads slowly.
@@ -25,6 +26,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     meter: Meter,
+    carried: Carried,
     /// Way on which it was opened.
     pub way: Way,
     /// Whether the box that carries it is about to stop.
@@ -71,7 +73,8 @@
             .map_err(|error| Fault::Unsent { reason: error.to_string() })?;
         // The pending request receives the error too, so it may be ignored here.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, meter, way, closing, reusable_until: Instant::now() })
+        let (carried, reusable_until) = (Carried::default(), Instant::now());
+        Ok(Connection { sender, task, meter, carried, way, closing, reusable_until })
     }
 
     /// Whether a request can be sent now, as no earlier one is still being sent.
@@ -90,12 +93,19 @@
         self.meter.reset();
     }
 
+    /// Requests that it has carried.
+    pub fn carried(&self) -> &Carried {
+        &self.carried
+    }
+
     /// Sends a request and waits for the head of its response.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        tag: &Tag,
     ) -> Result<Response<Incoming>, Fault> {
         self.meter.reset();
+        self.carried.add(tag, Instant::now());
         self.sender.try_send_request(request).await.map_err(|mut failed| {
             let reason = failed.error().to_string();
             match failed.take_message() {
--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -19,6 +19,7 @@
     host::{CHECK_INTERVAL, Host},
     opener::{Opened, Opener, Port},
     options::Options,
+    tag::Tag,
 };
 
 /// How long the detour to an endpoint is not tried again after it failed.
@@ -38,6 +39,7 @@
     /// Headers, which must include `Content-Length`.
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub tag: Tag,
 }
 
 /// The response of an endpoint.
@@ -48,8 +50,10 @@
     pub body: Body,
     /// What marks the end of the body.
     pub framing: Framing,
-    /// Whether it arrived on a reused connection.
-    pub reused: bool,
+    /// Number of requests that the connection had carried before.
+    pub carried_before: u64,
+    /// Whether a late response to one of them could be taken for this one.
+    pub may_be_confused: bool,
 }
 
 /// All connections to endpoints.
@@ -304,6 +308,10 @@
 impl ReadyConnection {
     /// Sends a request. Dropping the future closes the connection.
     pub async fn send(mut self, request: Request) -> Result<Answer, Fault> {
+        let carried =
+            self.slot.connection.as_ref().expect("a ready connection is present").carried();
+        let (carried_before, may_be_confused) =
+            (carried.count(), carried.may_confuse(&request.tag));
         let response = self.exchange(request).await?;
         self.slot.hear();
         let options = self.connections.opener.options;
@@ -311,7 +319,8 @@
         let lease = Lease { slot: self.slot, idle_time, options };
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, http_body::Body::is_end_stream(&body));
-        Ok(Answer { head, body: Body::new(body, lease), framing, reused: self.reused })
+        let body = Body::new(body, lease);
+        Ok(Answer { head, body, framing, carried_before, may_be_confused })
     }
 
     /// Sends a request and waits for the head of its response. A direct connection that was kept and stays silent has the
@@ -320,7 +329,8 @@
         let (is_direct, address) = (!self.is_detour(), self.slot.address);
         let connection = self.slot.connection.as_mut().expect("a ready connection is present");
         let sent_at = Instant::now();
-        let mut sending = pin!(connection.send(outgoing(request)));
+        let tag = request.tag.clone();
+        let mut sending = pin!(connection.send(outgoing(request), &tag));
         if let Ok(response) = timeout(MAX_SILENCE, &mut sending).await {
             return response;
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod meter;
 mod opener;
 mod options;
+mod tag;
 
 pub use body::Body;
 pub use connections::{Answer, Connections, ReadyConnection, Request};
@@ -28,3 +29,4 @@
 pub use framing::Framing;
 pub use opener::Port;
 pub use options::Options;
+pub use tag::Tag;
--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -1,13 +1,16 @@
 //! Reuse of connections after each kind of response, and their release.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use forward::{Answer, Connections, Detour, Dialer, Fault, Options, Request};
+use forward::{Answer, Connections, Detour, Dialer, Fault, Options, Request, Tag};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
 use standin::{Reply, ScriptedEndpoint};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 
 /// Timeout of every wait; reached only when a test fails.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -25,7 +28,10 @@
     )
 }
 
+/// A request with an id of its own.
 fn request() -> Request {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = format!("r-{}", NEXT.fetch_add(1, Ordering::Relaxed));
     let mut headers = HeaderMap::new();
     headers.insert(header::HOST, HeaderValue::from_static("desk.example"));
     Request {
@@ -33,6 +39,7 @@
         target: "/cancel/1".parse().expect("a path"),
         headers,
         body: Bytes::new(),
+        tag: Tag { id: Some(id.into()), until: Instant::now() + TIMEOUT },
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of responses that may not be the ones to their requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Unattributed {
+    /// `no_id`, `other_id`, or `second_try` on a connection that carried the same id before.
+    pub why: &'static str,
+}
+
 /// All metrics of a box.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -108,6 +115,8 @@
     pub first_byte: Histogram,
     /// Requests retried at a second endpoint.
     pub repeats: Counter,
+    /// Responses of endpoints that may not be the ones to their requests.
+    pub unattributed: Family<Unattributed, Counter>,
     /// Tokens charged that the book had neither granted nor counted as lost.
     pub uncovered_tokens: Counter,
     /// Connections opened to endpoints.
@@ -187,6 +196,7 @@
             tokens: Counter::default(),
             first_byte: Histogram::new(FIRST_BYTE),
             repeats: Counter::default(),
+            unattributed: Family::default(),
             uncovered_tokens: Counter::default(),
             connections: Gauge::default(),
             callers: Gauge::default(),
@@ -239,6 +249,11 @@
             self.first_byte.clone(),
         );
         registry.register("repeats", "Requests sent to a second endpoint", self.repeats.clone());
+        registry.register(
+            "unattributed_responses",
+            "Responses of endpoints that may not be the ones to their requests, by why",
+            self.unattributed.clone(),
+        );
         registry.register(
             "uncovered_tokens",
             "Tokens charged that the book had neither granted nor counted as lost",
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -4,7 +4,7 @@
 //! follows from that is decided in `dispatch`.
 
 use balance::{Failure, Limit};
-use forward::{Answer, Fault, Framing};
+use forward::{Answer, Fault, Framing, Tag};
 use http::StatusCode;
 use platform::{
     answer,
@@ -16,7 +16,7 @@
 use crate::{
     clock::Moment,
     freshness::{Source, Subject},
-    metrics::Service,
+    metrics::{Service, Unattributed},
     proxy::{
         admit::AdmittedRequest,
         announcer::Announcement,
@@ -42,6 +42,19 @@
     Unknown(Refusal),
 }
 
+impl Attempt {
+    /// Name in log lines.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Attempt::Answer(..) => "answer",
+            Attempt::Declined(_) => "declined",
+            Attempt::Gone(_) => "gone",
+            Attempt::Unsent(_) => "unsent",
+            Attempt::Unknown(_) => "unknown",
+        }
+    }
+}
+
 impl Context {
     /// Sends the request to one endpoint.
     pub async fn attempt(
@@ -70,6 +83,7 @@
             target: admitted.target.clone(),
             headers,
             body: admitted.body.clone(),
+            tag: Tag { id: admitted.head.id.clone(), until: exchange.caller_deadline },
         };
         let listed_by = self.freshness.source(Subject::Endpoints);
         tracing::info!(
@@ -93,6 +107,7 @@
             endpoints_from = listed_by.as_ref().map(Source::as_str),
             left_ms = left.as_millis() as u64,
             sent_before = exchange.attempts,
+            after = exchange.last_outcome,
         );
         if chosen.limit.is_some() {
             let service = Service { service: admitted.service.to_string() };
@@ -172,6 +187,7 @@
     ) -> Attempt {
         let status = response.head.status;
         let head = answer::Head::read(status, &response.head.headers);
+        self.report_unattributed(&head, admitted, chosen, &response);
         let is_foreign = head.id.is_some() && head.id != admitted.head.id;
         if is_foreign {
             in_flight.fail(Failure::Broken);
@@ -228,6 +244,34 @@
         Attempt::Answer(Box::new(response), Box::new(in_flight))
     }
 
+    /// Logs a response that may not be this request's: its id is missing or another one, or the connection carried this id
+    /// before.
+    fn report_unattributed(
+        &self,
+        head: &answer::Head,
+        admitted: &AdmittedRequest,
+        chosen: &Chosen,
+        response: &Answer,
+    ) {
+        let why = match (&head.id, &admitted.head.id) {
+            (Some(found), Some(expected)) if found != expected => "other_id",
+            (None, Some(_)) => "no_id",
+            _ if response.may_be_confused => "second_try",
+            _ => return,
+        };
+        self.metrics.unattributed.get_or_create(&Unattributed { why }).inc();
+        tracing::warn!(
+            event = "response_unattributed",
+            id = admitted.head.id.as_deref(),
+            endpoint = &*chosen.id,
+            why,
+            found = head.id.as_deref(),
+            status = response.head.status.as_u16(),
+            not_run = head.not_run,
+            carried_before = response.carried_before,
+        );
+    }
+
     /// Whether a repeat is permitted, without consuming it.
     pub fn can_repeat(&self, admitted: &AdmittedRequest) -> bool {
         let now_s = self.started.elapsed().as_secs();
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -73,6 +73,7 @@
             tried.push(chosen.instance.clone());
             let outcome = self.attempt(admitted, &chosen, exchange).await;
             log_not_taken(&outcome, exchange, &chosen);
+            exchange.last_outcome = Some(outcome.as_str());
             delivered += u32::from(!matches!(outcome, Attempt::Unsent(_)));
             match outcome {
                 Attempt::Answer(response, in_flight) => return Ok((response, *in_flight)),
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -47,6 +47,8 @@
     /// The same moment on the box's clock, which also counts time in suspension.
     arrival: Moment,
     pub deadline: Instant,
+    /// When the caller gives up, whatever the route allows.
+    pub caller_deadline: Instant,
     pub tokens: Option<Tokens>,
     /// Identifies requests with the same content; set once the body was read.
     pub fingerprint: Option<Fingerprint>,
@@ -57,6 +59,8 @@
     pub version: Option<Arc<str>>,
     /// Number of endpoints that it was sent to, without those that turned out to be gone.
     pub attempts: u32,
+    /// How the attempt before the current one ended.
+    pub last_outcome: Option<&'static str>,
     /// Whether another box carried the last attempt.
     pub is_detour: bool,
     /// Whether some endpoint may have run it.
@@ -95,12 +99,14 @@
             arrived_at: arrival.at(),
             arrival,
             deadline,
+            caller_deadline: deadline,
             tokens: head.tokens,
             fingerprint: None,
             event_tokens: 1,
             endpoint: None,
             version: None,
             attempts: 0,
+            last_outcome: None,
             is_detour: false,
             may_have_run: false,
             time_to_head: None,
