Failing tests: second responses, promises that nothing proves, a second engine beside the first

One fault each: - a refusal that an endpoint sends once more where the response to the next try with the same id is due (or, without an id, to any next request) is taken for that: the caller is refused with 503, the endpoint runs the request, and runs it again as the caller comes back: {"try-4": 2} after 503 and 200, TWICE and REFUSED from one cause; - a 408, 429 or 503 of an endpoint that does not say that it did not run the request is passed on as it is; - a repeatable request whose endpoint was silent until the deadline is told 503 too_late, "not sent"; - a request goes on at a second engine after the first closed the connection, or sent another request's response, although the first one stands and may be at work. The stand-in endpoint can send two replies to a request, and end without one.

--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod rate_limit;
 mod raw;
+mod second_responses;
 mod silent_sources;
 mod slow_store;
 mod sole_versions;
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -58,10 +58,14 @@
     RawParts(Vec<Vec<u8>>, Duration, Ending),
     /// Sends the first bytes once, and the others again and again until the connection is closed.
     Endless(Vec<u8>, Vec<u8>),
+    /// Sends one reply, waits, and sends another one, unless the first ends the connection.
+    Two(Box<Reply>, Duration, Box<Reply>),
     /// Closes the connection without a response.
     Close,
     /// Never responds, but goes on reading.
     Silent,
+    /// Closes its port and all its connections, without a response.
+    End,
     /// Begins a chunked response, and after the duration closes its port and all its connections.
     Crash(HeaderMap, Duration),
     /// The same, with a response without a length.
@@ -241,7 +245,7 @@
         let reply = script(&arrived);
         *current.lock() = Some(arrived.head.id.clone());
         state.lock().arrived.push(arrived);
-        let crashes = matches!(reply, Reply::Crash(..) | Reply::CrashUnframed(..));
+        let crashes = matches!(reply, Reply::End | Reply::Crash(..) | Reply::CrashUnframed(..));
         let stays_open = match reply {
             Reply::Endless(start, repeated) => {
                 send_endless(&mut stream, &start, &repeated, &state).await;
@@ -363,10 +367,15 @@
             tokio::time::sleep(after).await;
             false
         }
+        Reply::Two(first, pause, second) => {
+            let stays_open = Box::pin(send_reply(stream, *first)).await;
+            tokio::time::sleep(pause).await;
+            stays_open && Box::pin(send_reply(stream, *second)).await
+        }
         Reply::Raw(bytes, pause, ending) => send_parts(stream, vec![bytes], pause, ending).await,
         Reply::RawParts(parts, pause, ending) => send_parts(stream, parts, pause, ending).await,
         // Counted where it is sent.
-        Reply::Endless(..) | Reply::Close => false,
+        Reply::Endless(..) | Reply::End | Reply::Close => false,
         Reply::Silent => {
             let mut rest = Vec::new();
             while matches!(stream.read_buf(&mut rest).await, Ok(read) if read > 0) {}
