A response counts only for the try that was just sent

Callers saw a 503 with a promise for a request that ran, and the request ran again when they came back: the box took a response to an earlier try for the response to the one that it had just sent. An endpoint may respond twice, and the second response comes where the next one is due (PROTOCOL, Answers of workers). The id in it tells requests apart, not tries of one request; a response without an id was believed as well, for whatever request came next.

Now no connection carries an id twice while its caller may come back with it (until the caller's own deadline), and a response without exactly the id that was sent is nobody's: the request may have run, the connection is closed. So a response that is believed was made after this very try was sent. It holds for direct connections and for those through another box, which come from the same pool, for 421, for signals, for successes and for pieces of streams.

Weighed: not believing "not run" on a connection that carried the id (an honest refusal becomes a 502); a connection of its own for each request that can't be repeated (connections are priced). Where all connections allowed are open, an idle one makes room.

--- a/crates/forward/src/connections.rs
+++ b/crates/forward/src/connections.rs
@@ -52,8 +52,6 @@
     pub framing: Framing,
     /// Number of requests that the connection had carried before.
     pub carried_before: u64,
-    /// Whether a late response to one of them could be taken for this one.
-    pub may_be_confused: bool,
 }
 
 /// All connections to endpoints.
@@ -81,16 +79,18 @@
         max_open: usize,
         request: Request,
     ) -> Result<Answer, Fault> {
-        self.connect(address, max_open).await?.send(request).await
+        self.connect(address, max_open, &request.tag).await?.send(request).await
     }
 
-    /// Reuses an idle connection to an address or opens one, without sending anything. At most `max_open` may be open.
+    /// Reuses an idle connection to an address or opens one, without sending anything. At most `max_open` may be open. No late
+    /// response to an earlier request on the connection can be taken for that to the request with this tag.
     pub async fn connect(
         &self,
         address: SocketAddr,
         max_open: usize,
+        tag: &Tag,
     ) -> Result<ReadyConnection, Fault> {
-        let mut slot = self.reserve_slot(address, max_open)?;
+        let mut slot = self.reserve_slot(address, max_open, tag)?;
         let reused = slot.connection.is_some();
         let expected = self.expected_way(address);
         if !reused {
@@ -254,14 +254,18 @@
         probe.port
     }
 
-    /// Reserves one of the connections allowed to an address, with an idle connection if there is one.
-    fn reserve_slot(&self, address: SocketAddr, max_open: usize) -> Result<Slot, Fault> {
+    /// Reserves one of the connections allowed to an address, with an idle connection if there is one for this request.
+    fn reserve_slot(&self, address: SocketAddr, max_open: usize, tag: &Tag) -> Result<Slot, Fault> {
         let mut hosts = self.hosts.lock();
         let host = hosts.entry(address).or_default();
         let now = Instant::now();
         host.close_idle(|connection| connection.is_closed() || connection.reusable_until <= now);
-        let position = host.ready_position();
+        let position = host.ready_position(tag, now);
         let connection = position.map(|at| host.idle.remove(at));
+        if connection.is_none() && host.open >= max_open {
+            // An idle connection that this request cannot use makes room for one that it can.
+            host.close_one_idle();
+        }
         match connection {
             Some(_) => {}
             None if host.open >= max_open => return Err(Fault::Full { max: max_open }),
@@ -308,10 +312,7 @@
 impl ReadyConnection {
     /// Sends a request. Dropping the future closes the connection.
     pub async fn send(mut self, request: Request) -> Result<Answer, Fault> {
-        let carried =
-            self.slot.connection.as_ref().expect("a ready connection is present").carried();
-        let (carried_before, may_be_confused) =
-            (carried.count(), carried.may_confuse(&request.tag));
+        let carried_before = self.slot.carried_before();
         let response = self.exchange(request).await?;
         self.slot.hear();
         let options = self.connections.opener.options;
@@ -320,7 +321,7 @@
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, http_body::Body::is_end_stream(&body));
         let body = Body::new(body, lease);
-        Ok(Answer { head, body, framing, carried_before, may_be_confused })
+        Ok(Answer { head, body, framing, carried_before })
     }
 
     /// Sends a request and waits for the head of its response. A direct connection that was kept and stays silent has the
@@ -374,6 +375,11 @@
 }
 
 impl Slot {
+    /// Number of requests that the connection has carried.
+    fn carried_before(&self) -> u64 {
+        self.connection.as_ref().map_or(0, |connection| connection.carried().count())
+    }
+
     /// A part of a response came on the connection.
     fn hear(&self) {
         self.connection.iter().for_each(Connection::hear);
@@ -390,7 +396,7 @@
         connection.reusable_until = until;
         let mut hosts = self.hosts.lock();
         let host = hosts.entry(self.address).or_default();
-        if !host.keeps(&connection) {
+        if !host.keeps(&connection) || connection.carried().is_full() {
             return;
         }
         // Offsets the decrement in `drop`: the idle connection stays open.
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::{connection::Connection, detour::Way};
+use crate::{connection::Connection, detour::Way, tag::Tag};
 
 /// Interval at which the direct way to an endpoint is tried while requests take the detour.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -46,12 +46,23 @@
         self.open -= before - self.idle.len();
     }
 
-    /// Position of an idle connection that can be used now; a direct one if there is one.
-    pub fn ready_position(&self) -> Option<usize> {
+    /// Closes the idle connection that was used longest ago, if there is one.
+    pub fn close_one_idle(&mut self) {
+        if !self.idle.is_empty() {
+            self.idle.remove(0);
+            self.open -= 1;
+        }
+    }
+
+    /// Position of an idle connection that can be used now for this request; a direct one if there is one.
+    pub fn ready_position(&self, tag: &Tag, now: Instant) -> Option<usize> {
+        let is_usable = |connection: &Connection| {
+            connection.is_ready() && !connection.carried().may_confuse(tag, now)
+        };
         let ready = |way| {
             self.idle
                 .iter()
-                .rposition(move |connection| connection.is_ready() && connection.way == way)
+                .rposition(move |connection| connection.way == way && is_usable(connection))
         };
         ready(Way::Direct).or_else(|| ready(Way::Detour))
     }
--- a/crates/forward/tests/connections.rs
+++ b/crates/forward/tests/connections.rs
@@ -210,3 +210,30 @@
     }
     assert!(whole.is_empty(), "whole by their end:\n{}", whole.join("\n"));
 }
+
+/// Guards against: a second response to an earlier try is taken for the one to a later try with the same id.
+#[tokio::test]
+async fn no_connection_carries_an_id_twice_while_its_caller_may_come_back() {
+    let hour = Duration::from_secs(3_600);
+    // Name, ids of two requests one after the other, how long the caller of the first may come back, connections allowed,
+    // connections opened.
+    let cases = [
+        ("same id", Some("r"), Some("r"), hour, 4, 2),
+        ("same id, one connection allowed", Some("r"), Some("r"), hour, 1, 2),
+        ("same id, its caller has given up", Some("r"), Some("r"), Duration::ZERO, 4, 1),
+        ("other id", Some("r"), Some("s"), hour, 4, 1),
+        ("no id", None, None, hour, 4, 2),
+        ("no id after another request", Some("r"), None, hour, 4, 2),
+    ];
+    for (name, first, second, wait, max_open, opened) in cases {
+        let endpoint = ScriptedEndpoint::spawn(|_| complete_reply()).await;
+        let connections = connections();
+        for id in [first, second] {
+            let tag = Tag { id: id.map(Into::into), until: Instant::now() + wait };
+            let sent = connections.send(endpoint.address(), max_open, Request { tag, ..request() });
+            assert_eq!(text(sent.await.expect(name)).await.as_deref(), Ok("done"), "{name}");
+        }
+        assert_eq!(endpoint.connections(), opened, "{name}");
+        assert!(connections.count_open(endpoint.address()) <= max_open, "{name}");
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,13 +92,6 @@
     pub outcome: &'static str,
 }
 
-/// Labels of responses that may not be the ones to their requests.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct Unattributed {
-    /// `no_id`, `other_id`, or `second_try` on a connection that carried the same id before.
-    pub why: &'static str,
-}
-
 /// All metrics of a box.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -115,8 +108,8 @@
     pub first_byte: Histogram,
     /// Requests retried at a second endpoint.
     pub repeats: Counter,
-    /// Responses of endpoints that may not be the ones to their requests.
-    pub unattributed: Family<Unattributed, Counter>,
+    /// Responses of endpoints without the id of the request that was sent.
+    pub foreign_responses: Counter,
     /// Tokens charged that the book had neither granted nor counted as lost.
     pub uncovered_tokens: Counter,
     /// Connections opened to endpoints.
@@ -196,7 +189,7 @@
             tokens: Counter::default(),
             first_byte: Histogram::new(FIRST_BYTE),
             repeats: Counter::default(),
-            unattributed: Family::default(),
+            foreign_responses: Counter::default(),
             uncovered_tokens: Counter::default(),
             connections: Gauge::default(),
             callers: Gauge::default(),
@@ -250,9 +243,9 @@
         );
         registry.register("repeats", "Requests sent to a second endpoint", self.repeats.clone());
         registry.register(
-            "unattributed_responses",
-            "Responses of endpoints that may not be the ones to their requests, by why",
-            self.unattributed.clone(),
+            "foreign_responses",
+            "Responses of endpoints without the id of the request that was sent",
+            self.foreign_responses.clone(),
         );
         registry.register(
             "uncovered_tokens",
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -16,7 +16,7 @@
 use crate::{
     clock::Moment,
     freshness::{Source, Subject},
-    metrics::{Service, Unattributed},
+    metrics::Service,
     proxy::{
         admit::AdmittedRequest,
         announcer::Announcement,
@@ -83,7 +83,7 @@
             target: admitted.target.clone(),
             headers,
             body: admitted.body.clone(),
-            tag: Tag { id: admitted.head.id.clone(), until: exchange.caller_deadline },
+            tag: tag(admitted, exchange),
         };
         let listed_by = self.freshness.source(Subject::Endpoints);
         tracing::info!(
@@ -156,7 +156,8 @@
         exchange: &Exchange,
         in_flight: &mut InFlight,
     ) -> Result<forward::ReadyConnection, Attempt> {
-        let connecting = self.connections.connect(chosen.address, admitted.max_connections);
+        let tag = tag(admitted, exchange);
+        let connecting = self.connections.connect(chosen.address, admitted.max_connections, &tag);
         let connection = match tokio::time::timeout_at(exchange.deadline, connecting).await {
             Err(_) => {
                 in_flight.fail(Failure::Silent);
@@ -187,11 +188,12 @@
     ) -> Attempt {
         let status = response.head.status;
         let head = answer::Head::read(status, &response.head.headers);
-        self.report_unattributed(&head, admitted, chosen, &response);
-        let is_foreign = head.id.is_some() && head.id != admitted.head.id;
-        if is_foreign {
+        if head.id != admitted.head.id {
+            report_foreign(&head, admitted, chosen, &response);
+            self.metrics.foreign_responses.inc();
             in_flight.fail(Failure::Broken);
-            return Attempt::Unknown(Reason::Lost.with("the response has another request's id"));
+            let detail = "the response does not have the request's id";
+            return Attempt::Unknown(Reason::Lost.with(detail));
         }
         // Signals of another endpoint at the address do not apply to the selected one.
         if status != StatusCode::MISDIRECTED_REQUEST {
@@ -244,34 +246,6 @@
         Attempt::Answer(Box::new(response), Box::new(in_flight))
     }
 
-    /// Logs a response that may not be this request's: its id is missing or another one, or the connection carried this id
-    /// before.
-    fn report_unattributed(
-        &self,
-        head: &answer::Head,
-        admitted: &AdmittedRequest,
-        chosen: &Chosen,
-        response: &Answer,
-    ) {
-        let why = match (&head.id, &admitted.head.id) {
-            (Some(found), Some(expected)) if found != expected => "other_id",
-            (None, Some(_)) => "no_id",
-            _ if response.may_be_confused => "second_try",
-            _ => return,
-        };
-        self.metrics.unattributed.get_or_create(&Unattributed { why }).inc();
-        tracing::warn!(
-            event = "response_unattributed",
-            id = admitted.head.id.as_deref(),
-            endpoint = &*chosen.id,
-            why,
-            found = head.id.as_deref(),
-            status = response.head.status.as_u16(),
-            not_run = head.not_run,
-            carried_before = response.carried_before,
-        );
-    }
-
     /// Whether a repeat is permitted, without consuming it.
     pub fn can_repeat(&self, admitted: &AdmittedRequest) -> bool {
         let now_s = self.started.elapsed().as_secs();
@@ -279,6 +253,29 @@
     }
 }
 
+/// What tells this request apart on a connection.
+fn tag(admitted: &AdmittedRequest, exchange: &Exchange) -> Tag {
+    Tag { id: admitted.head.id.clone(), until: exchange.caller_deadline }
+}
+
+/// Logs a response that is not known to be this request's.
+fn report_foreign(
+    head: &answer::Head,
+    admitted: &AdmittedRequest,
+    chosen: &Chosen,
+    response: &Answer,
+) {
+    tracing::warn!(
+        event = "response_foreign",
+        id = admitted.head.id.as_deref(),
+        endpoint = &*chosen.id,
+        found = head.id.as_deref(),
+        status = response.head.status.as_u16(),
+        not_run = head.not_run,
+        carried_before = response.carried_before,
+    );
+}
+
 /// Logs why an endpoint did not take the request.
 pub fn log_not_taken(outcome: &Attempt, exchange: &Exchange, chosen: &Chosen) {
     let (Attempt::Unsent(reason) | Attempt::Declined(reason) | Attempt::Gone(reason)) = outcome
