A promise of an endpoint that it does not back is not passed on

408, 429 and 503 promise a caller that its request has not run and never will. Of an endpoint's response only Not-Executed, or 421, says so (PROTOCOL, Workers: nothing else does); a 503 without it was passed on with its status, so a caller came back although the request may have run. Now it counts as unknown: 502 of the box, or another endpoint where the request may be repeated. The sole place that passes an endpoint's status on is Attempt::Answer, and this stands before it.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -217,6 +217,13 @@
             in_flight.fail(Failure::Refused);
             return Attempt::Declined(reason);
         }
+        // The caller would take it for a promise that nothing backs.
+        if head.promises_not_run {
+            in_flight.end_without_failure();
+            let detail =
+                format!("the endpoint sent {status} and does not say that it did not run it");
+            return Attempt::Unknown(Reason::Lost.with(detail));
+        }
         let should_repeat = is_repeatable(&admitted.route)
             && status.is_server_error()
             && exchange.attempts < admitted.route.max_attempts
