A request that may have run is never told that it did not, whatever ends its attempts

A repeatable request whose endpoint was silent until the deadline got 503 too_late, "the deadline passed before the request was sent": the loop over endpoints looked at the time before it looked at what the attempts before had come to, and returned past the check. Callers of safe requests come back after any failure, so nothing ran twice that must not, but the promise was false. Now the loop is a function of its own, and its result passes one place that knows whether an endpoint may have the request; a deadline that passes between attempts tells what the last one came to.

--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -31,6 +31,18 @@
         &self,
         admitted: &AdmittedRequest,
         exchange: &mut Exchange,
+    ) -> Result<(Box<Answer>, InFlight), Refusal> {
+        let sent = self.try_endpoints(admitted, exchange).await;
+        sent.map_err(|refusal| match exchange.may_have_run {
+            true => refusal.without_promise(),
+            false => refusal,
+        })
+    }
+
+    async fn try_endpoints(
+        &self,
+        admitted: &AdmittedRequest,
+        exchange: &mut Exchange,
     ) -> Result<(Box<Answer>, InFlight), Refusal> {
         let now_s = self.started.elapsed().as_secs();
         self.retries.lock().count_request(&admitted.service, now_s, &self.settings().retries);
@@ -39,7 +51,9 @@
         let mut last_refusal = None;
         while tried.len() < MAX_ENDPOINTS_TRIED {
             if exchange.time_left().is_zero() {
-                return Err(Reason::TooLate.with("the deadline passed before the request was sent"));
+                let too_late =
+                    || Reason::TooLate.with("the deadline passed before the request was sent");
+                return Err(last_refusal.unwrap_or_else(too_late));
             }
             // Endpoints may have crashed on the same request since it was admitted.
             if let Err(refusal) = self.check_quarantine(&admitted.content, exchange.deadline).await
@@ -89,17 +103,13 @@
                 Attempt::Unknown(refusal) => last_refusal = Some(refusal),
             }
         }
-        let last_refusal = match last_refusal {
+        Err(match last_refusal {
             Some(last_refusal) if last_refusal.reason == Reason::NoEndpoint => {
                 self.no_endpoint(admitted).with_detail_of(last_refusal)
             }
             Some(last_refusal) => last_refusal,
             None => self.no_endpoint(admitted),
-        };
-        match exchange.may_have_run && last_refusal.reason.is_not_run() {
-            true => Err(Reason::Lost.with(last_refusal.detail)),
-            false => Err(last_refusal),
-        }
+        })
     }
 
     /// The refusal when no endpoint can be selected: the service has none, or the limits of cold and rate-limited
--- a/crates/gateway/src/proxy/refusal.rs
+++ b/crates/gateway/src/proxy/refusal.rs
@@ -156,6 +156,14 @@
         Refusal { detail: cause.detail, ..self }
     }
 
+    /// The refusal of a request that may have run, which no promise fits.
+    pub fn without_promise(self) -> Refusal {
+        match self.reason.is_not_run() {
+            true => Reason::Lost.with(self.detail),
+            false => self,
+        }
+    }
+
     /// The HTTP response.
     pub fn response(&self, id: Option<&str>) -> Response<String> {
         let outcome = if self.reason.is_not_run() { "not_run" } else { "unknown" };
