A request stays with an engine that may still work on it

A request that may be repeated went on at a second engine after any failure of the first: a connection that broke, a response of another request, bytes that are none, a tunnel that fell silent.

Now a request whose fate at an engine is not known stays with that engine: it is sent there again, on another connection (the same engine is no second one), unless the engine is known to have ended: its port is closed wherever it is looked at from (the probe that already follows a broken connection), or another instance has its address. Whole failures, refusals and requests that were never sent go elsewhere as before; so does everything at plain endpoints. proxy::next is the one place that says so.

An engine's report lists its runs, but some hundred ms late and without those that wait: no proof.

--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -58,6 +58,13 @@
     pub rank: u8,
 }
 
+impl AdmittedRequest {
+    /// Whether it goes to a model engine.
+    pub fn is_for_engine(&self) -> bool {
+        self.engine_rank.is_some()
+    }
+}
+
 impl Context {
     /// Resolves the route, customer and service of a request and reads its body.
     pub async fn admit(
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -38,7 +38,9 @@
     Gone(String),
     /// Nothing was sent to the endpoint.
     Unsent(String),
-    /// The request may have run at the endpoint.
+    /// The endpoint responded that it failed, and is not at work on the request any more.
+    Failed(Refusal),
+    /// The request may have run at the endpoint, or run there still.
     Unknown(Refusal),
 }
 
@@ -50,6 +52,7 @@
             Attempt::Declined(_) => "declined",
             Attempt::Gone(_) => "gone",
             Attempt::Unsent(_) => "unsent",
+            Attempt::Failed(_) => "failed",
             Attempt::Unknown(_) => "unknown",
         }
     }
@@ -218,11 +221,11 @@
             return Attempt::Declined(reason);
         }
         // The caller would take it for a promise that nothing backs.
-        if head.promises_not_run {
+        if answer::promises_not_run(status) {
             in_flight.end_without_failure();
             let detail =
                 format!("the endpoint sent {status} and does not say that it did not run it");
-            return Attempt::Unknown(Reason::Lost.with(detail));
+            return Attempt::Failed(Reason::Lost.with(detail));
         }
         let should_repeat = is_repeatable(&admitted.route)
             && status.is_server_error()
@@ -235,9 +238,8 @@
             && self.can_repeat(admitted);
         if should_repeat {
             in_flight.end_without_failure();
-            return Attempt::Unknown(
-                Reason::Lost.with(format!("the endpoint failed with {status}")),
-            );
+            let detail = format!("the endpoint failed with {status}");
+            return Attempt::Failed(Reason::Lost.with(detail));
         }
         exchange.time_to_head = Some(exchange.arrived_at.elapsed());
         exchange.framing = Some(response.framing);
--- a/crates/gateway/src/proxy/crashes.rs
+++ b/crates/gateway/src/proxy/crashes.rs
@@ -221,6 +221,23 @@
         }
     }
 
+    /// Whether an endpoint has ended, as this box or another one found; waits briefly for a probe in progress.
+    pub async fn has_ended(&self, instance: &Arc<str>, until: Instant) -> bool {
+        let until = until.min(Instant::now() + PROBE_WAIT_TIMEOUT);
+        let finding = Finding::Ended { endpoint: instance.clone() };
+        let mut probes = self.0.probes.subscribe();
+        loop {
+            probes.borrow_and_update();
+            let (has_ended, is_pending) = {
+                let state = self.0.state.lock();
+                (state.registry.has(&finding), state.unconfirmed.contains_key(instance))
+            };
+            if has_ended || !is_pending || timeout_at(until, probes.changed()).await.is_err() {
+                return has_ended;
+            }
+        }
+    }
+
     fn verdict_now(&self, request: &Fingerprint) -> Verdict {
         let state = self.0.state.lock();
         // Its connection broke there, or its caller left and others' connections broke.
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -7,10 +7,12 @@
 
 use crate::proxy::{
     admit::AdmittedRequest,
-    attempt::{Attempt, is_repeatable, log_not_taken},
+    attempt::{Attempt, log_not_taken},
     context::Context,
+    endpoints::Chosen,
     exchange::Exchange,
     in_flight::InFlight,
+    next::Next,
     origins,
     refusal::{CAPACITY_RETRY_DELAY, Reason, Refusal},
 };
@@ -49,6 +51,8 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let (mut delivered, mut permit_requests) = (0, 0);
         let mut last_refusal = None;
+        // The engine that may still work on the request: no other one gets it.
+        let mut bound_to: Option<Chosen> = None;
         while tried.len() < MAX_ENDPOINTS_TRIED {
             if exchange.time_left().is_zero() {
                 let too_late =
@@ -68,7 +72,9 @@
             };
             let AdmittedRequest { service, version, zones, prefix, .. } = admitted;
             let filter = Filter { candidates, zones: zones.as_ref(), version: version.as_deref() };
-            let chosen = self.endpoints.choose(service, filter, prefix, &tried);
+            let is_repeat = bound_to.is_some();
+            let chosen =
+                bound_to.take().or_else(|| self.endpoints.choose(service, filter, prefix, &tried));
             let Some(chosen) = chosen else { break };
             if exchange.attempts >= admitted.route.max_attempts
                 || (delivered > 0 && !self.can_repeat(admitted))
@@ -77,8 +83,10 @@
             }
             if chosen.limit.is_some() {
                 permit_requests += 1;
-                if !self.permits.acquire(&admitted.service, &chosen).await {
-                    continue;
+                match self.permits.acquire(&admitted.service, &chosen).await {
+                    true => {}
+                    false if is_repeat => break,
+                    false => continue,
                 }
             }
             if delivered > 0 && !self.take_repeat(admitted) {
@@ -88,20 +96,21 @@
             let outcome = self.attempt(admitted, &chosen, exchange).await;
             log_not_taken(&outcome, exchange, &chosen);
             exchange.last_outcome = Some(outcome.as_str());
+            let next = self.next(&outcome, admitted, &chosen, exchange, is_repeat).await;
             delivered += u32::from(!matches!(outcome, Attempt::Unsent(_)));
-            match outcome {
+            let refusal = match outcome {
                 Attempt::Answer(response, in_flight) => return Ok((response, *in_flight)),
-                Attempt::Unsent(reason) => {
-                    last_refusal = Some(Reason::NoEndpoint.after(CAPACITY_RETRY_DELAY, reason))
+                Attempt::Unsent(reason) | Attempt::Declined(reason) | Attempt::Gone(reason) => {
+                    Reason::NoEndpoint.after(CAPACITY_RETRY_DELAY, reason)
                 }
-                Attempt::Declined(reason) | Attempt::Gone(reason) => {
-                    last_refusal = Some(Reason::NoEndpoint.after(CAPACITY_RETRY_DELAY, reason));
-                }
-                Attempt::Unknown(refusal) if !is_repeatable(&admitted.route) => {
-                    return Err(refusal);
-                }
-                Attempt::Unknown(refusal) => last_refusal = Some(refusal),
+                Attempt::Failed(refusal) | Attempt::Unknown(refusal) => refusal,
+            };
+            match next {
+                Next::Another => {}
+                Next::Same => bound_to = Some(chosen),
+                Next::Nowhere => return Err(refusal),
             }
+            last_refusal = Some(refusal);
         }
         Err(match last_refusal {
             Some(last_refusal) if last_refusal.reason == Reason::NoEndpoint => {
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! Handling of one request, from its head to an endpoint and back to the caller.
 //!
 //! - `admit` resolves the route and the customer, reads the body and reserves tokens;
-//! - `dispatch` selects one of the `endpoints` and retries where that is allowed, `attempt` sends the request to it;
+//! - `dispatch` selects one of the `endpoints`, `attempt` sends the request to it, `next` says where it may go after that;
 //! - `relay` streams the response to the caller, `exchange` settles and logs the request;
 //! - `refusal` is the response of the box itself, `denial` what a denial rests on;
 //! - `crashes` tracks requests that crash endpoints;
@@ -22,6 +22,7 @@
 pub mod context;
 pub mod in_flight;
 pub mod link;
+pub mod next;
 pub mod event_counter;
 pub mod refusal;
 pub mod relay;
--- a/crates/quarantine/src/registry.rs
+++ b/crates/quarantine/src/registry.rs
@@ -226,6 +226,11 @@
         later.any(|entry| entry.report.finding == *finding)
     }
 
+    /// Whether a report has this finding.
+    pub fn has(&self, finding: &Finding) -> bool {
+        self.reports.values().any(|entry| entry.report.finding == *finding)
+    }
+
     /// Whether a report is known.
     pub fn contains(&self, name: &str) -> bool {
         self.reports.contains_key(name)
