Soak: endpoints in trouble, and callers that come back

Callers come back after a promise with the same id or a new one, after a failure if the call may be repeated, on new connections, some at once. Checked: a refused try never runs, a call that may not be repeated runs once over all its tries, no engine is at work 400 ms after another one began. Draws have generators of their own: other seeds play as before.

Not played: one-way links between two boxes (a box between is suspended by the other faults), events of a stream.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -134,6 +134,15 @@
 const RELEASES: [Case; 1] =
     [Case { seed: 9201, seconds: 8, limits: true, announcements: true, cause: "never failed" }];
 
+/// Endpoints in trouble, with callers that come back.
+const IN_TROUBLE: [Case; 1] = [Case {
+    seed: 7701,
+    seconds: 8,
+    limits: true,
+    announcements: true,
+    cause: "a second response to an earlier try was taken for that to a later one",
+}];
+
 /// What a run has beside the faults of its seed.
 #[derive(Debug, Clone, Copy, Default)]
 struct Variety {
@@ -141,6 +150,7 @@
     deaf: bool,
     unframed: bool,
     versions: bool,
+    trouble: bool,
 }
 
 #[tokio::test]
@@ -176,6 +186,13 @@
     run_varied_cases(&RELEASES, StopOrder::Concurrent, variety).await;
 }
 
+/// Guards against requests that run twice, run after a refusal, or go on at a second engine beside the first.
+#[tokio::test]
+async fn requests_run_once_while_endpoints_are_in_trouble() {
+    let variety = Variety { trouble: true, ..Variety::default() };
+    run_varied_cases(&IN_TROUBLE, StopOrder::Concurrent, variety).await;
+}
+
 #[tokio::test]
 async fn bills_survive_a_shutdown_without_the_store() {
     run_cases(&BILLS_HANDED_OVER, StopOrder::InLine).await;
@@ -225,6 +242,7 @@
             deaf: variety.deaf,
             unframed: variety.unframed,
             versions: variety.versions,
+            trouble: variety.trouble,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -54,6 +54,10 @@
     /// endpoints have several software versions, and releases replace them
     #[argh(switch)]
     pub versions: bool,
+
+    /// endpoints in trouble, with callers that come back
+    #[argh(switch)]
+    pub trouble: bool,
 }
 
 impl Options {
@@ -75,6 +79,7 @@
             deaf: self.deaf,
             unframed: self.unframed,
             versions: self.versions,
+            trouble: self.trouble,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -38,6 +38,14 @@
     Remove { endpoint: usize },
     /// An endpoint of a release starts.
     Release { number: usize },
+    /// An endpoint in trouble is suspended.
+    SuspendEndpoint { endpoint: usize },
+    /// An endpoint in trouble crashes; another one starts at its address, of the other service if it takes over.
+    CrashEndpoint { endpoint: usize, takes_over: bool },
+    /// What a box sends does not arrive at an endpoint in trouble.
+    LoseRequests { endpoint: usize, box_index: usize },
+    /// What an endpoint in trouble sends does not arrive at a box.
+    LoseResponses { endpoint: usize, box_index: usize },
     /// The operator adds a route.
     Configure,
     /// The operator increases the tokens that customers have paid for.
@@ -63,6 +71,10 @@
             | Kind::Leave { .. }
             | Kind::Remove { .. }
             | Kind::Release { .. }
+            | Kind::SuspendEndpoint { .. }
+            | Kind::CrashEndpoint { .. }
+            | Kind::LoseRequests { .. }
+            | Kind::LoseResponses { .. }
             | Kind::Configure
             | Kind::TopUp => None,
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,7 +6,7 @@
 //! limits ([`limit`]), that they leave, or back-offs ([`announcement`]). Raw callers ([`raw`]) have
 //! responses framed and broken off in all ways ([`shape`]), and [`framing`] tells from the bytes whether
 //! one ended as its endpoint ended it. Releases ([`release`]) replace endpoints by those of newer software
-//! versions, and callers take up streams that broke ([`stream`]). At the end, [`verdict`]
+//! versions, and callers take up streams that broke ([`stream`]). Endpoints in trouble have callers that come back ([`trouble`]). At the end, [`verdict`]
 //! compares the responses, the runs at the endpoints ([`endpoint`]), the book and the bills. For a
 //! request on no bill, [`loss`] asks the lives of the boxes ([`life`]) whether one was possible. A
 //! run signals only processes that it started, by their ids, and kills them when it ends.
@@ -24,6 +24,7 @@
 pub mod release;
 pub mod shape;
 pub mod stream;
+pub mod trouble;
 pub mod verdict;
 
 mod run;
--- a/crates/soak/src/life.rs
+++ b/crates/soak/src/life.rs
@@ -39,7 +39,7 @@
     }
 
     /// The periods; one that has not ended lasts until `end`.
-    fn periods(&self, end: Instant) -> impl Iterator<Item = Period> {
+    pub fn periods(&self, end: Instant) -> impl Iterator<Item = Period> {
         let current = self.since.map(|from| Period { from, until: end });
         self.ended.iter().copied().chain(current)
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,7 +2,7 @@
 
 mod cli;
 
-use std::process::ExitCode;
+use std::{collections::BTreeMap, process::ExitCode};
 
 fn main() -> ExitCode {
     let options = cli::parse();
@@ -45,6 +45,13 @@
         if options.versions {
             println!("  {}", report.streams);
         }
+        if options.trouble {
+            let (tries, refused, work) = report.tries;
+            println!("  in trouble: {tries} tries, {refused} refused, {work} runs");
+        }
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        report.breaches.iter().for_each(|it| *counts.entry(it.guarantee).or_default() += 1);
+        counts.iter().for_each(|(guarantee, count)| println!("  {count} times: {guarantee}"));
         for violation in report.breaches.iter().take(5) {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/crates/soak/src/run/callers.rs
+++ b/crates/soak/src/run/callers.rs
@@ -19,6 +19,7 @@
     endpoint::Id,
     framing::RawCall,
     stream::Stream,
+    trouble::verdict::Try,
 };
 
 /// Shortest and longest pause of a caller between two calls, in milliseconds.
@@ -33,6 +34,8 @@
     pub raw_calls: Mutex<Vec<RawCall>>,
     /// Streams that broke after at least one event and that may be taken up.
     pub streams: Mutex<Vec<Stream>>,
+    /// Tries of the callers that come back.
+    pub tries: Mutex<Vec<Try>>,
     next_number: AtomicU64,
     pub done: AtomicBool,
 }
@@ -43,6 +46,7 @@
             calls: Mutex::default(),
             raw_calls: Mutex::default(),
             streams: Mutex::default(),
+            tries: Mutex::default(),
             accepting: Mutex::new(vec![None; boxes]),
             next_number: AtomicU64::new(seed.wrapping_mul(1_000_000) + 1),
             done: AtomicBool::new(false),
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -21,13 +21,16 @@
     loss::{self, Loss},
     release,
     stream::{self, Origins, Stream},
+    trouble::{self, verdict::Absence},
     verdict::{self, Evidence, Violation},
 };
 
 mod callers;
 mod fleet;
 mod raw_callers;
+mod returning_callers;
 mod schedule;
+mod troubled;
 
 pub use fleet::Error;
 pub use schedule::StopOrder;
@@ -35,7 +38,9 @@
 use callers::Shared;
 use fleet::{FileSnafu, Fleet, Layout};
 use raw_callers::{RawCaller, Scope};
+use returning_callers::ReturningCaller;
 use schedule::Schedule;
+use troubled::Troubled;
 
 /// Names of the endpoints, each with its service and the version that it has if there are several.
 const ENDPOINTS: [(&str, &str, u64); 4] =
@@ -72,6 +77,8 @@
     pub unframed: bool,
     /// Whether endpoints have several software versions, and releases replace them.
     pub versions: bool,
+    /// Whether there are endpoints in trouble, with callers that come back.
+    pub trouble: bool,
 }
 
 /// Results of a run.
@@ -93,6 +100,8 @@
     pub raw: framing::Tally,
     /// Streams that were taken up again.
     pub streams: stream::Tally,
+    /// Tries at endpoints in trouble: all and refused ones, and how often such an endpoint began to work.
+    pub tries: (usize, usize, usize),
 }
 
 /// Runs the soak test with one seed.
@@ -107,16 +116,23 @@
     let deaf = if options.deaf { "-deaf" } else { "" };
     let unframed = if options.unframed { "-unframed" } else { "" };
     let versions = if options.versions { "-versions" } else { "" };
-    let name = format!("seed-{seed}{order}{cuts}{deaf}{unframed}{versions}");
+    let trouble = if options.trouble { "-trouble" } else { "" };
+    let name = format!("seed-{seed}{order}{cuts}{deaf}{unframed}{versions}{trouble}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
     let shared = Arc::new(Shared::new(seed, options.boxes));
     let (program, store) = (options.daemon.clone(), platform.socket());
-    let layout = Layout { has_addresses: options.cuts, has_short_stops: options.unframed };
+    let layout = Layout {
+        has_addresses: options.cuts || options.trouble,
+        has_short_stops: options.unframed,
+    };
     let fleet = Fleet::new(shared.clone(), store, program, folder.clone(), layout);
     let mut schedule = Schedule::new(platform, fleet, options.stops);
     schedule.has_resume_route = options.versions;
+    if options.trouble {
+        schedule.troubled = Troubled::spawn(seed).await;
+    }
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
     let announcements =
@@ -135,6 +151,7 @@
             schedule.add_endpoint(name, "engines", version, Plan::default()).await;
         }
     }
+    schedule.troubled.register(&schedule.platform).await;
     for box_index in 0..options.boxes {
         schedule.fleet.add_box(box_index).await?;
     }
@@ -154,6 +171,10 @@
         faults.extend(releases.faults);
         schedule.starts = releases.starts;
     }
+    if options.trouble {
+        let endpoints = schedule.troubled.len();
+        faults.extend(trouble::fault::draw(seed, options.boxes, endpoints, options.length));
+    }
     let count = faults.len();
     let mut callers = JoinSet::new();
     for number in 0..options.boxes * CALLERS_PER_BOX {
@@ -165,6 +186,11 @@
             callers.spawn(RawCaller::new(shared.clone(), seed, number, scope).run());
         }
     }
+    if options.trouble {
+        for number in 0..options.boxes * returning_callers::PER_BOX {
+            callers.spawn(ReturningCaller::new(shared.clone(), seed, number).run());
+        }
+    }
     schedule.play(faults, options.length).await?;
     shared.done.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
@@ -211,6 +237,10 @@
     let versions = versions.collect();
     let (streams, origins) = (shared.streams.lock(), Origins::new(&runs, &versions));
     breaches.extend(stream::violations(seed, &streams, &origins));
+    let (tries, work) = (shared.tries.lock(), schedule.troubled.log.all());
+    let absences = absences(schedule);
+    breaches.extend(trouble::verdict::violations(&tries, &work, &absences));
+    let refused_tries = tries.iter().filter(|one| one.is_refused()).count();
     write_streams(&streams, &origins, &folder.join("streams.log"))?;
     let losses = loss::find(&calls, &bills, &schedule.fleet.trace);
     write_losses(&losses, schedule, &folder.join("lost-bills.log"))?;
@@ -228,9 +258,24 @@
         excused: losses.iter().filter(|loss| loss.is_excused()).count(),
         raw: framing::tally(&raw_calls),
         streams: stream::tally(&streams),
+        tries: (tries.len(), refused_tries, work.len()),
     })
 }
 
+/// Times in which boxes may not end what they sent to endpoints.
+fn absences(schedule: &Schedule) -> Vec<Absence> {
+    let trace = &schedule.fleet.trace;
+    let lives = trace.lives.iter().flat_map(|(incarnation, life)| {
+        let box_index = incarnation.box_index;
+        let absence = move |from, until| Absence { box_index, from, until };
+        let suspended = life.suspended.periods(trace.until);
+        let suspended = suspended.map(move |period| absence(period.from, period.until));
+        let ended = life.ended_at().map(|at| absence(at, at));
+        suspended.chain(ended).collect::<Vec<_>>()
+    });
+    lives.chain(schedule.troubled.lost.iter().copied()).collect()
+}
+
 /// Writes a line for each answered request on no bill, and what happened to the boxes and the store
 /// if there are any.
 fn write_losses(losses: &[Loss], schedule: &Schedule, path: &Path) -> Result<(), Error> {
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -14,7 +14,11 @@
     endpoint::{Endpoint, Plan, Records},
     fault::{Fault, Kind},
     release::Start,
-    run::fleet::{self, EXIT_TIMEOUT, Error, FileSnafu, Fleet},
+    run::{
+        fleet::{self, EXIT_TIMEOUT, Error, FileSnafu, Fleet},
+        troubled::Troubled,
+    },
+    trouble,
     verdict::Disturbance,
 };
 
@@ -61,6 +65,7 @@
     /// Endpoints of releases.
     pub starts: Vec<Start>,
     pub records: Records,
+    pub troubled: Troubled,
     pub fleet: Fleet,
     /// Tokens that each customer has paid for.
     pub paid: u64,
@@ -87,6 +92,7 @@
             endpoints: Vec::new(),
             starts: Vec::new(),
             records: Records::default(),
+            troubled: Troubled::default(),
             fleet,
             paid: INITIAL_PAID_TOKENS,
             left: BTreeMap::new(),
@@ -112,7 +118,10 @@
         let mut routes = vec![Route::Stream, Route::Cancel, Route::Confirm];
         routes.extend(self.has_late_route.then_some(Route::Late));
         routes.extend(self.has_resume_route.then_some(Route::Resume));
-        let routes: Vec<&str> = routes.into_iter().map(Route::name).collect();
+        let routes = routes.into_iter().map(Route::name);
+        let troubled = trouble::route::Route::ALL.map(trouble::route::Route::name);
+        let troubled = troubled.into_iter().filter(|_| !self.troubled.is_empty());
+        let routes: Vec<&str> = routes.chain(troubled).collect();
         let (kind, name) = platform::CONFIG;
         self.write(kind, name, fixtures::config(self.version, self.paid, &routes)).await;
     }
@@ -220,6 +229,14 @@
                 trace.losing.set(true, Instant::now());
             }
             Kind::DeafWatches => platform.set(|faults| faults.deaf_watches = true),
+            Kind::SuspendEndpoint { endpoint } => self.troubled.suspend(endpoint, true),
+            Kind::CrashEndpoint { endpoint, .. } => self.troubled.crash(platform, endpoint).await,
+            Kind::LoseRequests { endpoint, box_index } => {
+                self.troubled.lose_requests(endpoint, box_index, true);
+            }
+            Kind::LoseResponses { endpoint, box_index } => {
+                self.troubled.lose_responses(endpoint, box_index, true);
+            }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, true),
             Kind::CutEndpoints { box_index } => {
                 self.cuts.push(Instant::now());
@@ -308,6 +325,16 @@
                 platform.set(|faults| faults.drop_responses = 0.0);
                 trace.losing.set(false, Instant::now());
             }
+            Kind::SuspendEndpoint { endpoint } => self.troubled.suspend(endpoint, false),
+            Kind::CrashEndpoint { endpoint, takes_over } => {
+                self.troubled.restart(platform, endpoint, takes_over).await;
+            }
+            Kind::LoseRequests { endpoint, box_index } => {
+                self.troubled.lose_requests(endpoint, box_index, false);
+            }
+            Kind::LoseResponses { endpoint, box_index } => {
+                self.troubled.lose_responses(endpoint, box_index, false);
+            }
             Kind::CutLink { box_index } => self.fleet.set_cut(box_index, false),
             Kind::CutEndpoints { box_index } => self.set_cut_off(box_index, false),
             Kind::Suspend { box_index } => self.fleet.signal(box_index, Signal::CONT)?,
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use platform::fixtures::ForwardedHead;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     task::{JoinHandle, JoinSet},
@@ -141,7 +141,7 @@
                     }
                     Ok(()) = cuts.changed() => {
                         let sources = cuts.borrow_and_update().clone();
-                        source_filter::attach(&listener, &sources).expect("the filter is valid");
+                        source_filter::drop_sources(&listener, &sources).expect("the filter is valid");
                     }
                     () = crash.notified() => return,
                 }
@@ -241,7 +241,7 @@
         state.connections
     };
     let mut buffer = Vec::new();
-    while let Some(arrived) = read(&mut stream, &mut buffer, connection).await {
+    while let Some(arrived) = ReceivedRequest::read(&mut stream, &mut buffer, connection).await {
         let reply = script(&arrived);
         *current.lock() = Some(arrived.head.id.clone());
         state.lock().arrived.push(arrived);
@@ -264,38 +264,41 @@
     state.lock().closed += 1;
 }
 
-async fn read(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-    connection: usize,
-) -> Option<ReceivedRequest> {
-    let end = loop {
-        let found = buffer.windows(4).position(|window| window == b"\r\n\r\n");
-        match found {
-            Some(at) => break at + 4,
-            None if buffer.len() > MAX_HEAD_BYTES => return None,
-            None if stream.read_buf(buffer).await.ok()? == 0 => return None,
-            None => {}
+impl ReceivedRequest {
+    /// Reads a request; what follows it stays in the buffer. `None` if the connection ends or the head is malformed.
+    pub async fn read(
+        stream: &mut (impl AsyncRead + Unpin),
+        buffer: &mut Vec<u8>,
+        connection: usize,
+    ) -> Option<ReceivedRequest> {
+        let end = loop {
+            let found = buffer.windows(4).position(|window| window == b"\r\n\r\n");
+            match found {
+                Some(at) => break at + 4,
+                None if buffer.len() > MAX_HEAD_BYTES => return None,
+                None if stream.read_buf(buffer).await.ok()? == 0 => return None,
+                None => {}
+            }
+        };
+        let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+        let mut lines = head.lines();
+        let line = lines.next()?.to_owned();
+        let mut headers = HeaderMap::new();
+        for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+            let name: http::HeaderName = name.trim().parse().ok()?;
+            headers.append(name, value.trim().parse().ok()?);
         }
-    };
-    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-    let mut lines = head.lines();
-    let line = lines.next()?.to_owned();
-    let mut headers = HeaderMap::new();
-    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
-        let name: http::HeaderName = name.trim().parse().ok()?;
-        headers.append(name, value.trim().parse().ok()?);
-    }
-    let length = headers.get(http::header::CONTENT_LENGTH);
-    let length: usize = length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-    while buffer.len() < end + length {
-        if stream.read_buf(buffer).await.ok()? == 0 {
-            return None;
+        let length = headers.get(http::header::CONTENT_LENGTH);
+        let length: usize = length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+        while buffer.len() < end + length {
+            if stream.read_buf(buffer).await.ok()? == 0 {
+                return None;
+            }
         }
+        let body = buffer[end..end + length].to_vec();
+        buffer.drain(..end + length);
+        Some(ReceivedRequest { line, head: ForwardedHead::read(&headers), body, connection })
     }
-    let body = buffer[end..end + length].to_vec();
-    buffer.drain(..end + length);
-    Some(ReceivedRequest { line, head: ForwardedHead::read(&headers), body, connection })
 }
 
 fn head(status: StatusCode, headers: &HeaderMap, framing: &str) -> String {
@@ -306,7 +309,8 @@
     text + "\r\n"
 }
 
-fn complete(status: StatusCode, headers: &HeaderMap, body: &str) -> String {
+/// A complete response with a length, as text.
+pub fn response(status: StatusCode, headers: &HeaderMap, body: &str) -> String {
     head(status, headers, &format!("content-length: {}\r\n", body.len())) + body
 }
 
@@ -319,10 +323,10 @@
     const CHUNKED: &str = "transfer-encoding: chunked\r\n";
     match reply {
         Reply::Complete(status, headers, body) => {
-            stream.write_all(complete(status, &headers, &body).as_bytes()).await.is_ok()
+            stream.write_all(response(status, &headers, &body).as_bytes()).await.is_ok()
         }
         Reply::TrailingData(status, headers, body, extra) => {
-            let bytes = complete(status, &headers, &body) + &extra;
+            let bytes = response(status, &headers, &body) + &extra;
             stream.write_all(bytes.as_bytes()).await.is_ok()
         }
         Reply::Unframed(headers, body) => {
--- a/crates/standin/src/source_filter.rs
+++ b/crates/standin/src/source_filter.rs
@@ -1,9 +1,8 @@
 //! Socket filters that drop all packets of some sources, as a network that is partitioned does.
 
-use std::{collections::BTreeSet, io, net::Ipv4Addr};
+use std::{collections::BTreeSet, io, net::Ipv4Addr, os::fd::AsFd};
 
 use socket2::{SockFilter, SockRef};
-use tokio::net::TcpListener;
 
 /// Loads a word at a fixed offset.
 const LOAD_WORD: u16 = 0x20;
@@ -14,8 +13,8 @@
 /// Offset of the source address, counted from the network header.
 const SOURCE_OFFSET: u32 = 0xfff0_0000 + 12;
 
-/// Drops packets of these sources that arrive at a listener, those of new connections among them.
-pub fn attach(listener: &TcpListener, sources: &BTreeSet<Ipv4Addr>) -> io::Result<()> {
+/// Drops packets of these sources that arrive at a socket; at a listener, those of new connections.
+pub fn drop_sources(socket: &impl AsFd, sources: &BTreeSet<Ipv4Addr>) -> io::Result<()> {
     let count = sources.len() as u8;
     let jumps = sources.iter().zip(0..count).map(|(source, index)| {
         SockFilter::new(JUMP_IF_EQUAL, count - index, 0, u32::from(*source))
@@ -24,5 +23,5 @@
     program.extend(jumps);
     program.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
     program.push(SockFilter::new(RETURN, 0, 0, 0));
-    SockRef::from(listener).attach_filter(&program)
+    SockRef::from(socket).attach_filter(&program)
 }
