Router: a refusal counts only with the id of the attempt that was sent

The id comes first now, and must be the one that was sent; anything else leaves the outcome unknown. The stand-in engine repeats the id in refusals as in responses. Attempt ids are new for each try here, so no connection carries one twice.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -105,21 +105,20 @@
         }
         Ok(Err(_)) | Err(_) => return Sent::Uncertain(Unknown::NoResponse),
     };
-    if answer.status() == http::StatusCode::SERVICE_UNAVAILABLE {
-        // An invalid Retry-After counts as none.
-        let back_off = retry_after::read(answer.headers()).and_then(Result::ok);
-        let refused = answer.json::<Refused>().await;
-        return match refused {
-            Ok(Refused { error: RefusedError { ran: false } }) => {
-                Sent::NotRun { failure: Failure::Refused, back_off }
-            }
-            _ => Sent::Uncertain(Unknown::Incomplete),
-        };
-    }
     let echoed = answer.headers().get("x-request-id").and_then(|id| id.to_str().ok());
-    match echoed {
-        // The answer belongs to another request.
-        Some(echoed) if echoed != attempt_id => Sent::Uncertain(Unknown::Incomplete),
-        _ => Sent::Answered(answer),
+    if echoed != Some(attempt_id) {
+        // The answer belongs to another request, whatever it says.
+        return Sent::Uncertain(Unknown::Incomplete);
+    }
+    if answer.status() != http::StatusCode::SERVICE_UNAVAILABLE {
+        return Sent::Answered(answer);
+    }
+    // An invalid Retry-After counts as none.
+    let back_off = retry_after::read(answer.headers()).and_then(Result::ok);
+    match answer.json::<Refused>().await {
+        Ok(Refused { error: RefusedError { ran: false } }) => {
+            Sent::NotRun { failure: Failure::Refused, back_off }
+        }
+        _ => Sent::Uncertain(Unknown::Incomplete),
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -328,6 +328,7 @@
             Err(_) => Value::Null,
         };
         if let Some(retry_after_s) = self.0.refusal(&body) {
+            let _ = response.add_header("x-request-id", self.response_id(&id), true);
             response.status_code(StatusCode::SERVICE_UNAVAILABLE);
             if let Some(seconds) = retry_after_s {
                 let _ = response.add_header("retry-after", seconds.to_string(), true);
@@ -374,13 +375,15 @@
         number
     }
 
+    /// The id in the response to a request.
+    fn response_id(&self, id: &str) -> String {
+        let wrong_id = self.0.state.lock().faults.wrong_id;
+        if wrong_id { "someone-else".to_owned() } else { id.to_owned() }
+    }
+
     fn stream(&self, number: usize, from: u64, response: &mut Response) {
-        let (id, wrong_id) = {
-            let state = self.0.state.lock();
-            (state.runs[number].run.id.clone(), state.faults.wrong_id)
-        };
-        let response_id = if wrong_id { "someone-else".to_owned() } else { id };
-        let _ = response.add_header("x-request-id", response_id, true);
+        let id = self.0.state.lock().runs[number].run.id.clone();
+        let _ = response.add_header("x-request-id", self.response_id(&id), true);
         let _ = response.add_header("content-type", "text/event-stream", true);
         response.stream(tokens(Reader::open(self.0.clone(), number, from)));
     }
--- a/crates/trial/tests/failure.rs
+++ b/crates/trial/tests/failure.rs
@@ -144,3 +144,14 @@
     assert_eq!(fleet.engines[0].refused(), 1, "later requests go to the other engines");
     sound_figures(&fleet).await;
 }
+
+/// Guards against: a refusal of another request is taken for the one of the request that was just sent.
+#[tokio::test]
+async fn a_refusal_of_another_request_is_no_promise() {
+    let fleet = Fleet::spawn(Plan::default()).await;
+    let refuse =
+        |faults: &mut standin::EngineFaults| (faults.refuse, faults.wrong_id) = (true, true);
+    fleet.engines.iter().for_each(|engine| engine.set(refuse));
+    let response = fleet.caller.send(fleet.callers_address(0), &request("a")).await;
+    assert_eq!(response.outcome, Outcome::Unknown, "{response:?}");
+}
