--- a/crates/gateway/src/fleet/profile.rs
+++ b/crates/gateway/src/fleet/profile.rs
@@ -16,13 +16,18 @@
 
 /// Orders the first box of each zone, then the second of each, and so on.
 pub fn interleave_zones(profiles: Vec<&Profile>) -> Vec<&Profile> {
+    interleave(profiles, |profile| &profile.zone)
+}
+
+/// Orders the first element of each group, then the second of each, and so on.
+pub fn interleave<T>(elements: Vec<&T>, group: fn(&T) -> &Arc<str>) -> Vec<&T> {
     let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
-    let mut ranked: Vec<(usize, &Profile)> = Vec::with_capacity(profiles.len());
-    for profile in profiles {
-        let round = counts.entry(&profile.zone).or_default();
-        ranked.push((*round, profile));
+    let mut ranked: Vec<(usize, &T)> = Vec::with_capacity(elements.len());
+    for element in elements {
+        let round = counts.entry(group(element)).or_default();
+        ranked.push((*round, element));
         *round += 1;
     }
     ranked.sort_by_key(|(round, _)| *round);
-    ranked.into_iter().map(|(_, profile)| profile).collect()
+    ranked.into_iter().map(|(_, element)| element).collect()
 }
