Soak: endpoints in trouble and callers that do nothing that the protocol rules out

A violation names the route, and up to 50 are printed. Needed to tell which statuses of which version the report can be; no check is changed.

--- a/crates/flintstalld/tests/soak.rs
+++ b/crates/flintstalld/tests/soak.rs
@@ -151,6 +151,7 @@
     unframed: bool,
     versions: bool,
     trouble: bool,
+    proper: bool,
 }
 
 #[tokio::test]
@@ -243,6 +244,7 @@
             unframed: variety.unframed,
             versions: variety.versions,
             trouble: variety.trouble,
+            proper: variety.proper,
         };
         let report = soak::run(*seed, &options).await.expect("the soak run completes");
         assert!(report.calls.1 > 100, "seed {seed}: too few requests were served: {report:?}");
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -58,6 +58,10 @@
     /// endpoints in trouble, with callers that come back
     #[argh(switch)]
     pub trouble: bool,
+
+    /// endpoints in trouble and their callers do nothing that the protocol rules out
+    #[argh(switch)]
+    pub proper: bool,
 }
 
 impl Options {
@@ -80,6 +84,7 @@
             unframed: self.unframed,
             versions: self.versions,
             trouble: self.trouble,
+            proper: self.proper,
             stops: match self.concurrent_stops {
                 true => soak::StopOrder::Concurrent,
                 false => soak::StopOrder::InLine,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,6 +4,9 @@
 
 use std::{collections::BTreeMap, process::ExitCode};
 
+/// Violations of a seed that are printed.
+const MAX_PRINTED: usize = 50;
+
 fn main() -> ExitCode {
     let options = cli::parse();
     let runtime = match tokio::runtime::Runtime::new() {
@@ -52,7 +55,7 @@
         let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
         report.breaches.iter().for_each(|it| *counts.entry(it.guarantee).or_default() += 1);
         counts.iter().for_each(|(guarantee, count)| println!("  {count} times: {guarantee}"));
-        for violation in report.breaches.iter().take(5) {
+        for violation in report.breaches.iter().take(MAX_PRINTED) {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
         broken += usize::from(!report.breaches.is_empty());
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -79,6 +79,9 @@
     pub versions: bool,
     /// Whether there are endpoints in trouble, with callers that come back.
     pub trouble: bool,
+    /// Whether these keep to the protocol: each try has an id of its own, each response the id of its request, and a
+    /// promise that a request did not run is true.
+    pub proper: bool,
 }
 
 /// Results of a run.
@@ -117,7 +120,8 @@
     let unframed = if options.unframed { "-unframed" } else { "" };
     let versions = if options.versions { "-versions" } else { "" };
     let trouble = if options.trouble { "-trouble" } else { "" };
-    let name = format!("seed-{seed}{order}{cuts}{deaf}{unframed}{versions}{trouble}");
+    let proper = if options.proper { "-proper" } else { "" };
+    let name = format!("seed-{seed}{order}{cuts}{deaf}{unframed}{versions}{trouble}{proper}");
     let folder = options.folder.join(name);
     std::fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
     let platform = Platform::spawn(seed).await;
@@ -131,7 +135,7 @@
     let mut schedule = Schedule::new(platform, fleet, options.stops);
     schedule.has_resume_route = options.versions;
     if options.trouble {
-        schedule.troubled = Troubled::spawn(seed).await;
+        schedule.troubled = Troubled::spawn(seed, options.proper).await;
     }
     schedule.configure().await;
     let limits = limit::draw(seed, ENDPOINTS.len(), options.length);
@@ -188,7 +192,8 @@
     }
     if options.trouble {
         for number in 0..options.boxes * returning_callers::PER_BOX {
-            callers.spawn(ReturningCaller::new(shared.clone(), seed, number).run());
+            let caller = ReturningCaller::new(shared.clone(), seed, number, options.proper);
+            callers.spawn(caller.run());
         }
     }
     schedule.play(faults, options.length).await?;
--- a/crates/soak/src/run/returning_callers.rs
+++ b/crates/soak/src/run/returning_callers.rs
@@ -29,6 +29,8 @@
 const PAUSE_MS: (u64, u64) = (5, 60);
 /// Shortest and longest time that a caller has for a call and all its tries, in milliseconds.
 const DEADLINE_MS: (u64, u64) = (400, 4_000);
+/// The same for streams of callers that keep to the protocol.
+const STREAM_DEADLINE_MS: (u64, u64) = (2_000, 15_000);
 /// Tries of a call.
 const MAX_TRIES: usize = 4;
 /// Pause before a try where the response names none, in milliseconds.
@@ -40,6 +42,8 @@
     random: ChaCha8Rng,
     /// Keeps its connections.
     kept: Arc<reqwest::Client>,
+    /// Whether it keeps to the protocol.
+    is_proper: bool,
 }
 
 /// What a try came to.
@@ -52,10 +56,10 @@
 
 impl ReturningCaller {
     /// The caller with a number.
-    pub fn new(shared: Arc<Shared>, seed: u64, number: usize) -> ReturningCaller {
+    pub fn new(shared: Arc<Shared>, seed: u64, number: usize, is_proper: bool) -> ReturningCaller {
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ SEED_SALT);
         random.set_stream(number as u64);
-        ReturningCaller { shared, random, kept: call::client() }
+        ReturningCaller { shared, random, kept: call::client(), is_proper }
     }
 
     /// Makes calls until the load ends.
@@ -71,9 +75,12 @@
     async fn call(&mut self) {
         let call = self.shared.number();
         let route = Route::ALL[self.random.random_range(0..Route::ALL.len())];
-        let time = Duration::from_millis(self.random.random_range(DEADLINE_MS.0..DEADLINE_MS.1));
-        let deadline = Instant::now() + time;
-        let keeps_id = self.random.random_bool(0.5);
+        let (min, max) = match route {
+            Route::Stream | Route::Resume if self.is_proper => STREAM_DEADLINE_MS,
+            _ => DEADLINE_MS,
+        };
+        let deadline = Instant::now() + Duration::from_millis(self.random.random_range(min..max));
+        let keeps_id = self.random.random_bool(0.5) && !self.is_proper;
         // Some callers don't wait as they are told.
         let waits = self.random.random_bool(0.7);
         for number in 0..MAX_TRIES {
--- a/crates/soak/src/run/troubled.rs
+++ b/crates/soak/src/run/troubled.rs
@@ -40,12 +40,13 @@
     /// Times in which boxes did not reach one of them.
     pub lost: Vec<Absence>,
     seed: u64,
+    is_proper: bool,
 }
 
 impl Troubled {
     /// Starts the endpoints.
-    pub async fn spawn(seed: u64) -> Troubled {
-        let mut all = Troubled { seed, ..Troubled::default() };
+    pub async fn spawn(seed: u64, is_proper: bool) -> Troubled {
+        let mut all = Troubled { seed, is_proper, ..Troubled::default() };
         for (number, service) in SERVICES.into_iter().enumerate() {
             let identity = Identity { name: name(number, 1), service };
             let any = (Ipv4Addr::LOCALHOST, 0).into();
@@ -140,7 +141,8 @@
         starts: u64,
     ) -> Endpoint {
         let seed = self.seed ^ (number as u64 + 1) << 32 ^ starts << 48;
-        let started = Endpoint::bind(identity, address, self.log.clone(), seed).await;
+        let started =
+            Endpoint::bind(identity, address, self.log.clone(), seed, self.is_proper).await;
         started.expect("loopback has free ports, and that of an endpoint that crashed is free")
     }
 }
--- a/crates/soak/src/trouble/conduct.rs
+++ b/crates/soak/src/trouble/conduct.rs
@@ -77,4 +77,11 @@
         let (refuses, outlasts_close) = (random.random_bool(0.12), random.random_bool(0.25));
         Conduct { refuses, work, end, outlasts_close, copy }
     }
+
+    /// The same without what the protocol rules out: a promise for what ran, and responses without an id.
+    pub fn kept_to_protocol(self) -> Conduct {
+        let end = if self.end == End::Mute { End::Fail } else { self.end };
+        let copy = self.copy.map(|copy| Copy { has_id: true, ..copy });
+        Conduct { end, copy, ..self }
+    }
 }
--- a/crates/soak/src/trouble/endpoint.rs
+++ b/crates/soak/src/trouble/endpoint.rs
@@ -81,6 +81,8 @@
     slots: Semaphore,
     waiting: Mutex<usize>,
     random: Mutex<ChaCha8Rng>,
+    /// Whether it keeps to the protocol.
+    is_proper: bool,
 }
 
 impl Endpoint {
@@ -90,6 +92,7 @@
         address: SocketAddr,
         log: Log,
         seed: u64,
+        is_proper: bool,
     ) -> std::io::Result<Endpoint> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -100,6 +103,7 @@
             slots: Semaphore::new(SLOTS),
             waiting: Mutex::default(),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            is_proper,
         });
         let task = tokio::spawn(accept(listener, shared, changes));
         Ok(Endpoint { identity, address, state, task })
@@ -236,7 +240,8 @@
     async fn respond(&mut self, shared: &Shared, arrived: &ReceivedRequest) -> bool {
         let id = &arrived.head.id;
         let Identity { name, .. } = &shared.identity;
-        let conduct = Conduct::draw(&mut shared.random.lock(), shared.identity.is_engine());
+        let drawn = Conduct::draw(&mut shared.random.lock(), shared.identity.is_engine());
+        let conduct = if shared.is_proper { drawn.kept_to_protocol() } else { drawn };
         if arrived.head.instance.as_deref() != Some(&**name) {
             let (status, headers) = fixtures::misdirected_response(id);
             return self.send(status, headers, id, conduct.copy).await;
--- a/crates/soak/src/trouble/verdict.rs
+++ b/crates/soak/src/trouble/verdict.rs
@@ -59,11 +59,11 @@
         let runs: Vec<&Work> = of_id.iter().filter(is_of_try).copied().collect();
         if let (true, [first, ..]) = (one.is_refused(), &*runs) {
             let (id, box_index, at) = (&one.id, one.incarnation, &first.endpoint);
-            let late = first.from - one.sent;
+            let (route, late) = (one.route.name(), first.from - one.sent);
             add(
                 "a refused request has not run and never will",
                 format!(
-                    "{id} of {box_index:?} got {:?}, ran at {at} {late:?} after it was sent",
+                    "{id} on {route} of {box_index:?} got {:?}, ran at {at} {late:?} after it was sent",
                     one.status
                 ),
             );
