--- a/crates/balance/src/endpoint.rs
+++ b/crates/balance/src/endpoint.rs
@@ -1,6 +1,9 @@
 //! State of one endpoint, as one box knows it.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -160,6 +163,11 @@
         }
     }
 
+    /// Whether it runs one of these software versions.
+    pub fn has_one_of(&self, versions: &BTreeSet<Arc<str>>) -> bool {
+        self.version.as_ref().is_some_and(|version| versions.contains(version))
+    }
+
     /// Whether it runs this software version; any does for `None`.
     pub fn has_version(&self, version: Option<&str>) -> bool {
         version.is_none_or(|version| self.version.as_deref() == Some(version))
--- a/crates/balance/src/pool/choose.rs
+++ b/crates/balance/src/pool/choose.rs
@@ -75,12 +75,14 @@
     pub zones: Option<&'a BTreeSet<Arc<str>>>,
     /// Software version; `None` for all.
     pub version: Option<&'a str>,
+    /// Software versions; `None` for all.
+    pub versions: Option<&'a BTreeSet<Arc<str>>>,
 }
 
 impl Filter<'static> {
     /// All endpoints.
     pub const ALL: Filter<'static> =
-        Filter { candidates: Candidates::All, zones: None, version: None };
+        Filter { candidates: Candidates::All, zones: None, version: None, versions: None };
 }
 
 impl Pool {
@@ -139,7 +141,7 @@
     /// Endpoints that may get a request of this box now, without those in `tried`. If there are
     /// none, those that signaled recently that they leave.
     fn available(&self, tried: &[Arc<str>], filter: Filter, now: u64) -> Vec<&Endpoint> {
-        let Filter { candidates, zones, version } = filter;
+        let Filter { candidates, zones, version, versions } = filter;
         let staying = self.staying_at(version).count();
         let suspected =
             self.staying_at(version).filter(|e| e.suspected_cold.is_active(now)).count();
@@ -148,8 +150,9 @@
             let fits = move |e: &&Endpoint| {
                 let may_be_cold = avoids_suspects && e.suspected_cold.wait_ms(now) > 0;
                 let is_limited = candidates == Candidates::Unlimited && e.limit().is_some();
-                let is_allowed =
-                    zones.is_none_or(|zones| zones.contains(&e.zone)) && e.has_version(version);
+                let is_allowed = zones.is_none_or(|zones| zones.contains(&e.zone))
+                    && versions.is_none_or(|versions| e.has_one_of(versions))
+                    && e.has_version(version);
                 is_allowed && !may_be_cold && !is_limited && self.availability(e, now) == wanted
             };
             self.endpoints.iter().filter(fits).filter(|e| !tried.contains(&e.name)).collect()
--- a/crates/gateway/src/fleet/peers/requests.rs
+++ b/crates/gateway/src/fleet/peers/requests.rs
@@ -299,6 +299,12 @@
         self.ask_home(home, frame, NOTIFY_TIMEOUT).await == Some(Frame::Done)
     }
 
+    /// Sends origins of streams to a box that writes them to the store. Returns whether it took them.
+    pub async fn keep_streams(&self, writer: &Incarnation, records: Vec<StreamRecord>) -> bool {
+        let frame = |to| Frame::KeepStreams { to, records: records.clone() };
+        self.ask_home(writer, frame, NOTIFY_TIMEOUT).await == Some(Frame::Done)
+    }
+
     /// Asks a box for origins of streams; `None` if it does not answer.
     pub async fn find_streams(
         &self,
--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -1,19 +1,24 @@
 //! At which service and version streams began, for callers that take them up again at any box.
 //!
 //! The box that relays the first event of a stream remembers its origin and sends it to the stream's
-//! homes, two other boxes. A box that is asked to take up a stream looks into its own memory, then asks
-//! those boxes that may be homes. Nothing is stored: an origin is lost if all three boxes end within
-//! [`STREAM_TTL`].
+//! homes, two other boxes, and to a box that writes it to the store. A box that is asked to take up a stream looks into its
+//! own memory, asks those boxes that may be homes, and then reads the [`pages`] in the store. An origin is lost if all
+//! three boxes end before it is written.
 
 pub mod homes;
 pub mod memory;
+pub mod pages;
 mod queue;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use futures_util::future::join_all;
+use futures_util::{
+    FutureExt,
+    future::{BoxFuture, Shared as SharedFuture, join_all},
+};
 use ledger::Incarnation;
 use parking_lot::Mutex;
+use platform::store::Client;
 use tokio::{
     sync::{Notify, mpsc, watch},
     task::JoinSet,
@@ -22,9 +27,10 @@
 use wire::{StreamKey, StreamOrigin, StreamRecord};
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::fleet::peers::Peers;
+use crate::fleet::{bill_writers::BOXES_PER_WRITER, peers::Peers};
 use homes::COPIES;
 use memory::Memory;
+use pages::{ORIGINS, Page, Pages};
 use queue::{Held, Outbox, Queued};
 
 /// Interval between two messages to a home.
@@ -32,6 +38,10 @@
 /// Longest time that a request waits for homes to answer: many round trips between availability
 /// zones.
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time that a request waits for pages of the store. The read goes on.
+const READ_WAIT: Duration = Duration::from_millis(400);
+/// Time for which a read waits for further requests that want its result.
+const READ_DELAY: Duration = Duration::from_millis(10);
 /// Longest time to hand origins over before a planned stop.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a home that did not take origins is not sent any: it is silent, about to stop, or of an older
@@ -91,6 +101,10 @@
 
 struct Shared {
     peers: Peers,
+    store: Client,
+    pages: Pages,
+    /// The last read of pages.
+    read: Mutex<Option<Read>>,
     memory: Mutex<Memory>,
     outbox: Mutex<Outbox>,
     held: Mutex<Held>,
@@ -103,6 +117,14 @@
     losses: Mutex<Losses>,
 }
 
+/// A read of pages, to come or ended, for all who wanted its result before it began.
+#[derive(Clone)]
+struct Read {
+    /// Whether the store answered.
+    result: SharedFuture<BoxFuture<'static, bool>>,
+    begins: Instant,
+}
+
 /// Copies of origins that no home took.
 #[derive(Default)]
 struct Losses {
@@ -144,9 +166,12 @@
 
 impl Streams {
     /// Knows no streams yet; [`Streams::run`] sends what is recorded.
-    pub fn open(peers: Peers) -> Streams {
+    pub fn open(peers: Peers, store: Client) -> Streams {
         Streams(Arc::new(Shared {
+            pages: Pages::open(peers.me().clone()),
             peers,
+            store,
+            read: Mutex::default(),
             memory: Mutex::new(Memory::new(Instant::now())),
             outbox: Mutex::default(),
             held: Mutex::default(),
@@ -157,6 +182,13 @@
         }))
     }
 
+    /// Writes origins to the store for as long as the box runs.
+    pub async fn run_pages(self) {
+        let Shared { pages, peers, store, .. } = &*self.0;
+        let writers = || peers.len().div_ceil(BOXES_PER_WRITER);
+        pages.run(store.clone(), writers).await;
+    }
+
     /// Sends origins to homes for as long as the box runs.
     pub async fn run(self) {
         let mut sending = JoinSet::new();
@@ -269,6 +301,75 @@
         }
     }
 
+    /// Queues origins from another box for the store.
+    pub fn keep(&self, records: Vec<StreamRecord>) {
+        self.0.pages.add(records);
+    }
+
+    /// Finds the origin of a stream that no box knows in the store.
+    pub async fn find_stored(&self, key: StreamKey, deadline: Instant) -> Found {
+        let until = deadline.min(Instant::now() + READ_WAIT);
+        let is_read = tokio::time::timeout_at(until, self.read_pages()).await;
+        match self.known(&[key]).pop() {
+            Some(record) => Found::Here(record.origin),
+            None if is_read == Ok(true) => Found::Nowhere,
+            None => Found::Unheard,
+        }
+    }
+
+    /// Reads all pages; returns whether the store answered. One read serves all who ask before it begins.
+    fn read_pages(&self) -> SharedFuture<BoxFuture<'static, bool>> {
+        let now = Instant::now();
+        let mut read = self.0.read.lock();
+        if let Some(next) = read.as_ref().filter(|read| read.begins > now) {
+            return next.result.clone();
+        }
+        let begins = now + READ_DELAY;
+        let streams = self.clone();
+        // A task of its own, because whoever asks first may give up before the others.
+        let task = tokio::spawn(async move {
+            tokio::time::sleep_until(begins).await;
+            streams.read_pages_now().await
+        });
+        let result = task.map(|result| result.unwrap_or(false)).boxed().shared();
+        *read = Some(Read { result: result.clone(), begins });
+        result
+    }
+
+    async fn read_pages_now(&self) -> bool {
+        let list = match self.0.store.list_all(ORIGINS).await {
+            Ok(list) => list,
+            Err(error) => {
+                tracing::warn!(event = "stream_origins_not_read", %error);
+                return false;
+            }
+        };
+        let records: Vec<StreamRecord> = list
+            .objects
+            .iter()
+            .flat_map(|object| Page::read(object).records().collect::<Vec<_>>())
+            .collect();
+        let (pages, streams) = (list.objects.len(), records.len());
+        tracing::info!(event = "stream_origins_read", pages, streams);
+        self.receive(&records);
+        true
+    }
+
+    /// Sends origins to the box that writes them to the store, or to the next one.
+    async fn store(&self, records: Vec<StreamRecord>) {
+        let peers = &self.0.peers;
+        for writer in peers.bill_writers() {
+            if writer == *peers.me() {
+                return self.0.pages.add(records);
+            }
+            if peers.keep_streams(&writer, records.clone()).await {
+                return;
+            }
+        }
+        // Nobody else takes them.
+        self.0.pages.add(records);
+    }
+
     /// Sends what is queued, and waits until all that was queued before is sent.
     pub async fn flush(&self) {
         if let Some(batch) = self.take_queued() {
@@ -407,8 +508,11 @@
     }
 }
 
-/// Sends a batch of origins to their homes.
+/// Sends a batch of origins to their homes and to the box that writes them to the store.
 async fn deliver(batch: Batch) {
-    let groups = batch.streams.group(&batch.queued);
-    join_all(groups.into_iter().map(|(home, copies)| batch.streams.send(home, copies))).await;
+    let streams = &batch.streams;
+    let groups = streams.group(&batch.queued);
+    let sending = join_all(groups.into_iter().map(|(home, copies)| streams.send(home, copies)));
+    let records = batch.queued.iter().map(Queued::record).collect();
+    tokio::join!(sending, streams.store(records));
 }
--- /dev/null
+++ b/crates/gateway/src/fleet/streams/pages.rs
@@ -0,0 +1,244 @@
+//! Origins of streams in the store, for the time after all boxes that remembered them died.
+//!
+//! One box in many writes them for all, in pages that it extends for a second and deletes once nobody can take up their
+//! streams any more. What a page says of a stream stays true, whatever happens to the store: one that is lost, late or
+//! gone with a copy makes a stream unknown, never another one's.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use ledger::Incarnation;
+use objects::{Expect, Object, Store, Write};
+use parking_lot::Mutex;
+use platform::store::{Client, Put};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+use wire::{StreamKey, StreamOrigin, StreamRecord};
+
+use super::memory::STREAM_TTL;
+
+/// Kind of the objects, which are named after the box that writes them.
+pub const ORIGINS: &str = "streamorigins";
+/// Time in which one page is extended.
+const PAGE_TIME: Duration = Duration::from_secs(1);
+/// Origins of one page; more go into the next one.
+const MAX_PAGE: usize = 2_048;
+/// Shortest time between two writes of a fleet with one writer; more writers take turns.
+const WRITE_INTERVAL: Duration = Duration::from_millis(25);
+/// Oldest stream that is written: most end sooner.
+const MAX_AGE: Duration = Duration::from_secs(20);
+/// Origins that wait for a write; the oldest is dropped first.
+const MAX_WAITING: usize = 16_384;
+/// Pause after a failed write; doubles.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// Streams of one service and version in a page.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Group {
+    service: Arc<str>,
+    version: Arc<str>,
+    /// Keys, in hexadecimal.
+    streams: Vec<String>,
+}
+
+/// What a page holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    groups: Vec<Group>,
+}
+
+impl Page {
+    /// A page of these streams.
+    pub fn of(records: &[StreamRecord]) -> Page {
+        let mut by_origin: BTreeMap<(&str, &str), Vec<String>> = BTreeMap::new();
+        for StreamRecord { key: StreamKey(key), origin, .. } in records {
+            let of_origin = by_origin.entry((&origin.service, &origin.version)).or_default();
+            of_origin.push(format!("{key:032x}"));
+        }
+        let group = |((service, version), streams): ((&str, &str), _)| Group {
+            service: service.into(),
+            version: version.into(),
+            streams,
+        };
+        Page { groups: by_origin.into_iter().map(group).collect() }
+    }
+
+    /// The page in an object; an empty one if it cannot be read.
+    pub fn read(object: &Object) -> Page {
+        serde_json::from_str(&object.value).unwrap_or_else(|error| {
+            tracing::warn!(event = "entry_unreadable", kind = ORIGINS, name = &*object.name, %error);
+            Page::default()
+        })
+    }
+
+    /// The JSON text of its object.
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).expect("pages always serialize")
+    }
+
+    /// The streams, as if they began now.
+    pub fn records(&self) -> impl Iterator<Item = StreamRecord> {
+        self.groups.iter().flat_map(|group| {
+            let Group { service, version, streams } = group;
+            let keys = streams.iter().filter_map(|key| u128::from_str_radix(key, 16).ok());
+            keys.map(|key| {
+                let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+                StreamRecord { key: StreamKey(key), origin, age_ms: 0 }
+            })
+        })
+    }
+}
+
+/// A page that this box wrote.
+struct Written {
+    name: Arc<str>,
+    version: u64,
+    records: Vec<StreamRecord>,
+    opened: Instant,
+}
+
+#[derive(Default)]
+struct Waiting {
+    records: VecDeque<StreamRecord>,
+    /// Dropped since the last write.
+    dropped: usize,
+}
+
+/// Pages of this box.
+pub struct Pages {
+    me: Incarnation,
+    waiting: Mutex<Waiting>,
+    queued: Notify,
+}
+
+impl Pages {
+    pub fn open(me: Incarnation) -> Pages {
+        Pages { me, waiting: Mutex::default(), queued: Notify::new() }
+    }
+
+    /// Queues origins for the next write.
+    pub fn add(&self, records: impl IntoIterator<Item = StreamRecord>) {
+        let max_age_ms = MAX_AGE.as_millis() as u64;
+        let mut waiting = self.waiting.lock();
+        waiting.records.extend(records.into_iter().filter(|record| record.age_ms < max_age_ms));
+        while waiting.records.len() > MAX_WAITING {
+            waiting.records.pop_front();
+            waiting.dropped += 1;
+        }
+        drop(waiting);
+        self.queued.notify_one();
+    }
+
+    fn take(&self) -> Vec<StreamRecord> {
+        let Waiting { records, dropped } = std::mem::take(&mut *self.waiting.lock());
+        if dropped > 0 {
+            tracing::warn!(event = "stream_origins_not_stored", dropped);
+        }
+        records.into()
+    }
+
+    /// Writes pages for as long as the box runs; `writers` tells how many boxes do.
+    pub async fn run(&self, store: Client, writers: impl Fn() -> usize) {
+        let mut writer = Writer { pages: self, store, written: VecDeque::new(), count: 0 };
+        let mut eras = writer.store.eras();
+        let mut pause = MIN_PAUSE;
+        loop {
+            tokio::select! {
+                () = self.queued.notified() => {}
+                () = writer.expired() => {
+                    writer.delete_expired().await;
+                    continue;
+                }
+                Ok(()) = eras.changed() => writer.write_again(),
+            }
+            sleep(WRITE_INTERVAL * writers().max(1) as u32).await;
+            pause = match writer.write().await {
+                true => MIN_PAUSE,
+                false => {
+                    sleep(pause).await;
+                    (pause * 2).min(MAX_PAUSE)
+                }
+            };
+        }
+    }
+}
+
+/// Writes the pages of a box.
+struct Writer<'a> {
+    pages: &'a Pages,
+    store: Client,
+    /// Oldest first; the last one may be extended.
+    written: VecDeque<Written>,
+    /// Number of pages that were begun.
+    count: u64,
+}
+
+impl Writer<'_> {
+    /// Writes what waits; returns whether the store took it.
+    async fn write(&mut self) -> bool {
+        let new = self.pages.take();
+        if new.is_empty() {
+            return true;
+        }
+        let is_extended = |page: &&mut Written| {
+            page.opened.elapsed() < PAGE_TIME && page.records.len() + new.len() <= MAX_PAGE
+        };
+        let (name, expect, records, opened) = match self.written.back_mut().filter(is_extended) {
+            Some(page) => {
+                let records = [&page.records[..], &new].concat();
+                (page.name.clone(), Expect::Version(page.version), records, page.opened)
+            }
+            None => {
+                self.count += 1;
+                let name = format!("{}-{}", self.pages.me.as_str(), self.count);
+                (name.into(), Expect::Absent, new.clone(), Instant::now())
+            }
+        };
+        let text = Page::of(&records).text();
+        let put = self.store.replace(ORIGINS, &name, &text, expect).await;
+        if expect != Expect::Absent {
+            self.written.pop_back();
+        }
+        match put {
+            Put::Landed(version) => {
+                self.written.push_back(Written { name, version, records, opened });
+                true
+            }
+            Put::Refused(_) | Put::Failed(_) | Put::Unknown(_) => {
+                tracing::info!(event = "stream_origins_delayed", streams = records.len(), ?put);
+                // In a page of its own the next time: nobody knows what became of this one.
+                self.pages.add(records);
+                false
+            }
+        }
+    }
+
+    /// The store may have lost all of them.
+    fn write_again(&mut self) {
+        let lost = std::mem::take(&mut self.written);
+        self.pages.add(lost.into_iter().flat_map(|page| page.records));
+    }
+
+    /// Waits until the oldest page is needed no more.
+    async fn expired(&self) {
+        match self.written.front() {
+            Some(page) => tokio::time::sleep_until(page.opened + STREAM_TTL).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn delete_expired(&mut self) {
+        let Some(page) = self.written.pop_front() else { return };
+        let deleted = self.store.delete(ORIGINS, &page.name, page.version).await;
+        if !matches!(deleted, Write::Landed(_)) {
+            tracing::info!(event = "stream_origins_left", name = &*page.name, ?deleted);
+        }
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -183,7 +183,7 @@
             tunnels: tunnels.clone(),
             slots: Exits::slots(),
         };
-        let streams = Streams::open(peers.clone());
+        let streams = Streams::open(peers.clone(), store.clone());
         let peer_service = PeerService {
             exits,
             streams: streams.clone(),
@@ -332,6 +332,7 @@
             tokio::spawn(replicator.run()),
             tokio::spawn(write_bills),
             tokio::spawn(tell_when_versions_differ(streams.clone(), context.sole_versions.clone())),
+            tokio::spawn(streams.clone().run_pages()),
             tokio::spawn(streams.run()),
             tokio::spawn(for_balancer),
             tokio::spawn(for_operators),
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -195,6 +195,7 @@
             | Frame::HandOver { .. }
             | Frame::Replicate { .. }
             | Frame::StreamsBegan { .. }
+            | Frame::KeepStreams { .. }
                 if *self.stopping.borrow() =>
             {
                 Frame::Refused { reason: "this receiver is itself stopping".into() }
@@ -214,13 +215,21 @@
             Frame::Replicate { segments, .. } => {
                 Frame::Replica(self.bills.keep(&request.from, segments))
             }
-            Frame::StreamsBegan { to, .. } | Frame::FindStreams { to, .. } if to != self.me => {
+            Frame::StreamsBegan { to, .. }
+            | Frame::FindStreams { to, .. }
+            | Frame::KeepStreams { to, .. }
+                if to != self.me =>
+            {
                 Frame::Refused { reason: "another incarnation was requested".into() }
             }
             Frame::StreamsBegan { records, .. } => {
                 self.streams.receive(&records);
                 Frame::Done
             }
+            Frame::KeepStreams { records, .. } => {
+                self.streams.keep(records);
+                Frame::Done
+            }
             Frame::FindStreams { keys, .. } => {
                 Frame::StreamsFound { records: self.streams.known(&keys) }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,7 +59,7 @@
 pub use settings::Settings;
 pub use sole_versions::{
     history::{Listed, Seen, VersionHistory},
-    record::{Record, VERSIONS},
+    record::{Known, Record, VERSIONS, Versions},
 };
 pub use sync::{
     change_log::{ChangeLog, Part},
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -4,6 +4,7 @@
 
 use balance::{Candidates, Filter};
 use forward::Answer;
+use tokio::time::Instant;
 
 use crate::proxy::{
     admit::AdmittedRequest,
@@ -24,6 +25,9 @@
 /// attempts applies in addition.
 const MAX_ENDPOINTS_TRIED: usize = 4;
 
+/// Longest wait until a stream may begin at a version that the store does not know of yet.
+const OPENING_WAIT: Duration = Duration::from_millis(200);
+
 /// Maximum number of permits requested for one request; then endpoints that require one are skipped.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
@@ -53,6 +57,7 @@
         let mut last_refusal = None;
         // The engine that may still work on the request: no other one gets it.
         let mut bound_to: Option<Chosen> = None;
+        let mut has_waited = false;
         while tried.len() < MAX_ENDPOINTS_TRIED {
             if exchange.time_left().is_zero() {
                 let too_late =
@@ -71,11 +76,27 @@
                 Candidates::Unlimited
             };
             let AdmittedRequest { service, version, zones, prefix, .. } = admitted;
-            let filter = Filter { candidates, zones: zones.as_ref(), version: version.as_deref() };
+            let open = self.open_versions(admitted);
+            let filter = Filter {
+                candidates,
+                zones: zones.as_ref(),
+                version: version.as_deref(),
+                versions: open.as_ref(),
+            };
             let is_repeat = bound_to.is_some();
             let chosen =
                 bound_to.take().or_else(|| self.endpoints.choose(service, filter, prefix, &tried));
-            let Some(chosen) = chosen else { break };
+            let Some(chosen) = chosen else {
+                if open.is_none() || std::mem::replace(&mut has_waited, true) {
+                    break;
+                }
+                // The store is told of a new version within milliseconds.
+                let until = exchange.deadline.min(Instant::now() + OPENING_WAIT);
+                match self.sole_versions.wait_opened(service, &open, until).await {
+                    true => continue,
+                    false => break,
+                }
+            };
             if exchange.attempts >= admitted.route.max_attempts
                 || (delivered > 0 && !self.can_repeat(admitted))
             {
--- a/crates/gateway/src/proxy/origins.rs
+++ b/crates/gateway/src/proxy/origins.rs
@@ -1,9 +1,9 @@
 //! Streams that callers take up again: at which software version they have to go on.
 //!
 //! What two versions of an endpoint's software write does not fit together, so a stream goes on only at the version that
-//! began it. Where that is not known, the request is refused without having run, unless the service had but one version
-//! for as long as a stream can be taken up. So origins are told to other boxes only from the moment at which a service may
-//! have a second version.
+//! began it. Where no box and no page in the store knows that, the request is refused without having run, unless the
+//! record of the service proves that it had but one version for as long as a stream can be taken up. So origins are told
+//! to other boxes and to the store only from the moment at which a service may have a second version.
 
 use std::{sync::Arc, time::Duration};
 
@@ -18,11 +18,12 @@
     fleet::streams::{self, Found, Streams, Tell},
     metrics::TakenUp,
     proxy::{
+        admit::AdmittedRequest,
         context::Context,
         exchange::Exchange,
         refusal::{Reason, Refusal},
     },
-    sole_versions::{handle::SoleVersions, history::Seen},
+    sole_versions::{handle::SoleVersions, history::Seen, record::Versions},
 };
 
 /// `Retry-After` where this box may soon know more of a stream, or another one does already.
@@ -48,6 +49,8 @@
     Told(StreamOrigin),
     /// The service had no other version for long enough.
     Sole(StreamOrigin),
+    /// The store told.
+    Stored(StreamOrigin),
     /// No box knows it.
     Unknown,
     /// No box told, but not all of them answered.
@@ -61,6 +64,7 @@
             Origin::Remembered(_) => "remembered",
             Origin::Told(_) => "told",
             Origin::Sole(_) => "sole_version",
+            Origin::Stored(_) => "stored",
             Origin::Unknown => "unknown",
             Origin::Unheard => "unheard",
         }
@@ -68,9 +72,10 @@
 
     fn known(&self) -> Option<&StreamOrigin> {
         match self {
-            Origin::Remembered(origin) | Origin::Told(origin) | Origin::Sole(origin) => {
-                Some(origin)
-            }
+            Origin::Remembered(origin)
+            | Origin::Told(origin)
+            | Origin::Sole(origin)
+            | Origin::Stored(origin) => Some(origin),
             Origin::Unknown | Origin::Unheard => None,
         }
     }
@@ -81,6 +86,11 @@
     route.kind == Kind::Streaming && (head.resumes.is_some() || head.resumed_after.is_some())
 }
 
+/// Whether callers may take up the streams of a route.
+fn can_be_taken_up(route: &Route) -> bool {
+    route.kind == Kind::Streaming && route.resumable
+}
+
 /// Key of the stream that an attempt of the same customer began.
 fn key(exchange: &Exchange, attempt: &str) -> StreamKey {
     streams::key(exchange.customer.as_deref(), attempt)
@@ -141,15 +151,14 @@
             Found::Nowhere => Origin::Unknown,
             Found::Unheard => Origin::Unheard,
         };
-        let versions = &self.sole_versions;
-        // A box that nobody answers may not see the versions that others see.
-        let sole = match not_found {
-            Origin::Unheard => versions.recorded_version(drawn, exchange.deadline).await,
-            _ => versions.sole_version(drawn, exchange.deadline).await,
-        };
-        match sole {
-            Some(version) => Origin::Sole(StreamOrigin { service: drawn.clone(), version }),
-            None => not_found,
+        if let Some(version) = self.sole_versions.sole_version(drawn, exchange.deadline).await {
+            return Origin::Sole(StreamOrigin { service: drawn.clone(), version });
+        }
+        let Some(attempt) = &head.resumes else { return not_found };
+        match self.streams.find_stored(key(exchange, attempt), exchange.deadline).await {
+            Found::Here(origin) | Found::AtHome(origin) => Origin::Stored(origin),
+            Found::Nowhere => not_found,
+            Found::Unheard => Origin::Unheard,
         }
     }
 
@@ -167,6 +176,13 @@
         );
     }
 
+    /// Software versions at which a request may begin a stream that can be taken up, if not at all: the store has to know
+    /// of the others first.
+    pub fn open_versions(&self, admitted: &AdmittedRequest) -> Option<Versions> {
+        let begins_stream = admitted.version.is_none() && can_be_taken_up(&admitted.route);
+        begins_stream.then(|| self.sole_versions.open_versions(&admitted.service)).flatten()
+    }
+
     /// Remembers where the stream of a response began, or goes on, here and at other boxes.
     pub fn record_origin(
         &self,
@@ -175,9 +191,8 @@
         head: &Head,
         exchange: &Exchange,
     ) {
-        let can_be_taken_up = route.kind == Kind::Streaming && route.resumable;
         let first_attempt = head.resumes.as_ref().or(head.id.as_ref());
-        if let Some(attempt) = first_attempt.filter(|_| can_be_taken_up) {
+        if let Some(attempt) = first_attempt.filter(|_| can_be_taken_up(route)) {
             let tell = match self.sole_versions.is_settled(&origin.service) {
                 true => Tell::Later,
                 false => Tell::Now,
--- a/crates/gateway/src/sole_versions/history.rs
+++ b/crates/gateway/src/sole_versions/history.rs
@@ -5,7 +5,7 @@
 //! while it did not look is unknown.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -14,6 +14,9 @@
 /// this box has not seen as soon as others see it.
 const MAX_BREAK_MS: u64 = 3_000;
 
+/// Longest time since the last look after which the store is taken for reachable, in milliseconds: three heartbeats.
+const MAX_AGE_MS: u64 = 1_500;
+
 /// What is known of the versions of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Seen {
@@ -42,6 +45,8 @@
     endpoints: HashMap<Arc<str>, Listed>,
     services: HashMap<Arc<str>, Service>,
     last_look_ms: u64,
+    /// Since when it has looked without a break.
+    unbroken_since_ms: u64,
 }
 
 #[derive(Debug)]
@@ -49,8 +54,6 @@
     versions: BTreeMap<Arc<str>, Version>,
     /// No other versions than these were seen since then.
     since_ms: u64,
-    /// The platform confirmed that the only version was the only one before that, too.
-    is_confirmed: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -89,6 +92,7 @@
             endpoints: HashMap::new(),
             services: HashMap::new(),
             last_look_ms: 0,
+            unbroken_since_ms: 0,
         }
     }
 
@@ -96,9 +100,8 @@
     /// if that is too long ago.
     pub fn look(&mut self, now_ms: u64) {
         if self.is_broken(now_ms) {
-            for service in self.services.values_mut() {
-                (service.since_ms, service.is_confirmed) = (now_ms, false);
-            }
+            self.unbroken_since_ms = now_ms;
+            self.services.values_mut().for_each(|service| service.since_ms = now_ms);
         }
         self.last_look_ms = now_ms.max(self.last_look_ms);
         let memory_ms = self.memory_ms;
@@ -133,14 +136,12 @@
 
     fn add(&mut self, Listed { service, version }: &Listed, now_ms: u64) -> bool {
         let versions = BTreeMap::new();
-        let new = || Service { versions, since_ms: now_ms, is_confirmed: false };
+        let new = || Service { versions, since_ms: now_ms };
         let service = self.services.entry(service.clone()).or_insert_with(new);
         service.forget(self.memory_ms, now_ms);
         let version = service.versions.entry(version.clone()).or_default();
         version.endpoints += 1;
-        let is_new = version.endpoints == 1;
-        service.is_confirmed &= service.versions.len() == 1;
-        is_new
+        version.endpoints == 1
     }
 
     fn remove(&mut self, Listed { service, version }: &Listed, now_ms: u64) -> bool {
@@ -184,32 +185,46 @@
         }
     }
 
-    /// Whether a service had a single version for as long as versions count, as far as this box saw and the platform
-    /// confirmed for the time before.
-    pub fn is_settled(&self, service: &str, now_ms: u64) -> bool {
-        self.lasting(service, now_ms).is_some() || self.is_confirmed(service, now_ms)
+    /// How long a version counts after it was last seen, in milliseconds.
+    pub fn memory_ms(&self) -> u64 {
+        self.memory_ms
     }
 
-    /// Whether this box has seen a version of a service lately.
-    pub fn has_seen(&self, service: &str, version: &str) -> bool {
-        let service = self.services.get(service);
-        service.is_some_and(|service| service.versions.contains_key(version))
+    /// Versions of a service that have endpoints now.
+    pub fn listed(&self, service: &str) -> BTreeSet<Arc<str>> {
+        let versions = self.services.get(service).into_iter().flat_map(|it| &it.versions);
+        let listed = versions.filter(|(_, version)| version.endpoints > 0);
+        listed.map(|(name, _)| name.clone()).collect()
     }
 
-    /// The platform names a version as the only one of a service for as long as versions count. Has an effect for as
-    /// long as no other one is seen; returns whether it has.
-    pub fn confirm(&mut self, service: &str, version: &str, now_ms: u64) -> bool {
-        let is_sole = match self.seen(service, now_ms) {
-            Seen::Sole { version: sole, .. } => *sole == *version,
-            Seen::Several | Seen::Nothing => false,
+    /// How long a version has had no endpoint, as far as this box has seen without a break.
+    pub fn unlisted_ms(&self, service: &str, version: &str, now_ms: u64) -> u64 {
+        let versions = self.services.get(service).map(|it| &it.versions);
+        let last_seen_ms = match versions.and_then(|versions| versions.get(version)) {
+            Some(version) if version.endpoints > 0 => now_ms,
+            Some(version) => version.last_seen_ms,
+            None => 0,
         };
-        let known = self.services.get_mut(service).filter(|_| is_sole);
-        known.map(|service| service.is_confirmed = true).is_some()
+        self.unbroken_ms(now_ms).min(now_ms.saturating_sub(last_seen_ms))
+    }
+
+    /// For how long this box has looked without a break.
+    pub fn unbroken_ms(&self, now_ms: u64) -> u64 {
+        match self.is_broken(now_ms) {
+            true => 0,
+            false => now_ms.saturating_sub(self.unbroken_since_ms),
+        }
     }
 
-    fn is_confirmed(&self, service: &str, now_ms: u64) -> bool {
+    /// Whether this box has seen a version of a service lately.
+    pub fn has_seen(&self, service: &str, version: &str) -> bool {
         let service = self.services.get(service);
-        !self.is_broken(now_ms) && service.is_some_and(|service| service.is_confirmed)
+        service.is_some_and(|service| service.versions.contains_key(version))
+    }
+
+    /// Whether this box looked a moment ago, so that it can read the store.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.last_look_ms) <= MAX_AGE_MS
     }
 
     fn is_broken(&self, now_ms: u64) -> bool {
--- a/crates/gateway/src/sole_versions/mod.rs
+++ b/crates/gateway/src/sole_versions/mod.rs
@@ -1,10 +1,9 @@
-//! Whether a service has run only one software version for as long as streams can be taken up.
+//! At which software versions of a service streams began that can still be taken up.
 //!
-//! If so, every stream that a caller takes up began at that version, also one of which no box knows
-//! where it began. A box that has watched the endpoints for long enough knows that from its own
-//! [`history`]. A box that started a moment ago does not, and after a loss of power of all boxes none
-//! does: for these, the boxes that watch the store keep a [`record`] there. [`handle`] answers from
-//! either.
+//! If there is only one, every stream that a caller takes up began at it, also one of which no box knows where it began.
+//! The boxes that watch the store keep a [`record`] of these versions there, by what they see of the endpoints
+//! ([`history`]); a stream begins only at a version that is in it. [`handle`] says at which ones streams may begin, and
+//! asks the store for the only one.
 
 pub mod handle;
 pub mod history;
--- a/crates/gateway/src/sync/version_writer.rs
+++ b/crates/gateway/src/sync/version_writer.rs
@@ -2,16 +2,12 @@
 //!
 //! Each root decides for itself and writes on the condition of the record that it knows; if another
 //! one was first, it takes over what that one wrote and decides anew. So a release costs each root a
-//! call when the second version comes and one when the first has been gone for long enough. Records
-//! are kept of services with streams that can be taken up.
+//! call when the second version comes, one when the first has left, and one when the streams of that can no longer be
+//! taken up. Records are kept of services with streams that can be taken up.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use objects::{Expect, Object};
+use objects::{Expect, Object, Store};
 use platform::store::{Client, Put};
 use tokio::{
     sync::watch,
@@ -48,30 +44,17 @@
     pub recovery: Recovery,
 }
 
-/// Records by service, with their versions.
-type Records = HashMap<Arc<str>, (Record, u64)>;
-
 /// A call that did not succeed.
 struct Failed;
 
 impl VersionWriter {
     /// Writes records for as long as the box runs.
     pub async fn run(self) {
-        let mut records: Option<Records> = None;
-        let mut eras = self.store.eras();
         let mut pause = MIN_PAUSE;
         loop {
-            // A copy of the store may have other records.
-            if eras.has_changed().is_ok_and(|has_changed| has_changed) {
-                eras.mark_unchanged();
-                records = None;
-            }
             let outcome = match self.is_writer() {
-                true => self.update(&mut records).await,
-                false => {
-                    records = None;
-                    Ok(())
-                }
+                true => self.update().await,
+                false => Ok(()),
             };
             match outcome {
                 Ok(()) => {
@@ -93,7 +76,7 @@
     /// Whether this box is a root and has read the store.
     fn is_writer(&self) -> bool {
         let is_root = self.peers.is_empty() || self.peers.watchers().is_root(self.peers.me());
-        is_root && self.view.status().watches
+        is_root && self.view.status().watches && self.sole_versions.are_listed()
     }
 
     /// Whether probes of the store get no answer; each call would take its whole timeout.
@@ -101,17 +84,12 @@
         self.view.unreachable_since().is_some()
     }
 
-    /// Writes all records that have to change, those that lose their version first.
-    async fn update(&self, records: &mut Option<Records>) -> Result<(), Failed> {
-        let records = match records {
-            Some(records) => records,
-            None if self.is_cut_off() => return Err(Failed),
-            None => records.insert(self.read_all().await?),
-        };
+    /// Writes all records that have to change, those that open a version first.
+    async fn update(&self) -> Result<(), Failed> {
         let mut due: Vec<(bool, Arc<str>)> = Vec::new();
         for service in self.services() {
-            if let Some(next) = self.next(records, &service) {
-                due.push((next.sole.is_some(), service));
+            if let Some(next) = self.sole_versions.next_record(&service) {
+                due.push((next.sole(next.era).is_some(), service));
             }
         }
         due.sort();
@@ -121,7 +99,7 @@
                 return Err(Failed);
             }
             // One that fails by itself must not keep the others from being written.
-            outcome = outcome.and(self.write(records, &service).await);
+            outcome = outcome.and(self.write(&service).await);
         }
         outcome
     }
@@ -134,57 +112,55 @@
         targets.map(|target| target.service.clone()).collect()
     }
 
-    fn next(&self, records: &Records, service: &str) -> Option<Record> {
-        let current = records.get(service).map(|(record, _)| record);
-        self.sole_versions.next_record(current, service)
-    }
-
-    async fn read_all(&self) -> Result<Records, Failed> {
-        let list = self.store.list_all(VERSIONS).await.map_err(|error| {
-            tracing::warn!(event = "sole_versions_not_listed", %error);
-            Failed
-        })?;
-        let read = |object: &Object| (object.name.clone(), (Record::read(object), object.version));
-        Ok(list.objects.iter().map(read).collect())
-    }
-
     /// Writes the record of a service until it is as it has to be.
-    async fn write(&self, records: &mut Records, service: &Arc<str>) -> Result<(), Failed> {
+    async fn write(&self, service: &Arc<str>) -> Result<(), Failed> {
         for _ in 0..MAX_ATTEMPTS {
-            let Some(next) = self.next(records, service) else { return Ok(()) };
-            let known = records.get(service).map(|(_, version)| *version);
+            let Some(next) = self.sole_versions.next_record(service) else { return Ok(()) };
+            let known = self.sole_versions.record_version(service);
             let expect = known.map_or(Expect::Absent, Expect::Version);
             let written = self.store.replace(VERSIONS, service, &next.text(), expect).await;
             log(service, &next, &written);
             match written {
-                Put::Landed(version) => drop(records.insert(service.clone(), (next, version))),
-                Put::Refused(Some(object)) => {
-                    let found = (Record::read(&object), object.version);
-                    records.insert(service.clone(), found);
+                Put::Landed(version) => self.view.update_versions(&object(service, &next, version)),
+                Put::Refused(Some(object)) => self.view.update_versions(&object),
+                Put::Refused(None) => self.sole_versions.forget(service),
+                // It may have landed.
+                Put::Unknown(_) => {
+                    if let Ok(Some(object)) = self.store.get(VERSIONS, service).await {
+                        self.view.update_versions(&object);
+                    }
+                    return Err(Failed);
                 }
-                Put::Refused(None) => drop(records.remove(service)),
-                Put::Failed(_) | Put::Unknown(_) => return Err(Failed),
+                Put::Failed(_) => return Err(Failed),
             }
         }
-        match self.next(records, service) {
+        match self.sole_versions.next_record(service) {
             Some(_) => Err(Failed),
             None => Ok(()),
         }
     }
 }
 
+fn object(service: &Arc<str>, record: &Record, version: u64) -> Object {
+    Object { kind: VERSIONS.into(), name: service.clone(), version, value: record.text().into() }
+}
+
 fn log(service: &str, next: &Record, written: &Put) {
-    let sole = next.sole.as_deref();
-    match written {
-        Put::Landed(version) => {
-            tracing::info!(event = "sole_version_written", service, sole, version);
-        }
-        Put::Refused(found) => {
-            let found = found.as_ref().map(|object| object.version);
-            tracing::info!(event = "sole_version_refused", service, sole, found);
-        }
-        Put::Failed(reason) | Put::Unknown(reason) => {
-            tracing::warn!(event = "sole_version_not_written", service, sole, reason);
-        }
-    }
+    let Record { open, closed, era, is_partial } = next;
+    let outcome = match written {
+        Put::Landed(_) => "landed",
+        Put::Refused(_) => "refused",
+        Put::Failed(_) => "failed",
+        Put::Unknown(_) => "unknown",
+    };
+    tracing::info!(
+        event = "stream_versions_written",
+        service,
+        ?open,
+        ?closed,
+        era,
+        is_partial,
+        outcome,
+        detail = ?written,
+    );
 }
--- a/crates/gateway/src/sync/view/mod.rs
+++ b/crates/gateway/src/sync/view/mod.rs
@@ -10,6 +10,7 @@
 mod evacuations;
 mod limits;
 mod subscribers;
+mod versions;
 
 pub use boxes::read_box;
 use departures::DEPARTURES;
@@ -38,7 +39,7 @@
     freshness::{Freshness, Source, Subject},
     outage::Recovery,
     proxy::{crashes::Crashes, endpoints::Endpoints},
-    sole_versions::handle::SoleVersions,
+    sole_versions::{handle::SoleVersions, record::VERSIONS},
     sync::{change_log::ChangeLog, directory::Directory, evacuations::Evacuations},
     tokens::funds::Funds,
 };
@@ -252,6 +253,7 @@
     /// Called when this box begins or ends to watch the store.
     pub fn reset_loaded(&self) {
         self.0.state.lock().loaded = Loaded::default();
+        self.0.consumers.sole_versions.set_listed(false);
     }
 
     /// Takes over updates from a watcher.
@@ -298,7 +300,7 @@
         let Update { changes, is_snapshot, endpoints_at, .. } = updates;
         let is_new = !changes.is_empty();
         let mut state = self.0.state.lock();
-        let (mut endpoints, mut config) = (Vec::new(), None);
+        let (mut endpoints, mut versions, mut config) = (Vec::new(), Vec::new(), None);
         for change in changes {
             match &*change.kind {
                 platform::ENDPOINTS => endpoints.push(change),
@@ -307,6 +309,7 @@
                     let wire::Change { name, version, value, .. } = change;
                     self.apply_crash(&mut state, &name, version, value.as_deref());
                 }
+                VERSIONS => versions.push(change),
                 BOXES | LIMITS | DEPARTURES => {}
                 kind if kind == platform::CONFIG.0 => config = Some(change),
                 kind => tracing::warn!(event = "news_not_understood", kind),
@@ -319,6 +322,11 @@
             self.publish_endpoints(&mut state, "home", endpoints_at);
         }
         drop(state);
+        for wire::Change { kind, name, version, value } in versions {
+            if let Some(value) = value {
+                self.update_versions(&Object { kind, name, version, value });
+            }
+        }
         if let Some(wire::Change { kind, name, version, value: Some(value) }) = config {
             self.update_config(&Object { kind, name, version, value });
         }
--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -11,6 +11,7 @@
     fleet::entry::{BOXES, Entry},
     freshness::Subject,
     outage::{Outage, Probe},
+    sole_versions::record::VERSIONS,
     sync::{
         confirmer::Confirmer,
         setup::Setup,
@@ -57,6 +58,7 @@
         tasks.spawn(follow_config(watching.clone()));
         tasks.spawn(follow_evacuations(watching.clone()));
         tasks.spawn(follow_crashes(watching.clone()));
+        tasks.spawn(follow_versions(watching.clone()));
         tasks.spawn(follow_endpoints(watching));
         tasks.spawn(confirmer.follow(setup.clone()));
         tasks.spawn(read_boxes(setup.clone()));
@@ -178,6 +180,46 @@
     follow(watching, Subject::Crashes, quarantine::CRASHES, apply).await;
 }
 
+/// Follows the records of services' software versions. They bind no box by their age, so nobody has them confirmed.
+async fn follow_versions(watching: Watching) {
+    let Watching { setup, mut reopened, .. } = watching;
+    let mut outage = outage(&setup, "versions", Probe::Lazy);
+    loop {
+        let list = match setup.store.list_all(VERSIONS).await {
+            Ok(list) => list,
+            Err(error) => {
+                outage.record_failure(&error);
+                outage.pause().await;
+                continue;
+            }
+        };
+        outage.record_success();
+        reopened.mark_unchanged();
+        setup.view.load_versions(&list.objects);
+        let mut from = list.version;
+        loop {
+            let watched = tokio::select! {
+                // After an outage, a list comes before another watch.
+                biased;
+                _ = setup.recovery.recovered() => break,
+                Ok(()) = reopened.changed() => continue,
+                watched = watch_for(&setup, VERSIONS, from, Duration::MAX) => watched,
+            };
+            match watched {
+                Ok(Watched { watch, .. }) if watch.gap => break,
+                Ok(Watched { watch, .. }) => {
+                    from = watch.next;
+                    setup.view.change_versions(watch.changes);
+                }
+                Err(error) => {
+                    outage.record_failure(&error);
+                    break;
+                }
+            }
+        }
+    }
+}
+
 /// What a list or a watch returned.
 enum Received {
     /// All objects, with the number of suspensions before the call began.
--- a/crates/gateway/tests/loopback/sole_versions.rs
+++ b/crates/gateway/tests/loopback/sole_versions.rs
@@ -73,9 +73,15 @@
         found.expect("memory answers").map(|object| Record::read(&object))
     }
 
+    /// The version that the record proves to be the only one; the outer `None` if there is no record.
+    async fn recorded(&self) -> Option<Option<Arc<str>>> {
+        let era = self.harness.platform.memory().era();
+        self.record().await.map(|record| record.sole(era))
+    }
+
     async fn wait_until_recorded(&self, sole: Option<&str>) {
-        let want = Some(Record { sole: sole.map(Into::into) });
-        wait_until("the record", async || self.record().await == want).await;
+        let want = Some(sole.map(Into::into));
+        wait_until("the record", async || self.recorded().await == want).await;
     }
 
     /// Waits until each box knows all entries written so far, by one more that is written after them.
@@ -160,7 +166,7 @@
     for gateway in &fleet.boxes {
         assert_eq!(sole_version(gateway).await, None);
     }
-    assert_eq!(fleet.record().await, Some(Record { sole: None }));
+    assert_eq!(fleet.recorded().await, Some(None));
 }
 
 /// Guards against services that are never again known to have one version after a release.
@@ -219,7 +225,7 @@
     let sees = async || gateway.versions_seen(SERVICE) != Seen::Nothing;
     wait_until("the box sees the endpoint", sees).await;
     assert_unknown_by_record(&gateway).await;
-    assert_eq!(fleet.record().await, Some(Record { sole: Some("v1".into()) }));
+    assert_eq!(fleet.recorded().await, Some(Some("v1".into())));
     fleet.harness.configure(3, PAID, &["resume"]).await;
     fleet.wait_until_recorded(None).await;
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -12,6 +12,7 @@
     stream_key,
 };
 use ledger::Incarnation;
+use platform::store::{Client, Options};
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use tokio::{task::JoinHandle, time::Instant};
 use wire::{Frame, Message, Server, StreamKey, StreamOrigin, StreamRecord};
@@ -326,6 +327,15 @@
     }
 }
 
+/// A client of a store that nobody reaches.
+fn store() -> Client {
+    Client::open(Options {
+        address: "http://127.0.0.1:9".to_owned(),
+        timeout: Duration::from_millis(100),
+        watch_timeout: Duration::from_millis(100),
+    })
+}
+
 struct Member {
     peers: Peers,
     streams: Streams,
@@ -342,7 +352,7 @@
         let profile = Profile { incarnation, zone: zone.into(), capacity: 1 };
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let peers = Peers::open(profile, Some(any), 1);
-        let streams = Streams::open(peers.clone());
+        let streams = Streams::open(peers.clone(), store());
         let service = Service { peers: peers.clone(), streams: streams.clone(), behavior };
         let server = Server::bind(any, Arc::new(service)).await.expect("a free port");
         let sending = tokio::spawn(streams.clone().run());
--- a/crates/gateway/tests/version_history.rs
+++ b/crates/gateway/tests/version_history.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use gateway::{Listed, Record, Seen, VersionHistory};
+use gateway::{Known, Listed, Record, Seen, VersionHistory};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 /// How long a version counts after it was last seen.
@@ -52,15 +52,21 @@
         self.history.lasting(SERVICE, self.now_ms)
     }
 
-    /// The record to write in place of `current`.
-    fn next(&self, current: Option<Option<&str>>) -> Option<Record> {
-        let current = current.map(record);
-        Record::next(current.as_ref(), SERVICE, &self.history, self.now_ms)
+    /// The record to write in place of `current`, which was learned at `learned_ms`.
+    fn next_after(&self, current: Option<Record>, learned_ms: u64, era: u64) -> Option<Record> {
+        let known = current.map(|record| Known { record, version: 7, learned_ms });
+        Record::next(known.as_ref(), SERVICE, &self.history, era, self.now_ms)
+    }
+
+    /// The same in the first era, where the record was learned at the start.
+    fn next(&self, current: Option<Record>) -> Option<Record> {
+        self.next_after(current, 0, 0)
     }
 }
 
-fn record(sole: Option<&str>) -> Record {
-    Record { sole: sole.map(Into::into) }
+fn record(open: &[&str], closed: &[&str]) -> Record {
+    let names = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    Record { open: names(open), closed: names(closed), era: 0, is_partial: false }
 }
 
 fn sole(version: &str, since_ms: u64) -> Seen {
@@ -73,7 +79,7 @@
     assert_eq!(known.seen(), Seen::Nothing);
     assert_eq!(known.lasting(), None);
     assert_eq!(known.next(None), None);
-    assert_eq!(known.next(Some(Some("v1"))), None);
+    assert_eq!(known.next(Some(record(&["v1"], &[]))), None);
 }
 
 #[test]
@@ -169,46 +175,90 @@
 }
 
 #[test]
-fn a_record_names_the_version_that_is_the_only_one_at_first() {
+fn a_record_opens_the_versions_that_are_listed_at_first() {
     let mut known = Watching::new();
     known.put("a", "v1");
-    assert_eq!(known.next(None), Some(record(Some("v1"))));
-    assert_eq!(known.next(Some(Some("v1"))), None);
+    assert_eq!(known.next(None), Some(record(&["v1"], &[])));
+    assert_eq!(record(&["v1"], &[]).sole(0), Some("v1".into()));
+    assert_eq!(known.next(Some(record(&["v1"], &[]))), None);
     known.put("b", "v2");
-    assert_eq!(known.next(None), Some(record(None)));
+    assert_eq!(known.next(None), Some(record(&["v1", "v2"], &[])));
+    assert_eq!(record(&["v1", "v2"], &[]).sole(0), None);
 }
 
 #[test]
-fn a_record_loses_its_version_with_the_second_and_names_the_one_that_lasts() {
+fn a_record_opens_the_second_version_and_takes_out_the_first_once_it_was_closed_for_long_enough() {
+    let (both, closed) = (record(&["v1", "v2"], &[]), record(&["v2"], &["v1"]));
     let mut known = Watching::new();
     known.put("a", "v1");
     known.put("b", "v2");
-    assert_eq!(known.next(Some(Some("v1"))), Some(record(None)));
-    assert_eq!(known.next(Some(None)), None);
+    assert_eq!(known.next(Some(record(&["v1"], &[]))), Some(both.clone()));
+    assert_eq!(known.next(Some(both.clone())), None);
     known.remove("a");
+    known.watch(MEMORY_MS / 6 - 1);
+    assert_eq!(known.next(Some(both.clone())), None, "its endpoints may be back in a moment");
+    known.watch(1);
+    assert_eq!(known.next(Some(both)), Some(closed.clone()));
+    assert_eq!(closed.sole(0), None);
+    let closed_at = known.now_ms;
     known.watch(MEMORY_MS - 1);
-    assert_eq!(known.next(Some(None)), None);
+    assert_eq!(known.next_after(Some(closed.clone()), closed_at, 0), None);
     known.watch(1);
-    assert_eq!(known.next(Some(None)), Some(record(Some("v2"))));
+    let only = Some(record(&["v2"], &[]));
+    assert_eq!(known.next_after(Some(closed.clone()), closed_at, 0), only);
+    // It comes back.
+    known.put("a", "v1");
+    assert_eq!(known.next_after(Some(closed), closed_at, 0), Some(record(&["v1", "v2"], &[])));
 }
 
 #[test]
-fn a_box_that_sees_another_version_than_the_record_removes_that() {
+fn a_box_that_sees_another_version_than_the_record_opens_that() {
     let mut known = Watching::new();
     known.put("a", "v2");
-    assert_eq!(known.next(Some(Some("v1"))), Some(record(None)));
+    let (first, closed) = (record(&["v1"], &[]), record(&["v2"], &["v1"]));
+    assert_eq!(known.next(Some(first.clone())), Some(record(&["v1", "v2"], &[])));
+    known.watch(MEMORY_MS / 6);
+    assert_eq!(known.next(Some(first)), Some(closed.clone()));
     known.watch(MEMORY_MS);
-    assert_eq!(known.next(Some(Some("v1"))), Some(record(Some("v2"))));
+    assert_eq!(known.next(Some(closed)), Some(record(&["v2"], &[])));
 }
 
-/// A box that started with a record of several versions trusts only what it has watched itself.
+/// A box that started with a record of several versions trusts only what it has watched itself, and that record.
 #[test]
-fn a_new_box_waits_before_it_names_a_version_again() {
+fn a_new_box_waits_before_it_takes_a_version_out() {
+    let closed = record(&["v1"], &["v2"]);
+    let mut known = Watching::new();
+    known.put("a", "v1");
+    assert_eq!(known.next(Some(closed.clone())), None);
+    known.watch(MEMORY_MS - 1);
+    assert_eq!(known.next(Some(closed.clone())), None);
+    known.watch(1);
+    assert_eq!(known.next(Some(closed.clone())), Some(record(&["v1"], &[])));
+    assert_eq!(known.next_after(Some(closed.clone()), 1, 0), None, "it learned of it later");
+    known.now_ms += 10_000;
+    known.history.look(known.now_ms);
+    assert_eq!(known.next(Some(closed)), None, "it has not looked for 10 s");
+}
+
+/// Guards against records of a store that came back from a copy, which may have lost a version.
+#[test]
+fn a_record_of_an_earlier_era_proves_nothing() {
+    let before = record(&["v1"], &[]);
+    assert_eq!(before.sole(1), None);
+    let partial = Record { era: 1, is_partial: true, ..before.clone() };
     let mut known = Watching::new();
     known.put("a", "v1");
-    assert_eq!(known.next(Some(None)), None);
     known.watch(MEMORY_MS);
-    assert_eq!(known.next(Some(None)), Some(record(Some("v1"))));
+    assert_eq!(known.next_after(Some(before), 0, 1), Some(partial.clone()));
+    assert_eq!(known.next_after(None, 0, 1), Some(partial.clone()), "the store may have lost it");
+    assert_eq!(partial.sole(1), None);
+    let learned_ms = known.now_ms;
+    known.watch(MEMORY_MS - 1);
+    assert_eq!(known.next_after(Some(partial.clone()), learned_ms, 1), None);
+    known.watch(1);
+    let whole = Record { is_partial: false, ..partial.clone() };
+    assert_eq!(known.next_after(Some(partial), learned_ms, 1), Some(whole.clone()));
+    assert_eq!(whole.sole(1), Some("v1".into()));
 }
 
 /// One step of a random history: an endpoint gets a version, or none, and time passes.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -436,6 +436,8 @@
     UpdateAged(UpdateAged),
     /// A crash report for the receiver to distribute, as JSON text.
     CrashText { name: Arc<str>, report: Arc<str> },
+    /// Origins of streams, for this incarnation of the receiver to write to the store.
+    KeepStreams { to: Incarnation, records: Vec<StreamRecord> },
 }
 
 impl Frame {
@@ -462,9 +464,10 @@
             Frame::Limit { .. } => "limits",
             Frame::Departure { .. } => "departures",
             Frame::Greet { .. } => "greetings",
-            Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
-                "streams"
-            }
+            Frame::StreamsBegan { .. }
+            | Frame::FindStreams { .. }
+            | Frame::StreamsFound { .. }
+            | Frame::KeepStreams { .. } => "streams",
             _ => "other",
         }
     }
