--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -108,7 +108,10 @@
         | Frame::Greet { .. } => {
             Frame::Refused { reason: "routers watch the platform themselves".into() }
         }
-        Frame::StreamsBegan { .. } | Frame::FindStreams { .. } | Frame::StreamsFound { .. } => {
+        Frame::StreamsBegan { .. }
+        | Frame::FindStreams { .. }
+        | Frame::KeepStreams { .. }
+        | Frame::StreamsFound { .. } => {
             Frame::Refused { reason: "routers resume streams themselves".into() }
         }
         // A router needs no witness: its journal records exactly what is unused.
