The head of a response waits until the origin of its stream is in the store

The first event now waits for that, for 80 ms at most and not for a second after a wait in vain; batches and pages go at once unless one just went.

--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -42,6 +42,10 @@
 const READ_WAIT: Duration = Duration::from_millis(400);
 /// Time for which a read waits for further requests that want its result.
 const READ_DELAY: Duration = Duration::from_millis(10);
+/// Longest time that the head of a response waits until its origin is sent; a pause that callers do not notice.
+const SEND_WAIT: Duration = Duration::from_millis(80);
+/// Time without such waits after one that was in vain: the store does not answer in time.
+const VAIN_WAIT_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time to hand origins over before a planned stop.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a home that did not take origins is not sent any: it is silent, about to stop, or of an older
@@ -105,6 +109,8 @@
     pages: Pages,
     /// The last read of pages.
     read: Mutex<Option<Read>>,
+    /// From when on responses wait for their origins again, after a wait in vain.
+    waits_from: Mutex<Option<Instant>>,
     memory: Mutex<Memory>,
     outbox: Mutex<Outbox>,
     held: Mutex<Held>,
@@ -156,8 +162,14 @@
 struct Batch {
     streams: Streams,
     queued: Vec<Queued>,
+    /// Set once they have been sent.
+    is_sent: watch::Sender<bool>,
 }
 
+/// Tells when an origin has been sent.
+#[derive(Debug)]
+pub struct Sent(watch::Receiver<bool>);
+
 impl Drop for Batch {
     fn drop(&mut self) {
         self.streams.0.batches.send_modify(|batches| *batches -= 1);
@@ -172,6 +184,7 @@
             peers,
             store,
             read: Mutex::default(),
+            waits_from: Mutex::default(),
             memory: Mutex::new(Memory::new(Instant::now())),
             outbox: Mutex::default(),
             held: Mutex::default(),
@@ -191,10 +204,11 @@
 
     /// Sends origins to homes for as long as the box runs.
     pub async fn run(self) {
-        let mut sending = JoinSet::new();
+        let (mut sending, mut last_flush) = (JoinSet::new(), Instant::now());
         loop {
             self.0.queued.notified().await;
-            tokio::time::sleep(FLUSH_INTERVAL).await;
+            tokio::time::sleep_until(last_flush + FLUSH_INTERVAL).await;
+            last_flush = Instant::now();
             // Each batch ends within two timeouts, so there are few at a time.
             if let Some(batch) = self.take_queued() {
                 sending.spawn(deliver(batch));
@@ -204,14 +218,30 @@
     }
 
     /// Remembers the origin of a stream that this box relays, and queues it for its homes or holds it back. Renews a
-    /// known one.
-    pub fn record(&self, key: StreamKey, origin: StreamOrigin, tell: Tell) {
+    /// known one. What it returns tells when all that was queued has been sent.
+    pub fn record(&self, key: StreamKey, origin: StreamOrigin, tell: Tell) -> Option<Sent> {
         let began = Instant::now();
         let queued = Queued { key, origin, began };
         self.0.memory.lock().insert(&queued.record(), began);
         match tell {
-            Tell::Now => self.queue([queued]),
-            Tell::Later => self.0.held.lock().push(queued),
+            Tell::Now => Some(self.queue([queued])),
+            Tell::Later => {
+                self.0.held.lock().push(queued);
+                None
+            }
+        }
+    }
+
+    /// Waits until an origin has been sent: the store knows it then, unless that does not answer. Waits no more for a
+    /// while after a wait was in vain.
+    pub async fn wait_sent(&self, sent: Sent) {
+        if self.0.waits_from.lock().is_some_and(|from| Instant::now() < from) {
+            return;
+        }
+        let Sent(mut is_sent) = sent;
+        let wait = tokio::time::timeout(SEND_WAIT, is_sent.wait_for(|is_sent| *is_sent));
+        if wait.await.is_err() {
+            *self.0.waits_from.lock() = Some(Instant::now() + VAIN_WAIT_INTERVAL);
         }
     }
 
@@ -229,11 +259,13 @@
         self.queue(held);
     }
 
-    fn queue(&self, origins: impl IntoIterator<Item = Queued>) {
+    fn queue(&self, origins: impl IntoIterator<Item = Queued>) -> Sent {
         let mut outbox = self.0.outbox.lock();
         origins.into_iter().for_each(|queued| outbox.push(queued));
+        let sent = Sent(outbox.is_sent.subscribe());
         drop(outbox);
         self.0.queued.notify_one();
+        sent
     }
 
     /// Remembers origins that another box sent.
@@ -301,9 +333,9 @@
         }
     }
 
-    /// Queues origins from another box for the store.
-    pub fn keep(&self, records: Vec<StreamRecord>) {
-        self.0.pages.add(records);
+    /// Writes origins from another box to the store, and waits for it, for a limited time.
+    pub async fn keep(&self, records: Vec<StreamRecord>) {
+        self.0.pages.keep(records).await;
     }
 
     /// Finds the origin of a stream that no box knows in the store.
@@ -360,14 +392,14 @@
         let peers = &self.0.peers;
         for writer in peers.bill_writers() {
             if writer == *peers.me() {
-                return self.0.pages.add(records);
+                return self.0.pages.keep(records).await;
             }
             if peers.keep_streams(&writer, records.clone()).await {
                 return;
             }
         }
         // Nobody else takes them.
-        self.0.pages.add(records);
+        self.0.pages.keep(records).await;
     }
 
     /// Sends what is queued, and waits until all that was queued before is sent.
@@ -397,7 +429,8 @@
         let sending = async {
             if !queued.is_empty() {
                 self.0.batches.send_modify(|batches| *batches += 1);
-                deliver(Batch { streams: self.clone(), queued }).await;
+                let is_sent = watch::Sender::default();
+                deliver(Batch { streams: self.clone(), queued, is_sent }).await;
             }
             self.flush().await;
         };
@@ -411,7 +444,7 @@
 
     fn take_queued(&self) -> Option<Batch> {
         let mut outbox = self.0.outbox.lock();
-        let Outbox { queued, dropped } = std::mem::take(&mut *outbox);
+        let Outbox { queued, dropped, is_sent } = std::mem::take(&mut *outbox);
         // Each would have been sent to all its homes.
         self.count_lost(dropped * COPIES as u64, "queue_full");
         if queued.is_empty() {
@@ -419,7 +452,7 @@
         }
         // Under the lock: whoever finds the queue empty then waits for this batch.
         self.0.batches.send_modify(|batches| *batches += 1);
-        Some(Batch { streams: self.clone(), queued })
+        Some(Batch { streams: self.clone(), queued, is_sent })
     }
 
     /// Groups origins by the boxes to send them to. A home that recently did not answer, or did not take
@@ -515,4 +548,5 @@
     let sending = join_all(groups.into_iter().map(|(home, copies)| streams.send(home, copies)));
     let records = batch.queued.iter().map(Queued::record).collect();
     tokio::join!(sending, streams.store(records));
+    batch.is_sent.send_replace(true);
 }
--- a/crates/gateway/src/fleet/streams/pages.rs
+++ b/crates/gateway/src/fleet/streams/pages.rs
@@ -16,8 +16,8 @@
 use platform::store::{Client, Put};
 use serde::{Deserialize, Serialize};
 use tokio::{
-    sync::Notify,
-    time::{Instant, sleep},
+    sync::{Notify, watch},
+    time::{Instant, sleep, sleep_until},
 };
 use wire::{StreamKey, StreamOrigin, StreamRecord};
 
@@ -31,6 +31,8 @@
 const MAX_PAGE: usize = 2_048;
 /// Shortest time between two writes of a fleet with one writer; more writers take turns.
 const WRITE_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest wait of another box until its origins are in the store: less than it waits for the answer.
+const KEEP_WAIT: Duration = Duration::from_millis(120);
 /// Oldest stream that is written: most end sooner.
 const MAX_AGE: Duration = Duration::from_secs(20);
 /// Origins that wait for a write; the oldest is dropped first.
@@ -109,6 +111,8 @@
     records: VecDeque<StreamRecord>,
     /// Dropped since the last write.
     dropped: usize,
+    /// Number of the last call that added any.
+    added: u64,
 }
 
 /// Pages of this box.
@@ -116,15 +120,27 @@
     me: Incarnation,
     waiting: Mutex<Waiting>,
     queued: Notify,
+    /// Number of the last call whose origins, and those of all before, are in the store.
+    landed: watch::Sender<u64>,
 }
 
 impl Pages {
     pub fn open(me: Incarnation) -> Pages {
-        Pages { me, waiting: Mutex::default(), queued: Notify::new() }
+        let (waiting, queued) = (Mutex::default(), Notify::new());
+        Pages { me, waiting, queued, landed: watch::Sender::new(0) }
     }
 
-    /// Queues origins for the next write.
-    pub fn add(&self, records: impl IntoIterator<Item = StreamRecord>) {
+    /// Writes origins, and waits until they are in the store, for a limited time.
+    pub async fn keep(&self, records: Vec<StreamRecord>) {
+        let number = self.add(records);
+        let mut landed = self.landed.subscribe();
+        let landing = landed.wait_for(|landed| *landed >= number);
+        // Else they are written later.
+        let _ = tokio::time::timeout(KEEP_WAIT, landing).await;
+    }
+
+    /// Queues origins for the next write; returns the number of this call.
+    fn add(&self, records: impl IntoIterator<Item = StreamRecord>) -> u64 {
         let max_age_ms = MAX_AGE.as_millis() as u64;
         let mut waiting = self.waiting.lock();
         waiting.records.extend(records.into_iter().filter(|record| record.age_ms < max_age_ms));
@@ -132,23 +148,28 @@
             waiting.records.pop_front();
             waiting.dropped += 1;
         }
+        waiting.added += 1;
+        let number = waiting.added;
         drop(waiting);
         self.queued.notify_one();
+        number
     }
 
-    fn take(&self) -> Vec<StreamRecord> {
-        let Waiting { records, dropped } = std::mem::take(&mut *self.waiting.lock());
+    /// Takes all that waits, with the number of the last call.
+    fn take(&self) -> (Vec<StreamRecord>, u64) {
+        let mut waiting = self.waiting.lock();
+        let dropped = std::mem::take(&mut waiting.dropped);
         if dropped > 0 {
             tracing::warn!(event = "stream_origins_not_stored", dropped);
         }
-        records.into()
+        (std::mem::take(&mut waiting.records).into(), waiting.added)
     }
 
     /// Writes pages for as long as the box runs; `writers` tells how many boxes do.
     pub async fn run(&self, store: Client, writers: impl Fn() -> usize) {
         let mut writer = Writer { pages: self, store, written: VecDeque::new(), count: 0 };
         let mut eras = writer.store.eras();
-        let mut pause = MIN_PAUSE;
+        let (mut pause, mut last_write) = (MIN_PAUSE, Instant::now());
         loop {
             tokio::select! {
                 () = self.queued.notified() => {}
@@ -158,7 +179,8 @@
                 }
                 Ok(()) = eras.changed() => writer.write_again(),
             }
-            sleep(WRITE_INTERVAL * writers().max(1) as u32).await;
+            sleep_until(last_write + WRITE_INTERVAL * writers().max(1) as u32).await;
+            last_write = Instant::now();
             pause = match writer.write().await {
                 true => MIN_PAUSE,
                 false => {
@@ -183,7 +205,7 @@
 impl Writer<'_> {
     /// Writes what waits; returns whether the store took it.
     async fn write(&mut self) -> bool {
-        let new = self.pages.take();
+        let (new, number) = self.pages.take();
         if new.is_empty() {
             return true;
         }
@@ -209,6 +231,7 @@
         match put {
             Put::Landed(version) => {
                 self.written.push_back(Written { name, version, records, opened });
+                self.pages.landed.send_replace(number);
                 true
             }
             Put::Refused(_) | Put::Failed(_) | Put::Unknown(_) => {
@@ -229,7 +252,7 @@
     /// Waits until the oldest page is needed no more.
     async fn expired(&self) {
         match self.written.front() {
-            Some(page) => tokio::time::sleep_until(page.opened + STREAM_TTL).await,
+            Some(page) => sleep_until(page.opened + STREAM_TTL).await,
             None => std::future::pending().await,
         }
     }
--- a/crates/gateway/src/fleet/streams/queue.rs
+++ b/crates/gateway/src/fleet/streams/queue.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 use wire::{StreamKey, StreamOrigin, StreamRecord};
 
 use super::memory::STREAM_TTL;
@@ -21,6 +21,8 @@
     pub queued: Vec<Queued>,
     /// Origins that were dropped since the last batch was taken.
     pub dropped: u64,
+    /// Set once all of them have been sent.
+    pub is_sent: watch::Sender<bool>,
 }
 
 /// An origin to be sent.
--- a/crates/gateway/src/inbound/peer_service.rs
+++ b/crates/gateway/src/inbound/peer_service.rs
@@ -227,7 +227,7 @@
                 Frame::Done
             }
             Frame::KeepStreams { records, .. } => {
-                self.streams.keep(records);
+                self.streams.keep(records).await;
                 Frame::Done
             }
             Frame::FindStreams { keys, .. } => {
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -140,6 +140,10 @@
                 self.classify(admitted, chosen, exchange, &sent_at, response, in_flight)
             }
         };
+        // A caller can take up a stream of which it has seen the first event.
+        if let Some(sent) = exchange.origin_sent.take() {
+            self.streams.wait_sent(sent).await;
+        }
         match outcome {
             // An endpoint that is gone does not count against the route's limit of attempts.
             Attempt::Unsent(_) | Attempt::Gone(_) => {
@@ -249,7 +253,8 @@
         if status.is_success() {
             let (service, version) = (admitted.service.clone(), chosen.version.clone());
             let origin = StreamOrigin { service, version };
-            self.record_origin(origin, &admitted.route, &admitted.head, exchange);
+            exchange.origin_sent =
+                self.record_origin(origin, &admitted.route, &admitted.head, exchange);
         }
         in_flight.finish_prefill();
         Attempt::Answer(Box::new(response), Box::new(in_flight))
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     clock::Moment,
+    fleet::streams::Sent,
     metrics::{Finished, Metrics},
     proxy::refusal::{Denial, Refusal},
     tokens::{bills::Bills, funds::Hold},
@@ -65,6 +66,8 @@
     pub is_detour: bool,
     /// Whether some endpoint may have run it.
     pub may_have_run: bool,
+    /// Tells when the origin of the stream that it begins has been sent.
+    pub origin_sent: Option<Sent>,
     /// Time until the head of the response.
     pub time_to_head: Option<Duration>,
     /// Longest time between two events of the stream.
@@ -109,6 +112,7 @@
             last_outcome: None,
             is_detour: false,
             may_have_run: false,
+            origin_sent: None,
             time_to_head: None,
             longest_pause: None,
             framing: None,
--- a/crates/gateway/src/proxy/origins.rs
+++ b/crates/gateway/src/proxy/origins.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     config_table::ConfigTable,
-    fleet::streams::{self, Found, Streams, Tell},
+    fleet::streams::{self, Found, Sent, Streams, Tell},
     metrics::TakenUp,
     proxy::{
         admit::AdmittedRequest,
@@ -190,15 +190,16 @@
         route: &Route,
         head: &Head,
         exchange: &Exchange,
-    ) {
+    ) -> Option<Sent> {
         let first_attempt = head.resumes.as_ref().or(head.id.as_ref());
-        if let Some(attempt) = first_attempt.filter(|_| can_be_taken_up(route)) {
-            let tell = match self.sole_versions.is_settled(&origin.service) {
-                true => Tell::Later,
-                false => Tell::Now,
-            };
-            self.streams.record(key(exchange, attempt), origin, tell);
-        }
+        let attempt = first_attempt.filter(|_| can_be_taken_up(route))?;
+        let tell = match self.sole_versions.is_settled(&origin.service) {
+            true => Tell::Later,
+            false => Tell::Now,
+        };
+        let sent = self.streams.record(key(exchange, attempt), origin, tell);
+        // One that is taken up was sent before.
+        sent.filter(|_| head.resumes.is_none())
     }
 }
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -541,7 +541,7 @@
     let fleet = fleet(&[SERVE; 3]).await;
     // Nothing is awaited, so nothing is sent in between.
     let keys = (0..RECORDED as u128).map(StreamKey);
-    keys.for_each(|key| fleet[0].streams.record(key, origin("v1"), Tell::Now));
+    keys.for_each(|key| drop(fleet[0].streams.record(key, origin("v1"), Tell::Now)));
     fleet[0].streams.flush().await;
     let known: Vec<usize> = fleet.iter().map(|one| one.streams.counts().known).collect();
     let lost = fleet[0].streams.counts().lost as usize;
