Every refusal passes one place that knows whether its request may have run

The gate stood in dispatch and is now where a refusal becomes a response, so that no later way round it can be built. No case is known that it catches and the former did not.

--- a/crates/gateway/src/inbound/handle.rs
+++ b/crates/gateway/src/inbound/handle.rs
@@ -39,6 +39,8 @@
                 relay_answer(*answer, caller, in_flight, exchange, self.link.clone())
             }
             Err(refusal) => {
+                // The only place where a refusal becomes a response.
+                let refusal = exchange.refuse(refusal);
                 let response = refusal.response(exchange.id.as_deref());
                 exchange.end(Outcome::Refused(refusal), 0);
                 response.map(|text| Either::Left(Full::new(Bytes::from(text))))
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -37,18 +37,6 @@
         &self,
         admitted: &AdmittedRequest,
         exchange: &mut Exchange,
-    ) -> Result<(Box<Answer>, InFlight), Refusal> {
-        let sent = self.try_endpoints(admitted, exchange).await;
-        sent.map_err(|refusal| match exchange.may_have_run {
-            true => refusal.without_promise(),
-            false => refusal,
-        })
-    }
-
-    async fn try_endpoints(
-        &self,
-        admitted: &AdmittedRequest,
-        exchange: &mut Exchange,
     ) -> Result<(Box<Answer>, InFlight), Refusal> {
         let now_s = self.started.elapsed().as_secs();
         self.retries.lock().count_request(&admitted.service, now_s, &self.settings().retries);
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -157,6 +157,14 @@
         }
     }
 
+    /// What its caller is told in place of a response: no promise that it did not run, if it may have.
+    pub fn refuse(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run {
+            true => refusal.without_promise(),
+            false => refusal,
+        }
+    }
+
     /// Settles and logs the request; later calls have no effect.
     pub fn end(&mut self, outcome: Outcome, events: u64) {
         if std::mem::replace(&mut self.is_ended, true) {
