Watchers write crash reports that their own box left unwritten

A report of a box that stopped by plan in an outage of the store stayed in its queue, and went with it: the quarantine of a request that crashes endpoints was forgotten with the boxes that had heard of it. The report had reached the watchers at once. They now look every 2 s for reports that they know and the store does not, and write those found twice; names are those of the author, so a second write is refused.

--- a/crates/gateway/src/sync/reporter.rs
+++ b/crates/gateway/src/sync/reporter.rs
@@ -1,9 +1,10 @@
 //! Publishes the crash reports of this box.
 //!
 //! A report is written to the store, where every box finds it, also one that starts later. It is
-//! also sent to the watchers, which pass it on at once, even while the store is unreachable.
+//! also sent to the watchers, which pass it on at once, even while the store is unreachable. A watcher writes those that
+//! their own box has not written, such as one that stopped in an outage of the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use objects::Expect;
 use platform::store::{Client, Put};
@@ -19,6 +20,8 @@
 
 /// Maximum number of reports that wait for the store to become reachable.
 const QUEUE_CAPACITY: usize = 64;
+/// Interval at which a watcher looks for reports that are not in the store; it writes those that it finds twice.
+const ADOPT_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which a watcher removes expired reports from the store.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(300);
 
@@ -47,7 +50,8 @@
                 }
             }
         };
-        tokio::join!(writing, publishing, sweep(&self.store, &self.view));
+        let adopting = adopt(&self.view, &to_write);
+        tokio::join!(writing, publishing, adopting, sweep(&self.store, &self.view));
     }
 
     fn publish(&self, name: &Arc<str>, report: &Report) {
@@ -65,6 +69,23 @@
     }
 }
 
+/// Writes reports that stay out of the store.
+async fn adopt(view: &View, to_write: &mpsc::Sender<NamedReport>) {
+    let mut before: HashSet<Arc<str>> = HashSet::new();
+    loop {
+        tokio::time::sleep(ADOPT_INTERVAL).await;
+        let unstored = view.unstored_crashes();
+        let found: HashSet<Arc<str>> = unstored.iter().map(|(name, _)| name.clone()).collect();
+        for (name, report) in unstored.into_iter().filter(|(name, _)| before.contains(name)) {
+            tracing::info!(event = "crash_report_adopted", name = &*name);
+            if let Err(error) = to_write.try_send((name, report)) {
+                tracing::error!(event = "crash_report_not_written", %error);
+            }
+        }
+        before = found;
+    }
+}
+
 async fn write_all(store: Client, mut outage: Outage, mut waiting: mpsc::Receiver<NamedReport>) {
     while let Some((name, report)) = waiting.recv().await {
         let text = serde_json::to_string(&report).expect("reports always serialize");
--- a/crates/gateway/src/sync/view/crashes.rs
+++ b/crates/gateway/src/sync/view/crashes.rs
@@ -72,6 +72,19 @@
         }
     }
 
+    /// Reports that are to be in the store and are not, as far as this box knows; none unless it watches the store.
+    pub fn unstored_crashes(&self) -> Vec<(Arc<str>, Report)> {
+        let state = self.0.state.lock();
+        if !state.loaded.is_complete() || state.unreachable_since.is_some() {
+            return Vec::new();
+        }
+        let names = state.change_log.names(CRASHES);
+        let unstored = names.into_iter().filter(|(_, version)| *version == NOT_STORED);
+        let read = |name: &str| serde_json::from_str(&state.change_log.value(CRASHES, name)?).ok();
+        let reports = unstored.filter_map(|(name, _)| Some((name.clone(), read(&name)?)));
+        reports.filter(|(_, report): &(_, Report)| report.is_stored()).collect()
+    }
+
     /// Expired reports in the store, with their versions; empty unless this box watches the store.
     pub fn expired_crashes(&self) -> Vec<(Arc<str>, u64)> {
         let state = self.0.state.lock();
