A read refused for the store's limit is made again, not begun anew

With 30 pages of endpoints and 10 reads a second a refused page or watch made a box list all again from the first page, and so on without end: 14 of 24 requests reached an endpoint that had left. Neither counts as an outage: probes tell that.

--- a/crates/gateway/src/sync/watcher.rs
+++ b/crates/gateway/src/sync/watcher.rs
@@ -23,6 +23,8 @@
 /// the number of calls low when many endpoints start together. An eighth of the 2 s within which a
 /// leaving endpoint must get no more work in the strictest deployments.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Pause after a watch that the store refused for its limit of reads.
+const LIMITED_PAUSE: Duration = Duration::from_millis(300);
 /// Longest time for the answer of a watch whose wait is over, beyond which its connection may be dead.
 const WATCH_GRACE: Duration = Duration::from_millis(600);
 /// Shortest time between two checks whether a state is due, while none is confirmed.
@@ -271,6 +273,8 @@
                     apply(Received::Changes(watch.changes));
                     view.confirm(subject, complete_ms);
                 }
+                // The store has too many reads, and a list is more of them.
+                Err(Error::Limited) => tokio::time::sleep(LIMITED_PAUSE).await,
                 Err(error) => {
                     outage.record_failure(&error);
                     break;
@@ -417,6 +421,8 @@
             Ok(Ok(Step::Unchanged(next))) => from = next,
             Ok(Ok(Step::Reopened)) => {}
             Ok(Ok(Step::Lost)) => return,
+            // The store has too many reads, and a list is more of them.
+            Ok(Err(Error::Limited)) => tokio::time::sleep(LIMITED_PAUSE).await,
             Ok(Err(error)) => {
                 outage.record_failure(&error);
                 return;
