--- a/crates/gateway/src/fleet/streams/mod.rs
+++ b/crates/gateway/src/fleet/streams/mod.rs
@@ -140,11 +140,13 @@
     logged: Option<Instant>,
 }
 
-/// When homes are told of an origin.
+/// Who is told of an origin, and when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Tell {
-    /// At once.
+    /// Homes and the store, at once.
     Now,
+    /// Homes at once: the store is out of reach. It is told as with [`Tell::Later`].
+    Homes,
     /// Only if [`Streams::tell`] asks for it: anybody can say where streams of the service begin.
     Later,
 }
@@ -221,12 +223,17 @@
     /// known one. What it returns tells when all that was queued has been sent.
     pub fn record(&self, key: StreamKey, origin: StreamOrigin, tell: Tell) -> Option<Sent> {
         let began = Instant::now();
-        let queued = Queued { key, origin, began };
+        let queued = Queued { key, origin, began, is_stored: true };
         self.0.memory.lock().insert(&queued.record(), began);
         match tell {
             Tell::Now => Some(self.queue([queued])),
+            Tell::Homes => {
+                self.0.held.lock().push(queued.clone(), true);
+                self.queue([Queued { is_stored: false, ..queued }]);
+                None
+            }
             Tell::Later => {
-                self.0.held.lock().push(queued);
+                self.0.held.lock().push(queued, false);
                 None
             }
         }
@@ -259,6 +266,15 @@
         self.queue(held);
     }
 
+    /// Queues the origins of a service for homes only, and goes on holding them back.
+    pub fn tell_homes(&self, service: &str) {
+        let untold = self.0.held.lock().take_untold(service);
+        if !untold.is_empty() {
+            tracing::info!(event = "stream_origins_told", service, streams = untold.len());
+            self.queue(untold.into_iter().map(|queued| Queued { is_stored: false, ..queued }));
+        }
+    }
+
     fn queue(&self, origins: impl IntoIterator<Item = Queued>) -> Sent {
         let mut outbox = self.0.outbox.lock();
         origins.into_iter().for_each(|queued| outbox.push(queued));
@@ -389,6 +405,9 @@
 
     /// Sends origins to the box that writes them to the store, or to the next one.
     async fn store(&self, records: Vec<StreamRecord>) {
+        if records.is_empty() {
+            return;
+        }
         let peers = &self.0.peers;
         for writer in peers.bill_writers() {
             if writer == *peers.me() {
@@ -423,6 +442,7 @@
                 began: began(&record).unwrap_or(now),
                 key: record.key,
                 origin: record.origin,
+                is_stored: true,
             })
             .collect();
         let streams = queued.len();
@@ -546,7 +566,8 @@
     let streams = &batch.streams;
     let groups = streams.group(&batch.queued);
     let sending = join_all(groups.into_iter().map(|(home, copies)| streams.send(home, copies)));
-    let records = batch.queued.iter().map(Queued::record).collect();
+    let stored = batch.queued.iter().filter(|queued| queued.is_stored);
+    let records = stored.map(Queued::record).collect();
     tokio::join!(sending, streams.store(records));
     batch.is_sent.send_replace(true);
 }
--- a/crates/gateway/src/fleet/streams/queue.rs
+++ b/crates/gateway/src/fleet/streams/queue.rs
@@ -31,29 +31,31 @@
     pub key: StreamKey,
     pub origin: StreamOrigin,
     pub began: Instant,
+    /// Whether it is written to the store, too.
+    pub is_stored: bool,
 }
 
 impl Queued {
     /// The record to send, with its age.
     pub fn record(&self) -> StreamRecord {
-        let Queued { key, origin, began } = self.clone();
+        let Queued { key, origin, began, .. } = self.clone();
         StreamRecord { key, origin, age_ms: began.elapsed().as_millis() as u64 }
     }
 }
 
-/// Origins that are held back, by service, oldest first.
+/// Origins that are held back, by service, oldest first, and whether homes were told already.
 #[derive(Default)]
-pub struct Held(HashMap<Arc<str>, VecDeque<Queued>>);
+pub struct Held(HashMap<Arc<str>, VecDeque<(Queued, bool)>>);
 
 impl Held {
     /// Holds an origin back; forgets those that nobody can take up any more.
-    pub fn push(&mut self, queued: Queued) {
+    pub fn push(&mut self, queued: Queued, is_told: bool) {
         let held = self.0.entry(queued.origin.service.clone()).or_default();
-        let is_expired = |first: &Queued| first.began.elapsed() >= STREAM_TTL;
+        let is_expired = |(first, _): &(Queued, bool)| first.began.elapsed() >= STREAM_TTL;
         while held.len() >= MAX_HELD || held.front().is_some_and(is_expired) {
             held.pop_front();
         }
-        held.push_back(queued);
+        held.push_back((queued, is_told));
     }
 
     /// Services of the origins.
@@ -62,8 +64,20 @@
     }
 
     /// Takes out the origins of a service.
-    pub fn take(&mut self, service: &str) -> VecDeque<Queued> {
-        self.0.remove(service).unwrap_or_default()
+    pub fn take(&mut self, service: &str) -> Vec<Queued> {
+        let held = self.0.remove(service).unwrap_or_default();
+        held.into_iter().map(|(queued, _)| queued).collect()
+    }
+
+    /// The origins of a service of which homes were not told, which counts as done.
+    pub fn take_untold(&mut self, service: &str) -> Vec<Queued> {
+        let held = self.0.get_mut(service).into_iter().flatten();
+        let untold = held.filter(|(_, is_told)| !is_told);
+        let tell = |(queued, is_told): &mut (Queued, bool)| {
+            *is_told = true;
+            queued.clone()
+        };
+        untold.map(tell).collect()
     }
 }
 
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -475,7 +475,9 @@
         let ends = async { tokio::join!(self.tasks.wait(), self.tunnels.wait()) };
         let finished = tokio::time::timeout(remaining, ends).await.is_ok();
         let Context { streams, sole_versions, .. } = &*self.context;
-        streams.hand_over(|service| sole_versions.is_settled(service)).await;
+        streams
+            .hand_over(|service| sole_versions.is_settled(service) && sole_versions.reaches_store())
+            .await;
         let remaining = limit.saturating_sub(began.elapsed());
         self.settle_deadline
             .send_replace(Some(Instant::now() + remaining + FINAL_SETTLEMENT_TIMEOUT));
--- a/crates/gateway/src/proxy/origins.rs
+++ b/crates/gateway/src/proxy/origins.rs
@@ -194,8 +194,9 @@
         let first_attempt = head.resumes.as_ref().or(head.id.as_ref());
         let attempt = first_attempt.filter(|_| can_be_taken_up(route))?;
         let tell = match self.sole_versions.is_settled(&origin.service) {
-            true => Tell::Later,
             false => Tell::Now,
+            true if self.sole_versions.reaches_store() => Tell::Later,
+            true => Tell::Homes,
         };
         let sent = self.streams.record(key(exchange, attempt), origin, tell);
         // One that is taken up was sent before.
@@ -203,14 +204,17 @@
     }
 }
 
-/// Tells other boxes where running streams began, as soon as their service may have a second version.
+/// Tells other boxes where running streams began, as soon as their service may have a second version, or the store is out
+/// of reach.
 pub async fn tell_when_versions_differ(streams: Streams, sole_versions: SoleVersions) {
     let mut ticks = tokio::time::interval(VERSIONS_INTERVAL);
     loop {
         ticks.tick().await;
         for service in streams.held_services() {
-            if !sole_versions.is_settled(&service) {
-                streams.tell(&service);
+            match sole_versions.is_settled(&service) {
+                false => streams.tell(&service),
+                true if sole_versions.reaches_store() => {}
+                true => streams.tell_homes(&service),
             }
         }
     }
--- a/crates/gateway/src/sole_versions/handle.rs
+++ b/crates/gateway/src/sole_versions/handle.rs
@@ -190,8 +190,12 @@
         let records = self.0.records.lock();
         let sole = records.get(service).and_then(|known| known.record.sole(self.era()));
         drop(records);
-        let is_reachable = self.0.history.lock().is_current(self.now_ms());
-        is_reachable && sole.is_some() && sole == self.present(service)
+        sole.is_some() && sole == self.present(service)
+    }
+
+    /// Whether this box, or the one that it hears from, reached the store a moment ago.
+    pub fn reaches_store(&self) -> bool {
+        self.0.history.lock().is_current(self.now_ms())
     }
 
     /// Whether this box has seen a version of a service lately.
