Pages of writers that ended are deleted; a service that a route newly goes to gets its record at once

Pages of a box that died stayed in the store for good, and each read of a stream that nobody knows reads them all. A writer looks for pages of others each 5 minutes in which it writes, and deletes those that are the same after 2 minutes; its own go after 60 s. Not tested: it takes minutes of the real clock.

A route that a configuration sends to a service without a record waited up to 0.5 s for the next check, in which its streams were refused. The writer of records now wakes with each configuration.

--- a/crates/flintbench/src/versions/play.rs
+++ b/crates/flintbench/src/versions/play.rs
@@ -53,6 +53,8 @@
     version: usize,
     /// Boxes that were told the origin, and when.
     told: Vec<(usize, f64)>,
+    /// When it was in the store, if it was.
+    stored: Option<f64>,
 }
 
 /// Where a stream runs.
@@ -96,7 +98,7 @@
         let Some((version, endpoint)) = self.begin(key, member, at) else { return };
         self.tally.begun += 1;
         let length = -unit(key, purpose::LENGTH).ln() * MEAN_LENGTH_S;
-        let mut stream = Stream { key, version, told: Vec::new() };
+        let mut stream = Stream { key, version, told: Vec::new(), stored: None };
         let mut leg = Leg { member, endpoint, from: at, until: at + length };
         for legs in 0.. {
             let broken = self.breaks(key, legs, &leg);
@@ -115,6 +117,9 @@
     fn begin(&self, key: u64, member: usize, at: f64) -> Option<(usize, usize)> {
         let (directory, _) = self.world.seen(member, at);
         let wanted = match self.design {
+            Design::Homes { unknown: Unknown::OfRecord { .. }, .. } => {
+                Draws::of(key).version(&self.world.current(at).counts)
+            }
             design if design.is_computed() => Draws::of(key).version(&directory.counts),
             _ => weighted(&directory.counts, unit(key, purpose::VERSION)),
         };
@@ -200,6 +205,12 @@
                 | Design::Homes { unknown: Unknown::Recomputed { .. }, .. }
         );
         let at = if waits { at + VIEW_WAIT_S } else { at };
+        if let Design::Homes { unknown: Unknown::Stored { store, .. }, .. } = self.design {
+            let is_stored = stream.stored.is_some_and(|stored| stored <= at);
+            if is_stored && store.answers(at) == at {
+                return (Some(stream.version), at);
+            }
+        }
         (self.guess(stream.key, member, at), at)
     }
 
@@ -248,6 +259,12 @@
         match self.design {
             Design::Homes { unknown, .. } => match unknown {
                 Unknown::Refused => settled,
+                // The record that proves it is in the store.
+                Unknown::Stored { store, .. } => settled.filter(|_| store.answers(at) == at),
+                Unknown::OfRecord { views_s, store } => {
+                    let given = self.world.computed_throughout(key, at, f64::from(views_s));
+                    given.filter(|_| store.answers(at) == at)
+                }
                 Unknown::RefusedSinceStart => settled.filter(|_| at - started >= SETTLED_S),
                 Unknown::FirstLook => {
                     let is_first = started.is_finite() && directory.set_changed <= started;
@@ -271,8 +288,15 @@
     /// Keeps a stream's origin where the design does.
     fn tell(&mut self, stream: &mut Stream, leg: &Leg, ends: f64) {
         match self.design {
-            Design::Homes { copies, sent, .. } => {
+            Design::Homes { copies, sent, unknown } => {
                 let at = self.sending(sent, leg).filter(|at| *at < ends);
+                if let (Some(at), Unknown::Stored { delay_ms, store }) = (at, unknown) {
+                    let written = store.answers(at) + f64::from(delay_ms) / 1_000.0;
+                    // The box that has it tries until the store answers.
+                    if self.world.boxes[leg.member].remembers(at, written) {
+                        stream.stored = Some(stream.stored.unwrap_or(written));
+                    }
+                }
                 at.into_iter().for_each(|at| self.tell_homes(stream, leg.member, at, copies));
             }
             Design::AskAll => {
--- a/crates/flintbench/src/versions/world.rs
+++ b/crates/flintbench/src/versions/world.rs
@@ -218,6 +218,22 @@
         version.filter(|_| others.all(|other| other == version))
     }
 
+    /// The directory as it is.
+    pub fn current(&self, at: f64) -> &Directory {
+        let next = self.directory.partition_point(|directory| directory.since <= at);
+        &self.directory[next - 1]
+    }
+
+    /// Version of a key by the hash, if the directory has given it since `age` ago.
+    pub fn computed_throughout(&self, key: u64, at: f64, age: f64) -> Option<usize> {
+        let draws = Draws::of(key);
+        let first = self.directory.partition_point(|step| step.since <= at - age).max(1) - 1;
+        let steps = self.directory[first..].iter().take_while(|step| step.since <= at);
+        let mut versions = steps.map(|step| draws.version(&step.counts));
+        let version = versions.next()?;
+        version.filter(|_| versions.all(|other| other == version))
+    }
+
     /// An endpoint of a version that serves and that a box sees.
     pub fn endpoint(&self, version: usize, member: usize, at: f64, key: u64) -> Option<usize> {
         let all = &self.by_version[version];
--- a/crates/gateway/src/fleet/streams/pages.rs
+++ b/crates/gateway/src/fleet/streams/pages.rs
@@ -37,6 +37,10 @@
 const MAX_AGE: Duration = Duration::from_secs(20);
 /// Origins that wait for a write; the oldest is dropped first.
 const MAX_WAITING: usize = 16_384;
+/// Interval between two looks for pages of other writers.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(300);
+/// Time after such a look at which those that are still the same are deleted.
+const LEFT_TTL: Duration = Duration::from_secs(2 * STREAM_TTL.as_secs());
 /// Pause after a failed write; doubles.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
@@ -167,12 +171,17 @@
 
     /// Writes pages for as long as the box runs; `writers` tells how many boxes do.
     pub async fn run(&self, store: Client, writers: impl Fn() -> usize) {
-        let mut writer = Writer { pages: self, store, written: VecDeque::new(), count: 0 };
+        let (written, count, left) = Default::default();
+        let mut writer = Writer { pages: self, store, written, count, left, swept: None };
         let mut eras = writer.store.eras();
         let (mut pause, mut last_write) = (MIN_PAUSE, Instant::now());
         loop {
             tokio::select! {
                 () = self.queued.notified() => {}
+                () = writer.left_expired() => {
+                    writer.delete_left().await;
+                    continue;
+                }
                 () = writer.expired() => {
                     writer.delete_expired().await;
                     continue;
@@ -200,6 +209,10 @@
     written: VecDeque<Written>,
     /// Number of pages that were begun.
     count: u64,
+    /// Pages of other writers, with their versions, as they were at the last look.
+    left: Vec<(Arc<str>, u64)>,
+    /// When it looked for them.
+    swept: Option<Instant>,
 }
 
 impl Writer<'_> {
@@ -232,6 +245,7 @@
             Put::Landed(version) => {
                 self.written.push_back(Written { name, version, records, opened });
                 self.pages.landed.send_replace(number);
+                self.look_for_left().await;
                 true
             }
             Put::Refused(_) | Put::Failed(_) | Put::Unknown(_) => {
@@ -249,6 +263,38 @@
         self.pages.add(lost.into_iter().flat_map(|page| page.records));
     }
 
+    /// Looks for pages that boxes which ended may have left, if the last look was long ago.
+    async fn look_for_left(&mut self) {
+        if self.swept.is_some_and(|at| at.elapsed() < SWEEP_INTERVAL) {
+            return;
+        }
+        self.swept = Some(Instant::now());
+        match self.store.list_all(ORIGINS).await {
+            Ok(list) => {
+                let own = format!("{}-", self.pages.me.as_str());
+                let others = list.objects.into_iter().filter(|page| !page.name.starts_with(&own));
+                self.left = others.map(|page| (page.name, page.version)).collect();
+            }
+            Err(error) => tracing::info!(event = "stream_origins_not_read", %error),
+        }
+    }
+
+    /// Waits until pages of others that nobody has extended are needed no more.
+    async fn left_expired(&self) {
+        match self.swept.filter(|_| !self.left.is_empty()) {
+            Some(at) => sleep_until(at + LEFT_TTL).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn delete_left(&mut self) {
+        for (name, version) in std::mem::take(&mut self.left) {
+            // Refused if it was extended, or deleted by its writer.
+            let deleted = self.store.delete(ORIGINS, &name, version).await;
+            tracing::info!(event = "stream_origins_removed", name = &*name, ?deleted);
+        }
+    }
+
     /// Waits until the oldest page is needed no more.
     async fn expired(&self) {
         match self.written.front() {
--- a/crates/gateway/src/sync/version_writer.rs
+++ b/crates/gateway/src/sync/version_writer.rs
@@ -50,6 +50,7 @@
 impl VersionWriter {
     /// Writes records for as long as the box runs.
     pub async fn run(self) {
+        let mut table = self.table.clone();
         let mut pause = MIN_PAUSE;
         loop {
             let outcome = match self.is_writer() {
@@ -59,7 +60,14 @@
             match outcome {
                 Ok(()) => {
                     pause = MIN_PAUSE;
-                    let _ = timeout(CHECK_INTERVAL, self.sole_versions.changed()).await;
+                    let changed = async {
+                        tokio::select! {
+                            () = self.sole_versions.changed() => {}
+                            // A route may go to a service that has no record yet.
+                            Ok(()) = table.changed() => {}
+                        }
+                    };
+                    let _ = timeout(CHECK_INTERVAL, changed).await;
                 }
                 Err(Failed) => {
                     tokio::select! {
