Soak: calls that broke as the run killed the box that carried their connections are counted apart

The endpoints see from whose address a connection came, so at a kill they note what they reply to on those of the killed box, as they do at a cut. A call is excused only if it ended within 100 ms of that and did not run again (crates/soak/tests/cuts.rs, unchanged).

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -224,6 +224,11 @@
         self.scripted.set_cut_off(source, is_cut_off);
     }
 
+    /// The box with an address is killed now.
+    pub fn note_killed(&self, source: Ipv4Addr) {
+        self.scripted.note_killed(source);
+    }
+
     /// Requests that it ran and whose connections the run closed, and when.
     pub fn cut_runs(&self) -> Vec<(Id, Instant)> {
         let broken = self.scripted.broken_by_cuts();
--- a/crates/soak/src/run/schedule.rs
+++ b/crates/soak/src/run/schedule.rs
@@ -246,10 +246,10 @@
                 self.fleet.stall(box_index);
                 return Ok(None);
             }
-            Kind::Kill { box_index } => self.fleet.kill(box_index).await,
+            Kind::Kill { box_index } => self.kill(box_index).await,
             Kind::KillAll => {
                 for box_index in 0..self.fleet.nodes.len() {
-                    self.fleet.kill(box_index).await;
+                    self.kill(box_index).await;
                 }
             }
             Kind::Suspend { box_index } => {
@@ -298,6 +298,13 @@
     }
 
     /// Cuts a box off from all endpoints, or ends that.
+    /// Kills a box, which breaks calls of other boxes that it carries.
+    async fn kill(&mut self, box_index: usize) {
+        let source = fleet::box_address(box_index);
+        self.endpoints.iter().for_each(|endpoint| endpoint.note_killed(source));
+        self.fleet.kill(box_index).await;
+    }
+
     fn set_cut_off(&self, box_index: usize, is_cut_off: bool) {
         let source = fleet::box_address(box_index);
         self.endpoints.iter().for_each(|endpoint| endpoint.set_cut_off(source, is_cut_off));
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, Weak},
     time::Duration,
 };
 
@@ -92,6 +92,8 @@
     closed: usize,
     broken_by_cuts: Vec<Broken>,
     endless_bytes: u64,
+    /// What each open connection replies to, by the source of the connection.
+    current: Vec<(IpAddr, Weak<Mutex<Option<String>>>)>,
 }
 
 /// A request whose connection was closed before the end of the reply.
@@ -137,6 +139,7 @@
                         let (shared, current) = (shared.clone(), Current::default());
                         let serving = serve(stream, script, shared.clone(), crash, current.clone());
                         let cut = wait_cut(source.ip(), cuts.clone());
+                        shared.lock().current.push((source.ip(), Arc::downgrade(&current)));
                         open.spawn(until_cut(serving, cut, shared, current));
                     }
                     Ok(()) = cuts.changed() => {
@@ -165,7 +168,17 @@
         });
     }
 
-    /// Requests whose connections cuts closed so far, in order.
+    /// A source is killed now: its connections break, also those that it carries for others.
+    pub fn note_killed(&self, source: Ipv4Addr) {
+        let mut state = self.state.lock();
+        state.current.retain(|(_, current)| current.strong_count() > 0);
+        let of_source = state.current.iter().filter(|(other, _)| *other == source);
+        let ids = of_source.filter_map(|(_, current)| current.upgrade()?.lock().clone());
+        let broken: Vec<Broken> = ids.map(|id| Broken { id, at: Instant::now() }).collect();
+        state.broken_by_cuts.extend(broken);
+    }
+
+    /// Requests whose connections cuts and kills of their sources closed so far, in order.
     pub fn broken_by_cuts(&self) -> Vec<Broken> {
         self.state.lock().broken_by_cuts.clone()
     }
