A second response to an earlier request is skipped where the response to the current one is due

Callers saw 502 although the endpoint's response came right behind: hyper takes whatever comes next on a connection for the response to the request that was just sent, and its id ended the call.

A copy without a length is not skipped (second test).

--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -14,6 +14,7 @@
     Dialer, Fault,
     detour::{Stream, Tunnel, Way},
     meter::{Meter, Metered},
+    skip::Skipping,
     tag::{Carried, Tag},
 };
 
@@ -65,7 +66,8 @@
         closing: Option<watch::Receiver<bool>>,
     ) -> Result<Connection, Fault> {
         let meter = Meter::default();
-        let stream = Metered::new(stream, meter.clone());
+        let carried = Carried::default();
+        let stream = Skipping::new(Metered::new(stream, meter.clone()), carried.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -73,7 +75,7 @@
             .map_err(|error| Fault::Unsent { reason: error.to_string() })?;
         // The pending request receives the error too, so it may be ignored here.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        let (carried, reusable_until) = (Carried::default(), Instant::now());
+        let reusable_until = Instant::now();
         Ok(Connection { sender, task, meter, carried, way, closing, reusable_until })
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod meter;
 mod opener;
 mod options;
+mod skip;
 mod tag;
 
 pub use body::Body;
--- a/crates/forward/src/tag.rs
+++ b/crates/forward/src/tag.rs
@@ -10,6 +10,7 @@
     sync::Arc,
 };
 
+use parking_lot::Mutex;
 use tokio::time::Instant;
 
 /// Maximum number of ids that are remembered for a connection; then it is not reused. Several times what one carries while
@@ -25,18 +26,23 @@
     pub until: Instant,
 }
 
-/// Requests that a connection has carried.
+/// Requests that a connection has carried. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Carried(Arc<Mutex<Requests>>);
+
 #[derive(Debug, Default)]
-pub struct Carried {
+struct Requests {
     /// Hash of each id, and until when its caller may come back.
     recent: Vec<(u64, Instant)>,
+    /// Hash of the id of the last one.
+    last: Option<u64>,
     count: u64,
 }
 
 impl Carried {
     /// Number of requests so far.
     pub fn count(&self) -> u64 {
-        self.count
+        self.0.lock().count
     }
 
     /// Whether a response to an earlier request could be taken for the response to this one.
@@ -44,23 +50,38 @@
         match &tag.id {
             Some(id) => {
                 let hash = hash_of(id);
-                self.recent.iter().any(|(other, until)| *other == hash && *until > now)
+                let requests = self.0.lock();
+                requests.recent.iter().any(|(other, until)| *other == hash && *until > now)
             }
-            None => self.count > 0,
+            None => self.count() > 0,
         }
     }
 
+    /// Whether this is the id of the last request.
+    pub fn is_last(&self, id: &[u8]) -> bool {
+        std::str::from_utf8(id).is_ok_and(|id| self.0.lock().last == Some(hash_of(id)))
+    }
+
+    /// Whether this is the id of a request before the last one.
+    pub fn is_earlier(&self, id: &[u8]) -> bool {
+        let Ok(id) = std::str::from_utf8(id) else { return false };
+        let (hash, requests) = (hash_of(id), self.0.lock());
+        requests.last != Some(hash) && requests.recent.iter().any(|(other, _)| *other == hash)
+    }
+
     /// Whether no further id can be remembered.
     pub fn is_full(&self) -> bool {
-        self.recent.len() >= MAX_REMEMBERED
+        self.0.lock().recent.len() >= MAX_REMEMBERED
     }
 
     /// Adds a request.
-    pub fn add(&mut self, tag: &Tag, now: Instant) {
-        self.count += 1;
-        self.recent.retain(|(_, until)| *until > now);
-        let id = tag.id.iter().map(|id| (hash_of(id), tag.until));
-        self.recent.extend(id);
+    pub fn add(&self, tag: &Tag, now: Instant) {
+        let mut requests = self.0.lock();
+        requests.count += 1;
+        requests.recent.retain(|(_, until)| *until > now);
+        requests.last = tag.id.as_deref().map(hash_of);
+        let last = requests.last.map(|hash| (hash, tag.until));
+        requests.recent.extend(last);
     }
 }
 
--- a/crates/gateway/tests/loopback/second_responses.rs
+++ b/crates/gateway/tests/loopback/second_responses.rs
@@ -246,3 +246,57 @@
         assert_eq!(response.status, StatusCode::OK, "{trouble:?}: {response:?}");
     }
 }
+
+/// Requests of a caller, one after the other, each on the connection of the one before.
+const CALLS: usize = 40;
+
+/// An endpoint that sends its response to a request once more, right before its response to the next one.
+fn repeats_each(with_length: bool) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
+    let last: Mutex<HashMap<usize, String>> = Mutex::default();
+    move |arrived| {
+        let reply = |id: &str| {
+            let headers = fixtures::response_headers(id, None);
+            match with_length {
+                true => Reply::Complete(StatusCode::OK, headers, format!("for {id}")),
+                false => Reply::Events(headers, vec![format!("for {id}")], Duration::ZERO),
+            }
+        };
+        let id = arrived.head.id.clone();
+        match last.lock().insert(arrived.connection, id.clone()) {
+            Some(earlier) => {
+                Reply::Two(Box::new(reply(&earlier)), Duration::ZERO, Box::new(reply(&id)))
+            }
+            None => reply(&id),
+        }
+    }
+}
+
+/// Guards against: calls that end in 502 although their response comes, because a second response to an earlier request
+/// comes first.
+#[tokio::test]
+async fn a_second_response_to_an_earlier_request_is_skipped() {
+    let harness = Harness::start(PAID, &["confirm", "open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", repeats_each(true)).await;
+    let gateway = harness.gateway("box-1").await;
+    wait_until_served(&harness, &gateway, "/open/x").await;
+    for _ in 0..CALLS {
+        let req = harness.new_request("key-b", 1, 1);
+        let response = call(gateway.callers(), "/confirm/x", &req).await;
+        assert_eq!(response.status, StatusCode::OK, "{response:?}");
+        assert_eq!(response.body, Ok(format!("for {}", req.id)));
+    }
+}
+
+/// Guards against: a second response whose end is not certain, from which one could be smuggled, is read past.
+#[tokio::test]
+async fn a_second_response_without_a_length_is_not_skipped() {
+    let harness = Harness::start(PAID, &["confirm", "open"]).await;
+    let _endpoint = harness.endpoint("i-1", "plain", repeats_each(false)).await;
+    let gateway = harness.gateway("box-1").await;
+    for _ in 0..CALLS {
+        let req = harness.new_request("key-b", 1, 1);
+        let response = call(gateway.callers(), "/confirm/x", &req).await;
+        let is_own = response.body == Ok(format!("for {}", req.id));
+        assert!(is_own || !response.status.is_success(), "{response:?}");
+    }
+}
