--- a/crates/gateway/src/fleet/streams/pages.rs
+++ b/crates/gateway/src/fleet/streams/pages.rs
@@ -93,7 +93,7 @@
     pub fn records(&self) -> impl Iterator<Item = StreamRecord> {
         self.groups.iter().flat_map(|group| {
             let Group { service, version, streams } = group;
-            let keys = streams.iter().filter_map(|key| u128::from_str_radix(key, 16).ok());
+            let keys = streams.iter().filter_map(|key| read_key(key));
             keys.map(|key| {
                 let origin = StreamOrigin { service: service.clone(), version: version.clone() };
                 StreamRecord { key: StreamKey(key), origin, age_ms: 0 }
@@ -102,6 +102,11 @@
     }
 }
 
+fn read_key(text: &str) -> Option<u128> {
+    let key = u128::from_str_radix(text, 16);
+    key.inspect_err(|error| tracing::warn!(event = "stream_key_unreadable", %error)).ok()
+}
+
 /// A page that this box wrote.
 struct Written {
     name: Arc<str>,
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -64,7 +64,7 @@
                 Candidates::Unlimited
             };
             let AdmittedRequest { service, version, zones, prefix, .. } = admitted;
-            let open = self.open_versions(admitted);
+            let open = self.open_versions(&admitted.route, service, version.as_deref());
             let filter = Filter {
                 candidates,
                 zones: zones.as_ref(),
--- a/crates/gateway/src/proxy/origins.rs
+++ b/crates/gateway/src/proxy/origins.rs
@@ -18,7 +18,6 @@
     fleet::streams::{self, Found, Sent, Streams, Tell},
     metrics::TakenUp,
     proxy::{
-        admit::AdmittedRequest,
         context::Context,
         exchange::Exchange,
         refusal::{Reason, Refusal},
@@ -177,10 +176,15 @@
     }
 
     /// Software versions at which a request may begin a stream that can be taken up, if not at all: the store has to know
-    /// of the others first.
-    pub fn open_versions(&self, admitted: &AdmittedRequest) -> Option<Versions> {
-        let begins_stream = admitted.version.is_none() && can_be_taken_up(&admitted.route);
-        begins_stream.then(|| self.sole_versions.open_versions(&admitted.service)).flatten()
+    /// of the others first. `version` is that of the stream that it takes up.
+    pub fn open_versions(
+        &self,
+        route: &Route,
+        service: &Arc<str>,
+        version: Option<&str>,
+    ) -> Option<Versions> {
+        let begins_stream = version.is_none() && can_be_taken_up(route);
+        begins_stream.then(|| self.sole_versions.open_versions(service)).flatten()
     }
 
     /// Remembers where the stream of a response began, or goes on, here and at other boxes.
