Add review case 6: dead machines that are never forgotten stop all model requests

Tried: eight boxes, five of which are lost for good twelve times and replaced eleven times, then all processes killed.

--- a/review/standin-2/src/balancer.rs
+++ b/review/standin-2/src/balancer.rs
@@ -27,16 +27,23 @@
         self.0.lock().unwrap().push(node);
     }
 
+    /// Forgets a box that is lost for good.
+    pub fn remove(&self, callers: SocketAddr) {
+        self.0.lock().unwrap().retain(|node| node.callers != callers);
+    }
+
     /// Asks the boxes until the process ends.
     pub fn run(&self) {
         let this = self.clone();
         thread::spawn(move || {
             loop {
                 let nodes = this.0.lock().unwrap().clone();
-                for (at, node) in nodes.iter().enumerate() {
-                    let is_ready = ask(node.ready);
-                    let node = &mut this.0.lock().unwrap()[at];
-                    node.misses = if is_ready { 0 } else { node.misses + 1 };
+                for Node { callers, ready, .. } in nodes {
+                    let is_ready = ask(ready);
+                    let mut nodes = this.0.lock().unwrap();
+                    if let Some(node) = nodes.iter_mut().find(|node| node.callers == callers) {
+                        node.misses = if is_ready { 0 } else { node.misses + 1 };
+                    }
                 }
                 thread::sleep(Duration::from_secs(1));
             }
--- a/review/standin-2/src/caller.rs
+++ b/review/standin-2/src/caller.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone)]
 pub enum End {
     /// A whole answer.
-    Answered { status: u16, seal: Option<String>, body: Vec<u8>, retry_after: Option<f64> },
+    Answered { status: u16, retry_after: Option<f64> },
     /// The connection ended after the request was sent, before an answer began.
     ClosedWithoutAnswer,
     /// The connection ended inside the answer.
@@ -39,7 +39,6 @@
 /// How a body is sent.
 #[derive(Clone, Copy)]
 pub enum Body<'a> {
-    None,
     Sized(&'a [u8]),
     /// In chunks of `chunk` bytes, evenly over `over`.
     Chunked {
@@ -71,16 +70,15 @@
         Err(_) => return End::ClosedWithoutAnswer,
     };
     match connection.read_body(&head) {
-        Ok(body) => answered(&head, body),
+        Ok(_) => answered(&head),
         Err(error) if is_timeout(&error) => End::TimedOut,
         Err(_) => End::Broken,
     }
 }
 
-fn answered(head: &Head, body: Vec<u8>) -> End {
+fn answered(head: &Head) -> End {
     let retry_after = head.get("retry-after").and_then(|text| text.parse().ok());
-    let seal = head.get("response-seal").map(str::to_owned);
-    End::Answered { status: head.status(), seal, body, retry_after }
+    End::Answered { status: head.status(), retry_after }
 }
 
 fn is_timeout(error: &io::Error) -> bool {
@@ -94,14 +92,12 @@
         deadline.as_millis()
     );
     match body {
-        Body::None => {}
         Body::Sized(bytes) => head += &format!("Content-Length: {}\r\n", bytes.len()),
         Body::Chunked { .. } => head += "Transfer-Encoding: chunked\r\n",
     }
     head += "\r\n";
     connection.write(head.as_bytes())?;
     match body {
-        Body::None => Ok(()),
         Body::Sized(bytes) => connection.write(bytes),
         Body::Chunked { bytes, chunk, over } => {
             let began = Instant::now();
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -22,7 +22,6 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
-    starts: u32,
 }
 
 /// A port that is free now, below those that the system gives to outgoing connections, so that none of them takes it
@@ -68,12 +67,11 @@
         let settings = dir.join(format!("{name}.jsonc"));
         fs::write(&settings, text).expect("the temporary folder can be written");
         let log = dir.join(format!("{name}.log"));
-        Gateway { name: name.into(), callers, ready, peers, settings, log, child: None, starts: 0 }
+        Gateway { name: name.into(), callers, ready, peers, settings, log, child: None }
     }
 
     /// Starts the daemon as the deploy file does.
     pub fn start(&mut self, program: &Path, record: &Record) {
-        self.starts += 1;
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the temporary folder can be written");
         let mut command = Command::new(program);
@@ -125,10 +123,6 @@
         self.child.as_ref().map(Child::id)
     }
 
-    pub fn starts(&self) -> u32 {
-        self.starts
-    }
-
     /// Memory in use and its peak, in MB.
     pub fn memory_mb(&self) -> Option<(f64, f64)> {
         let text = fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
@@ -147,26 +141,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Sends a signal by name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        if let Some(pid) = self.pid() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
-        }
-    }
-
-    /// Whether the process has ended; how it ended is recorded.
-    pub fn has_ended(&mut self, record: &Record) -> bool {
-        let Some(child) = &mut self.child else { return true };
-        match child.try_wait() {
-            Ok(Some(status)) => {
-                record.say(&format!("box {} ended: {status}", self.name));
-                self.child = None;
-                true
-            }
-            _ => false,
-        }
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod http;
 mod json;
+mod lost;
 mod proxy;
 mod record;
 mod socket;
@@ -46,6 +47,7 @@
     let case = Case { program: program.into(), dir: dir.into(), record: record.clone(), trouble };
     let broken = match name.as_str() {
         "bodies" => bodies::play(&case),
+        "lost" => lost::play(&case),
         "engines" => engines::play(&case),
         _ => {
             eprintln!("no case {name}");
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -66,20 +66,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes an object.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.delete(kind, name);
-        self.shared.1.notify_all();
-    }
-
-    /// The text of an object.
-    pub fn get(&self, kind: &str, name: &str) -> Option<String> {
-        let state = self.shared.0.lock().unwrap();
-        let found = state.objects.get(&(kind.to_owned(), name.to_owned()));
-        found.map(|object| object.spec.clone())
-    }
-
     /// Number of objects of a kind.
     pub fn count(&self, kind: &str) -> usize {
         let state = self.shared.0.lock().unwrap();
